--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,1172 @@
+//! Every decision of micadyke. Settings, events and actions: `src/interface.rs`. Design: `docs/design.md`.
+//!
+//! Sections: constants, prices (the fluid programme), accounts of links, servers, sessions, controller.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+// ---------------------------------------------------------------------------------------------------------
+// Constants. Each is a choice of ours that no setting states.
+// ---------------------------------------------------------------------------------------------------------
+
+const MS: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MS;
+/// Use of a link up to which the top rung is given; past it prices act. Below 1 by the spread of true rates
+/// over some ten sessions, since a missing point of rate costs several points of worth.
+const MARK: f64 = 0.78;
+/// Use per rung: past the mark each step takes one rung off. The lowest rung still ends below a full link.
+const STEP: f64 = 0.04;
+/// At most one change of rung per playing session in this time (the design's ten seconds).
+const CHANGE_GAP: Nanos = 10 * SECOND;
+/// Set-ups after which prices are solved again, sessions handed over included: a short-lived front at a
+/// set-up every two seconds reaches it within its first half minute.
+const SAMPLE: usize = 30;
+/// Housekeeping: rungs and suspicion are looked at so often.
+const TICK: Nanos = 200 * MS;
+/// An attempt unanswered for this long makes its server suspect: several times a healthy set-up.
+const SILENT: Nanos = 400 * MS;
+/// A server that failed rests this long, twice as long for each failure in a row up to REST_MAX.
+const REST: Nanos = SECOND;
+const REST_MAX: Nanos = 8 * SECOND;
+/// Part of the time to the aim that an attempt gets while a further one could still meet the aim.
+const TRY_PART: f64 = 0.5;
+/// Part of the cold budget that is used: chance and other fronts' uneven shares take the rest.
+const COLD_PART: f64 = 0.8;
+/// Delivery under this is short (the notes' own bound).
+const SHORT: f64 = 0.98;
+/// A pool found to give less than it claims is trusted again over this time.
+const TRUST: f64 = 12.0;
+/// Holders whose use differs by less than this are drawn from by chance, so that fronts do not herd.
+const HERD: f64 = 0.04;
+/// Crossing zones is worth this many points of use for each point of its price.
+const CROSS: f64 = 1.5;
+/// What a refused viewer is told to wait: about a note's age, after which the account has changed.
+const COME_BACK: Nanos = SECOND;
+
+// ---------------------------------------------------------------------------------------------------------
+// Prices: the fluid programme and its guarded re-pricing.
+// ---------------------------------------------------------------------------------------------------------
+
+/// Bid prices: worth a second for each kB a second of link (`rate`) and for each stream (`stream`).
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Prices {
+    /// Worth for each kB a second.
+    pub rate: f64,
+    /// Worth for each stream.
+    pub stream: f64,
+}
+
+/// A class in the fluid programme: its share of set-ups and its rungs as (rate, worth).
+#[derive(Debug, Clone, PartialEq)]
+pub struct Kind {
+    /// Share of the set-ups.
+    pub weight: f64,
+    /// Rate and worth of each rung that the class may play at.
+    pub rungs: Vec<(f64, f64)>,
+}
+
+impl Kind {
+    fn surplus(&self, p: Prices) -> f64 {
+        self.rungs
+            .iter()
+            .map(|&(rate, worth)| worth - p.rate * rate - p.stream)
+            .fold(0.0, f64::max)
+    }
+}
+
+/// The dual of the fluid programme: budget value plus what the classes keep at these prices.
+pub fn dual_value(kinds: &[Kind], link: f64, streams: f64, p: Prices) -> f64 {
+    link * p.rate + streams * p.stream + kinds.iter().map(|k| k.weight * k.surplus(p)).sum::<f64>()
+}
+
+/// Solves the fluid programme exactly. Its dual is convex and piecewise linear in the two prices, so a least
+/// value lies where two of its bends (or axes) meet; among equals the lowest prices are taken.
+pub fn solve(kinds: &[Kind], link: f64, streams: f64) -> Prices {
+    // Lines a*rate + b*stream = c at which the dual bends, and the two axes.
+    let mut lines = vec![(1.0, 0.0, 0.0), (0.0, 1.0, 0.0)];
+    for kind in kinds {
+        for (i, &(rate, worth)) in kind.rungs.iter().enumerate() {
+            lines.push((rate, 1.0, worth));
+            lines.extend(kind.rungs[..i].iter().map(|&(r, w)| (rate - r, 0.0, worth - w)));
+        }
+    }
+    let mut best = (f64::INFINITY, f64::INFINITY, Prices::default());
+    for (i, &(a, b, c)) in lines.iter().enumerate() {
+        for &(d, e, f) in &lines[..i] {
+            let det = a * e - b * d;
+            if det.abs() < 1e-12 {
+                continue;
+            }
+            let (rate, stream) = ((c * e - b * f) / det, (a * f - c * d) / det);
+            if !(rate >= -1e-12 && stream >= -1e-12) {
+                continue;
+            }
+            let p = Prices {
+                rate: rate.max(0.0),
+                stream: stream.max(0.0),
+            };
+            let value = dual_value(kinds, link, streams, p);
+            let size = p.rate * link + p.stream * streams;
+            let slack = 1e-9 * (1.0 + value.abs());
+            if value < best.0 - slack || (value < best.0 + slack && size < best.1 - slack) {
+                best = (value, size, p);
+            }
+        }
+    }
+    best.2
+}
+
+/// Prices in force, and the sample on which they are solved once more.
+#[derive(Debug)]
+struct Pricing {
+    prices: Option<Prices>,
+    sample: Vec<(usize, Rung)>,
+    returned: usize,
+    frozen: bool,
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Accounts: what is asked of a link or an uplink over what it gives.
+// ---------------------------------------------------------------------------------------------------------
+
+/// A link or a rack's uplink.
+#[derive(Debug, Default)]
+struct Pool {
+    /// What it gives by the list, kB a second.
+    size: f64,
+    /// What this front's sessions ask of it.
+    own: f64,
+    /// Last use heard, and the time that it told of.
+    heard: Option<(f64, Nanos)>,
+    /// This front's changes since then, as time and use.
+    log: VecDeque<(Nanos, f64)>,
+}
+
+impl Pool {
+    /// Use now: the last figure heard and this front's changes since.
+    fn usage(&self, fronts: f64) -> f64 {
+        match self.heard {
+            Some((value, _)) => (value + self.log.iter().map(|l| l.1).sum::<f64>()).max(0.0),
+            None if self.size > 0.0 => self.own * fronts / self.size,
+            None => 0.0,
+        }
+    }
+
+    /// This front's share of what is asked. All fronts hear the same note at once, so each answers with its
+    /// own share of the needed change and books the whole.
+    fn share(&self, fronts: f64) -> f64 {
+        let all = self.usage(fronts) * self.size;
+        if all > 0.0 {
+            (self.own / all).clamp(0.5 / fronts, 1.0)
+        } else {
+            1.0
+        }
+    }
+
+    /// Books a change of this front's rate; `echo` is by how much the other fronts are taken to multiply it.
+    fn change(&mut self, now: Nanos, rate: f64, echo: f64) {
+        self.own = (self.own + rate).max(0.0);
+        if self.heard.is_some() && self.size > 0.0 {
+            self.log.push_back((now, rate * echo / self.size));
+        }
+    }
+
+    fn hear(&mut self, value: f64, as_of: Nanos) {
+        if value.is_finite() && value >= 0.0 && self.heard.is_none_or(|h| h.1 <= as_of) {
+            self.heard = Some((value, as_of));
+            self.log.retain(|l| l.0 > as_of);
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// Servers and sessions.
+// ---------------------------------------------------------------------------------------------------------
+
+#[derive(Debug)]
+struct Server {
+    entry: ServerEntry,
+    link: Pool,
+    /// Own streams, set-ups included.
+    streams: u32,
+    /// When it started, as told or as guessed from what broke.
+    cold_since: Nanos,
+    /// Set-ups sent to it while cold.
+    cold_sends: VecDeque<Nanos>,
+    failures: u32,
+    rest_until: Nanos,
+    /// Last share delivered that was heard.
+    delivered: f64,
+    /// What it gives over what its account says, at the time beside it.
+    gives: (f64, Nanos),
+}
+
+impl Server {
+    /// What it gives now: trust returns over TRUST while no shortfall is heard.
+    fn gives(&self, now: Nanos) -> f64 {
+        let (low, at) = self.gives;
+        let back = now.saturating_sub(at) as f64 / (TRUST * SECOND as f64);
+        if self.delivered < SHORT {
+            low
+        } else {
+            (low + (1.0 - low) * back).min(1.0)
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Session {
+    wish: Wish,
+    rung: Rung,
+    taken_at: Nanos,
+    sent_at: Nanos,
+    changed_at: Nanos,
+    /// Where its attempt is, in flight or playing.
+    server: Option<ServerId>,
+    playing: bool,
+    /// No answer is owed any more.
+    answered: bool,
+    attempts: u32,
+    tried: Vec<ServerId>,
+    /// First attempt that may have run: its send, zone and cell.
+    ran: Option<(Nanos, u32, u32)>,
+}
+
+/// Settings that make no sense: the field, and what is wrong with it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The field of [`Settings`].
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub what: &'static str,
+}
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {}", self.field, self.what)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+fn check(s: &Settings) -> Result<(), SettingsError> {
+    let bad = |field, what| Err(SettingsError { field, what });
+    let rising = |f: fn(&Step) -> f64| s.ladder.windows(2).all(|w| f(&w[0]) < f(&w[1]));
+    if s.ladder.is_empty()
+        || !s
+            .ladder
+            .iter()
+            .all(|r| r.rate > 0.0 && r.rate.is_finite() && r.worth > 0.0)
+    {
+        return bad("ladder", "must hold rungs of positive rate and worth");
+    }
+    if !rising(|r| r.rate) || !rising(|r| r.worth) {
+        return bad("ladder", "must rise");
+    }
+    if s.classes.is_empty() {
+        return bad("classes", "must hold a class");
+    }
+    for c in &s.classes {
+        if c.floor > c.top || c.top >= s.ladder.len() {
+            return bad(
+                "classes.floor",
+                "must lie at or under classes.top, and that on the ladder",
+            );
+        }
+        if !(c.worth >= 0.0 && c.worth.is_finite() && c.scale > 0.0 && c.scale.is_finite()) {
+            return bad(
+                "classes.worth",
+                "must be a number from 0, and classes.scale above 0",
+            );
+        }
+    }
+    if s.cells == 0 || s.racks == 0 {
+        return bad("cells", "must be above 0, and racks too");
+    }
+    if s.fronts == 0 || s.max_attempts == 0 {
+        return bad("fronts", "must be above 0, and max_attempts too");
+    }
+    Ok(())
+}
+
+// ---------------------------------------------------------------------------------------------------------
+// The controller.
+// ---------------------------------------------------------------------------------------------------------
+
+/// The decisions of one front. See `src/interface.rs` for the contract.
+#[derive(Debug)]
+pub struct Controller {
+    s: Settings,
+    random: u64,
+    now: Nanos,
+    born: Nanos,
+    ticking: bool,
+    servers: BTreeMap<ServerId, Server>,
+    racks: BTreeMap<u32, Pool>,
+    sessions: BTreeMap<SessionId, Session>,
+    seats: BTreeMap<(TitleId, usize), u32>,
+    pricing: Pricing,
+    taken: VecDeque<Nanos>,
+    further: VecDeque<Nanos>,
+}
+
+impl Controller {
+    /// A controller that knows nothing yet; refuses settings that make no sense.
+    pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
+        check(&settings)?;
+        Ok(Controller {
+            s: settings,
+            random: seed,
+            now,
+            born: now,
+            ticking: false,
+            servers: BTreeMap::new(),
+            racks: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            pricing: Pricing {
+                prices: None,
+                sample: Vec::new(),
+                returned: 0,
+                frozen: false,
+            },
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+        })
+    }
+
+    /// Takes one event at time `now`; what is to be done is appended to `out`.
+    pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if !self.ticking {
+            self.ticking = true;
+            out.push(Action::SetTimer {
+                after: TICK,
+                token: 0,
+            });
+            if self.s.listing == Listing::Subscribed {
+                out.push(Action::Subscribe);
+            }
+        }
+        match event {
+            Event::List { kind, entries } => self.list(kind, entries, out),
+            Event::Request(wish) => self.request(wish, out),
+            Event::Adopted { wish, server } => self.adopt(wish, server),
+            Event::Started { session } => self.started(session),
+            Event::Ended {
+                session,
+                server,
+                outcome,
+                finished,
+                report,
+            } => {
+                self.report(server, &report);
+                self.ended(session, server, outcome, finished, out);
+            }
+            Event::Left { session } => {
+                if let Some(s) = self.sessions.get_mut(&session) {
+                    s.answered = true;
+                    if s.server.is_none() {
+                        self.sessions.remove(&session);
+                    }
+                }
+            }
+            Event::Note {
+                session,
+                server,
+                kind,
+                value,
+            } => self.note(session, server, kind, value, out),
+            Event::Timer { .. } => {
+                out.push(Action::SetTimer {
+                    after: TICK,
+                    token: 0,
+                });
+                let all: Vec<ServerId> = self.servers.keys().copied().collect();
+                all.into_iter().for_each(|server| self.follow(server, out));
+            }
+            Event::Probed { server, ok, report } => {
+                self.report(server, &report);
+                if ok && let Some(s) = self.servers.get_mut(&server) {
+                    s.failures = 0;
+                }
+            }
+        }
+    }
+
+    /// A draw from [0, 1): splitmix64.
+    fn chance(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn fronts(&self) -> f64 {
+        f64::from(self.s.fronts)
+    }
+
+    fn rate(&self, class: ClassId, rung: Rung) -> f64 {
+        self.s.ladder[rung].rate * self.s.classes[class.0].scale
+    }
+
+    fn worth(&self, class: ClassId, rung: Rung) -> f64 {
+        self.s.ladder[rung].worth * self.s.classes[class.0].worth
+    }
+
+    /// Highest rung that the viewer and the class can use, never under the class's floor.
+    fn top(&self, wish: &Wish) -> Rung {
+        let class = &self.s.classes[wish.class.0];
+        wish.top.min(class.top).max(class.floor)
+    }
+
+    /// Use up to which a rung is given: the mark, and a step more for each rung under the top one.
+    fn limit(&self, rung: Rung) -> f64 {
+        MARK + STEP * (self.s.ladder.len() - 1 - rung) as f64
+    }
+
+    // ----- the list of servers ---------------------------------------------------------------------------
+
+    fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            if self.s.listing == Listing::Subscribed {
+                out.push(Action::Subscribe);
+            }
+            return;
+        }
+        if kind != ListKind::Delta {
+            self.servers
+                .values_mut()
+                .for_each(|s| s.entry.state = ServerState::Gone);
+        }
+        for entry in entries {
+            // A front that has just started may hold a list older than a server's restart, and counts as
+            // having known of it: what a cached list names is cold until the front has run that long.
+            let since = if kind == ListKind::Cached { self.born } else { 0 }.max(entry.started_at);
+            let started_at = entry.started_at;
+            match self.servers.get_mut(&entry.server) {
+                Some(s) => {
+                    if started_at > s.entry.started_at {
+                        // A new process: what was known of the old one says nothing.
+                        s.cold_since = s.cold_since.max(started_at);
+                        (s.failures, s.rest_until) = (0, 0);
+                        (s.delivered, s.gives) = (1.0, (1.0, 0));
+                    }
+                    s.entry = entry;
+                }
+                None => {
+                    let server = Server {
+                        entry,
+                        link: Pool::default(),
+                        streams: 0,
+                        cold_since: since,
+                        cold_sends: VecDeque::new(),
+                        failures: 0,
+                        rest_until: 0,
+                        delivered: 1.0,
+                        gives: (1.0, 0),
+                    };
+                    self.servers.insert(server.entry.server, server);
+                }
+            }
+        }
+        self.servers
+            .retain(|_, s| s.entry.state != ServerState::Gone || s.streams > 0);
+        self.sizes();
+    }
+
+    fn streams_of(&self, server: &Server) -> f64 {
+        f64::from(
+            self.s
+                .streams_by_kind
+                .get(server.entry.kind)
+                .copied()
+                .unwrap_or(0),
+        )
+    }
+
+    /// Sizes of links from weights, or, where weights tell nothing, from the streams of the machine's kind.
+    fn sizes(&mut self) {
+        let ready: Vec<f64> = self
+            .servers
+            .values()
+            .map(|s| self.streams_of(s))
+            .filter(|&p| p > 0.0)
+            .collect();
+        let mean = ready.iter().sum::<f64>() / ready.len().max(1) as f64;
+        let (per_weight, by_weight) = (self.s.link_per_weight, self.s.weights_tell_size);
+        let kinds = self.s.streams_by_kind.clone();
+        for s in self.servers.values_mut() {
+            let streams = f64::from(kinds.get(s.entry.kind).copied().unwrap_or(0));
+            let part = if by_weight || mean <= 0.0 {
+                s.entry.weight
+            } else {
+                streams / mean
+            };
+            s.link.size = (per_weight * part).max(0.0);
+            let uplink = self.s.uplink;
+            self.racks.entry(s.entry.cell % self.s.racks).or_default().size = uplink;
+        }
+    }
+
+    // ----- accounts --------------------------------------------------------------------------------------
+
+    /// Books a change of own rate at a server and its rack.
+    fn book(&mut self, server: ServerId, rate: f64, echoed: bool) {
+        let (now, fronts) = (self.now, self.fronts());
+        if let Some(s) = self.servers.get_mut(&server) {
+            let echo = |p: &Pool| if echoed { 1.0 / p.share(fronts) } else { 1.0 };
+            let e = echo(&s.link);
+            s.link.change(now, rate, e);
+            if let Some(rack) = self.racks.get_mut(&(s.entry.cell % self.s.racks)) {
+                let e = echo(rack);
+                rack.change(now, rate, e);
+            }
+        }
+    }
+
+    /// Use of a server: the higher of its link and its rack's uplink, over what it was seen to give.
+    fn usage(&self, server: &Server) -> f64 {
+        let rack = self.racks.get(&(server.entry.cell % self.s.racks));
+        let rack = rack
+            .filter(|r| r.heard.is_some())
+            .map_or(0.0, |r| r.usage(self.fronts()));
+        server.link.usage(self.fronts()).max(rack) / server.gives(self.now).max(0.01)
+    }
+
+    /// How much use a rate adds at a server.
+    fn adds(&self, server: &Server, rate: f64) -> f64 {
+        let rack = self
+            .racks
+            .get(&(server.entry.cell % self.s.racks))
+            .map_or(0.0, |r| r.size);
+        let link = if server.link.size > 0.0 {
+            rate / server.link.size
+        } else {
+            0.0
+        };
+        let cold = if self.cold(server) {
+            self.s.cold_from.clamp(0.1, 1.0)
+        } else {
+            1.0
+        };
+        (link / cold).max(if rack > 0.0 { rate / rack } else { 0.0 }) / server.gives(self.now).max(0.01)
+    }
+
+    fn report(&mut self, server: ServerId, report: &[f64]) {
+        let as_of = self.now.saturating_sub(self.s.note_delay);
+        let Some(s) = self.servers.get_mut(&server) else {
+            return;
+        };
+        for (figure, &value) in self.s.figures.iter().zip(report) {
+            let pool = match figure {
+                Figure::Link | Figure::Util => &mut s.link,
+                Figure::Uplink => match self.racks.get_mut(&(s.entry.cell % self.s.racks)) {
+                    Some(rack) => rack,
+                    None => continue,
+                },
+                _ => continue,
+            };
+            // Reports are noisy and stop at 1: they count only where no note of late is to be had.
+            let late = pool
+                .heard
+                .is_none_or(|h| h.1 + 2 * self.s.note_period.max(SECOND) < as_of);
+            if late && !(*figure == Figure::Util && value >= 1.0) {
+                pool.hear(value, as_of);
+            }
+        }
+    }
+
+    fn note(&mut self, id: SessionId, server: ServerId, kind: NoteKind, value: f64, out: &mut Vec<Action>) {
+        if !value.is_finite() || value < 0.0 {
+            return;
+        }
+        let (now, top_rung) = (self.now, self.s.ladder.len() - 1);
+        // The note at set-up tells of now; the later ones are as late as the settings say.
+        let fresh = self
+            .sessions
+            .get(&id)
+            .is_some_and(|s| s.playing && s.changed_at == now);
+        let as_of = if fresh {
+            now
+        } else {
+            now.saturating_sub(self.s.note_delay)
+        };
+        match kind {
+            NoteKind::RungInForce => {
+                let Some(s) = self.sessions.get_mut(&id) else {
+                    return;
+                };
+                let (class, old) = (s.wish.class, s.rung);
+                s.rung = (value as Rung).min(top_rung);
+                let rung = s.rung;
+                self.book(server, self.rate(class, rung) - self.rate(class, old), false);
+                return;
+            }
+            NoteKind::UplinkUse => {
+                let Some(s) = self.servers.get(&server) else {
+                    return;
+                };
+                if let Some(rack) = self.racks.get_mut(&(s.entry.cell % self.s.racks)) {
+                    rack.hear(value, as_of);
+                }
+            }
+            NoteKind::LinkUse => {
+                if let Some(s) = self.servers.get_mut(&server) {
+                    s.link.hear(value, as_of);
+                }
+            }
+            NoteKind::Delivered => {
+                if let Some(s) = self.servers.get_mut(&server) {
+                    let gives = s.gives(now);
+                    s.gives = (gives, now);
+                    s.delivered = value.min(1.0);
+                }
+            }
+        }
+        // Guards against any link that gives less than its account says (an uplink nobody reports, a link
+        // cut down, a server that stands still): what was asked, times the share delivered, is what it gives.
+        // Catches a wrong size too. May hurt after a brief dip: trust takes a while to return.
+        let rack = self
+            .servers
+            .get(&server)
+            .and_then(|s| self.racks.get(&(s.entry.cell % self.s.racks)));
+        let rack = rack.and_then(|r| r.heard).map_or(0.0, |h| h.0);
+        let fronts = self.fronts();
+        if let Some(s) = self.servers.get_mut(&server)
+            && s.delivered < SHORT
+        {
+            let asked = s
+                .link
+                .heard
+                .map_or_else(|| s.link.usage(fronts), |h| h.0)
+                .max(rack);
+            s.gives = ((asked * s.delivered).clamp(0.01, 1.0), now);
+        }
+        self.follow(server, out);
+    }
+
+    // ----- rungs of playing sessions ---------------------------------------------------------------------
+
+    /// The rung rule: top rung up to the mark, one lower per step past it. A session steps down once use is a
+    /// step beyond its rung's limit and up when the higher rung's limit would hold, each front doing its share.
+    fn follow(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        let Some(server) = self.servers.get(&id) else {
+            return;
+        };
+        let (usage, share) = (self.usage(server), server.link.share(self.fronts()));
+        let own = server.link.own;
+        if own <= 0.0 {
+            return;
+        }
+        let mut mine: Vec<(SessionId, ClassId, Rung, Rung)> = Vec::new();
+        for (&sid, s) in &self.sessions {
+            if s.playing && s.server == Some(id) && self.now >= s.changed_at + CHANGE_GAP {
+                mine.push((sid, s.wish.class, s.rung, self.top(&s.wish)));
+            }
+        }
+        let before: Vec<Rung> = mine.iter().map(|m| m.2).collect();
+        let mut left = own;
+        loop {
+            // The step down that loses the least worth for the rate it frees.
+            let loss = |&(_, c, r, _): &(SessionId, ClassId, Rung, Rung)| {
+                (self.worth(c, r) - self.worth(c, r - 1)) / (self.rate(c, r) - self.rate(c, r - 1))
+            };
+            let over = |m: &(SessionId, ClassId, Rung, Rung)| {
+                m.2 > self.s.classes[m.1.0].floor
+                    && usage > self.limit(m.2) + STEP
+                    && usage * left / own > self.limit(m.2)
+            };
+            let next = (0..mine.len()).filter(|&i| over(&mine[i]));
+            let Some(i) = next.min_by(|&a, &b| loss(&mine[a]).total_cmp(&loss(&mine[b]))) else {
+                break;
+            };
+            left -= self.rate(mine[i].1, mine[i].2) - self.rate(mine[i].1, mine[i].2 - 1);
+            mine[i].2 -= 1;
+        }
+        if left >= own {
+            // Room: the step up that gains the most worth for its rate, if it fits with every front doing
+            // the same, or, where one step is more than this front's part, by lot.
+            let server = &self.servers[&id];
+            let fits = |m: &(SessionId, ClassId, Rung, Rung)| {
+                let more = self.adds(server, self.rate(m.1, m.2 + 1) - self.rate(m.1, m.2));
+                (self.limit(m.2 + 1) - usage) / more
+            };
+            let gain = |m: &(SessionId, ClassId, Rung, Rung)| {
+                (self.worth(m.1, m.2 + 1) - self.worth(m.1, m.2))
+                    / (self.rate(m.1, m.2 + 1) - self.rate(m.1, m.2))
+            };
+            let can = (0..mine.len()).filter(|&i| mine[i].2 < mine[i].3 && fits(&mine[i]) >= 1.0);
+            if let Some(i) = can.max_by(|&a, &b| gain(&mine[a]).total_cmp(&gain(&mine[b]))) {
+                let room = fits(&mine[i]) * share;
+                if room >= 1.0 || self.chance() < room * TICK as f64 / SECOND as f64 {
+                    mine[i].2 += 1;
+                }
+            }
+        }
+        for (m, old) in mine.into_iter().zip(before) {
+            if m.2 != old {
+                self.set_rung(m.0, m.2, out);
+            }
+        }
+    }
+
+    fn set_rung(&mut self, id: SessionId, rung: Rung, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let (class, old, server) = (s.wish.class, s.rung, s.server);
+        s.rung = rung;
+        s.changed_at = now;
+        if let Some(server) = server {
+            self.book(server, self.rate(class, rung) - self.rate(class, old), true);
+        }
+        out.push(Action::SetRung { session: id, rung });
+    }
+
+    // ----- requests --------------------------------------------------------------------------------------
+
+    fn request(&mut self, wish: Wish, out: &mut Vec<Action>) {
+        let id = wish.session;
+        if wish.class.0 >= self.s.classes.len() || self.sessions.contains_key(&id) {
+            return;
+        }
+        self.taken.push_back(self.now);
+        self.sample(&wish);
+        self.sessions.insert(id, self.session(wish));
+        self.place(id, out);
+    }
+
+    fn session(&self, wish: Wish) -> Session {
+        Session {
+            rung: self.s.classes[wish.class.0].floor,
+            wish,
+            taken_at: self.now,
+            sent_at: self.now,
+            changed_at: self.now,
+            server: None,
+            playing: false,
+            answered: false,
+            attempts: 0,
+            tried: Vec::new(),
+            ran: None,
+        }
+    }
+
+    fn adopt(&mut self, wish: Wish, server: ServerId) {
+        let id = wish.session;
+        if wish.class.0 >= self.s.classes.len() || self.sessions.contains_key(&id) {
+            return;
+        }
+        self.pricing.sample.push((wish.class.0, self.top(&wish)));
+        let mut s = self.session(wish);
+        (s.playing, s.answered, s.attempts) = (true, true, 1);
+        (s.server, s.changed_at) = (Some(server), self.now.saturating_sub(CHANGE_GAP));
+        self.sessions.insert(id, s);
+        self.hold(id, server);
+    }
+
+    /// Books a session's attempt at a server: rate, stream and seat.
+    fn hold(&mut self, id: SessionId, server: ServerId) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        let rate = self.rate(s.wish.class, s.rung);
+        *self
+            .seats
+            .entry((s.wish.title.clone(), s.wish.class.0))
+            .or_default() += 1;
+        self.book(server, rate, false);
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.streams += 1;
+        }
+    }
+
+    fn release(&mut self, id: SessionId) {
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(server) = s.server.take() else { return };
+        s.playing = false;
+        let (rate, key) = (
+            -self.rate_of(id),
+            (
+                self.sessions[&id].wish.title.clone(),
+                self.sessions[&id].wish.class.0,
+            ),
+        );
+        if let Some(n) = self.seats.get_mut(&key) {
+            *n -= 1;
+            if *n == 0 {
+                self.seats.remove(&key);
+            }
+        }
+        self.book(server, rate, false);
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.streams = s.streams.saturating_sub(1);
+            if s.entry.state == ServerState::Gone && s.streams == 0 {
+                self.servers.remove(&server);
+            }
+        }
+    }
+
+    fn rate_of(&self, id: SessionId) -> f64 {
+        self.sessions
+            .get(&id)
+            .map_or(0.0, |s| self.rate(s.wish.class, s.rung))
+    }
+
+    fn cold(&self, server: &Server) -> bool {
+        server.cold_since > 0 && self.now < server.cold_since + self.s.cold_for
+    }
+
+    /// Whether the cold budget allows a set-up now: this front's part of what all may send in any window.
+    fn cold_room(&self, server: &Server) -> bool {
+        if !self.cold(server) {
+            return true;
+        }
+        let window = self.s.fall_window as f64;
+        let pace = self.streams_of(server) / self.s.cold_for as f64 * self.s.cold_from;
+        let part = pace * self.s.fall_multiple * window * COLD_PART / self.fronts();
+        let (most, span) = if part >= 1.0 {
+            (part.floor(), window)
+        } else {
+            (1.0, window / part.max(0.001))
+        };
+        let since = self.now.saturating_sub(span as Nanos);
+        (server.cold_sends.iter().filter(|&&t| t > since).count() as f64) < most
+    }
+
+    /// Whether a server may be asked for this session at all.
+    fn usable(&self, server: &Server, s: &Session) -> bool {
+        let e = &server.entry;
+        let cell = (e.cell % self.s.cells + self.s.cells - s.wish.base % self.s.cells) % self.s.cells;
+        let scope = match (s.ran, self.s.classes[s.wish.class.0].effect) {
+            (None, _) | (_, Effect::Idempotent) => true,
+            (Some(_), Effect::AtMostOnce) => false,
+            (Some((at, zone, cell)), Effect::Deduplicated { scope, window }) => {
+                self.now < at + window
+                    && match scope {
+                        Scope::All => true,
+                        Scope::Zone => zone == e.zone,
+                        Scope::Cell => cell == e.cell,
+                    }
+            }
+        };
+        e.state == ServerState::Ready
+            && cell < s.wish.spread
+            && scope
+            && !s.tried.contains(&e.server)
+            && self.now >= server.rest_until
+            && self.cold_room(server)
+            && !self.silent(server)
+    }
+
+    /// Guards against a server that answers nothing: while an attempt there has gone unanswered for long, or
+    /// one is out to a server that failed last, no other follows. Holds for hangs, cut links, lost machines.
+    /// May hurt when set-ups are merely slow: the holders left then carry more.
+    fn silent(&self, server: &Server) -> bool {
+        let mut out = self
+            .sessions
+            .values()
+            .filter(|s| s.server == Some(server.entry.server) && !s.playing);
+        out.any(|s| server.failures > 0 || self.now >= s.sent_at + SILENT)
+    }
+
+    /// Whether a further attempt is within what the site allows.
+    fn may_send(&mut self, s_attempts: u32) -> bool {
+        if s_attempts == 0 {
+            return true;
+        }
+        let Some(b) = self.s.retry_budget else {
+            return s_attempts < self.s.max_attempts;
+        };
+        let since = self.now.saturating_sub(b.window);
+        while self.taken.front().is_some_and(|&t| t <= since) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|&t| t <= since) {
+            self.further.pop_front();
+        }
+        let room = b.spare + b.share * self.taken.len() as f64;
+        s_attempts < self.s.max_attempts && (self.further.len() + 1) as f64 <= room
+    }
+
+    /// The ordinary path: best holder first, from the top usable rung down, the first rung that fits and
+    /// clears the prices; refused when none does.
+    fn place(&mut self, id: SessionId, out: &mut Vec<Action>) {
+        if self.s.retry_budget.is_none() {
+            self.taken.clear();
+        }
+        let attempts = self.sessions.get(&id).map_or(0, |s| s.attempts);
+        let allowed = self.may_send(attempts);
+        let jitter = self.chance();
+        let prices = self.prices();
+        let Some(s) = self.sessions.get(&id) else { return };
+        let class = &self.s.classes[s.wish.class.0];
+        let held = self
+            .seats
+            .get(&(s.wish.title.clone(), s.wish.class.0))
+            .copied()
+            .unwrap_or(0);
+        let seat = class.seats == 0 || held < class.seats;
+        let mut choice: Option<(ServerId, Rung)> = None;
+        if allowed && seat && self.now < s.wish.give_up_at {
+            let mut holders: Vec<(f64, ServerId)> = Vec::new();
+            for (n, server) in self.servers.values().filter(|h| self.usable(h, s)).enumerate() {
+                let cross = if server.entry.zone == self.s.zone {
+                    0.0
+                } else {
+                    CROSS * self.s.cross_price
+                };
+                let lot = (jitter + n as f64 * 0.618).fract() * HERD;
+                holders.push((self.usage(server) + cross + lot, server.entry.server));
+            }
+            holders.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            choice = holders
+                .iter()
+                .find_map(|&(_, h)| Some((h, self.fit(&self.servers[&h], s, prices)?)));
+        }
+        match choice {
+            Some((server, rung)) => self.send(id, server, rung, out),
+            None => self.give_up(id, out),
+        }
+    }
+
+    /// The highest rung that fits a server's streams and link and clears the prices.
+    fn fit(&self, server: &Server, s: &Session, prices: Prices) -> Option<Rung> {
+        let usage = self.usage(server);
+        // Others' streams are unseen: they are taken to be as many for their rate as this front's.
+        let streams = f64::from(server.streams) / server.link.share(self.fronts());
+        if self.streams_of(server) > 0.0 && streams + 1.0 > self.streams_of(server) {
+            return None;
+        }
+        (self.s.classes[s.wish.class.0].floor..=self.top(&s.wish))
+            .rev()
+            .find(|&rung| {
+                let rate = self.rate(s.wish.class, rung);
+                let worth = self.worth(s.wish.class, rung);
+                let fits = usage + self.adds(server, rate) <= self.limit(rung);
+                fits && (usage <= MARK || worth >= prices.rate * rate + prices.stream)
+            })
+    }
+
+    fn send(&mut self, id: SessionId, server: ServerId, rung: Rung, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if s.attempts > 0 && self.s.retry_budget.is_some() {
+            self.further.push_back(now);
+        }
+        let class = &self.s.classes[s.wish.class.0];
+        let left = s.wish.give_up_at.saturating_sub(now);
+        let to_aim = (s.taken_at + class.aim).saturating_sub(now);
+        let last = s.attempts + 1 >= self.s.max_attempts || class.effect == Effect::AtMostOnce;
+        let timeout = match (last, s.attempts) {
+            (true, _) => left,
+            (false, 0) => (to_aim as f64 * TRY_PART) as Nanos,
+            (false, _) => to_aim.max(left / 2),
+        };
+        s.attempts += 1;
+        s.tried.push(server);
+        (s.rung, s.server, s.sent_at) = (rung, Some(server), now);
+        out.push(Action::SetRung { session: id, rung });
+        out.push(Action::Send {
+            session: id,
+            server,
+            timeout: timeout.clamp(MS, left.max(MS)),
+        });
+        self.hold(id, server);
+        let cold_for = self.s.cold_for;
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.cold_sends.push_back(now);
+            while s.cold_sends.front().is_some_and(|&t| t + cold_for < now) {
+                s.cold_sends.pop_front();
+            }
+        }
+    }
+
+    /// The final answer, at once: refused where that is certain to do no harm, else failed.
+    fn give_up(&mut self, id: SessionId, out: &mut Vec<Action>) {
+        let Some(s) = self.sessions.remove(&id) else {
+            return;
+        };
+        let harmless = match self.s.classes[s.wish.class.0].effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated { scope, .. } => s.ran.is_none() || scope == Scope::All,
+            Effect::AtMostOnce => s.ran.is_none(),
+        };
+        if harmless {
+            let wait = if self.s.may_advise {
+                COME_BACK.min(self.s.max_come_back)
+            } else {
+                0
+            };
+            out.push(Action::Refuse {
+                session: id,
+                come_back: wait,
+            });
+        } else {
+            out.push(Action::Fail { session: id });
+        }
+    }
+
+    fn started(&mut self, id: SessionId) {
+        let now = self.now;
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        (s.playing, s.answered, s.changed_at) = (true, true, now);
+        if let Some(server) = s.server.and_then(|server| self.servers.get_mut(&server)) {
+            (server.failures, server.rest_until) = (0, 0);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        id: SessionId,
+        at: ServerId,
+        outcome: Outcome,
+        finished: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let Some(s) = self.sessions.get(&id) else { return };
+        if s.server != Some(at) {
+            return;
+        }
+        let (was_playing, sent_at) = (s.playing, s.sent_at);
+        self.release(id);
+        let place = self
+            .servers
+            .get(&at)
+            .map_or((u32::MAX, u32::MAX), |h| (h.entry.zone, h.entry.cell));
+        if let Some(h) = self.servers.get_mut(&at) {
+            // One defence for all that shows as no answer, no connection or a broken one: rest, twice as
+            // long each time. May hurt when one bad link makes a healthy server look lost: one rest a time.
+            let struck = match outcome {
+                Outcome::TimedOut | Outcome::NoConnection => !was_playing,
+                Outcome::Reset => true,
+                _ => false,
+            };
+            if struck && h.rest_until <= now {
+                h.rest_until = now + (REST << h.failures.min(8)).min(REST_MAX);
+                h.failures += 1;
+            }
+            if outcome == Outcome::Full {
+                h.rest_until = h.rest_until.max(now + REST);
+            }
+            if outcome == Outcome::Reset {
+                // A broken process may come back cold before the list says so.
+                h.cold_since = now;
+            }
+        }
+        let Some(s) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        if !never_ran && s.ran.is_none() {
+            s.ran = Some((sent_at, place.0, place.1));
+        }
+        if finished || s.answered {
+            self.sessions.remove(&id);
+        } else {
+            self.place(id, out);
+        }
+    }
+
+    // ----- prices ----------------------------------------------------------------------------------------
+
+    /// Class-and-rung types with the given weights; budgets per set-up for `held` sessions of this front
+    /// (set-ups in a session's time, which is what the design's T stands for, by Little's law).
+    fn programme(&self, weights: &[f64], held: f64) -> (Vec<Kind>, f64, f64) {
+        let kinds = self.s.classes.iter().enumerate().map(|(i, c)| Kind {
+            weight: weights[i],
+            rungs: (c.floor..=c.top)
+                .map(|r| (self.rate(ClassId(i), r), self.worth(ClassId(i), r)))
+                .collect(),
+        });
+        let ready = self
+            .servers
+            .values()
+            .filter(|s| s.entry.state == ServerState::Ready);
+        let (links, streams) = ready.fold((0.0, 0.0), |a, s| (a.0 + s.link.size, a.1 + self.streams_of(s)));
+        let uplinks = self.s.uplink * f64::from(self.s.racks);
+        let links = if uplinks > 0.0 { links.min(uplinks) } else { links };
+        (
+            kinds.collect(),
+            links / self.fronts() / held,
+            streams / self.fronts() / held,
+        )
+    }
+
+    /// Prices in force; the first are solved for even weights and the sessions handed over, or, where there
+    /// are none, for links that the middle rung fills.
+    fn prices(&mut self) -> Prices {
+        if let Some(p) = self.pricing.prices {
+            return p;
+        }
+        let even = vec![1.0 / self.s.classes.len() as f64; self.s.classes.len()];
+        let handed = self.pricing.sample.iter().len().saturating_sub(1);
+        let (kinds, links, streams) = self.programme(&even, handed.max(1) as f64);
+        let middle: f64 = (0..self.s.classes.len())
+            .map(|c| self.rate(ClassId(c), self.s.ladder.len() / 2) / self.s.classes.len() as f64)
+            .sum();
+        let p = if handed > 0 {
+            solve(&kinds, links, streams)
+        } else {
+            solve(&kinds, middle, streams.max(1.0))
+        };
+        self.pricing.prices = Some(p);
+        p
+    }
+
+    /// Collects the sample and re-prices once: kept only if better on the sample, then frozen. Windows of one
+    /// class or of returning viewers say nothing of the ordinary mixture and are thrown away.
+    fn sample(&mut self, wish: &Wish) {
+        if self.pricing.frozen {
+            return;
+        }
+        self.pricing.returned += usize::from(wish.again);
+        self.pricing.sample.push((wish.class.0, self.top(wish)));
+        let n = self.pricing.sample.len();
+        if n < SAMPLE || self.pricing.prices.is_none() {
+            return;
+        }
+        let mut weights = vec![0.0; self.s.classes.len()];
+        self.pricing
+            .sample
+            .iter()
+            .for_each(|x| weights[x.0] += 1.0 / n as f64);
+        let one_type = weights.len() > 1 && weights.iter().any(|&w| w > 0.95);
+        if one_type || self.pricing.returned * 2 > n {
+            self.pricing.sample.clear();
+            self.pricing.returned = 0;
+            return;
+        }
+        let (kinds, links, streams) = self.programme(&weights, self.sessions.len().max(1) as f64);
+        let learned = solve(&kinds, links, streams);
+        let prior = self.prices();
+        let earns = |p: Prices| {
+            let (mut link, mut room, mut worth) = (links * n as f64, streams * n as f64, 0.0);
+            for &(class, top) in &self.pricing.sample {
+                let rung = (self.s.classes[class].floor..=top).rev().find(|&r| {
+                    let (rate, w) = (self.rate(ClassId(class), r), self.worth(ClassId(class), r));
+                    rate <= link && room >= 1.0 && w >= p.rate * rate + p.stream
+                });
+                if let Some(r) = rung {
+                    link -= self.rate(ClassId(class), r);
+                    room -= 1.0;
+                    worth += self.worth(ClassId(class), r);
+                }
+            }
+            worth
+        };
+        if earns(learned) > earns(prior) {
+            self.pricing.prices = Some(learned);
+        }
+        self.pricing.frozen = true;
+        self.pricing.sample = Vec::new();
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -37,7 +37,9 @@
         let (name, mut rest) = text.split_once(' ').unwrap_or((text, ""));
         let mut fields = Vec::new();
         while !rest.is_empty() {
-            let (key, after) = rest.split_once('=').ok_or_else(|| format!("'{rest}' is no name=value"))?;
+            let (key, after) = rest
+                .split_once('=')
+                .ok_or_else(|| format!("'{rest}' is no name=value"))?;
             if key.is_empty() || key.contains(' ') {
                 return Err(format!("'{key}' is no field name"));
             }
@@ -57,11 +59,13 @@
     }
 
     fn need(&self, key: &str) -> Parsed<&'a str> {
-        self.get(key).ok_or_else(|| format!("{} lacks the field {key}", self.name))
+        self.get(key)
+            .ok_or_else(|| format!("{} lacks the field {key}", self.name))
     }
 
     fn read<T: std::str::FromStr>(&self, key: &str, text: &str) -> Parsed<T> {
-        text.parse().map_err(|_| format!("{}: field {key} holds '{text}', which can't be read", self.name))
+        text.parse()
+            .map_err(|_| format!("{}: field {key} holds '{text}', which can't be read", self.name))
     }
 
     fn number<T: std::str::FromStr>(&self, key: &str) -> Parsed<T> {
@@ -86,7 +90,10 @@
         if v.is_finite() && v >= 0.0 && v.fract() == 0.0 && v <= f64::from(u32::MAX) {
             Ok(v as u32)
         } else {
-            Err(format!("{}: field {key} holds {v}, not a whole number from 0", self.name))
+            Err(format!(
+                "{}: field {key} holds {v}, not a whole number from 0",
+                self.name
+            ))
         }
     }
 
@@ -95,7 +102,10 @@
         let hex = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
         match u64::from_str_radix(text, 16) {
             Ok(id) if hex => Ok(SessionId(id)),
-            _ => Err(format!("{}: field tid holds '{text}', not 16 hex digits", self.name)),
+            _ => Err(format!(
+                "{}: field tid holds '{text}', not 16 hex digits",
+                self.name
+            )),
         }
     }
 
@@ -132,12 +142,17 @@
     if v.is_null() {
         return Ok(0.0);
     }
-    v.as_f64().ok_or_else(|| format!("settings: {path} holds {v}, not a number"))
+    v.as_f64()
+        .ok_or_else(|| format!("settings: {path} holds {v}, not a number"))
 }
 
 fn nanos(value: &Value, path: &str) -> Parsed<Nanos> {
     let v = float(value, path)?;
-    if v < 0.0 { Err(format!("settings: {path} holds {v}, a negative time")) } else { Ok(v as Nanos) }
+    if v < 0.0 {
+        Err(format!("settings: {path} holds {v}, a negative time"))
+    } else {
+        Ok(v as Nanos)
+    }
 }
 
 fn count(value: &Value, path: &str) -> Parsed<u32> {
@@ -153,7 +168,8 @@
     if v.is_null() {
         return Ok("");
     }
-    v.as_str().ok_or_else(|| format!("settings: {path} holds {v}, not a text"))
+    v.as_str()
+        .ok_or_else(|| format!("settings: {path} holds {v}, not a text"))
 }
 
 fn list<'v>(value: &'v Value, path: &str) -> Parsed<&'v [Value]> {
@@ -161,7 +177,9 @@
     if v.is_null() {
         return Ok(&[]);
     }
-    v.as_array().map(Vec::as_slice).ok_or_else(|| format!("settings: {path} holds {v}, not a list"))
+    v.as_array()
+        .map(Vec::as_slice)
+        .ok_or_else(|| format!("settings: {path} holds {v}, not a list"))
 }
 
 fn truth(value: &Value, path: &str) -> Parsed<bool> {
@@ -169,17 +187,24 @@
     if v.is_null() {
         return Ok(false);
     }
-    v.as_bool().ok_or_else(|| format!("settings: {path} holds {v}, not true or false"))
+    v.as_bool()
+        .ok_or_else(|| format!("settings: {path} holds {v}, not true or false"))
 }
 
 fn floats(value: &Value, path: &str) -> Parsed<Vec<f64>> {
     let bad = |v: &Value| format!("settings: {path} holds {v}, not a number");
-    list(value, path)?.iter().map(|v| v.as_f64().ok_or_else(|| bad(v))).collect()
+    list(value, path)?
+        .iter()
+        .map(|v| v.as_f64().ok_or_else(|| bad(v)))
+        .collect()
 }
 
 fn names(value: &Value, path: &str) -> Parsed<Vec<String>> {
     let bad = |v: &Value| format!("settings: {path} holds {v}, not a name");
-    list(value, path)?.iter().map(|v| v.as_str().map(str::to_owned).ok_or_else(|| bad(v))).collect()
+    list(value, path)?
+        .iter()
+        .map(|v| v.as_str().map(str::to_owned).ok_or_else(|| bad(v)))
+        .collect()
 }
 
 /// Reads the settings object into the module's own words.
@@ -243,10 +268,17 @@
         fronts: count(&v, "group_size")?.max(1),
         zone: position(&zones, zone_name).unwrap_or(zones.len()) as u32,
         classes,
-        ladder: rates.iter().zip(&worths).map(|(&rate, &worth)| Step { rate, worth }).collect(),
+        ladder: rates
+            .iter()
+            .zip(&worths)
+            .map(|(&rate, &worth)| Step { rate, worth })
+            .collect(),
         cells: count(&v, "family_info.cells")?,
         racks: count(&v, "family_info.racks")?,
-        streams_by_kind: floats(&v, "family_info.places_by_kind")?.iter().map(|&p| p as u32).collect(),
+        streams_by_kind: floats(&v, "family_info.places_by_kind")?
+            .iter()
+            .map(|&p| p as u32)
+            .collect(),
         all_links: float(&v, "family_info.all_links_kb")?,
         uplink: float(&v, "family_info.uplink_kb")?,
         link_per_weight: float(&v, "family_info.kb_per_weight")?,
@@ -272,7 +304,11 @@
                 _ => Figure::Other,
             })
             .collect(),
-        listing: if text(&v, "registry_mode")? == "subscribe" { Listing::Subscribed } else { Listing::Pushed },
+        listing: if text(&v, "registry_mode")? == "subscribe" {
+            Listing::Subscribed
+        } else {
+            Listing::Pushed
+        },
         max_attempts: count(&v, "permissions.max_attempts")?,
         may_probe: truth(&v, "permissions.probes")?,
         may_advise: truth(&v, "permissions.retry_after")?,
@@ -286,7 +322,14 @@
         fall_window: nanos(&v, "rules.fall_ns")?,
         retry_budget,
     };
-    Ok((s, Names { classes: class_names, kinds, zones }))
+    Ok((
+        s,
+        Names {
+            classes: class_names,
+            kinds,
+            zones,
+        },
+    ))
 }
 
 /// An entry of a shared list, its names not yet looked up.
@@ -372,13 +415,22 @@
                     Vec::new()
                 } else {
                     let n: u32 = line.number("list")?;
-                    self.entries(lists.get(&n).ok_or_else(|| format!("peers_known: there is no list {n}"))?)
+                    self.entries(
+                        lists
+                            .get(&n)
+                            .ok_or_else(|| format!("peers_known: there is no list {n}"))?,
+                    )
                 };
                 Event::List { kind, entries }
             }
             "submit" => Event::Request(self.wish(line)?),
-            "adopted" => Event::Adopted { wish: self.wish(line)?, server: line.server()? },
-            "begun" => Event::Started { session: line.session()? },
+            "adopted" => Event::Adopted {
+                wish: self.wish(line)?,
+                server: line.server()?,
+            },
+            "begun" => Event::Started {
+                session: line.session()?,
+            },
             "returned" => Event::Ended {
                 session: line.session()?,
                 server: line.server()?,
@@ -396,7 +448,9 @@
                 finished: line.flag("terminal")?,
                 report: line.report()?,
             },
-            "lapsed" => Event::Left { session: line.session()? },
+            "lapsed" => Event::Left {
+                session: line.session()?,
+            },
             "hint_update" => Event::Note {
                 session: line.session()?,
                 server: line.server()?,
@@ -409,7 +463,9 @@
                 },
                 value: line.number("amount")?,
             },
-            "wakeup" => Event::Timer { token: line.number("tag")? },
+            "wakeup" => Event::Timer {
+                token: line.number("tag")?,
+            },
             "status_back" => Event::Probed {
                 server: line.server()?,
                 ok: line.need("status")? == "GOOD",
@@ -429,11 +485,23 @@
     let i = instance;
     let _ = match *action {
         Action::SetRung { session, rung } => writeln!(out, "pitch i={i} tid={:016x} step={rung}", session.0),
-        Action::Send { session, server, timeout } => {
-            writeln!(out, "issue i={i} tid={:016x} cap_ns={timeout} server={}", session.0, server.0)
+        Action::Send {
+            session,
+            server,
+            timeout,
+        } => {
+            writeln!(
+                out,
+                "issue i={i} tid={:016x} cap_ns={timeout} server={}",
+                session.0, server.0
+            )
         }
         Action::Refuse { session, come_back } => {
-            writeln!(out, "overload_reply i={i} tid={:016x} come_back_ns={come_back}", session.0)
+            writeln!(
+                out,
+                "overload_reply i={i} tid={:016x} come_back_ns={come_back}",
+                session.0
+            )
         }
         Action::Fail { session } => writeln!(out, "lose i={i} tid={:016x}", session.0),
         Action::SetTimer { after, token } => writeln!(out, "set_timer i={i} offset_ns={after} tag={token}"),
@@ -457,7 +525,10 @@
     /// Takes one line. True when a batch has ended and `reply` is complete.
     pub fn take(&mut self, text: &str, reply: &mut Vec<u8>) -> Result<bool, WireError> {
         self.line += 1;
-        self.line_of_batch(text, reply).map_err(|what| WireError { line: self.line, what })
+        self.line_of_batch(text, reply).map_err(|what| WireError {
+            line: self.line,
+            what,
+        })
     }
 
     fn line_of_batch(&mut self, text: &str, reply: &mut Vec<u8>) -> Parsed<bool> {
@@ -505,14 +576,16 @@
             "spawn" => {
                 let (settings, names) = settings(line.need("settings")?)?;
                 let seed = line.number("seed")?;
-                let (controller, first) =
+                let controller =
                     Controller::new(settings, seed, now).map_err(|e| format!("settings: {e}"))?;
-                actions = first;
                 self.instances.insert(id, Instance { controller, names });
             }
             "exit" => drop(self.instances.remove(&id)),
             _ => {
-                let instance = self.instances.get_mut(&id).ok_or_else(|| format!("no instance {id} runs"))?;
+                let instance = self
+                    .instances
+                    .get_mut(&id)
+                    .ok_or_else(|| format!("no instance {id} runs"))?;
                 if let Some(event) = instance.event(&line, &self.lists)? {
                     instance.controller.handle(now, event, &mut actions);
                 }
@@ -539,8 +612,10 @@
         if text.last() == Some(&b'\n') {
             text.pop();
         }
-        let line = std::str::from_utf8(&text)
-            .map_err(|_| WireError { line: host.line + 1, what: "not UTF-8 text".into() })?;
+        let line = std::str::from_utf8(&text).map_err(|_| WireError {
+            line: host.line + 1,
+            what: "not UTF-8 text".into(),
+        })?;
         if host.take(line, &mut reply)? {
             output.write_all(&reply)?;
             output.flush()?;
