--- a/src/decide.rs
+++ b/src/decide.rs
@@ -67,10 +67,7 @@
 
 impl Kind {
     fn surplus(&self, p: Prices) -> f64 {
-        self.rungs
-            .iter()
-            .map(|&(rate, worth)| worth - p.rate * rate - p.stream)
-            .fold(0.0, f64::max)
+        self.rungs.iter().map(|&(rate, worth)| worth - p.rate * rate - p.stream).fold(0.0, f64::max)
     }
 }
 
@@ -101,10 +98,7 @@
             if !(rate >= -1e-12 && stream >= -1e-12) {
                 continue;
             }
-            let p = Prices {
-                rate: rate.max(0.0),
-                stream: stream.max(0.0),
-            };
+            let p = Prices { rate: rate.max(0.0), stream: stream.max(0.0) };
             let value = dual_value(kinds, link, streams, p);
             let size = p.rate * link + p.stream * streams;
             let slack = 1e-9 * (1.0 + value.abs());
@@ -156,11 +150,7 @@
     /// own share of the needed change and books the whole.
     fn share(&self, fronts: f64) -> f64 {
         let all = self.usage(fronts) * self.size;
-        if all > 0.0 {
-            (self.own / all).clamp(0.5 / fronts, 1.0)
-        } else {
-            1.0
-        }
+        if all > 0.0 { (self.own / all).clamp(0.5 / fronts, 1.0) } else { 1.0 }
     }
 
     /// Books a change of this front's rate; `echo` is by how much the other fronts are taken to multiply it.
@@ -206,11 +196,7 @@
     fn gives(&self, now: Nanos) -> f64 {
         let (low, at) = self.gives;
         let back = now.saturating_sub(at) as f64 / (TRUST * SECOND as f64);
-        if self.delivered < SHORT {
-            low
-        } else {
-            (low + (1.0 - low) * back).min(1.0)
-        }
+        if self.delivered < SHORT { low } else { (low + (1.0 - low) * back).min(1.0) }
     }
 }
 
@@ -252,12 +238,7 @@
 fn check(s: &Settings) -> Result<(), SettingsError> {
     let bad = |field, what| Err(SettingsError { field, what });
     let rising = |f: fn(&Step) -> f64| s.ladder.windows(2).all(|w| f(&w[0]) < f(&w[1]));
-    if s.ladder.is_empty()
-        || !s
-            .ladder
-            .iter()
-            .all(|r| r.rate > 0.0 && r.rate.is_finite() && r.worth > 0.0)
-    {
+    if s.ladder.is_empty() || !s.ladder.iter().all(|r| r.rate > 0.0 && r.rate.is_finite() && r.worth > 0.0) {
         return bad("ladder", "must hold rungs of positive rate and worth");
     }
     if !rising(|r| r.rate) || !rising(|r| r.worth) {
@@ -268,16 +249,10 @@
     }
     for c in &s.classes {
         if c.floor > c.top || c.top >= s.ladder.len() {
-            return bad(
-                "classes.floor",
-                "must lie at or under classes.top, and that on the ladder",
-            );
+            return bad("classes.floor", "must lie at or under classes.top, and that on the ladder");
         }
         if !(c.worth >= 0.0 && c.worth.is_finite() && c.scale > 0.0 && c.scale.is_finite()) {
-            return bad(
-                "classes.worth",
-                "must be a number from 0, and classes.scale above 0",
-            );
+            return bad("classes.worth", "must be a number from 0, and classes.scale above 0");
         }
     }
     if s.cells == 0 || s.racks == 0 {
@@ -324,12 +299,7 @@
             racks: BTreeMap::new(),
             sessions: BTreeMap::new(),
             seats: BTreeMap::new(),
-            pricing: Pricing {
-                prices: None,
-                sample: Vec::new(),
-                returned: 0,
-                frozen: false,
-            },
+            pricing: Pricing { prices: None, sample: Vec::new(), returned: 0, frozen: false },
             taken: VecDeque::new(),
             further: VecDeque::new(),
         })
@@ -340,10 +310,7 @@
         self.now = self.now.max(now);
         if !self.ticking {
             self.ticking = true;
-            out.push(Action::SetTimer {
-                after: TICK,
-                token: 0,
-            });
+            out.push(Action::SetTimer { after: TICK, token: 0 });
             if self.s.listing == Listing::Subscribed {
                 out.push(Action::Subscribe);
             }
@@ -353,13 +320,7 @@
             Event::Request(wish) => self.request(wish, out),
             Event::Adopted { wish, server } => self.adopt(wish, server),
             Event::Started { session } => self.started(session),
-            Event::Ended {
-                session,
-                server,
-                outcome,
-                finished,
-                report,
-            } => {
+            Event::Ended { session, server, outcome, finished, report } => {
                 self.report(server, &report);
                 self.ended(session, server, outcome, finished, out);
             }
@@ -371,17 +332,9 @@
                     }
                 }
             }
-            Event::Note {
-                session,
-                server,
-                kind,
-                value,
-            } => self.note(session, server, kind, value, out),
+            Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
             Event::Timer { .. } => {
-                out.push(Action::SetTimer {
-                    after: TICK,
-                    token: 0,
-                });
+                out.push(Action::SetTimer { after: TICK, token: 0 });
                 let all: Vec<ServerId> = self.servers.keys().copied().collect();
                 all.into_iter().for_each(|server| self.follow(server, out));
             }
@@ -436,9 +389,7 @@
             return;
         }
         if kind != ListKind::Delta {
-            self.servers
-                .values_mut()
-                .for_each(|s| s.entry.state = ServerState::Gone);
+            self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
         }
         for entry in entries {
             // A front that has just started may hold a list older than a server's restart, and counts as
@@ -471,39 +422,24 @@
                 }
             }
         }
-        self.servers
-            .retain(|_, s| s.entry.state != ServerState::Gone || s.streams > 0);
+        self.servers.retain(|_, s| s.entry.state != ServerState::Gone || s.streams > 0);
         self.sizes();
     }
 
     fn streams_of(&self, server: &Server) -> f64 {
-        f64::from(
-            self.s
-                .streams_by_kind
-                .get(server.entry.kind)
-                .copied()
-                .unwrap_or(0),
-        )
+        f64::from(self.s.streams_by_kind.get(server.entry.kind).copied().unwrap_or(0))
     }
 
     /// Sizes of links from weights, or, where weights tell nothing, from the streams of the machine's kind.
     fn sizes(&mut self) {
-        let ready: Vec<f64> = self
-            .servers
-            .values()
-            .map(|s| self.streams_of(s))
-            .filter(|&p| p > 0.0)
-            .collect();
+        let ready: Vec<f64> =
+            self.servers.values().map(|s| self.streams_of(s)).filter(|&p| p > 0.0).collect();
         let mean = ready.iter().sum::<f64>() / ready.len().max(1) as f64;
         let (per_weight, by_weight) = (self.s.link_per_weight, self.s.weights_tell_size);
         let kinds = self.s.streams_by_kind.clone();
         for s in self.servers.values_mut() {
             let streams = f64::from(kinds.get(s.entry.kind).copied().unwrap_or(0));
-            let part = if by_weight || mean <= 0.0 {
-                s.entry.weight
-            } else {
-                streams / mean
-            };
+            let part = if by_weight || mean <= 0.0 { s.entry.weight } else { streams / mean };
             s.link.size = (per_weight * part).max(0.0);
             let uplink = self.s.uplink;
             self.racks.entry(s.entry.cell % self.s.racks).or_default().size = uplink;
@@ -529,28 +465,15 @@
     /// Use of a server: the higher of its link and its rack's uplink, over what it was seen to give.
     fn usage(&self, server: &Server) -> f64 {
         let rack = self.racks.get(&(server.entry.cell % self.s.racks));
-        let rack = rack
-            .filter(|r| r.heard.is_some())
-            .map_or(0.0, |r| r.usage(self.fronts()));
+        let rack = rack.filter(|r| r.heard.is_some()).map_or(0.0, |r| r.usage(self.fronts()));
         server.link.usage(self.fronts()).max(rack) / server.gives(self.now).max(0.01)
     }
 
     /// How much use a rate adds at a server.
     fn adds(&self, server: &Server, rate: f64) -> f64 {
-        let rack = self
-            .racks
-            .get(&(server.entry.cell % self.s.racks))
-            .map_or(0.0, |r| r.size);
-        let link = if server.link.size > 0.0 {
-            rate / server.link.size
-        } else {
-            0.0
-        };
-        let cold = if self.cold(server) {
-            self.s.cold_from.clamp(0.1, 1.0)
-        } else {
-            1.0
-        };
+        let rack = self.racks.get(&(server.entry.cell % self.s.racks)).map_or(0.0, |r| r.size);
+        let link = if server.link.size > 0.0 { rate / server.link.size } else { 0.0 };
+        let cold = if self.cold(server) { self.s.cold_from.clamp(0.1, 1.0) } else { 1.0 };
         (link / cold).max(if rack > 0.0 { rate / rack } else { 0.0 }) / server.gives(self.now).max(0.01)
     }
 
@@ -569,9 +492,7 @@
                 _ => continue,
             };
             // Reports are noisy and stop at 1: they count only where no note of late is to be had.
-            let late = pool
-                .heard
-                .is_none_or(|h| h.1 + 2 * self.s.note_period.max(SECOND) < as_of);
+            let late = pool.heard.is_none_or(|h| h.1 + 2 * self.s.note_period.max(SECOND) < as_of);
             if late && !(*figure == Figure::Util && value >= 1.0) {
                 pool.hear(value, as_of);
             }
@@ -584,15 +505,8 @@
         }
         let (now, top_rung) = (self.now, self.s.ladder.len() - 1);
         // The note at set-up tells of now; the later ones are as late as the settings say.
-        let fresh = self
-            .sessions
-            .get(&id)
-            .is_some_and(|s| s.playing && s.changed_at == now);
-        let as_of = if fresh {
-            now
-        } else {
-            now.saturating_sub(self.s.note_delay)
-        };
+        let fresh = self.sessions.get(&id).is_some_and(|s| s.playing && s.changed_at == now);
+        let as_of = if fresh { now } else { now.saturating_sub(self.s.note_delay) };
         match kind {
             NoteKind::RungInForce => {
                 let Some(s) = self.sessions.get_mut(&id) else {
@@ -628,20 +542,13 @@
         // Guards against any link that gives less than its account says (an uplink nobody reports, a link
         // cut down, a server that stands still): what was asked, times the share delivered, is what it gives.
         // Catches a wrong size too. May hurt after a brief dip: trust takes a while to return.
-        let rack = self
-            .servers
-            .get(&server)
-            .and_then(|s| self.racks.get(&(s.entry.cell % self.s.racks)));
+        let rack = self.servers.get(&server).and_then(|s| self.racks.get(&(s.entry.cell % self.s.racks)));
         let rack = rack.and_then(|r| r.heard).map_or(0.0, |h| h.0);
         let fronts = self.fronts();
         if let Some(s) = self.servers.get_mut(&server)
             && s.delivered < SHORT
         {
-            let asked = s
-                .link
-                .heard
-                .map_or_else(|| s.link.usage(fronts), |h| h.0)
-                .max(rack);
+            let asked = s.link.heard.map_or_else(|| s.link.usage(fronts), |h| h.0).max(rack);
             s.gives = ((asked * s.delivered).clamp(0.01, 1.0), now);
         }
         self.follow(server, out);
@@ -772,10 +679,7 @@
     fn hold(&mut self, id: SessionId, server: ServerId) {
         let Some(s) = self.sessions.get(&id) else { return };
         let rate = self.rate(s.wish.class, s.rung);
-        *self
-            .seats
-            .entry((s.wish.title.clone(), s.wish.class.0))
-            .or_default() += 1;
+        *self.seats.entry((s.wish.title.clone(), s.wish.class.0)).or_default() += 1;
         self.book(server, rate, false);
         if let Some(s) = self.servers.get_mut(&server) {
             s.streams += 1;
@@ -788,13 +692,8 @@
         };
         let Some(server) = s.server.take() else { return };
         s.playing = false;
-        let (rate, key) = (
-            -self.rate_of(id),
-            (
-                self.sessions[&id].wish.title.clone(),
-                self.sessions[&id].wish.class.0,
-            ),
-        );
+        let (rate, key) =
+            (-self.rate_of(id), (self.sessions[&id].wish.title.clone(), self.sessions[&id].wish.class.0));
         if let Some(n) = self.seats.get_mut(&key) {
             *n -= 1;
             if *n == 0 {
@@ -811,9 +710,7 @@
     }
 
     fn rate_of(&self, id: SessionId) -> f64 {
-        self.sessions
-            .get(&id)
-            .map_or(0.0, |s| self.rate(s.wish.class, s.rung))
+        self.sessions.get(&id).map_or(0.0, |s| self.rate(s.wish.class, s.rung))
     }
 
     fn cold(&self, server: &Server) -> bool {
@@ -828,11 +725,7 @@
         let window = self.s.fall_window as f64;
         let pace = self.streams_of(server) / self.s.cold_for as f64 * self.s.cold_from;
         let part = pace * self.s.fall_multiple * window * COLD_PART / self.fronts();
-        let (most, span) = if part >= 1.0 {
-            (part.floor(), window)
-        } else {
-            (1.0, window / part.max(0.001))
-        };
+        let (most, span) = if part >= 1.0 { (part.floor(), window) } else { (1.0, window / part.max(0.001)) };
         let since = self.now.saturating_sub(span as Nanos);
         (server.cold_sends.iter().filter(|&&t| t > since).count() as f64) < most
     }
@@ -866,10 +759,7 @@
     /// one is out to a server that failed last, no other follows. Holds for hangs, cut links, lost machines.
     /// May hurt when set-ups are merely slow: the holders left then carry more.
     fn silent(&self, server: &Server) -> bool {
-        let mut out = self
-            .sessions
-            .values()
-            .filter(|s| s.server == Some(server.entry.server) && !s.playing);
+        let mut out = self.sessions.values().filter(|s| s.server == Some(server.entry.server) && !s.playing);
         out.any(|s| server.failures > 0 || self.now >= s.sent_at + SILENT)
     }
 
@@ -904,28 +794,18 @@
         let prices = self.prices();
         let Some(s) = self.sessions.get(&id) else { return };
         let class = &self.s.classes[s.wish.class.0];
-        let held = self
-            .seats
-            .get(&(s.wish.title.clone(), s.wish.class.0))
-            .copied()
-            .unwrap_or(0);
+        let held = self.seats.get(&(s.wish.title.clone(), s.wish.class.0)).copied().unwrap_or(0);
         let seat = class.seats == 0 || held < class.seats;
         let mut choice: Option<(ServerId, Rung)> = None;
         if allowed && seat && self.now < s.wish.give_up_at {
             let mut holders: Vec<(f64, ServerId)> = Vec::new();
             for (n, server) in self.servers.values().filter(|h| self.usable(h, s)).enumerate() {
-                let cross = if server.entry.zone == self.s.zone {
-                    0.0
-                } else {
-                    CROSS * self.s.cross_price
-                };
+                let cross = if server.entry.zone == self.s.zone { 0.0 } else { CROSS * self.s.cross_price };
                 let lot = (jitter + n as f64 * 0.618).fract() * HERD;
                 holders.push((self.usage(server) + cross + lot, server.entry.server));
             }
             holders.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            choice = holders
-                .iter()
-                .find_map(|&(_, h)| Some((h, self.fit(&self.servers[&h], s, prices)?)));
+            choice = holders.iter().find_map(|&(_, h)| Some((h, self.fit(&self.servers[&h], s, prices)?)));
         }
         match choice {
             Some((server, rung)) => self.send(id, server, rung, out),
@@ -941,14 +821,12 @@
         if self.streams_of(server) > 0.0 && streams + 1.0 > self.streams_of(server) {
             return None;
         }
-        (self.s.classes[s.wish.class.0].floor..=self.top(&s.wish))
-            .rev()
-            .find(|&rung| {
-                let rate = self.rate(s.wish.class, rung);
-                let worth = self.worth(s.wish.class, rung);
-                let fits = usage + self.adds(server, rate) <= self.limit(rung);
-                fits && (usage <= MARK || worth >= prices.rate * rate + prices.stream)
-            })
+        (self.s.classes[s.wish.class.0].floor..=self.top(&s.wish)).rev().find(|&rung| {
+            let rate = self.rate(s.wish.class, rung);
+            let worth = self.worth(s.wish.class, rung);
+            let fits = usage + self.adds(server, rate) <= self.limit(rung);
+            fits && (usage <= MARK || worth >= prices.rate * rate + prices.stream)
+        })
     }
 
     fn send(&mut self, id: SessionId, server: ServerId, rung: Rung, out: &mut Vec<Action>) {
@@ -972,11 +850,7 @@
         s.tried.push(server);
         (s.rung, s.server, s.sent_at) = (rung, Some(server), now);
         out.push(Action::SetRung { session: id, rung });
-        out.push(Action::Send {
-            session: id,
-            server,
-            timeout: timeout.clamp(MS, left.max(MS)),
-        });
+        out.push(Action::Send { session: id, server, timeout: timeout.clamp(MS, left.max(MS)) });
         self.hold(id, server);
         let cold_for = self.s.cold_for;
         if let Some(s) = self.servers.get_mut(&server) {
@@ -998,15 +872,8 @@
             Effect::AtMostOnce => s.ran.is_none(),
         };
         if harmless {
-            let wait = if self.s.may_advise {
-                COME_BACK.min(self.s.max_come_back)
-            } else {
-                0
-            };
-            out.push(Action::Refuse {
-                session: id,
-                come_back: wait,
-            });
+            let wait = if self.s.may_advise { COME_BACK.min(self.s.max_come_back) } else { 0 };
+            out.push(Action::Refuse { session: id, come_back: wait });
         } else {
             out.push(Action::Fail { session: id });
         }
@@ -1038,10 +905,7 @@
         }
         let (was_playing, sent_at) = (s.playing, s.sent_at);
         self.release(id);
-        let place = self
-            .servers
-            .get(&at)
-            .map_or((u32::MAX, u32::MAX), |h| (h.entry.zone, h.entry.cell));
+        let place = self.servers.get(&at).map_or((u32::MAX, u32::MAX), |h| (h.entry.zone, h.entry.cell));
         if let Some(h) = self.servers.get_mut(&at) {
             // One defence for all that shows as no answer, no connection or a broken one: rest, twice as
             // long each time. May hurt when one bad link makes a healthy server look lost: one rest a time.
@@ -1083,22 +947,13 @@
     fn programme(&self, weights: &[f64], held: f64) -> (Vec<Kind>, f64, f64) {
         let kinds = self.s.classes.iter().enumerate().map(|(i, c)| Kind {
             weight: weights[i],
-            rungs: (c.floor..=c.top)
-                .map(|r| (self.rate(ClassId(i), r), self.worth(ClassId(i), r)))
-                .collect(),
+            rungs: (c.floor..=c.top).map(|r| (self.rate(ClassId(i), r), self.worth(ClassId(i), r))).collect(),
         });
-        let ready = self
-            .servers
-            .values()
-            .filter(|s| s.entry.state == ServerState::Ready);
+        let ready = self.servers.values().filter(|s| s.entry.state == ServerState::Ready);
         let (links, streams) = ready.fold((0.0, 0.0), |a, s| (a.0 + s.link.size, a.1 + self.streams_of(s)));
         let uplinks = self.s.uplink * f64::from(self.s.racks);
         let links = if uplinks > 0.0 { links.min(uplinks) } else { links };
-        (
-            kinds.collect(),
-            links / self.fronts() / held,
-            streams / self.fronts() / held,
-        )
+        (kinds.collect(), links / self.fronts() / held, streams / self.fronts() / held)
     }
 
     /// Prices in force; the first are solved for even weights and the sessions handed over, or, where there
@@ -1113,11 +968,8 @@
         let middle: f64 = (0..self.s.classes.len())
             .map(|c| self.rate(ClassId(c), self.s.ladder.len() / 2) / self.s.classes.len() as f64)
             .sum();
-        let p = if handed > 0 {
-            solve(&kinds, links, streams)
-        } else {
-            solve(&kinds, middle, streams.max(1.0))
-        };
+        let p =
+            if handed > 0 { solve(&kinds, links, streams) } else { solve(&kinds, middle, streams.max(1.0)) };
         self.pricing.prices = Some(p);
         p
     }
@@ -1135,10 +987,7 @@
             return;
         }
         let mut weights = vec![0.0; self.s.classes.len()];
-        self.pricing
-            .sample
-            .iter()
-            .for_each(|x| weights[x.0] += 1.0 / n as f64);
+        self.pricing.sample.iter().for_each(|x| weights[x.0] += 1.0 / n as f64);
         let one_type = weights.len() > 1 && weights.iter().any(|&w| w > 0.95);
         if one_type || self.pricing.returned * 2 > n {
             self.pricing.sample.clear();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -37,9 +37,7 @@
         let (name, mut rest) = text.split_once(' ').unwrap_or((text, ""));
         let mut fields = Vec::new();
         while !rest.is_empty() {
-            let (key, after) = rest
-                .split_once('=')
-                .ok_or_else(|| format!("'{rest}' is no name=value"))?;
+            let (key, after) = rest.split_once('=').ok_or_else(|| format!("'{rest}' is no name=value"))?;
             if key.is_empty() || key.contains(' ') {
                 return Err(format!("'{key}' is no field name"));
             }
@@ -59,13 +57,11 @@
     }
 
     fn need(&self, key: &str) -> Parsed<&'a str> {
-        self.get(key)
-            .ok_or_else(|| format!("{} lacks the field {key}", self.name))
+        self.get(key).ok_or_else(|| format!("{} lacks the field {key}", self.name))
     }
 
     fn read<T: std::str::FromStr>(&self, key: &str, text: &str) -> Parsed<T> {
-        text.parse()
-            .map_err(|_| format!("{}: field {key} holds '{text}', which can't be read", self.name))
+        text.parse().map_err(|_| format!("{}: field {key} holds '{text}', which can't be read", self.name))
     }
 
     fn number<T: std::str::FromStr>(&self, key: &str) -> Parsed<T> {
@@ -90,10 +86,7 @@
         if v.is_finite() && v >= 0.0 && v.fract() == 0.0 && v <= f64::from(u32::MAX) {
             Ok(v as u32)
         } else {
-            Err(format!(
-                "{}: field {key} holds {v}, not a whole number from 0",
-                self.name
-            ))
+            Err(format!("{}: field {key} holds {v}, not a whole number from 0", self.name))
         }
     }
 
@@ -102,10 +95,7 @@
         let hex = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
         match u64::from_str_radix(text, 16) {
             Ok(id) if hex => Ok(SessionId(id)),
-            _ => Err(format!(
-                "{}: field tid holds '{text}', not 16 hex digits",
-                self.name
-            )),
+            _ => Err(format!("{}: field tid holds '{text}', not 16 hex digits", self.name)),
         }
     }
 
@@ -142,17 +132,12 @@
     if v.is_null() {
         return Ok(0.0);
     }
-    v.as_f64()
-        .ok_or_else(|| format!("settings: {path} holds {v}, not a number"))
+    v.as_f64().ok_or_else(|| format!("settings: {path} holds {v}, not a number"))
 }
 
 fn nanos(value: &Value, path: &str) -> Parsed<Nanos> {
     let v = float(value, path)?;
-    if v < 0.0 {
-        Err(format!("settings: {path} holds {v}, a negative time"))
-    } else {
-        Ok(v as Nanos)
-    }
+    if v < 0.0 { Err(format!("settings: {path} holds {v}, a negative time")) } else { Ok(v as Nanos) }
 }
 
 fn count(value: &Value, path: &str) -> Parsed<u32> {
@@ -168,8 +153,7 @@
     if v.is_null() {
         return Ok("");
     }
-    v.as_str()
-        .ok_or_else(|| format!("settings: {path} holds {v}, not a text"))
+    v.as_str().ok_or_else(|| format!("settings: {path} holds {v}, not a text"))
 }
 
 fn list<'v>(value: &'v Value, path: &str) -> Parsed<&'v [Value]> {
@@ -177,9 +161,7 @@
     if v.is_null() {
         return Ok(&[]);
     }
-    v.as_array()
-        .map(Vec::as_slice)
-        .ok_or_else(|| format!("settings: {path} holds {v}, not a list"))
+    v.as_array().map(Vec::as_slice).ok_or_else(|| format!("settings: {path} holds {v}, not a list"))
 }
 
 fn truth(value: &Value, path: &str) -> Parsed<bool> {
@@ -187,24 +169,17 @@
     if v.is_null() {
         return Ok(false);
     }
-    v.as_bool()
-        .ok_or_else(|| format!("settings: {path} holds {v}, not true or false"))
+    v.as_bool().ok_or_else(|| format!("settings: {path} holds {v}, not true or false"))
 }
 
 fn floats(value: &Value, path: &str) -> Parsed<Vec<f64>> {
     let bad = |v: &Value| format!("settings: {path} holds {v}, not a number");
-    list(value, path)?
-        .iter()
-        .map(|v| v.as_f64().ok_or_else(|| bad(v)))
-        .collect()
+    list(value, path)?.iter().map(|v| v.as_f64().ok_or_else(|| bad(v))).collect()
 }
 
 fn names(value: &Value, path: &str) -> Parsed<Vec<String>> {
     let bad = |v: &Value| format!("settings: {path} holds {v}, not a name");
-    list(value, path)?
-        .iter()
-        .map(|v| v.as_str().map(str::to_owned).ok_or_else(|| bad(v)))
-        .collect()
+    list(value, path)?.iter().map(|v| v.as_str().map(str::to_owned).ok_or_else(|| bad(v))).collect()
 }
 
 /// Reads the settings object into the module's own words.
@@ -268,17 +243,10 @@
         fronts: count(&v, "group_size")?.max(1),
         zone: position(&zones, zone_name).unwrap_or(zones.len()) as u32,
         classes,
-        ladder: rates
-            .iter()
-            .zip(&worths)
-            .map(|(&rate, &worth)| Step { rate, worth })
-            .collect(),
+        ladder: rates.iter().zip(&worths).map(|(&rate, &worth)| Step { rate, worth }).collect(),
         cells: count(&v, "family_info.cells")?,
         racks: count(&v, "family_info.racks")?,
-        streams_by_kind: floats(&v, "family_info.places_by_kind")?
-            .iter()
-            .map(|&p| p as u32)
-            .collect(),
+        streams_by_kind: floats(&v, "family_info.places_by_kind")?.iter().map(|&p| p as u32).collect(),
         all_links: float(&v, "family_info.all_links_kb")?,
         uplink: float(&v, "family_info.uplink_kb")?,
         link_per_weight: float(&v, "family_info.kb_per_weight")?,
@@ -322,14 +290,7 @@
         fall_window: nanos(&v, "rules.fall_ns")?,
         retry_budget,
     };
-    Ok((
-        s,
-        Names {
-            classes: class_names,
-            kinds,
-            zones,
-        },
-    ))
+    Ok((s, Names { classes: class_names, kinds, zones }))
 }
 
 /// An entry of a shared list, its names not yet looked up.
@@ -415,22 +376,13 @@
                     Vec::new()
                 } else {
                     let n: u32 = line.number("list")?;
-                    self.entries(
-                        lists
-                            .get(&n)
-                            .ok_or_else(|| format!("peers_known: there is no list {n}"))?,
-                    )
+                    self.entries(lists.get(&n).ok_or_else(|| format!("peers_known: there is no list {n}"))?)
                 };
                 Event::List { kind, entries }
             }
             "submit" => Event::Request(self.wish(line)?),
-            "adopted" => Event::Adopted {
-                wish: self.wish(line)?,
-                server: line.server()?,
-            },
-            "begun" => Event::Started {
-                session: line.session()?,
-            },
+            "adopted" => Event::Adopted { wish: self.wish(line)?, server: line.server()? },
+            "begun" => Event::Started { session: line.session()? },
             "returned" => Event::Ended {
                 session: line.session()?,
                 server: line.server()?,
@@ -448,9 +400,7 @@
                 finished: line.flag("terminal")?,
                 report: line.report()?,
             },
-            "lapsed" => Event::Left {
-                session: line.session()?,
-            },
+            "lapsed" => Event::Left { session: line.session()? },
             "hint_update" => Event::Note {
                 session: line.session()?,
                 server: line.server()?,
@@ -463,9 +413,7 @@
                 },
                 value: line.number("amount")?,
             },
-            "wakeup" => Event::Timer {
-                token: line.number("tag")?,
-            },
+            "wakeup" => Event::Timer { token: line.number("tag")? },
             "status_back" => Event::Probed {
                 server: line.server()?,
                 ok: line.need("status")? == "GOOD",
@@ -485,23 +433,11 @@
     let i = instance;
     let _ = match *action {
         Action::SetRung { session, rung } => writeln!(out, "pitch i={i} tid={:016x} step={rung}", session.0),
-        Action::Send {
-            session,
-            server,
-            timeout,
-        } => {
-            writeln!(
-                out,
-                "issue i={i} tid={:016x} cap_ns={timeout} server={}",
-                session.0, server.0
-            )
+        Action::Send { session, server, timeout } => {
+            writeln!(out, "issue i={i} tid={:016x} cap_ns={timeout} server={}", session.0, server.0)
         }
         Action::Refuse { session, come_back } => {
-            writeln!(
-                out,
-                "overload_reply i={i} tid={:016x} come_back_ns={come_back}",
-                session.0
-            )
+            writeln!(out, "overload_reply i={i} tid={:016x} come_back_ns={come_back}", session.0)
         }
         Action::Fail { session } => writeln!(out, "lose i={i} tid={:016x}", session.0),
         Action::SetTimer { after, token } => writeln!(out, "set_timer i={i} offset_ns={after} tag={token}"),
@@ -525,10 +461,7 @@
     /// Takes one line. True when a batch has ended and `reply` is complete.
     pub fn take(&mut self, text: &str, reply: &mut Vec<u8>) -> Result<bool, WireError> {
         self.line += 1;
-        self.line_of_batch(text, reply).map_err(|what| WireError {
-            line: self.line,
-            what,
-        })
+        self.line_of_batch(text, reply).map_err(|what| WireError { line: self.line, what })
     }
 
     fn line_of_batch(&mut self, text: &str, reply: &mut Vec<u8>) -> Parsed<bool> {
@@ -582,10 +515,7 @@
             }
             "exit" => drop(self.instances.remove(&id)),
             _ => {
-                let instance = self
-                    .instances
-                    .get_mut(&id)
-                    .ok_or_else(|| format!("no instance {id} runs"))?;
+                let instance = self.instances.get_mut(&id).ok_or_else(|| format!("no instance {id} runs"))?;
                 if let Some(event) = instance.event(&line, &self.lists)? {
                     instance.controller.handle(now, event, &mut actions);
                 }
@@ -612,10 +542,8 @@
         if text.last() == Some(&b'\n') {
             text.pop();
         }
-        let line = std::str::from_utf8(&text).map_err(|_| WireError {
-            line: host.line + 1,
-            what: "not UTF-8 text".into(),
-        })?;
+        let line = std::str::from_utf8(&text)
+            .map_err(|_| WireError { line: host.line + 1, what: "not UTF-8 text".into() })?;
         if host.take(line, &mut reply)? {
             output.write_all(&reply)?;
             output.flush()?;
