--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,9 +13,9 @@
 const SECOND: Nanos = 1_000 * MS;
 /// Use of a link up to which the top rung is given; past it prices act. Below 1 by the spread of true rates
 /// over some ten sessions, since a missing point of rate costs several points of worth.
-const MARK: f64 = 0.78;
+const MARK: f64 = 0.84;
 /// Use per rung: past the mark each step takes one rung off. The lowest rung still ends below a full link.
-const STEP: f64 = 0.04;
+const STEP: f64 = 0.035;
 /// At most one change of rung per playing session in this time (the design's ten seconds).
 const CHANGE_GAP: Nanos = 10 * SECOND;
 /// Set-ups after which prices are solved again, sessions handed over included: a short-lived front at a
@@ -392,9 +392,7 @@
             self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
         }
         for entry in entries {
-            // A front that has just started may hold a list older than a server's restart, and counts as
-            // having known of it: what a cached list names is cold until the front has run that long.
-            let since = if kind == ListKind::Cached { self.born } else { 0 }.max(entry.started_at);
+            let since = entry.started_at;
             let started_at = entry.started_at;
             match self.servers.get_mut(&entry.server) {
                 Some(s) => {
