--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,7 +13,7 @@
 const SECOND: Nanos = 1_000 * MS;
 /// Use of a link up to which the top rung is given; past it prices act. Below 1 by the spread of true rates
 /// over some ten sessions, since a missing point of rate costs several points of worth.
-const MARK: f64 = 0.84;
+const MARK: f64 = 0.86;
 /// Use per rung: past the mark each step takes one rung off. The lowest rung still ends below a full link.
 const STEP: f64 = 0.035;
 /// At most one change of rung per playing session in this time (the design's ten seconds).
@@ -40,6 +40,12 @@
 const HERD: f64 = 0.04;
 /// Crossing zones is worth this many points of use for each point of its price.
 const CROSS: f64 = 1.5;
+/// A set-up is booked for this many times its rate when it is fitted: other fronts send to the same room
+/// before the next note tells.
+const CROWD: f64 = 1.5;
+/// Part of a pool kept free is this over the root of the sessions that it carries at the middle rung: true
+/// rates lie around the ladder's, and many sessions even out.
+const GRAIN: f64 = 0.25;
 /// What a refused viewer is told to wait: about a note's age, after which the account has changed.
 const COME_BACK: Nanos = SECOND;
 
@@ -123,11 +129,23 @@
 // Accounts: what is asked of a link or an uplink over what it gives.
 // ---------------------------------------------------------------------------------------------------------
 
+/// What accounts are read against: the clock, the number of fronts, the mean use heard of lately, and the
+/// age from which a figure fades.
+#[derive(Debug, Clone, Copy)]
+struct View {
+    now: Nanos,
+    fronts: f64,
+    mean: f64,
+    fade: Nanos,
+}
+
 /// A link or a rack's uplink.
 #[derive(Debug, Default)]
 struct Pool {
     /// What it gives by the list, kB a second.
     size: f64,
+    /// Part of it that is used: a pool of few sessions swings more with their true rates.
+    keeps: f64,
     /// What this front's sessions ask of it.
     own: f64,
     /// Last use heard, and the time that it told of.
@@ -137,20 +155,27 @@
 }
 
 impl Pool {
-    /// Use now: the last figure heard and this front's changes since.
-    fn usage(&self, fronts: f64) -> f64 {
-        match self.heard {
-            Some((value, _)) => (value + self.log.iter().map(|l| l.1).sum::<f64>()).max(0.0),
-            None if self.size > 0.0 => self.own * fronts / self.size,
-            None => 0.0,
-        }
+    fn resize(&mut self, size: f64, middle: f64) {
+        self.size = size.max(0.0);
+        let sessions = if self.size > 0.0 { (self.size / middle).max(1.0) } else { 1.0 };
+        self.keeps = 1.0 - GRAIN / sessions.sqrt();
+    }
+
+    /// Use now: the last figure heard and this front's changes since. Where nothing was heard for long (no
+    /// session there, no note) it fades to what the pools heard of lately show on the mean.
+    fn usage(&self, view: View) -> f64 {
+        let own = if self.size > 0.0 { self.own * view.fronts / self.size } else { 0.0 };
+        let Some((value, as_of)) = self.heard else { return own.max(view.mean) };
+        let old = view.now.saturating_sub(as_of) as f64 / view.fade.max(1) as f64 - 1.0;
+        let base = value + (view.mean - value) * old.clamp(0.0, 1.0);
+        (base + self.log.iter().map(|l| l.1).sum::<f64>()).max(0.0)
     }
 
     /// This front's share of what is asked. All fronts hear the same note at once, so each answers with its
     /// own share of the needed change and books the whole.
-    fn share(&self, fronts: f64) -> f64 {
-        let all = self.usage(fronts) * self.size;
-        if all > 0.0 { (self.own / all).clamp(0.5 / fronts, 1.0) } else { 1.0 }
+    fn share(&self, view: View) -> f64 {
+        let all = self.usage(view) * self.size;
+        if all > 0.0 { (self.own / all).clamp(0.5 / view.fronts, 1.0) } else { 1.0 }
     }
 
     /// Books a change of this front's rate; `echo` is by how much the other fronts are taken to multiply it.
@@ -274,7 +299,7 @@
     s: Settings,
     random: u64,
     now: Nanos,
-    born: Nanos,
+    mean: f64,
     ticking: bool,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<u32, Pool>,
@@ -293,7 +318,7 @@
             s: settings,
             random: seed,
             now,
-            born: now,
+            mean: 0.0,
             ticking: false,
             servers: BTreeMap::new(),
             racks: BTreeMap::new(),
@@ -335,6 +360,7 @@
             Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
             Event::Timer { .. } => {
                 out.push(Action::SetTimer { after: TICK, token: 0 });
+                self.average();
                 let all: Vec<ServerId> = self.servers.keys().copied().collect();
                 all.into_iter().for_each(|server| self.follow(server, out));
             }
@@ -360,6 +386,19 @@
         f64::from(self.s.fronts)
     }
 
+    fn view(&self) -> View {
+        let fade = self.s.note_delay + 2 * self.s.note_period.max(SECOND);
+        View { now: self.now, fronts: self.fronts(), mean: self.mean, fade }
+    }
+
+    /// Mean use of the links heard of lately.
+    fn average(&mut self) {
+        let view = self.view();
+        let lately = |p: &&Server| p.link.heard.is_some_and(|h| h.1 + view.fade >= self.now);
+        let all: Vec<f64> = self.servers.values().filter(lately).map(|s| s.link.usage(view)).collect();
+        self.mean = if all.is_empty() { 0.0 } else { all.iter().sum::<f64>() / all.len() as f64 };
+    }
+
     fn rate(&self, class: ClassId, rung: Rung) -> f64 {
         self.s.ladder[rung].rate * self.s.classes[class.0].scale
     }
@@ -435,12 +474,12 @@
         let mean = ready.iter().sum::<f64>() / ready.len().max(1) as f64;
         let (per_weight, by_weight) = (self.s.link_per_weight, self.s.weights_tell_size);
         let kinds = self.s.streams_by_kind.clone();
+        let middle = self.s.ladder[self.s.ladder.len() / 2].rate;
         for s in self.servers.values_mut() {
             let streams = f64::from(kinds.get(s.entry.kind).copied().unwrap_or(0));
             let part = if by_weight || mean <= 0.0 { s.entry.weight } else { streams / mean };
-            s.link.size = (per_weight * part).max(0.0);
-            let uplink = self.s.uplink;
-            self.racks.entry(s.entry.cell % self.s.racks).or_default().size = uplink;
+            s.link.resize(per_weight * part, middle);
+            self.racks.entry(s.entry.cell % self.s.racks).or_default().resize(self.s.uplink, middle);
         }
     }
 
@@ -448,9 +487,9 @@
 
     /// Books a change of own rate at a server and its rack.
     fn book(&mut self, server: ServerId, rate: f64, echoed: bool) {
-        let (now, fronts) = (self.now, self.fronts());
+        let (now, view) = (self.now, self.view());
         if let Some(s) = self.servers.get_mut(&server) {
-            let echo = |p: &Pool| if echoed { 1.0 / p.share(fronts) } else { 1.0 };
+            let echo = |p: &Pool| if echoed { 1.0 / p.share(view) } else { 1.0 };
             let e = echo(&s.link);
             s.link.change(now, rate, e);
             if let Some(rack) = self.racks.get_mut(&(s.entry.cell % self.s.racks)) {
@@ -463,14 +502,14 @@
     /// Use of a server: the higher of its link and its rack's uplink, over what it was seen to give.
     fn usage(&self, server: &Server) -> f64 {
         let rack = self.racks.get(&(server.entry.cell % self.s.racks));
-        let rack = rack.filter(|r| r.heard.is_some()).map_or(0.0, |r| r.usage(self.fronts()));
-        server.link.usage(self.fronts()).max(rack) / server.gives(self.now).max(0.01)
+        let rack = rack.filter(|r| r.heard.is_some()).map_or(0.0, |r| r.usage(self.view()) / r.keeps);
+        (server.link.usage(self.view()) / server.link.keeps).max(rack) / server.gives(self.now).max(0.01)
     }
 
     /// How much use a rate adds at a server.
     fn adds(&self, server: &Server, rate: f64) -> f64 {
-        let rack = self.racks.get(&(server.entry.cell % self.s.racks)).map_or(0.0, |r| r.size);
-        let link = if server.link.size > 0.0 { rate / server.link.size } else { 0.0 };
+        let rack = self.racks.get(&(server.entry.cell % self.s.racks)).map_or(0.0, |r| r.size * r.keeps);
+        let link = if server.link.size > 0.0 { rate / server.link.size / server.link.keeps } else { 0.0 };
         let cold = if self.cold(server) { self.s.cold_from.clamp(0.1, 1.0) } else { 1.0 };
         (link / cold).max(if rack > 0.0 { rate / rack } else { 0.0 }) / server.gives(self.now).max(0.01)
     }
@@ -542,11 +581,11 @@
         // Catches a wrong size too. May hurt after a brief dip: trust takes a while to return.
         let rack = self.servers.get(&server).and_then(|s| self.racks.get(&(s.entry.cell % self.s.racks)));
         let rack = rack.and_then(|r| r.heard).map_or(0.0, |h| h.0);
-        let fronts = self.fronts();
+        let view = self.view();
         if let Some(s) = self.servers.get_mut(&server)
             && s.delivered < SHORT
         {
-            let asked = s.link.heard.map_or_else(|| s.link.usage(fronts), |h| h.0).max(rack);
+            let asked = s.link.heard.map_or_else(|| s.link.usage(view), |h| h.0).max(rack);
             s.gives = ((asked * s.delivered).clamp(0.01, 1.0), now);
         }
         self.follow(server, out);
@@ -560,7 +599,7 @@
         let Some(server) = self.servers.get(&id) else {
             return;
         };
-        let (usage, share) = (self.usage(server), server.link.share(self.fronts()));
+        let (usage, share) = (self.usage(server), server.link.share(self.view()));
         let own = server.link.own;
         if own <= 0.0 {
             return;
@@ -815,14 +854,14 @@
     fn fit(&self, server: &Server, s: &Session, prices: Prices) -> Option<Rung> {
         let usage = self.usage(server);
         // Others' streams are unseen: they are taken to be as many for their rate as this front's.
-        let streams = f64::from(server.streams) / server.link.share(self.fronts());
+        let streams = f64::from(server.streams) / server.link.share(self.view());
         if self.streams_of(server) > 0.0 && streams + 1.0 > self.streams_of(server) {
             return None;
         }
         (self.s.classes[s.wish.class.0].floor..=self.top(&s.wish)).rev().find(|&rung| {
             let rate = self.rate(s.wish.class, rung);
             let worth = self.worth(s.wish.class, rung);
-            let fits = usage + self.adds(server, rate) <= self.limit(rung);
+            let fits = usage + CROWD * self.adds(server, rate) <= self.limit(rung);
             fits && (usage <= MARK || worth >= prices.rate * rate + prices.stream)
         })
     }
