--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,6 +46,9 @@
 /// Part of a pool kept free is this over the root of the sessions that it carries at the middle rung: true
 /// rates lie around the ladder's, and many sessions even out.
 const GRAIN: f64 = 0.25;
+/// A playing session steps down only when use is this far past its rung's limit: one session of the top
+/// rung is a tenth of a small link or more, and each change costs worth.
+const SLACK: f64 = 0.09;
 /// What a refused viewer is told to wait: about a note's age, after which the account has changed.
 const COME_BACK: Nanos = SECOND;
 
@@ -601,7 +604,9 @@
         };
         let (usage, share) = (self.usage(server), server.link.share(self.view()));
         let own = server.link.own;
-        if own <= 0.0 {
+        // Where notes come, nothing is changed on a guess before the first of them.
+        if own <= 0.0 || (self.s.note_period > 0 && server.link.heard.is_none() && server.delivered >= SHORT)
+        {
             return;
         }
         let mut mine: Vec<(SessionId, ClassId, Rung, Rung)> = Vec::new();
@@ -619,7 +624,7 @@
             };
             let over = |m: &(SessionId, ClassId, Rung, Rung)| {
                 m.2 > self.s.classes[m.1.0].floor
-                    && usage > self.limit(m.2) + STEP
+                    && usage > (self.limit(m.2) + SLACK).min(1.0)
                     && usage * left / own > self.limit(m.2)
             };
             let next = (0..mine.len()).filter(|&i| over(&mine[i]));
@@ -629,6 +634,7 @@
             left -= self.rate(mine[i].1, mine[i].2) - self.rate(mine[i].1, mine[i].2 - 1);
             mine[i].2 -= 1;
         }
+        let mut lot = false;
         if left >= own {
             // Room: the step up that gains the most worth for its rate, if it fits with every front doing
             // the same, or, where one step is more than this front's part, by lot.
@@ -644,19 +650,20 @@
             let can = (0..mine.len()).filter(|&i| mine[i].2 < mine[i].3 && fits(&mine[i]) >= 1.0);
             if let Some(i) = can.max_by(|&a, &b| gain(&mine[a]).total_cmp(&gain(&mine[b]))) {
                 let room = fits(&mine[i]) * share;
-                if room >= 1.0 || self.chance() < room * TICK as f64 / SECOND as f64 {
+                lot = room < 1.0;
+                if !lot || self.chance() < room * TICK as f64 / SECOND as f64 {
                     mine[i].2 += 1;
                 }
             }
         }
         for (m, old) in mine.into_iter().zip(before) {
             if m.2 != old {
-                self.set_rung(m.0, m.2, out);
+                self.set_rung(m.0, m.2, !lot, out);
             }
         }
     }
 
-    fn set_rung(&mut self, id: SessionId, rung: Rung, out: &mut Vec<Action>) {
+    fn set_rung(&mut self, id: SessionId, rung: Rung, echoed: bool, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(s) = self.sessions.get_mut(&id) else {
             return;
@@ -665,7 +672,7 @@
         s.rung = rung;
         s.changed_at = now;
         if let Some(server) = server {
-            self.book(server, self.rate(class, rung) - self.rate(class, old), true);
+            self.book(server, self.rate(class, rung) - self.rate(class, old), echoed);
         }
         out.push(Action::SetRung { session: id, rung });
     }
