--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,6 +16,8 @@
 const MARK: f64 = 0.86;
 /// Use per rung: past the mark each step takes one rung off. The lowest rung still ends below a full link.
 const STEP: f64 = 0.035;
+/// Use from which prices act.
+const PRICED: f64 = 0.5;
 /// At most one change of rung per playing session in this time (the design's ten seconds).
 const CHANGE_GAP: Nanos = 10 * SECOND;
 /// Set-ups after which prices are solved again, sessions handed over included: a short-lived front at a
@@ -865,11 +867,18 @@
         if self.streams_of(server) > 0.0 && streams + 1.0 > self.streams_of(server) {
             return None;
         }
-        (self.s.classes[s.wish.class.0].floor..=self.top(&s.wish)).rev().find(|&rung| {
+        let floor = self.s.classes[s.wish.class.0].floor;
+        (floor..=self.top(&s.wish)).rev().find(|&rung| {
             let rate = self.rate(s.wish.class, rung);
             let worth = self.worth(s.wish.class, rung);
             let fits = usage + CROWD * self.adds(server, rate) <= self.limit(rung);
-            fits && (usage <= MARK || worth >= prices.rate * rate + prices.stream)
+            // Past the mark the rung must clear the prices, and so must what it adds to the next lower one:
+            // the programme gives a class the rung of the largest surplus, not the highest that pays at all.
+            let extra = rung == floor || {
+                let (r, w) = (self.rate(s.wish.class, rung - 1), self.worth(s.wish.class, rung - 1));
+                worth - w >= prices.rate * (rate - r) - 1e-9
+            };
+            fits && (usage <= PRICED || (extra && worth >= prices.rate * rate + prices.stream))
         })
     }
 
