--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1009,20 +1009,16 @@
         (kinds.collect(), links / self.fronts() / held, streams / self.fronts() / held)
     }
 
-    /// Prices in force; the first are solved for even weights and the sessions handed over, or, where there
-    /// are none, for links that the middle rung fills.
+    /// Prices in force; the first are solved for even weights and links that the middle rung fills.
     fn prices(&mut self) -> Prices {
         if let Some(p) = self.pricing.prices {
             return p;
         }
         let even = vec![1.0 / self.s.classes.len() as f64; self.s.classes.len()];
-        let handed = self.pricing.sample.iter().len().saturating_sub(1);
-        let (kinds, links, streams) = self.programme(&even, handed.max(1) as f64);
-        let middle: f64 = (0..self.s.classes.len())
-            .map(|c| self.rate(ClassId(c), self.s.ladder.len() / 2) / self.s.classes.len() as f64)
-            .sum();
-        let p =
-            if handed > 0 { solve(&kinds, links, streams) } else { solve(&kinds, middle, streams.max(1.0)) };
+        let (kinds, _, streams) = self.programme(&even, 1.0);
+        let middle = self.s.ladder.len() / 2;
+        let rates = (0..even.len()).map(|c| self.rate(ClassId(c), middle) * even[c]);
+        let p = solve(&kinds, rates.sum(), streams.max(1.0));
         self.pricing.prices = Some(p);
         p
     }
@@ -1047,7 +1043,13 @@
             self.pricing.returned = 0;
             return;
         }
-        let (kinds, links, streams) = self.programme(&weights, self.sessions.len().max(1) as f64);
+        // Sessions of all fronts for this front's: by its share of what is asked of the links.
+        let heard = self.servers.values().filter(|h| h.link.heard.is_some());
+        let (own, all) =
+            heard.fold((0.0, 0.0), |a, h| (a.0 + h.link.own, a.1 + h.link.usage(self.view()) * h.link.size));
+        let share = if all > 0.0 { own / all * self.fronts() } else { 1.0 };
+        let held = self.sessions.len().max(1) as f64 / share.clamp(0.25, self.fronts());
+        let (kinds, links, streams) = self.programme(&weights, held);
         let learned = solve(&kinds, links, streams);
         let prior = self.prices();
         let earns = |p: Prices| {
