--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,10 +5,7 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
-// ---------------------------------------------------------------------------------------------------------
-// Constants. Each is a choice of ours that no setting states.
-// ---------------------------------------------------------------------------------------------------------
-
+// ===== Constants. Each is a choice of ours that no setting states.
 const MS: Nanos = 1_000_000;
 const SECOND: Nanos = 1_000 * MS;
 /// Use of a link up to which the top rung is given; past it prices act. Below 1 by the spread of true rates
@@ -42,6 +39,9 @@
 const HERD: f64 = 0.04;
 /// Crossing zones is worth this many points of use for each point of its price.
 const CROSS: f64 = 1.5;
+/// A playing session steps up only where the higher rung's limit would hold with this much left: a change
+/// that must be taken back costs worth twice.
+const UP_GAP: f64 = 0.12;
 /// A set-up is booked for this many times its rate when it is fitted: other fronts send to the same room
 /// before the next note tells.
 const CROWD: f64 = 1.5;
@@ -54,10 +54,7 @@
 /// What a refused viewer is told to wait: about a note's age, after which the account has changed.
 const COME_BACK: Nanos = SECOND;
 
-// ---------------------------------------------------------------------------------------------------------
-// Prices: the fluid programme and its guarded re-pricing.
-// ---------------------------------------------------------------------------------------------------------
-
+// ===== Prices: the fluid programme and its guarded re-pricing.
 /// Bid prices: worth a second for each kB a second of link (`rate`) and for each stream (`stream`).
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Prices {
@@ -130,10 +127,7 @@
     frozen: bool,
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Accounts: what is asked of a link or an uplink over what it gives.
-// ---------------------------------------------------------------------------------------------------------
-
+// ===== Accounts: what is asked of a link or an uplink over what it gives.
 /// What accounts are read against: the clock, the number of fronts, the mean use heard of lately, and the
 /// age from which a figure fades.
 #[derive(Debug, Clone, Copy)]
@@ -199,10 +193,7 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Servers and sessions.
-// ---------------------------------------------------------------------------------------------------------
-
+// ===== Servers and sessions.
 #[derive(Debug)]
 struct Server {
     entry: ServerEntry,
@@ -248,56 +239,7 @@
     ran: Option<(Nanos, u32, u32)>,
 }
 
-/// Settings that make no sense: the field, and what is wrong with it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SettingsError {
-    /// The field of [`Settings`].
-    pub field: &'static str,
-    /// What is wrong with it.
-    pub what: &'static str,
-}
-
-impl std::fmt::Display for SettingsError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{} {}", self.field, self.what)
-    }
-}
-
-impl std::error::Error for SettingsError {}
-
-fn check(s: &Settings) -> Result<(), SettingsError> {
-    let bad = |field, what| Err(SettingsError { field, what });
-    let rising = |f: fn(&Step) -> f64| s.ladder.windows(2).all(|w| f(&w[0]) < f(&w[1]));
-    if s.ladder.is_empty() || !s.ladder.iter().all(|r| r.rate > 0.0 && r.rate.is_finite() && r.worth > 0.0) {
-        return bad("ladder", "must hold rungs of positive rate and worth");
-    }
-    if !rising(|r| r.rate) || !rising(|r| r.worth) {
-        return bad("ladder", "must rise");
-    }
-    if s.classes.is_empty() {
-        return bad("classes", "must hold a class");
-    }
-    for c in &s.classes {
-        if c.floor > c.top || c.top >= s.ladder.len() {
-            return bad("classes.floor", "must lie at or under classes.top, and that on the ladder");
-        }
-        if !(c.worth >= 0.0 && c.worth.is_finite() && c.scale > 0.0 && c.scale.is_finite()) {
-            return bad("classes.worth", "must be a number from 0, and classes.scale above 0");
-        }
-    }
-    if s.cells == 0 || s.racks == 0 {
-        return bad("cells", "must be above 0, and racks too");
-    }
-    if s.fronts == 0 || s.max_attempts == 0 {
-        return bad("fronts", "must be above 0, and max_attempts too");
-    }
-    Ok(())
-}
-
-// ---------------------------------------------------------------------------------------------------------
-// The controller.
-// ---------------------------------------------------------------------------------------------------------
-
+// ===== The controller.
 /// The decisions of one front. See `src/interface.rs` for the contract.
 #[derive(Debug)]
 pub struct Controller {
@@ -318,7 +260,7 @@
 impl Controller {
     /// A controller that knows nothing yet; refuses settings that make no sense.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
-        check(&settings)?;
+        settings.check()?;
         Ok(Controller {
             s: settings,
             random: seed,
@@ -643,7 +585,7 @@
             let server = &self.servers[&id];
             let fits = |m: &(SessionId, ClassId, Rung, Rung)| {
                 let more = self.adds(server, self.rate(m.1, m.2 + 1) - self.rate(m.1, m.2));
-                (self.limit(m.2 + 1) - usage) / more
+                (self.limit(m.2 + 1) - UP_GAP - usage) / more
             };
             let gain = |m: &(SessionId, ClassId, Rung, Rung)| {
                 (self.worth(m.1, m.2 + 1) - self.worth(m.1, m.2))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -431,3 +431,55 @@
         session: SessionId,
     },
 }
+
+/// Settings that make no sense: the field, and what is wrong with it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The field of [`Settings`].
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub what: &'static str,
+}
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {}", self.field, self.what)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Whether the settings make sense; an error names the field that does not.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let s = self;
+        let bad = |field, what| Err(SettingsError { field, what });
+        let rising = |f: fn(&Step) -> f64| s.ladder.windows(2).all(|w| f(&w[0]) < f(&w[1]));
+        if s.ladder.is_empty()
+            || !s.ladder.iter().all(|r| r.rate > 0.0 && r.rate.is_finite() && r.worth > 0.0)
+        {
+            return bad("ladder", "must hold rungs of positive rate and worth");
+        }
+        if !rising(|r| r.rate) || !rising(|r| r.worth) {
+            return bad("ladder", "must rise");
+        }
+        if s.classes.is_empty() {
+            return bad("classes", "must hold a class");
+        }
+        for c in &s.classes {
+            if c.floor > c.top || c.top >= s.ladder.len() {
+                return bad("classes.floor", "must lie at or under classes.top, and that on the ladder");
+            }
+            if !(c.worth >= 0.0 && c.worth.is_finite() && c.scale > 0.0 && c.scale.is_finite()) {
+                return bad("classes.worth", "must be a number from 0, and classes.scale above 0");
+            }
+        }
+        if s.cells == 0 || s.racks == 0 {
+            return bad("cells", "must be above 0, and racks too");
+        }
+        if s.fronts == 0 || s.max_attempts == 0 {
+            return bad("fronts", "must be above 0, and max_attempts too");
+        }
+        Ok(())
+    }
+}
