--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,8 @@
 const PRICED: f64 = 0.5;
 /// At most one change of rung per playing session in this time (the design's ten seconds).
 const CHANGE_GAP: Nanos = 10 * SECOND;
+/// A session that has just started is left alone for this long: its own rate must show in a note first.
+const SETTLE: Nanos = 2 * SECOND;
 /// Set-ups after which prices are solved again, sessions handed over included: a short-lived front at a
 /// set-up every two seconds reaches it within its first half minute.
 const SAMPLE: usize = 30;
@@ -42,6 +44,9 @@
 /// A playing session steps up only where the higher rung's limit would hold with this much left: a change
 /// that must be taken back costs worth twice.
 const UP_GAP: f64 = 0.12;
+/// A step up must promise this many times what the change costs, over the time that a session lasts: it may
+/// have to be taken back, and more sessions than one wait for the same room.
+const PAYS: f64 = 10.0;
 /// A set-up is booked for this many times its rate when it is fitted: other fronts send to the same room
 /// before the next note tells.
 const CROWD: f64 = 1.5;
@@ -217,7 +222,7 @@
     fn gives(&self, now: Nanos) -> f64 {
         let (low, at) = self.gives;
         let back = now.saturating_sub(at) as f64 / (TRUST * SECOND as f64);
-        if self.delivered < SHORT { low } else { (low + (1.0 - low) * back).min(1.0) }
+        (low + (1.0 - low) * back).min(1.0)
     }
 }
 
@@ -228,6 +233,7 @@
     taken_at: Nanos,
     sent_at: Nanos,
     changed_at: Nanos,
+    started_at: Nanos,
     /// Where its attempt is, in flight or playing.
     server: Option<ServerId>,
     playing: bool,
@@ -246,6 +252,8 @@
     s: Settings,
     random: u64,
     now: Nanos,
+    born: Nanos,
+    arrived: usize,
     mean: f64,
     ticking: bool,
     servers: BTreeMap<ServerId, Server>,
@@ -265,6 +273,8 @@
             s: settings,
             random: seed,
             now,
+            born: now,
+            arrived: 0,
             mean: 0.0,
             ticking: false,
             servers: BTreeMap::new(),
@@ -329,6 +339,12 @@
         ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
     }
 
+    /// How long a session lasts, in seconds, by Little's law: sessions held over the rate of new ones.
+    fn life(&self) -> f64 {
+        let age = self.now.saturating_sub(self.born) as f64 / SECOND as f64;
+        self.sessions.len() as f64 * age / self.arrived.max(1) as f64
+    }
+
     fn fronts(&self) -> f64 {
         f64::from(self.s.fronts)
     }
@@ -489,7 +505,7 @@
         }
         let (now, top_rung) = (self.now, self.s.ladder.len() - 1);
         // The note at set-up tells of now; the later ones are as late as the settings say.
-        let fresh = self.sessions.get(&id).is_some_and(|s| s.playing && s.changed_at == now);
+        let fresh = self.sessions.get(&id).is_some_and(|s| s.playing && s.started_at == now);
         let as_of = if fresh { now } else { now.saturating_sub(self.s.note_delay) };
         match kind {
             NoteKind::RungInForce => {
@@ -583,20 +599,31 @@
             // Room: the step up that gains the most worth for its rate, if it fits with every front doing
             // the same, or, where one step is more than this front's part, by lot.
             let server = &self.servers[&id];
-            let fits = |m: &(SessionId, ClassId, Rung, Rung)| {
-                let more = self.adds(server, self.rate(m.1, m.2 + 1) - self.rate(m.1, m.2));
-                (self.limit(m.2 + 1) - UP_GAP - usage) / more
+            let fits = |m: &(SessionId, ClassId, Rung, Rung), to: Rung| {
+                let more = self.adds(server, self.rate(m.1, to) - self.rate(m.1, m.2));
+                (self.limit(to) - UP_GAP - usage) / more
             };
             let gain = |m: &(SessionId, ClassId, Rung, Rung)| {
                 (self.worth(m.1, m.2 + 1) - self.worth(m.1, m.2))
                     / (self.rate(m.1, m.2 + 1) - self.rate(m.1, m.2))
             };
-            let can = (0..mine.len()).filter(|&i| mine[i].2 < mine[i].3 && fits(&mine[i]) >= 1.0);
+            let can =
+                (0..mine.len()).filter(|&i| mine[i].2 < mine[i].3 && fits(&mine[i], mine[i].2 + 1) >= 1.0);
             if let Some(i) = can.max_by(|&a, &b| gain(&mine[a]).total_cmp(&gain(&mine[b]))) {
-                let room = fits(&mine[i]) * share;
+                let room = fits(&mine[i], mine[i].2 + 1) * share;
                 lot = room < 1.0;
                 if !lot || self.chance() < room * TICK as f64 / SECOND as f64 {
-                    mine[i].2 += 1;
+                    // As many rungs at once as fit: a change costs the same however far it goes.
+                    let server = &self.servers[&id];
+                    let part = if lot { 1.0 } else { share };
+                    let to = (mine[i].2 + 1..=mine[i].3).rev().find(|&to| {
+                        let more =
+                            self.adds(server, self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2));
+                        (self.limit(to) - UP_GAP - usage) * part >= more
+                    });
+                    let rise = |r: Rung| self.s.ladder[r].worth - self.s.ladder[mine[i].2].worth;
+                    let pays = |&to: &Rung| rise(to) * self.life() >= PAYS * self.s.change_cost_s;
+                    mine[i].2 = to.filter(pays).unwrap_or(mine[i].2);
                 }
             }
         }
@@ -628,6 +655,7 @@
         if wish.class.0 >= self.s.classes.len() || self.sessions.contains_key(&id) {
             return;
         }
+        self.arrived += usize::from(!wish.again);
         self.taken.push_back(self.now);
         self.sample(&wish);
         self.sessions.insert(id, self.session(wish));
@@ -641,6 +669,7 @@
             taken_at: self.now,
             sent_at: self.now,
             changed_at: self.now,
+            started_at: 0,
             server: None,
             playing: false,
             answered: false,
@@ -879,19 +908,15 @@
         let Some(s) = self.sessions.get_mut(&id) else {
             return;
         };
-        (s.playing, s.answered, s.changed_at) = (true, true, now);
+        (s.playing, s.answered, s.started_at) = (true, true, now);
+        s.changed_at = (now + SETTLE).saturating_sub(CHANGE_GAP);
         if let Some(server) = s.server.and_then(|server| self.servers.get_mut(&server)) {
             (server.failures, server.rest_until) = (0, 0);
         }
     }
 
     fn ended(
-        &mut self,
-        id: SessionId,
-        at: ServerId,
-        outcome: Outcome,
-        finished: bool,
-        out: &mut Vec<Action>,
+        &mut self, id: SessionId, at: ServerId, outcome: Outcome, finished: bool, out: &mut Vec<Action>,
     ) {
         let now = self.now;
         let Some(s) = self.sessions.get(&id) else { return };
