--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,7 +10,7 @@
 const SECOND: Nanos = 1_000 * MS;
 /// Use of a link up to which the top rung is given; past it prices act. Below 1 by the spread of true rates
 /// over some ten sessions, since a missing point of rate costs several points of worth.
-const MARK: f64 = 0.86;
+const MARK: f64 = 0.90;
 /// Use per rung: past the mark each step takes one rung off. The lowest rung still ends below a full link.
 const STEP: f64 = 0.035;
 /// Use from which prices act.
@@ -49,7 +49,7 @@
 const PAYS: f64 = 10.0;
 /// A set-up is booked for this many times its rate when it is fitted: other fronts send to the same room
 /// before the next note tells.
-const CROWD: f64 = 1.5;
+const CROWD: f64 = 1.2;
 /// Part of a pool kept free is this over the root of the sessions that it carries at the middle rung: true
 /// rates lie around the ladder's, and many sessions even out.
 const GRAIN: f64 = 0.25;
@@ -124,7 +124,7 @@
 }
 
 /// Prices in force, and the sample on which they are solved once more.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Pricing {
     prices: Option<Prices>,
     sample: Vec<(usize, Rung)>,
@@ -211,13 +211,22 @@
     cold_sends: VecDeque<Nanos>,
     failures: u32,
     rest_until: Nanos,
-    /// Last share delivered that was heard.
-    delivered: f64,
     /// What it gives over what its account says, at the time beside it.
     gives: (f64, Nanos),
 }
 
 impl Server {
+    fn new(entry: ServerEntry) -> Self {
+        let cold_since = entry.started_at;
+        let (link, cold_sends) = (Pool::default(), VecDeque::new());
+        let (streams, failures, rest_until, gives) = (0, 0, 0, (1.0, 0));
+        Server { entry, link, streams, cold_since, cold_sends, failures, rest_until, gives }
+    }
+
+    fn rack(&self, racks: u32) -> u32 {
+        self.entry.cell % racks
+    }
+
     /// What it gives now: trust returns over TRUST while no shortfall is heard.
     fn gives(&self, now: Nanos) -> f64 {
         let (low, at) = self.gives;
@@ -281,7 +290,7 @@
             racks: BTreeMap::new(),
             sessions: BTreeMap::new(),
             seats: BTreeMap::new(),
-            pricing: Pricing { prices: None, sample: Vec::new(), returned: 0, frozen: false },
+            pricing: Pricing::default(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
         })
@@ -302,16 +311,12 @@
             Event::Request(wish) => self.request(wish, out),
             Event::Adopted { wish, server } => self.adopt(wish, server),
             Event::Started { session } => self.started(session),
-            Event::Ended { session, server, outcome, finished, report } => {
-                self.report(server, &report);
-                self.ended(session, server, outcome, finished, out);
+            Event::Ended { session, server, outcome, finished } => {
+                self.ended(session, server, outcome, finished, out)
             }
             Event::Left { session } => {
                 if let Some(s) = self.sessions.get_mut(&session) {
                     s.answered = true;
-                    if s.server.is_none() {
-                        self.sessions.remove(&session);
-                    }
                 }
             }
             Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
@@ -321,12 +326,6 @@
                 let all: Vec<ServerId> = self.servers.keys().copied().collect();
                 all.into_iter().for_each(|server| self.follow(server, out));
             }
-            Event::Probed { server, ok, report } => {
-                self.report(server, &report);
-                if ok && let Some(s) = self.servers.get_mut(&server) {
-                    s.failures = 0;
-                }
-            }
         }
     }
 
@@ -381,7 +380,7 @@
         MARK + STEP * (self.s.ladder.len() - 1 - rung) as f64
     }
 
-    // ----- the list of servers ---------------------------------------------------------------------------
+    // ----- the list of servers
 
     fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
@@ -394,33 +393,13 @@
             self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
         }
         for entry in entries {
-            let since = entry.started_at;
-            let started_at = entry.started_at;
-            match self.servers.get_mut(&entry.server) {
-                Some(s) => {
-                    if started_at > s.entry.started_at {
-                        // A new process: what was known of the old one says nothing.
-                        s.cold_since = s.cold_since.max(started_at);
-                        (s.failures, s.rest_until) = (0, 0);
-                        (s.delivered, s.gives) = (1.0, (1.0, 0));
-                    }
-                    s.entry = entry;
-                }
-                None => {
-                    let server = Server {
-                        entry,
-                        link: Pool::default(),
-                        streams: 0,
-                        cold_since: since,
-                        cold_sends: VecDeque::new(),
-                        failures: 0,
-                        rest_until: 0,
-                        delivered: 1.0,
-                        gives: (1.0, 0),
-                    };
-                    self.servers.insert(server.entry.server, server);
-                }
+            let s = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.clone()));
+            if entry.started_at > s.entry.started_at {
+                // A new process: what was known of the old one says nothing.
+                s.cold_since = s.cold_since.max(entry.started_at);
+                (s.failures, s.rest_until, s.gives) = (0, 0, (1.0, 0));
             }
+            s.entry = entry;
         }
         self.servers.retain(|_, s| s.entry.state != ServerState::Gone || s.streams > 0);
         self.sizes();
@@ -442,11 +421,11 @@
             let streams = f64::from(kinds.get(s.entry.kind).copied().unwrap_or(0));
             let part = if by_weight || mean <= 0.0 { s.entry.weight } else { streams / mean };
             s.link.resize(per_weight * part, middle);
-            self.racks.entry(s.entry.cell % self.s.racks).or_default().resize(self.s.uplink, middle);
+            self.racks.entry(s.rack(self.s.racks)).or_default().resize(self.s.uplink, middle);
         }
     }
 
-    // ----- accounts --------------------------------------------------------------------------------------
+    // ----- accounts
 
     /// Books a change of own rate at a server and its rack.
     fn book(&mut self, server: ServerId, rate: f64, echoed: bool) {
@@ -455,7 +434,7 @@
             let echo = |p: &Pool| if echoed { 1.0 / p.share(view) } else { 1.0 };
             let e = echo(&s.link);
             s.link.change(now, rate, e);
-            if let Some(rack) = self.racks.get_mut(&(s.entry.cell % self.s.racks)) {
+            if let Some(rack) = self.racks.get_mut(&s.rack(self.s.racks)) {
                 let e = echo(rack);
                 rack.change(now, rate, e);
             }
@@ -464,191 +443,134 @@
 
     /// Use of a server: the higher of its link and its rack's uplink, over what it was seen to give.
     fn usage(&self, server: &Server) -> f64 {
-        let rack = self.racks.get(&(server.entry.cell % self.s.racks));
+        let rack = self.racks.get(&server.rack(self.s.racks));
         let rack = rack.filter(|r| r.heard.is_some()).map_or(0.0, |r| r.usage(self.view()) / r.keeps);
         (server.link.usage(self.view()) / server.link.keeps).max(rack) / server.gives(self.now).max(0.01)
     }
 
     /// How much use a rate adds at a server.
     fn adds(&self, server: &Server, rate: f64) -> f64 {
-        let rack = self.racks.get(&(server.entry.cell % self.s.racks)).map_or(0.0, |r| r.size * r.keeps);
+        let rack = self.racks.get(&server.rack(self.s.racks)).map_or(0.0, |r| r.size * r.keeps);
         let link = if server.link.size > 0.0 { rate / server.link.size / server.link.keeps } else { 0.0 };
         let cold = if self.cold(server) { self.s.cold_from.clamp(0.1, 1.0) } else { 1.0 };
         (link / cold).max(if rack > 0.0 { rate / rack } else { 0.0 }) / server.gives(self.now).max(0.01)
     }
 
-    fn report(&mut self, server: ServerId, report: &[f64]) {
-        let as_of = self.now.saturating_sub(self.s.note_delay);
-        let Some(s) = self.servers.get_mut(&server) else {
-            return;
-        };
-        for (figure, &value) in self.s.figures.iter().zip(report) {
-            let pool = match figure {
-                Figure::Link | Figure::Util => &mut s.link,
-                Figure::Uplink => match self.racks.get_mut(&(s.entry.cell % self.s.racks)) {
-                    Some(rack) => rack,
-                    None => continue,
-                },
-                _ => continue,
-            };
-            // Reports are noisy and stop at 1: they count only where no note of late is to be had.
-            let late = pool.heard.is_none_or(|h| h.1 + 2 * self.s.note_period.max(SECOND) < as_of);
-            if late && !(*figure == Figure::Util && value >= 1.0) {
-                pool.hear(value, as_of);
-            }
-        }
-    }
-
     fn note(&mut self, id: SessionId, server: ServerId, kind: NoteKind, value: f64, out: &mut Vec<Action>) {
-        if !value.is_finite() || value < 0.0 {
+        let (now, view) = (self.now, self.view());
+        let session = self.sessions.get(&id).filter(|s| s.playing && s.server == Some(server));
+        if !value.is_finite() || value < 0.0 || session.is_none() {
             return;
         }
-        let (now, top_rung) = (self.now, self.s.ladder.len() - 1);
         // The note at set-up tells of now; the later ones are as late as the settings say.
-        let fresh = self.sessions.get(&id).is_some_and(|s| s.playing && s.started_at == now);
+        let fresh = session.is_some_and(|s| s.started_at == now);
         let as_of = if fresh { now } else { now.saturating_sub(self.s.note_delay) };
+        if kind == NoteKind::RungInForce {
+            let rung = (value as Rung).min(self.s.ladder.len() - 1);
+            return self.book_rung(id, rung, false);
+        }
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let Some(rack) = self.racks.get_mut(&s.rack(self.s.racks)) else { return };
         match kind {
-            NoteKind::RungInForce => {
-                let Some(s) = self.sessions.get_mut(&id) else {
-                    return;
-                };
-                let (class, old) = (s.wish.class, s.rung);
-                s.rung = (value as Rung).min(top_rung);
-                let rung = s.rung;
-                self.book(server, self.rate(class, rung) - self.rate(class, old), false);
-                return;
-            }
-            NoteKind::UplinkUse => {
-                let Some(s) = self.servers.get(&server) else {
-                    return;
-                };
-                if let Some(rack) = self.racks.get_mut(&(s.entry.cell % self.s.racks)) {
-                    rack.hear(value, as_of);
-                }
-            }
-            NoteKind::LinkUse => {
-                if let Some(s) = self.servers.get_mut(&server) {
-                    s.link.hear(value, as_of);
-                }
-            }
-            NoteKind::Delivered => {
-                if let Some(s) = self.servers.get_mut(&server) {
-                    let gives = s.gives(now);
-                    s.gives = (gives, now);
-                    s.delivered = value.min(1.0);
-                }
+            NoteKind::UplinkUse => rack.hear(value, as_of),
+            NoteKind::LinkUse => s.link.hear(value, as_of),
+            // Guards against any link that gives less than its account says (an uplink nobody reports, a link
+            // cut down, a server that stands still): what was asked, times the share delivered, is what it
+            // gives. Catches a wrong size too. May hurt after a brief dip: trust takes a while to return.
+            _ if value < SHORT => {
+                let link = s.link.heard.map_or_else(|| s.link.usage(view), |h| h.0);
+                let asked = link.max(rack.heard.map_or(0.0, |h| h.0));
+                s.gives = ((asked * value).clamp(0.01, 1.0), now);
             }
-        }
-        // Guards against any link that gives less than its account says (an uplink nobody reports, a link
-        // cut down, a server that stands still): what was asked, times the share delivered, is what it gives.
-        // Catches a wrong size too. May hurt after a brief dip: trust takes a while to return.
-        let rack = self.servers.get(&server).and_then(|s| self.racks.get(&(s.entry.cell % self.s.racks)));
-        let rack = rack.and_then(|r| r.heard).map_or(0.0, |h| h.0);
-        let view = self.view();
-        if let Some(s) = self.servers.get_mut(&server)
-            && s.delivered < SHORT
-        {
-            let asked = s.link.heard.map_or_else(|| s.link.usage(view), |h| h.0).max(rack);
-            s.gives = ((asked * s.delivered).clamp(0.01, 1.0), now);
+            _ => {}
         }
         self.follow(server, out);
     }
 
-    // ----- rungs of playing sessions ---------------------------------------------------------------------
+    // ----- rungs of playing sessions
 
-    /// The rung rule: top rung up to the mark, one lower per step past it. A session steps down once use is a
-    /// step beyond its rung's limit and up when the higher rung's limit would hold, each front doing its share.
+    /// The rung rule: top rung up to the mark, one lower per step past it. A session steps down once use is
+    /// SLACK beyond its rung's limit and up when a higher rung's limit would hold with UP_GAP to spare, each
+    /// front doing its share of the change.
     fn follow(&mut self, id: ServerId, out: &mut Vec<Action>) {
-        let Some(server) = self.servers.get(&id) else {
-            return;
-        };
-        let (usage, share) = (self.usage(server), server.link.share(self.view()));
-        let own = server.link.own;
+        let Some(server) = self.servers.get(&id) else { return };
+        let (usage, share, own) = (self.usage(server), server.link.share(self.view()), server.link.own);
         // Where notes come, nothing is changed on a guess before the first of them.
-        if own <= 0.0 || (self.s.note_period > 0 && server.link.heard.is_none() && server.delivered >= SHORT)
-        {
+        if own <= 0.0 || (self.s.note_period > 0 && server.link.heard.is_none() && server.gives.0 >= 1.0) {
             return;
         }
-        let mut mine: Vec<(SessionId, ClassId, Rung, Rung)> = Vec::new();
-        for (&sid, s) in &self.sessions {
-            if s.playing && s.server == Some(id) && self.now >= s.changed_at + CHANGE_GAP {
-                mine.push((sid, s.wish.class, s.rung, self.top(&s.wish)));
-            }
-        }
-        let before: Vec<Rung> = mine.iter().map(|m| m.2).collect();
+        let free = |s: &&Session| s.playing && s.server == Some(id) && self.now >= s.changed_at + CHANGE_GAP;
+        let all = self.sessions.values().filter(free);
+        let mut mine: Vec<(SessionId, ClassId, Rung, Rung)> =
+            all.map(|s| (s.wish.session, s.wish.class, s.rung, self.top(&s.wish))).collect();
+        let before = mine.clone();
         let mut left = own;
         loop {
-            // The step down that loses the least worth for the rate it frees.
-            let loss = |&(_, c, r, _): &(SessionId, ClassId, Rung, Rung)| {
-                (self.worth(c, r) - self.worth(c, r - 1)) / (self.rate(c, r) - self.rate(c, r - 1))
-            };
-            let over = |m: &(SessionId, ClassId, Rung, Rung)| {
-                m.2 > self.s.classes[m.1.0].floor
-                    && usage > (self.limit(m.2) + SLACK).min(1.0)
-                    && usage * left / own > self.limit(m.2)
-            };
-            let next = (0..mine.len()).filter(|&i| over(&mine[i]));
-            let Some(i) = next.min_by(|&a, &b| loss(&mine[a]).total_cmp(&loss(&mine[b]))) else {
-                break;
+            // The step down that loses the least worth for the rate it frees, until the rest would fit.
+            let loss = |i: &usize| self.slope(mine[*i].1, mine[*i].2);
+            let over = |&i: &usize| {
+                let (_, class, rung, _) = mine[i];
+                rung > self.s.classes[class.0].floor
+                    && usage > (self.limit(rung) + SLACK).min(1.0)
+                    && usage * left / own > self.limit(rung)
             };
+            let next = (0..mine.len()).filter(over).min_by(|a, b| loss(a).total_cmp(&loss(b)));
+            let Some(i) = next else { break };
             left -= self.rate(mine[i].1, mine[i].2) - self.rate(mine[i].1, mine[i].2 - 1);
             mine[i].2 -= 1;
         }
+        // Room: the step up that gains the most worth for its rate, if it fits with every front doing the
+        // same, or, where one step is more than this front's part, by lot. It goes as far as fits, for a
+        // change costs the same however far, and only where it pays for itself PAYS times.
         let mut lot = false;
         if left >= own {
-            // Room: the step up that gains the most worth for its rate, if it fits with every front doing
-            // the same, or, where one step is more than this front's part, by lot.
-            let server = &self.servers[&id];
-            let fits = |m: &(SessionId, ClassId, Rung, Rung), to: Rung| {
-                let more = self.adds(server, self.rate(m.1, to) - self.rate(m.1, m.2));
+            let room = |i: usize, to: Rung| {
+                let more = self.adds(server, self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2));
                 (self.limit(to) - UP_GAP - usage) / more
             };
-            let gain = |m: &(SessionId, ClassId, Rung, Rung)| {
-                (self.worth(m.1, m.2 + 1) - self.worth(m.1, m.2))
-                    / (self.rate(m.1, m.2 + 1) - self.rate(m.1, m.2))
-            };
-            let can =
-                (0..mine.len()).filter(|&i| mine[i].2 < mine[i].3 && fits(&mine[i], mine[i].2 + 1) >= 1.0);
-            if let Some(i) = can.max_by(|&a, &b| gain(&mine[a]).total_cmp(&gain(&mine[b]))) {
-                let room = fits(&mine[i], mine[i].2 + 1) * share;
-                lot = room < 1.0;
-                if !lot || self.chance() < room * TICK as f64 / SECOND as f64 {
-                    // As many rungs at once as fit: a change costs the same however far it goes.
-                    let server = &self.servers[&id];
-                    let part = if lot { 1.0 } else { share };
-                    let to = (mine[i].2 + 1..=mine[i].3).rev().find(|&to| {
-                        let more =
-                            self.adds(server, self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2));
-                        (self.limit(to) - UP_GAP - usage) * part >= more
-                    });
-                    let rise = |r: Rung| self.s.ladder[r].worth - self.s.ladder[mine[i].2].worth;
-                    let pays = |&to: &Rung| rise(to) * self.life() >= PAYS * self.s.change_cost_s;
-                    mine[i].2 = to.filter(pays).unwrap_or(mine[i].2);
+            let gain = |i: &usize| self.slope(mine[*i].1, mine[*i].2 + 1);
+            let can = (0..mine.len()).filter(|&i| mine[i].2 < mine[i].3 && room(i, mine[i].2 + 1) >= 1.0);
+            if let Some(i) = can.max_by(|a, b| gain(a).total_cmp(&gain(b))) {
+                let (from, part) = (mine[i].2, room(i, mine[i].2 + 1) * share);
+                lot = part < 1.0;
+                let rise = |to: Rung| self.s.ladder[to].worth - self.s.ladder[from].worth;
+                let need = if lot { 1.0 } else { 1.0 / share };
+                let to = (from + 1..=mine[i].3).rev().find(|&to| room(i, to) >= need);
+                let to = to.filter(|&to| rise(to) * self.life() >= PAYS * self.s.change_cost_s);
+                if let Some(to) = to
+                    && (!lot || self.chance() < part * TICK as f64 / SECOND as f64)
+                {
+                    mine[i].2 = to;
                 }
             }
         }
         for (m, old) in mine.into_iter().zip(before) {
-            if m.2 != old {
-                self.set_rung(m.0, m.2, !lot, out);
+            if m.2 != old.2 {
+                self.book_rung(m.0, m.2, !lot);
+                if let Some(s) = self.sessions.get_mut(&m.0) {
+                    s.changed_at = self.now;
+                }
+                out.push(Action::SetRung { session: m.0, rung: m.2 });
             }
         }
     }
 
-    fn set_rung(&mut self, id: SessionId, rung: Rung, echoed: bool, out: &mut Vec<Action>) {
-        let now = self.now;
-        let Some(s) = self.sessions.get_mut(&id) else {
-            return;
-        };
+    /// Worth gained for each kB a second between a rung and the one below it.
+    fn slope(&self, class: ClassId, rung: Rung) -> f64 {
+        (self.worth(class, rung) - self.worth(class, rung - 1))
+            / (self.rate(class, rung) - self.rate(class, rung - 1))
+    }
+
+    fn book_rung(&mut self, id: SessionId, rung: Rung, echoed: bool) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
         let (class, old, server) = (s.wish.class, s.rung, s.server);
         s.rung = rung;
-        s.changed_at = now;
         if let Some(server) = server {
             self.book(server, self.rate(class, rung) - self.rate(class, old), echoed);
         }
-        out.push(Action::SetRung { session: id, rung });
     }
 
-    // ----- requests --------------------------------------------------------------------------------------
+    // ----- requests
 
     fn request(&mut self, wish: Wish, out: &mut Vec<Action>) {
         let id = wish.session;
@@ -704,20 +626,15 @@
     }
 
     fn release(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.get_mut(&id) else {
-            return;
-        };
+        let Some(s) = self.sessions.get_mut(&id) else { return };
         let Some(server) = s.server.take() else { return };
         s.playing = false;
-        let (rate, key) =
-            (-self.rate_of(id), (self.sessions[&id].wish.title.clone(), self.sessions[&id].wish.class.0));
+        let (class, rung, key) = (s.wish.class, s.rung, (s.wish.title.clone(), s.wish.class.0));
         if let Some(n) = self.seats.get_mut(&key) {
             *n -= 1;
-            if *n == 0 {
-                self.seats.remove(&key);
-            }
         }
-        self.book(server, rate, false);
+        self.seats.retain(|_, n| *n > 0);
+        self.book(server, -self.rate(class, rung), false);
         if let Some(s) = self.servers.get_mut(&server) {
             s.streams = s.streams.saturating_sub(1);
             if s.entry.state == ServerState::Gone && s.streams == 0 {
@@ -726,10 +643,6 @@
         }
     }
 
-    fn rate_of(&self, id: SessionId) -> f64 {
-        self.sessions.get(&id).map_or(0.0, |s| self.rate(s.wish.class, s.rung))
-    }
-
     fn cold(&self, server: &Server) -> bool {
         server.cold_since > 0 && self.now < server.cold_since + self.s.cold_for
     }
@@ -781,22 +694,18 @@
     }
 
     /// Whether a further attempt is within what the site allows.
-    fn may_send(&mut self, s_attempts: u32) -> bool {
-        if s_attempts == 0 {
+    fn may_send(&mut self, attempts: u32) -> bool {
+        if attempts == 0 {
             return true;
         }
         let Some(b) = self.s.retry_budget else {
-            return s_attempts < self.s.max_attempts;
+            return attempts < self.s.max_attempts;
         };
         let since = self.now.saturating_sub(b.window);
-        while self.taken.front().is_some_and(|&t| t <= since) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|&t| t <= since) {
-            self.further.pop_front();
-        }
+        self.taken.retain(|&t| t > since);
+        self.further.retain(|&t| t >= since);
         let room = b.spare + b.share * self.taken.len() as f64;
-        s_attempts < self.s.max_attempts && (self.further.len() + 1) as f64 <= room
+        attempts < self.s.max_attempts && (self.further.len() + 1) as f64 <= room
     }
 
     /// The ordinary path: best holder first, from the top usable rung down, the first rung that fits and
@@ -845,10 +754,7 @@
             let fits = usage + CROWD * self.adds(server, rate) <= self.limit(rung);
             // Past the mark the rung must clear the prices, and so must what it adds to the next lower one:
             // the programme gives a class the rung of the largest surplus, not the highest that pays at all.
-            let extra = rung == floor || {
-                let (r, w) = (self.rate(s.wish.class, rung - 1), self.worth(s.wish.class, rung - 1));
-                worth - w >= prices.rate * (rate - r) - 1e-9
-            };
+            let extra = rung == floor || self.slope(s.wish.class, rung) >= prices.rate - 1e-12;
             fits && (usage <= PRICED || (extra && worth >= prices.rate * rate + prices.stream))
         })
     }
@@ -879,9 +785,7 @@
         let cold_for = self.s.cold_for;
         if let Some(s) = self.servers.get_mut(&server) {
             s.cold_sends.push_back(now);
-            while s.cold_sends.front().is_some_and(|&t| t + cold_for < now) {
-                s.cold_sends.pop_front();
-            }
+            s.cold_sends.retain(|&t| t + cold_for >= now);
         }
     }
 
@@ -960,7 +864,7 @@
         }
     }
 
-    // ----- prices ----------------------------------------------------------------------------------------
+    // ----- prices
 
     /// Class-and-rung types with the given weights; budgets per set-up for `held` sessions of this front
     /// (set-ups in a session's time, which is what the design's T stands for, by Little's law).
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -103,32 +103,6 @@
     Subscribed,
 }
 
-/// Where load reports come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reporting {
-    /// With every outcome and probe.
-    Answers,
-    /// With probes alone.
-    Probes,
-    /// Nowhere.
-    Never,
-}
-
-/// A figure of a load report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Figure {
-    /// Streams that run or are being set up.
-    Streams,
-    /// Share of the link that is asked, at most 1.
-    Util,
-    /// Rate asked of the link over what it gives; may pass 1.
-    Link,
-    /// The same of the uplink of the server's rack.
-    Uplink,
-    /// A figure that the controller has no use for.
-    Other,
-}
-
 /// A stated budget of further attempts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudget {
@@ -179,16 +153,10 @@
     pub note_delay: Nanos,
     /// Time between fullness notes; 0: there are none.
     pub note_period: Nanos,
-    /// How load reports come.
-    pub reporting: Reporting,
-    /// The figures of a report, in their order.
-    pub figures: Vec<Figure>,
     /// How the list comes.
     pub listing: Listing,
     /// Attempts at most for one request.
     pub max_attempts: u32,
-    /// Probes are allowed.
-    pub may_probe: bool,
     /// Clients are told when to come back.
     pub may_advise: bool,
     /// The longest wait that a client obeys.
@@ -345,8 +313,6 @@
         outcome: Outcome,
         /// No further answer is owed.
         finished: bool,
-        /// The server's load report, in the order of [`Settings::figures`]; empty: none.
-        report: Vec<f64>,
     },
     /// The viewer left, or the answer is overdue; nothing is owed any more.
     Left {
@@ -369,15 +335,6 @@
         /// The token given with [`Action::SetTimer`].
         token: u64,
     },
-    /// A probe came back.
-    Probed {
-        /// Which server.
-        server: ServerId,
-        /// It answered.
-        ok: bool,
-        /// Its load report; empty: none.
-        report: Vec<f64>,
-    },
 }
 
 /// Something to be done.
@@ -418,18 +375,8 @@
         /// Comes back with the timer.
         token: u64,
     },
-    /// Check a server.
-    Probe {
-        /// Which server.
-        server: ServerId,
-    },
     /// Ask for changes of the list from now on.
     Subscribe,
-    /// End a playing session; it comes back as a request.
-    Move {
-        /// Which session.
-        session: SessionId,
-    },
 }
 
 /// Settings that make no sense: the field, and what is wrong with it.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -102,13 +102,6 @@
     fn server(&self) -> Parsed<ServerId> {
         Ok(ServerId(self.number("server")?))
     }
-
-    fn report(&self) -> Parsed<Vec<f64>> {
-        match self.get("feedback") {
-            None | Some("") => Ok(Vec::new()),
-            Some(text) => text.split(',').map(|v| self.read("feedback", v)).collect(),
-        }
-    }
 }
 
 /// Names that an instance's settings give to classes, machine kinds and zones.
@@ -236,7 +229,6 @@
             window: nanos(&v, "rules.counted_over_ns")?,
         }),
     };
-    let figures = names(&v, "stats.columns")?;
     let join = at(&v, "family_info.join");
     let s = Settings {
         front: count(&v, "me")?,
@@ -257,28 +249,12 @@
         stall: float(&v, "family_info.stall")?,
         note_delay: nanos(&v, "family_info.see_ns")?,
         note_period: nanos(&v, "family_info.tell_ns")?,
-        reporting: match text(&v, "stats.how")? {
-            "answers" => Reporting::Answers,
-            "probe" => Reporting::Probes,
-            _ => Reporting::Never,
-        },
-        figures: figures
-            .iter()
-            .map(|f| match f.as_str() {
-                "inflight" => Figure::Streams,
-                "util" => Figure::Util,
-                "x0" => Figure::Link,
-                "x1" => Figure::Uplink,
-                _ => Figure::Other,
-            })
-            .collect(),
         listing: if text(&v, "registry_mode")? == "subscribe" {
             Listing::Subscribed
         } else {
             Listing::Pushed
         },
         max_attempts: count(&v, "permissions.max_attempts")?,
-        may_probe: truth(&v, "permissions.probes")?,
         may_advise: truth(&v, "permissions.retry_after")?,
         max_come_back: nanos(&v, "permissions.max_retry_after_ns")?,
         move_price: float(&v, "penalties.moves")?,
@@ -398,7 +374,6 @@
                     other => return Err(format!("returned: field status holds '{other}'")),
                 },
                 finished: line.flag("terminal")?,
-                report: line.report()?,
             },
             "lapsed" => Event::Left { session: line.session()? },
             "hint_update" => Event::Note {
@@ -414,11 +389,11 @@
                 value: line.number("amount")?,
             },
             "wakeup" => Event::Timer { token: line.number("tag")? },
-            "status_back" => Event::Probed {
-                server: line.server()?,
-                ok: line.need("status")? == "GOOD",
-                report: line.report()?,
-            },
+            // The module neither probes nor talks to other fronts.
+            "status_back" => {
+                line.server()?;
+                return Ok(None);
+            }
             "neighbour_says" => {
                 line.number::<u32>("from")?;
                 return Ok(None);
@@ -441,9 +416,7 @@
         }
         Action::Fail { session } => writeln!(out, "lose i={i} tid={:016x}", session.0),
         Action::SetTimer { after, token } => writeln!(out, "set_timer i={i} offset_ns={after} tag={token}"),
-        Action::Probe { server } => writeln!(out, "test i={i} server={}", server.0),
         Action::Subscribe => writeln!(out, "watch i={i} want=1"),
-        Action::Move { session } => writeln!(out, "relocate i={i} tid={:016x}", session.0),
     };
 }
 
