--- a/src/decide.rs
+++ b/src/decide.rs
@@ -235,7 +235,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Session {
     wish: Wish,
     rung: Rung,
@@ -256,7 +256,7 @@
 
 // ===== The controller.
 /// The decisions of one front. See `src/interface.rs` for the contract.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Controller {
     s: Settings,
     random: u64,
@@ -278,22 +278,7 @@
     /// A controller that knows nothing yet; refuses settings that make no sense.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
         settings.check()?;
-        Ok(Controller {
-            s: settings,
-            random: seed,
-            now,
-            born: now,
-            arrived: 0,
-            mean: 0.0,
-            ticking: false,
-            servers: BTreeMap::new(),
-            racks: BTreeMap::new(),
-            sessions: BTreeMap::new(),
-            seats: BTreeMap::new(),
-            pricing: Pricing::default(),
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-        })
+        Ok(Controller { s: settings, random: seed, now, born: now, ..Controller::default() })
     }
 
     /// Takes one event at time `now`; what is to be done is appended to `out`.
@@ -315,9 +300,7 @@
                 self.ended(session, server, outcome, finished, out)
             }
             Event::Left { session } => {
-                if let Some(s) = self.sessions.get_mut(&session) {
-                    s.answered = true;
-                }
+                self.sessions.get_mut(&session).into_iter().for_each(|s| s.answered = true)
             }
             Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
             Event::Timer { .. } => {
@@ -414,13 +397,12 @@
         let ready: Vec<f64> =
             self.servers.values().map(|s| self.streams_of(s)).filter(|&p| p > 0.0).collect();
         let mean = ready.iter().sum::<f64>() / ready.len().max(1) as f64;
-        let (per_weight, by_weight) = (self.s.link_per_weight, self.s.weights_tell_size);
-        let kinds = self.s.streams_by_kind.clone();
         let middle = self.s.ladder[self.s.ladder.len() / 2].rate;
         for s in self.servers.values_mut() {
-            let streams = f64::from(kinds.get(s.entry.kind).copied().unwrap_or(0));
-            let part = if by_weight || mean <= 0.0 { s.entry.weight } else { streams / mean };
-            s.link.resize(per_weight * part, middle);
+            let streams = f64::from(self.s.streams_by_kind.get(s.entry.kind).copied().unwrap_or(0));
+            let by_weight = self.s.weights_tell_size || mean <= 0.0;
+            let part = if by_weight { s.entry.weight } else { streams / mean };
+            s.link.resize(self.s.link_per_weight * part, middle);
             self.racks.entry(s.rack(self.s.racks)).or_default().resize(self.s.uplink, middle);
         }
     }
@@ -578,27 +560,15 @@
             return;
         }
         self.arrived += usize::from(!wish.again);
-        self.taken.push_back(self.now);
+        self.taken.extend(self.s.retry_budget.map(|_| self.now));
         self.sample(&wish);
         self.sessions.insert(id, self.session(wish));
         self.place(id, out);
     }
 
     fn session(&self, wish: Wish) -> Session {
-        Session {
-            rung: self.s.classes[wish.class.0].floor,
-            wish,
-            taken_at: self.now,
-            sent_at: self.now,
-            changed_at: self.now,
-            started_at: 0,
-            server: None,
-            playing: false,
-            answered: false,
-            attempts: 0,
-            tried: Vec::new(),
-            ran: None,
-        }
+        let (rung, now) = (self.s.classes[wish.class.0].floor, self.now);
+        Session { wish, rung, taken_at: now, sent_at: now, changed_at: now, ..Session::default() }
     }
 
     fn adopt(&mut self, wish: Wish, server: ServerId) {
@@ -711,9 +681,6 @@
     /// The ordinary path: best holder first, from the top usable rung down, the first rung that fits and
     /// clears the prices; refused when none does.
     fn place(&mut self, id: SessionId, out: &mut Vec<Action>) {
-        if self.s.retry_budget.is_none() {
-            self.taken.clear();
-        }
         let attempts = self.sessions.get(&id).map_or(0, |s| s.attempts);
         let allowed = self.may_send(attempts);
         let jitter = self.chance();
@@ -730,7 +697,7 @@
                 let lot = (jitter + n as f64 * 0.618).fract() * HERD;
                 holders.push((self.usage(server) + cross + lot, server.entry.server));
             }
-            holders.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            holders.sort_by(|a, b| a.0.total_cmp(&b.0));
             choice = holders.iter().find_map(|&(_, h)| Some((h, self.fit(&self.servers[&h], s, prices)?)));
         }
         match choice {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,19 +19,19 @@
 pub type Nanos = u64;
 
 /// A media server; stays the same when its process restarts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// One try of a viewer to get a session; never used twice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SessionId(pub u64);
 
 /// A title that viewers watch; equal for equal titles.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TitleId(pub Arc<str>);
 
 /// Index of a class in [`Settings::classes`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub usize);
 
 /// A rung of the ladder, 0 the lowest.
@@ -95,9 +95,10 @@
 }
 
 /// How the list of servers reaches the front.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum Listing {
     /// Changes arrive unprompted.
+    #[default]
     Pushed,
     /// Changes arrive after [`Action::Subscribe`] or [`Action::Fetch`].
     Subscribed,
@@ -115,7 +116,7 @@
 }
 
 /// What a controller is told at its start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Settings {
     /// This front's number, from 0.
     pub front: u32,
@@ -223,7 +224,7 @@
 }
 
 /// What a viewer asks for.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub struct Wish {
     /// The session's id.
     pub session: SessionId,
