--- a/src/decide.rs
+++ b/src/decide.rs
@@ -339,12 +339,14 @@
         View { now: self.now, fronts: self.fronts(), mean: self.mean, fade }
     }
 
-    /// Mean use of the links heard of lately.
+    /// Mean use of the links heard of lately; while notes stay out the last one stands.
     fn average(&mut self) {
         let view = self.view();
         let lately = |p: &&Server| p.link.heard.is_some_and(|h| h.1 + view.fade >= self.now);
         let all: Vec<f64> = self.servers.values().filter(lately).map(|s| s.link.usage(view)).collect();
-        self.mean = if all.is_empty() { 0.0 } else { all.iter().sum::<f64>() / all.len() as f64 };
+        if !all.is_empty() {
+            self.mean = all.iter().sum::<f64>() / all.len() as f64;
+        }
     }
 
     fn rate(&self, class: ClassId, rung: Rung) -> f64 {
@@ -512,7 +514,8 @@
         // same, or, where one step is more than this front's part, by lot. It goes as far as fits, for a
         // change costs the same however far, and only where it pays for itself PAYS times.
         let mut lot = false;
-        if left >= own {
+        let fresh = server.link.heard.is_some_and(|h| h.1 + self.view().fade >= self.now);
+        if left >= own && (fresh || self.s.note_period == 0) {
             let room = |i: usize, to: Rung| {
                 let more = self.adds(server, self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2));
                 (self.limit(to) - UP_GAP - usage) / more
@@ -812,8 +815,13 @@
                 h.rest_until = now + (REST << h.failures.min(8)).min(REST_MAX);
                 h.failures += 1;
             }
+            // Guards against notes that stay out: a server that turns away tells how full it is. Holds for
+            // crowds at one server too. May hurt where it is the streams that are full for a moment.
             if outcome == Outcome::Full {
                 h.rest_until = h.rest_until.max(now + REST);
+                if self.s.full_from > 0.0 {
+                    h.link.hear(self.s.full_from, now);
+                }
             }
             if outcome == Outcome::Reset {
                 // A broken process may come back cold before the list says so.
