--- a/src/decide.rs
+++ b/src/decide.rs
@@ -76,15 +76,11 @@
     pub rungs: Vec<(f64, f64)>,
 }
 
-impl Kind {
-    fn surplus(&self, p: Prices) -> f64 {
-        self.rungs.iter().map(|&(rate, worth)| worth - p.rate * rate - p.stream).fold(0.0, f64::max)
-    }
-}
-
 /// The dual of the fluid programme: budget value plus what the classes keep at these prices.
 pub fn dual_value(kinds: &[Kind], link: f64, streams: f64, p: Prices) -> f64 {
-    link * p.rate + streams * p.stream + kinds.iter().map(|k| k.weight * k.surplus(p)).sum::<f64>()
+    let surplus = |&(rate, worth): &(f64, f64)| worth - p.rate * rate - p.stream;
+    let kept = kinds.iter().map(|k| k.weight * k.rungs.iter().map(surplus).fold(0.0, f64::max));
+    link * p.rate + streams * p.stream + kept.sum::<f64>()
 }
 
 /// Solves the fluid programme exactly. Its dual is convex and piecewise linear in the two prices, so a least
@@ -310,7 +306,7 @@
                 out.push(Action::SetTimer { after: TICK, token: 0 });
                 self.average();
                 let all: Vec<ServerId> = self.servers.keys().copied().collect();
-                all.into_iter().for_each(|server| self.follow(server, out));
+                all.into_iter().for_each(|s| self.follow(s, out));
             }
         }
     }
@@ -403,9 +399,8 @@
 
     /// Sizes of links from weights, or, where weights tell nothing, from the streams of the machine's kind.
     fn sizes(&mut self) {
-        let ready: Vec<f64> =
-            self.servers.values().map(|s| self.streams_of(s)).filter(|&p| p > 0.0).collect();
-        let mean = ready.iter().sum::<f64>() / ready.len().max(1) as f64;
+        let all = self.servers.values().map(|s| self.streams_of(s)).sum::<f64>();
+        let mean = all / self.servers.len().max(1) as f64;
         let middle = self.s.ladder[self.s.ladder.len() / 2].rate;
         for s in self.servers.values_mut() {
             let streams = f64::from(self.s.streams_by_kind.get(s.entry.kind).copied().unwrap_or(0));
@@ -672,17 +667,13 @@
 
     /// Whether a further attempt is within what the site allows.
     fn may_send(&mut self, attempts: u32) -> bool {
-        if attempts == 0 {
-            return true;
-        }
-        let Some(b) = self.s.retry_budget else {
-            return attempts < self.s.max_attempts;
-        };
+        let more = attempts < self.s.max_attempts;
+        let Some(b) = self.s.retry_budget else { return more };
         let since = self.now.saturating_sub(b.window);
         self.taken.retain(|&t| t > since);
         self.further.retain(|&t| t >= since);
         let room = b.spare + b.share * self.taken.len() as f64;
-        attempts < self.s.max_attempts && (self.further.len() + 1) as f64 <= room
+        attempts == 0 || (more && (self.further.len() + 1) as f64 <= room)
     }
 
     /// The ordinary path: best holder first, from the top usable rung down, the first rung that fits and
@@ -807,7 +798,7 @@
             // One defence for all that shows as no answer, no connection or a broken one: rest, twice as
             // long each time. May hurt when one bad link makes a healthy server look lost: one rest a time.
             let struck = match outcome {
-                Outcome::TimedOut | Outcome::NoConnection => !was_playing,
+                Outcome::TimedOut | Outcome::NoConnection | Outcome::Full => !was_playing,
                 Outcome::Reset => true,
                 _ => false,
             };
@@ -817,11 +808,8 @@
             }
             // Guards against notes that stay out: a server that turns away tells how full it is. Holds for
             // crowds at one server too. May hurt where it is the streams that are full for a moment.
-            if outcome == Outcome::Full {
-                h.rest_until = h.rest_until.max(now + REST);
-                if self.s.full_from > 0.0 {
-                    h.link.hear(self.s.full_from, now);
-                }
+            if outcome == Outcome::Full && self.s.full_from > 0.0 {
+                h.link.hear(self.s.full_from, now);
             }
             if outcome == Outcome::Reset {
                 // A broken process may come back cold before the list says so.
