--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found to give less than it claims is trusted again over this time.
-const TRUST: f64 = 12.0;
+const TRUST: f64 = 20.0;
 /// Holders whose use differs by less than this are drawn from by chance: fronts must not herd.
 const HERD: f64 = 0.04;
 /// Crossing zones is worth this many points of use for each point of its price.
@@ -48,6 +48,8 @@
 /// A set-up is booked for this many times its rate when it is fitted: other fronts send to the same room
 /// before the next note tells.
 const CROWD: f64 = 1.2;
+/// No set-up goes past this use: it would push playing sessions down for one that earns less than they lose.
+const FULL: f64 = 0.98;
 /// Part of a pool kept free is this over the root of the sessions that it carries at the middle rung: true
 /// rates lie around the ladder's, and many sessions even out.
 const GRAIN: f64 = 0.25;
@@ -715,7 +717,7 @@
         (floor..=self.top(&s.wish)).rev().find(|&rung| {
             let rate = self.rate(s.wish.class, rung);
             let worth = self.worth(s.wish.class, rung);
-            let fits = usage + CROWD * self.adds(server, rate) <= self.limit(rung);
+            let fits = usage + CROWD * self.adds(server, rate) <= self.limit(rung).min(FULL);
             // Past the mark the rung must clear the prices, and so must what it adds to the next lower one:
             // the programme gives a class the rung of the largest surplus, not the highest that pays at all.
             let extra = rung == floor || self.slope(s.wish.class, rung) >= prices.rate - 1e-12;
