--- a/src/decide.rs
+++ b/src/decide.rs
@@ -721,7 +721,8 @@
             // Past the mark the rung must clear the prices, and so must what it adds to the next lower one:
             // the programme gives a class the rung of the largest surplus, not the highest that pays at all.
             let extra = rung == floor || self.slope(s.wish.class, rung) >= prices.rate - 1e-12;
-            fits && (usage <= PRICED || (extra && worth >= prices.rate * rate + prices.stream))
+            fits && ((usage <= PRICED && !s.wish.again)
+                || (extra && worth >= prices.rate * rate + prices.stream))
         })
     }
 
