--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -248,3 +248,45 @@
     assert_eq!(field(|s| s.cells = 0), Err("cells"));
     assert_eq!(field(|s| s.fronts = 0), Err("fronts"));
 }
+
+#[test]
+fn notes_that_stay_out_do_not_read_as_empty_links() {
+    // Found in incident i730c7f: accounts faded to a mean of nothing, and rungs went up on full links.
+    let mut f = Front::new(settings(vec![class(IDEMPOTENT, 0, 0)]), 1);
+    let mut adopted = wish(1, 0, "a", START);
+    adopted.top = 3;
+    f.feed(Event::Adopted { wish: adopted, server: ServerId(0) });
+    f.note(1, ServerId(0), NoteKind::RungInForce, 1.0);
+    f.note(1, ServerId(0), NoteKind::LinkUse, 0.85);
+    for _ in 0..100 {
+        f.now += 500 * MS;
+        assert_eq!(rung(&f.tick()), None, "a rung rose on an old account");
+    }
+    assert!(rung(&f.request(2, 0, "a")).is_none_or(|r| r < 3), "a top rung on a link last seen near full");
+}
+
+#[test]
+fn a_server_that_turns_away_is_as_full_as_it_says() {
+    // Found in incident i730c7f too.
+    let mut s = settings(vec![class(IDEMPOTENT, 0, 0)]);
+    s.full_from = 1.2;
+    let mut f = Front::new(s, 1);
+    let (server, _) = sent(&f.request(1, 0, "a")).expect("sent");
+    assert!(refused(&f.end(1, server, Outcome::Full, false)));
+    f.now += 3 * SECOND;
+    assert!(refused(&f.request(2, 0, "a")), "its rest is over, but its link is still taken to be full");
+}
+
+#[test]
+fn returning_viewers_are_priced_on_links_that_look_empty() {
+    // Found on a hunted day of front restarts: the first of a wave took top rungs from the others.
+    let mut s = settings(vec![class(IDEMPOTENT, 0, 0)]);
+    s.ladder.push(Step { rate: 1500.0, worth: 1.1 });
+    s.classes[0].top = 4;
+    let mut f = Front::new(s, 4);
+    let (mut back, mut new) = (wish(1, 0, "a", START), wish(2, 0, "a", START));
+    (back.again, back.top, new.top) = (true, 4, 4);
+    let returning = rung(&f.feed(Event::Request(back)));
+    let fresh = rung(&f.feed(Event::Request(new)));
+    assert!(returning < fresh && returning.is_some(), "{returning:?} {fresh:?}");
+}
