--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,9 +17,10 @@
 const CHANGE_GAP: Nanos = 10 * SECOND;
 /// A session that has just started is left alone for this long: its own rate must show in a note first.
 const SETTLE: Nanos = 2 * SECOND;
-/// Set-ups after which prices are solved again, sessions handed over included: a short-lived front at a
-/// set-up every two seconds reaches it within its first half minute.
-const SAMPLE: usize = 30;
+/// First budget of link rate, over the middle rung: just under 1, so that the price caps at that rung.
+const PRIOR: f64 = 0.99;
+/// Set-ups, sessions handed over included, after which prices are solved again: even a slow front gets there.
+const SAMPLE: usize = 20;
 /// Housekeeping: rungs and suspicion are looked at so often.
 const TICK: Nanos = 200 * MS;
 /// An attempt unanswered for this long makes its server suspect: several times a healthy set-up.
@@ -45,10 +46,9 @@
 /// A step up must promise this many times what the change costs, over the time that a session lasts: it may
 /// have to be taken back, and more sessions than one wait for the same room.
 const PAYS: f64 = 10.0;
-/// A set-up is booked for this many times its rate when it is fitted: other fronts send to the same room
-/// before the next note tells.
+/// A set-up is fitted at this many times its rate: others send to the same room before the next note tells.
 const CROWD: f64 = 1.2;
-/// No set-up goes past this use: it would push playing sessions down for one that earns less than they lose.
+/// No set-up goes past this use: playing sessions would lose more than it earns.
 const FULL: f64 = 0.98;
 /// Part of a pool kept free is this over the root of the sessions that it carries at the middle rung: true
 /// rates lie around the ladder's, and many sessions even out.
@@ -858,7 +858,7 @@
         let (kinds, _, streams) = self.programme(&even, 1.0);
         let middle = self.s.ladder.len() / 2;
         let rates = (0..even.len()).map(|c| self.rate(ClassId(c), middle) * even[c]);
-        let p = solve(&kinds, rates.sum(), streams.max(1.0));
+        let p = solve(&kinds, PRIOR * rates.sum::<f64>(), streams.max(1.0));
         self.pricing.prices = Some(p);
         p
     }
