--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,9 +25,6 @@
 const TICK: Nanos = 200 * MS;
 /// An attempt unanswered for this long makes its server suspect: several times a healthy set-up.
 const SILENT: Nanos = 400 * MS;
-/// A server that failed rests this long, twice as long for each failure in a row up to REST_MAX.
-const REST: Nanos = SECOND;
-const REST_MAX: Nanos = 8 * SECOND;
 /// Part of the time to the aim that an attempt gets while a further one could still meet the aim.
 const TRY_PART: f64 = 0.5;
 /// Part of the cold budget that is used: chance and other fronts' uneven shares take the rest.
@@ -205,8 +202,6 @@
     cold_since: Nanos,
     /// Set-ups sent to it while cold.
     cold_sends: VecDeque<Nanos>,
-    failures: u32,
-    rest_until: Nanos,
     /// What it gives over what its account says, at the time beside it.
     gives: (f64, Nanos),
 }
@@ -215,8 +210,8 @@
     fn new(entry: ServerEntry) -> Self {
         let cold_since = entry.started_at;
         let (link, cold_sends) = (Pool::default(), VecDeque::new());
-        let (streams, failures, rest_until, gives) = (0, 0, 0, (1.0, 0));
-        Server { entry, link, streams, cold_since, cold_sends, failures, rest_until, gives }
+        let (streams, gives) = (0, (1.0, 0));
+        Server { entry, link, streams, cold_since, cold_sends, gives }
     }
 
     fn rack(&self, racks: u32) -> u32 {
@@ -383,7 +378,7 @@
             if entry.started_at > s.entry.started_at {
                 // A new process: what was known of the old one says nothing.
                 s.cold_since = s.cold_since.max(entry.started_at);
-                (s.failures, s.rest_until, s.gives) = (0, 0, (1.0, 0));
+                s.gives = (1.0, 0);
             }
             s.entry = entry;
         }
@@ -654,17 +649,16 @@
             && cell < s.wish.spread
             && scope
             && !s.tried.contains(&e.server)
-            && self.now >= server.rest_until
             && self.cold_room(server)
             && !self.silent(server)
     }
 
-    /// Guards against a server that answers nothing: while an attempt there has gone unanswered for long, or
-    /// one is out to a server that failed last, no other follows. Holds for hangs, cut links, lost machines.
+    /// Guards against a server that answers nothing: while an attempt there has gone unanswered for long, no
+    /// other follows. Holds for hangs, cut links, lost machines.
     /// May hurt when set-ups are merely slow: the holders left then carry more.
     fn silent(&self, server: &Server) -> bool {
         let mut out = self.sessions.values().filter(|s| s.server == Some(server.entry.server) && !s.playing);
-        out.any(|s| server.failures > 0 || self.now >= s.sent_at + SILENT)
+        out.any(|s| self.now >= s.sent_at + SILENT)
     }
 
     /// Whether a further attempt is within what the site allows.
@@ -781,9 +775,6 @@
         };
         (s.playing, s.answered, s.started_at) = (true, true, now);
         s.changed_at = (now + SETTLE).saturating_sub(CHANGE_GAP);
-        if let Some(server) = s.server.and_then(|server| self.servers.get_mut(&server)) {
-            (server.failures, server.rest_until) = (0, 0);
-        }
     }
 
     fn ended(
@@ -794,21 +785,10 @@
         if s.server != Some(at) {
             return;
         }
-        let (was_playing, sent_at) = (s.playing, s.sent_at);
+        let sent_at = s.sent_at;
         self.release(id);
         let place = self.servers.get(&at).map_or((u32::MAX, u32::MAX), |h| (h.entry.zone, h.entry.cell));
         if let Some(h) = self.servers.get_mut(&at) {
-            // One defence for all that shows as no answer, no connection or a broken one: rest, twice as
-            // long each time. May hurt when one bad link makes a healthy server look lost: one rest a time.
-            let struck = match outcome {
-                Outcome::TimedOut | Outcome::NoConnection | Outcome::Full => !was_playing,
-                Outcome::Reset => true,
-                _ => false,
-            };
-            if struck && h.rest_until <= now {
-                h.rest_until = now + (REST << h.failures.min(8)).min(REST_MAX);
-                h.failures += 1;
-            }
             // Guards against notes that stay out: a server that turns away tells how full it is. Holds for
             // crowds at one server too. May hurt where it is the streams that are full for a moment.
             if outcome == Outcome::Full && self.s.full_from > 0.0 {
