--- a/src/wire.rs
+++ b/src/wire.rs
@@ -190,6 +190,16 @@
     if rates.len() != worths.len() {
         return Err("settings: family_info.rung_kb and worth_by_rung differ in length".into());
     }
+    let known = list(&v, "classes")?.len();
+    let lists = [("scale_by_class", &scales), ("floor_by_class", &floors), ("highest_rung", &tops)];
+    for (name, values) in lists.into_iter().chain([("licence_cap", &seats)]) {
+        if !values.is_empty() && values.len() != known {
+            return Err(format!(
+                "settings: family_info.{name} holds {} values for {known} classes",
+                values.len()
+            ));
+        }
+    }
     let mut classes = Vec::new();
     let mut class_names = Vec::new();
     for (i, c) in list(&v, "classes")?.iter().enumerate() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -41,6 +41,14 @@
     assert_eq!(run("begin_batch time_ns=1\nyour_turn\n\n"), (Ok(()), "done\n".into()));
 }
 
+#[test]
+fn class_lists_of_unequal_length_are_refused_by_name() {
+    let settings = SETTINGS.replace("\"floor_by_class\":[0]", "\"floor_by_class\":[0,1]");
+    let (result, _) = run(&format!("begin_batch time_ns=1\nspawn i=1 seed=1 settings={settings}\n"));
+    let message = result.expect_err("unequal lists");
+    assert!(message.contains("family_info.floor_by_class holds 2 values for 1 classes"), "{message}");
+}
+
 #[test]
 fn malformed_input_names_its_line_and_what_is_wrong() {
     let start = "begin_batch time_ns=1\n";
