--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,433 @@
+//! The interface of the decision module: settings, events and actions.
+//!
+//! # Contract
+//!
+//! * Time is nanoseconds of one clock that never runs backwards; [`Nanos`] is a point or a span of it.
+//! * The embedding front calls `Controller::handle` once for each event, in the order in which the events
+//!   reached it, and carries out the returned actions in their order, at that same time.
+//! * Each [`Action::Send`] comes back as exactly one [`Event::Ended`]; [`Event::Started`] precedes it when
+//!   the session came to play. An id of a session is never used twice.
+//! * Each [`Event::Request`] is owed one final answer: a set-up that starts, [`Action::Refuse`] or
+//!   [`Action::Fail`]. The front ends the session's books when it has carried the answer out.
+//! * The front owns connections, sockets and clocks; the controller owns every choice.
+//! * If the contract is not kept (events out of order, unknown ids, figures that are no numbers) the
+//!   controller ignores what it cannot place. It never panics, but the rules then hold only for what it saw.
+
+use std::sync::Arc;
+
+/// A point in time, or a span of it, in nanoseconds.
+pub type Nanos = u64;
+
+/// A media server; stays the same when its process restarts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub u32);
+
+/// One try of a viewer to get a session; never used twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u64);
+
+/// A title that viewers watch; equal for equal titles.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TitleId(pub Arc<str>);
+
+/// Index of a class in [`Settings::classes`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub usize);
+
+/// A rung of the ladder, 0 the lowest.
+pub type Rung = usize;
+
+/// Whether a class may be set up more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// May be set up again without harm.
+    Idempotent,
+    /// May be set up again within `window`, at servers of the same scope.
+    Deduplicated {
+        /// Which servers recognise a repeat.
+        scope: Scope,
+        /// How long after an attempt's send a repeat is recognised.
+        window: Nanos,
+    },
+    /// Must never be set up twice.
+    AtMostOnce,
+}
+
+/// The servers that recognise a repeated set-up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Every server.
+    All,
+    /// Servers of the same zone.
+    Zone,
+    /// Servers of the same cell.
+    Cell,
+}
+
+/// A class of sessions.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// Worth of one second at a rung of worth 1.
+    pub worth: f64,
+    /// A set-up is wanted within this time.
+    pub aim: Nanos,
+    /// Whether a set-up may be repeated.
+    pub effect: Effect,
+    /// Its rates over those of the ladder.
+    pub scale: f64,
+    /// The lowest rung that may be set.
+    pub floor: Rung,
+    /// The highest rung of the class.
+    pub top: Rung,
+    /// Sessions of one title that one front may hold; 0: no cap.
+    pub seats: u32,
+    /// Viewers of one live title at one server and rung share a stream.
+    pub live: bool,
+}
+
+/// One rung of the ladder.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Step {
+    /// Its rate, kB a second.
+    pub rate: f64,
+    /// What it earns, as a share of the class's worth.
+    pub worth: f64,
+}
+
+/// How the list of servers reaches the front.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listing {
+    /// Changes arrive unprompted.
+    Pushed,
+    /// Changes arrive after [`Action::Subscribe`] or [`Action::Fetch`].
+    Subscribed,
+}
+
+/// Where load reports come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reporting {
+    /// With every outcome and probe.
+    Answers,
+    /// With probes alone.
+    Probes,
+    /// Nowhere.
+    Never,
+}
+
+/// A figure of a load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Figure {
+    /// Streams that run or are being set up.
+    Streams,
+    /// Share of the link that is asked, at most 1.
+    Util,
+    /// Rate asked of the link over what it gives; may pass 1.
+    Link,
+    /// The same of the uplink of the server's rack.
+    Uplink,
+    /// A figure that the controller has no use for.
+    Other,
+}
+
+/// A stated budget of further attempts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBudget {
+    /// Further attempts always allowed.
+    pub spare: f64,
+    /// Further attempts allowed for each request taken.
+    pub share: f64,
+    /// The stretch over which both are counted.
+    pub window: Nanos,
+}
+
+/// What a controller is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// This front's number, from 0.
+    pub front: u32,
+    /// How many fronts there are.
+    pub fronts: u32,
+    /// The zone of this front.
+    pub zone: u32,
+    /// The classes of sessions.
+    pub classes: Vec<Class>,
+    /// The ladder, lowest rung first, rates rising.
+    pub ladder: Vec<Step>,
+    /// Number of cells that servers stand in.
+    pub cells: u32,
+    /// Number of racks; a server's rack is its cell modulo this.
+    pub racks: u32,
+    /// Streams that a server of each kind runs at most.
+    pub streams_by_kind: Vec<u32>,
+    /// All links together at the start, kB a second; 0: unknown.
+    pub all_links: f64,
+    /// Mean uplink of a rack, kB a second; 0: unknown.
+    pub uplink: f64,
+    /// A server's link for each unit of its weight, kB a second; 0: unknown.
+    pub link_per_weight: f64,
+    /// Weights tell sizes (else they are all the same, or change with load).
+    pub weights_tell_size: bool,
+    /// What a further viewer of a live title adds to a shared stream; 1: nothing is shared.
+    pub join: f64,
+    /// A server turns set-ups away while so much of its link is asked; 0: never.
+    pub full_from: f64,
+    /// A change of rung costs so many seconds of worth.
+    pub change_cost_s: f64,
+    /// Points of worth lost for each point of the rate that is missing.
+    pub stall: f64,
+    /// How late notes are.
+    pub note_delay: Nanos,
+    /// Time between fullness notes; 0: there are none.
+    pub note_period: Nanos,
+    /// How load reports come.
+    pub reporting: Reporting,
+    /// The figures of a report, in their order.
+    pub figures: Vec<Figure>,
+    /// How the list comes.
+    pub listing: Listing,
+    /// Attempts at most for one request.
+    pub max_attempts: u32,
+    /// Probes are allowed.
+    pub may_probe: bool,
+    /// Clients are told when to come back.
+    pub may_advise: bool,
+    /// The longest wait that a client obeys.
+    pub max_come_back: Nanos,
+    /// Price of moving every session once, as a share of all worth.
+    pub move_price: f64,
+    /// Price of crossing zones with every session, as a share of all worth.
+    pub cross_price: f64,
+    /// A subscribed front must have asked within this time.
+    pub ask_within: Nanos,
+    /// A started server is warm after this at the latest.
+    pub cold_for: Nanos,
+    /// A started server has at least this share of its capacity.
+    pub cold_from: f64,
+    /// A cold server falls when sent more than this multiple of its pace.
+    pub fall_multiple: f64,
+    /// For this long.
+    pub fall_window: Nanos,
+    /// Budget of further attempts, where one is stated.
+    pub retry_budget: Option<RetryBudget>,
+}
+
+/// State of a server in the list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerState {
+    /// Takes sessions.
+    Ready,
+    /// Wraps up; nothing new may be sent.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// A server as the list names it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerEntry {
+    /// Which server.
+    pub server: ServerId,
+    /// Its state.
+    pub state: ServerState,
+    /// Index into [`Settings::streams_by_kind`].
+    pub kind: usize,
+    /// Its weight; see [`Settings::weights_tell_size`].
+    pub weight: f64,
+    /// Its cell.
+    pub cell: u32,
+    /// Its zone.
+    pub zone: u32,
+    /// When its process started; 0: long ago.
+    pub started_at: Nanos,
+}
+
+/// What kind of list arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListKind {
+    /// All servers, as this front last saw them; perhaps stale.
+    Cached,
+    /// All servers.
+    Full,
+    /// Changed entries alone.
+    Delta,
+    /// A call failed; the list held stays.
+    Failed,
+}
+
+/// What a viewer asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wish {
+    /// The session's id.
+    pub session: SessionId,
+    /// Its class.
+    pub class: ClassId,
+    /// The title.
+    pub title: TitleId,
+    /// First cell that holds the title.
+    pub base: u32,
+    /// How many cells in a row hold it.
+    pub spread: u32,
+    /// The highest rung that the viewer can use.
+    pub top: Rung,
+    /// When the viewer gives up waiting.
+    pub give_up_at: Nanos,
+    /// A guess of how long it plays.
+    pub length: Option<Nanos>,
+    /// The viewer was here before (a retry, a return, a move).
+    pub again: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The session played to its end.
+    Served,
+    /// The server answered with an error; it may have run.
+    Error,
+    /// Turned away unseen; it never ran.
+    Full,
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// No connection; it never ran.
+    NoConnection,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Cancelled, moved, or the viewer left; it may have run.
+    Cancelled,
+    /// It was never sent.
+    NotSent,
+}
+
+/// What a note on a playing session tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoteKind {
+    /// Share of the rate that is delivered at the server.
+    Delivered,
+    /// The rung in force.
+    RungInForce,
+    /// Rate asked of the link over what it gives.
+    LinkUse,
+    /// Rate asked of the rack's uplink over what it gives.
+    UplinkUse,
+}
+
+/// Something that happened.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// News of the list of servers.
+    List {
+        /// What kind of list.
+        kind: ListKind,
+        /// Its entries.
+        entries: Vec<ServerEntry>,
+    },
+    /// A viewer wants a session.
+    Request(Wish),
+    /// A session that already plays is handed over; it counts as attempt 0.
+    Adopted {
+        /// What the viewer asked for.
+        wish: Wish,
+        /// Where it plays.
+        server: ServerId,
+    },
+    /// The session plays.
+    Started {
+        /// Which session.
+        session: SessionId,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Which session.
+        session: SessionId,
+        /// Where the attempt went.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+        /// No further answer is owed.
+        finished: bool,
+        /// The server's load report, in the order of [`Settings::figures`]; empty: none.
+        report: Vec<f64>,
+    },
+    /// The viewer left, or the answer is overdue; nothing is owed any more.
+    Left {
+        /// Which session.
+        session: SessionId,
+    },
+    /// A note on one of the front's sessions.
+    Note {
+        /// Which session.
+        session: SessionId,
+        /// The server that it tells of.
+        server: ServerId,
+        /// What it tells.
+        kind: NoteKind,
+        /// The figure.
+        value: f64,
+    },
+    /// A timer came due.
+    Timer {
+        /// The token given with [`Action::SetTimer`].
+        token: u64,
+    },
+    /// A probe came back.
+    Probed {
+        /// Which server.
+        server: ServerId,
+        /// It answered.
+        ok: bool,
+        /// Its load report; empty: none.
+        report: Vec<f64>,
+    },
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Set the session's rung; free until the server has started it.
+    SetRung {
+        /// Which session.
+        session: SessionId,
+        /// The rung.
+        rung: Rung,
+    },
+    /// Ask a server to start the session.
+    Send {
+        /// Which session.
+        session: SessionId,
+        /// Which server.
+        server: ServerId,
+        /// Give the attempt up after this.
+        timeout: Nanos,
+    },
+    /// Final answer: refused; trying again does no harm.
+    Refuse {
+        /// Which session.
+        session: SessionId,
+        /// Advice when to come back; 0: none.
+        come_back: Nanos,
+    },
+    /// Final answer: failed, nothing promised about what it did.
+    Fail {
+        /// Which session.
+        session: SessionId,
+    },
+    /// Send [`Event::Timer`] after this time.
+    SetTimer {
+        /// From now.
+        after: Nanos,
+        /// Comes back with the timer.
+        token: u64,
+    },
+    /// Check a server.
+    Probe {
+        /// Which server.
+        server: ServerId,
+    },
+    /// Ask for changes of the list from now on.
+    Subscribe,
+    /// End a playing session; it comes back as a request.
+    Move {
+        /// Which session.
+        session: SessionId,
+    },
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,550 @@
+//! The bench's wire: text lines to events, actions to text lines. Parsing and printing only; nothing here
+//! chooses anything. The words are those of `WIRE-micadyke.md`; the module behind it knows none of them.
+
+use crate::decide::Controller;
+use crate::interface::*;
+use serde_json::Value;
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, Write};
+
+/// What is wrong with the input, and at which line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WireError {
+    /// Number of the line, from 1.
+    pub line: usize,
+    /// What is wrong.
+    pub what: String,
+}
+
+impl std::fmt::Display for WireError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "line {}: {}", self.line, self.what)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+type Parsed<T> = Result<T, String>;
+
+/// The fields of one line.
+struct Line<'a> {
+    name: &'a str,
+    fields: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Line<'a> {
+    fn parse(text: &'a str) -> Parsed<Self> {
+        let (name, mut rest) = text.split_once(' ').unwrap_or((text, ""));
+        let mut fields = Vec::new();
+        while !rest.is_empty() {
+            let (key, after) = rest.split_once('=').ok_or_else(|| format!("'{rest}' is no name=value"))?;
+            if key.is_empty() || key.contains(' ') {
+                return Err(format!("'{key}' is no field name"));
+            }
+            if key == "settings" || key == "body_text" {
+                fields.push((key, after));
+                break;
+            }
+            let (value, more) = after.split_once(' ').unwrap_or((after, ""));
+            fields.push((key, value));
+            rest = more;
+        }
+        Ok(Line { name, fields })
+    }
+
+    fn get(&self, key: &str) -> Option<&'a str> {
+        self.fields.iter().find(|(k, _)| *k == key).map(|(_, v)| *v)
+    }
+
+    fn need(&self, key: &str) -> Parsed<&'a str> {
+        self.get(key).ok_or_else(|| format!("{} lacks the field {key}", self.name))
+    }
+
+    fn read<T: std::str::FromStr>(&self, key: &str, text: &str) -> Parsed<T> {
+        text.parse().map_err(|_| format!("{}: field {key} holds '{text}', which can't be read", self.name))
+    }
+
+    fn number<T: std::str::FromStr>(&self, key: &str) -> Parsed<T> {
+        self.read(key, self.need(key)?)
+    }
+
+    fn maybe<T: std::str::FromStr>(&self, key: &str) -> Parsed<Option<T>> {
+        self.get(key).map(|v| self.read(key, v)).transpose()
+    }
+
+    fn flag(&self, key: &str) -> Parsed<bool> {
+        match self.get(key) {
+            None | Some("0") => Ok(false),
+            Some("1") => Ok(true),
+            Some(v) => Err(format!("{}: field {key} holds '{v}', not 0 or 1", self.name)),
+        }
+    }
+
+    /// A small whole number that the wire types as a plain number ("3" or "3.0").
+    fn index(&self, key: &str) -> Parsed<u32> {
+        let v: f64 = self.number(key)?;
+        if v.is_finite() && v >= 0.0 && v.fract() == 0.0 && v <= f64::from(u32::MAX) {
+            Ok(v as u32)
+        } else {
+            Err(format!("{}: field {key} holds {v}, not a whole number from 0", self.name))
+        }
+    }
+
+    fn session(&self) -> Parsed<SessionId> {
+        let text = self.need("tid")?;
+        let hex = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        match u64::from_str_radix(text, 16) {
+            Ok(id) if hex => Ok(SessionId(id)),
+            _ => Err(format!("{}: field tid holds '{text}', not 16 hex digits", self.name)),
+        }
+    }
+
+    fn server(&self) -> Parsed<ServerId> {
+        Ok(ServerId(self.number("server")?))
+    }
+
+    fn report(&self) -> Parsed<Vec<f64>> {
+        match self.get("feedback") {
+            None | Some("") => Ok(Vec::new()),
+            Some(text) => text.split(',').map(|v| self.read("feedback", v)).collect(),
+        }
+    }
+}
+
+/// Names that an instance's settings give to classes, machine kinds and zones.
+#[derive(Default)]
+struct Names {
+    classes: Vec<String>,
+    kinds: Vec<String>,
+    zones: Vec<String>,
+}
+
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+fn at<'v>(value: &'v Value, path: &str) -> &'v Value {
+    path.split('.').fold(value, |v, key| &v[key])
+}
+
+fn float(value: &Value, path: &str) -> Parsed<f64> {
+    let v = at(value, path);
+    if v.is_null() {
+        return Ok(0.0);
+    }
+    v.as_f64().ok_or_else(|| format!("settings: {path} holds {v}, not a number"))
+}
+
+fn nanos(value: &Value, path: &str) -> Parsed<Nanos> {
+    let v = float(value, path)?;
+    if v < 0.0 { Err(format!("settings: {path} holds {v}, a negative time")) } else { Ok(v as Nanos) }
+}
+
+fn count(value: &Value, path: &str) -> Parsed<u32> {
+    let v = float(value, path)?;
+    if v < 0.0 || v > f64::from(u32::MAX) || v.fract() != 0.0 {
+        return Err(format!("settings: {path} holds {v}, not a count"));
+    }
+    Ok(v as u32)
+}
+
+fn text<'v>(value: &'v Value, path: &str) -> Parsed<&'v str> {
+    let v = at(value, path);
+    if v.is_null() {
+        return Ok("");
+    }
+    v.as_str().ok_or_else(|| format!("settings: {path} holds {v}, not a text"))
+}
+
+fn list<'v>(value: &'v Value, path: &str) -> Parsed<&'v [Value]> {
+    let v = at(value, path);
+    if v.is_null() {
+        return Ok(&[]);
+    }
+    v.as_array().map(Vec::as_slice).ok_or_else(|| format!("settings: {path} holds {v}, not a list"))
+}
+
+fn truth(value: &Value, path: &str) -> Parsed<bool> {
+    let v = at(value, path);
+    if v.is_null() {
+        return Ok(false);
+    }
+    v.as_bool().ok_or_else(|| format!("settings: {path} holds {v}, not true or false"))
+}
+
+fn floats(value: &Value, path: &str) -> Parsed<Vec<f64>> {
+    let bad = |v: &Value| format!("settings: {path} holds {v}, not a number");
+    list(value, path)?.iter().map(|v| v.as_f64().ok_or_else(|| bad(v))).collect()
+}
+
+fn names(value: &Value, path: &str) -> Parsed<Vec<String>> {
+    let bad = |v: &Value| format!("settings: {path} holds {v}, not a name");
+    list(value, path)?.iter().map(|v| v.as_str().map(str::to_owned).ok_or_else(|| bad(v))).collect()
+}
+
+/// Reads the settings object into the module's own words.
+fn settings(json: &str) -> Parsed<(Settings, Names)> {
+    let v: Value = serde_json::from_str(json).map_err(|e| format!("settings can't be read: {e}"))?;
+    let zones = names(&v, "dcs")?;
+    let kinds = names(&v, "models")?;
+    let scales = floats(&v, "family_info.scale_by_class")?;
+    let floors = floats(&v, "family_info.floor_by_class")?;
+    let tops = floats(&v, "family_info.highest_rung")?;
+    let seats = floats(&v, "family_info.licence_cap")?;
+    let live = list(&v, "family_info.class_live")?;
+    let rates = floats(&v, "family_info.rung_kb")?;
+    let worths = floats(&v, "family_info.worth_by_rung")?;
+    if rates.len() != worths.len() {
+        return Err("settings: family_info.rung_kb and worth_by_rung differ in length".into());
+    }
+    let mut classes = Vec::new();
+    let mut class_names = Vec::new();
+    for (i, c) in list(&v, "classes")?.iter().enumerate() {
+        class_names.push(text(c, "name")?.to_owned());
+        let effect = match text(c, "effect")? {
+            "idempotent" | "" => Effect::Idempotent,
+            "at_most_once" => Effect::AtMostOnce,
+            "deduplicated" => Effect::Deduplicated {
+                scope: match text(c, "dedup_scope")? {
+                    "all" | "" => Scope::All,
+                    "zone" => Scope::Zone,
+                    "cell" => Scope::Cell,
+                    other => return Err(format!("settings: dedup_scope holds '{other}'")),
+                },
+                window: nanos(c, "window_ns")?,
+            },
+            other => return Err(format!("settings: effect holds '{other}'")),
+        };
+        let top = rates.len().saturating_sub(1) as f64;
+        classes.push(Class {
+            worth: float(c, "worth")?,
+            aim: nanos(c, "promise_ns")?,
+            effect,
+            scale: scales.get(i).copied().unwrap_or(1.0),
+            floor: floors.get(i).copied().unwrap_or(0.0) as Rung,
+            top: tops.get(i).copied().unwrap_or(top) as Rung,
+            seats: seats.get(i).copied().unwrap_or(0.0) as u32,
+            live: live.get(i).and_then(Value::as_bool).unwrap_or(false),
+        });
+    }
+    let zone_name = text(&v, "zone")?;
+    let retry_budget = match at(&v, "rules.counted_over_ns").is_null() {
+        true => None,
+        false => Some(RetryBudget {
+            spare: float(&v, "rules.spare_attempts")?,
+            share: float(&v, "rules.budget_share")?,
+            window: nanos(&v, "rules.counted_over_ns")?,
+        }),
+    };
+    let figures = names(&v, "stats.columns")?;
+    let join = at(&v, "family_info.join");
+    let s = Settings {
+        front: count(&v, "me")?,
+        fronts: count(&v, "group_size")?.max(1),
+        zone: position(&zones, zone_name).unwrap_or(zones.len()) as u32,
+        classes,
+        ladder: rates.iter().zip(&worths).map(|(&rate, &worth)| Step { rate, worth }).collect(),
+        cells: count(&v, "family_info.cells")?,
+        racks: count(&v, "family_info.racks")?,
+        streams_by_kind: floats(&v, "family_info.places_by_kind")?.iter().map(|&p| p as u32).collect(),
+        all_links: float(&v, "family_info.all_links_kb")?,
+        uplink: float(&v, "family_info.uplink_kb")?,
+        link_per_weight: float(&v, "family_info.kb_per_weight")?,
+        weights_tell_size: matches!(text(&v, "weights")?, "nominal" | "rough"),
+        join: join.as_f64().unwrap_or(1.0),
+        full_from: float(&v, "family_info.full_from")?,
+        change_cost_s: float(&v, "family_info.switch_s")?,
+        stall: float(&v, "family_info.stall")?,
+        note_delay: nanos(&v, "family_info.see_ns")?,
+        note_period: nanos(&v, "family_info.tell_ns")?,
+        reporting: match text(&v, "stats.how")? {
+            "answers" => Reporting::Answers,
+            "probe" => Reporting::Probes,
+            _ => Reporting::Never,
+        },
+        figures: figures
+            .iter()
+            .map(|f| match f.as_str() {
+                "inflight" => Figure::Streams,
+                "util" => Figure::Util,
+                "x0" => Figure::Link,
+                "x1" => Figure::Uplink,
+                _ => Figure::Other,
+            })
+            .collect(),
+        listing: if text(&v, "registry_mode")? == "subscribe" { Listing::Subscribed } else { Listing::Pushed },
+        max_attempts: count(&v, "permissions.max_attempts")?,
+        may_probe: truth(&v, "permissions.probes")?,
+        may_advise: truth(&v, "permissions.retry_after")?,
+        max_come_back: nanos(&v, "permissions.max_retry_after_ns")?,
+        move_price: float(&v, "penalties.moves")?,
+        cross_price: float(&v, "penalties.cross_zone")?,
+        ask_within: nanos(&v, "rules.ask_within_ns")?,
+        cold_for: nanos(&v, "rules.cold_ns")?,
+        cold_from: float(&v, "rules.start_capacity")?,
+        fall_multiple: float(&v, "rules.fall_multiple")?,
+        fall_window: nanos(&v, "rules.fall_ns")?,
+        retry_budget,
+    };
+    Ok((s, Names { classes: class_names, kinds, zones }))
+}
+
+/// An entry of a shared list, its names not yet looked up.
+struct Row {
+    kind: String,
+    weight: f64,
+    server: ServerId,
+    started_at: Nanos,
+    cell: u32,
+    state: ServerState,
+    zone: String,
+}
+
+fn row(line: &Line) -> Parsed<Row> {
+    if line.name != "row" {
+        return Err(format!("'{}' where a row of the list belongs", line.name));
+    }
+    Ok(Row {
+        kind: line.get("type").unwrap_or("").to_owned(),
+        weight: line.maybe("nominal")?.unwrap_or(1.0),
+        server: line.server()?,
+        started_at: line.maybe("started_at_ns")?.unwrap_or(0),
+        cell: line.maybe("cell")?.unwrap_or(0),
+        state: match line.need("state")? {
+            "1" => ServerState::Ready,
+            "3" => ServerState::Draining,
+            "0" => ServerState::Gone,
+            other => return Err(format!("row: field state holds '{other}'")),
+        },
+        zone: line.get("locality").unwrap_or("").to_owned(),
+    })
+}
+
+/// One hosted controller.
+struct Instance {
+    controller: Controller,
+    names: Names,
+}
+
+impl Instance {
+    fn entries(&self, rows: &[Row]) -> Vec<ServerEntry> {
+        let entry = |r: &Row| ServerEntry {
+            server: r.server,
+            state: r.state,
+            kind: position(&self.names.kinds, &r.kind).unwrap_or(self.names.kinds.len()),
+            weight: r.weight,
+            cell: r.cell,
+            zone: position(&self.names.zones, &r.zone).unwrap_or(self.names.zones.len() + 1) as u32,
+            started_at: r.started_at,
+        };
+        rows.iter().map(entry).collect()
+    }
+
+    fn wish(&self, line: &Line) -> Parsed<Wish> {
+        let class = line.need("tier_class")?;
+        let class = position(&self.names.classes, class)
+            .ok_or_else(|| format!("{}: the settings know no class '{class}'", line.name))?;
+        Ok(Wish {
+            session: line.session()?,
+            class: ClassId(class),
+            title: TitleId(line.get("item").unwrap_or("").into()),
+            base: line.index("base")?,
+            spread: line.index("spread")?,
+            top: line.index("best_rung")? as Rung,
+            give_up_at: line.maybe("not_after_ns")?.unwrap_or(0),
+            length: line.maybe("weight_hint_ns")?,
+            again: line.flag("came_back")? | line.flag("is_retry")? | line.flag("moved")?,
+        })
+    }
+
+    /// The event of a line; none for events that the module has no use for.
+    fn event(&self, line: &Line, lists: &HashMap<u32, Vec<Row>>) -> Parsed<Option<Event>> {
+        let event = match line.name {
+            "peers_known" => {
+                let kind = match line.need("kind")? {
+                    "4" => ListKind::Delta,
+                    "2" => ListKind::Full,
+                    "3" => ListKind::Cached,
+                    "0" => ListKind::Failed,
+                    other => return Err(format!("peers_known: field kind holds '{other}'")),
+                };
+                let entries = if kind == ListKind::Failed {
+                    Vec::new()
+                } else {
+                    let n: u32 = line.number("list")?;
+                    self.entries(lists.get(&n).ok_or_else(|| format!("peers_known: there is no list {n}"))?)
+                };
+                Event::List { kind, entries }
+            }
+            "submit" => Event::Request(self.wish(line)?),
+            "adopted" => Event::Adopted { wish: self.wish(line)?, server: line.server()? },
+            "begun" => Event::Started { session: line.session()? },
+            "returned" => Event::Ended {
+                session: line.session()?,
+                server: line.server()?,
+                outcome: match line.need("status")? {
+                    "GOOD" => Outcome::Served,
+                    "BAD" => Outcome::Error,
+                    "FULL" => Outcome::Full,
+                    "LATE" => Outcome::TimedOut,
+                    "NOCONN" => Outcome::NoConnection,
+                    "RST" => Outcome::Reset,
+                    "CXL" => Outcome::Cancelled,
+                    "NOP" => Outcome::NotSent,
+                    other => return Err(format!("returned: field status holds '{other}'")),
+                },
+                finished: line.flag("terminal")?,
+                report: line.report()?,
+            },
+            "lapsed" => Event::Left { session: line.session()? },
+            "hint_update" => Event::Note {
+                session: line.session()?,
+                server: line.server()?,
+                kind: match line.index("sort")? {
+                    1 => NoteKind::Delivered,
+                    2 => NoteKind::RungInForce,
+                    3 => NoteKind::LinkUse,
+                    4 => NoteKind::UplinkUse,
+                    _ => return Ok(None),
+                },
+                value: line.number("amount")?,
+            },
+            "wakeup" => Event::Timer { token: line.number("tag")? },
+            "status_back" => Event::Probed {
+                server: line.server()?,
+                ok: line.need("status")? == "GOOD",
+                report: line.report()?,
+            },
+            "neighbour_says" => {
+                line.number::<u32>("from")?;
+                return Ok(None);
+            }
+            other => return Err(format!("unknown message '{other}'")),
+        };
+        Ok(Some(event))
+    }
+}
+
+fn print(out: &mut Vec<u8>, instance: u32, action: &Action) {
+    let i = instance;
+    let _ = match *action {
+        Action::SetRung { session, rung } => writeln!(out, "pitch i={i} tid={:016x} step={rung}", session.0),
+        Action::Send { session, server, timeout } => {
+            writeln!(out, "issue i={i} tid={:016x} cap_ns={timeout} server={}", session.0, server.0)
+        }
+        Action::Refuse { session, come_back } => {
+            writeln!(out, "overload_reply i={i} tid={:016x} come_back_ns={come_back}", session.0)
+        }
+        Action::Fail { session } => writeln!(out, "lose i={i} tid={:016x}", session.0),
+        Action::SetTimer { after, token } => writeln!(out, "set_timer i={i} offset_ns={after} tag={token}"),
+        Action::Probe { server } => writeln!(out, "test i={i} server={}", server.0),
+        Action::Subscribe => writeln!(out, "watch i={i} want=1"),
+        Action::Move { session } => writeln!(out, "relocate i={i} tid={:016x}", session.0),
+    };
+}
+
+/// Many controllers behind one pair of streams; nothing is shared between them but the text of the lists.
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u32, Instance>,
+    lists: HashMap<u32, Vec<Row>>,
+    pending: Option<(u32, usize, Vec<Row>)>,
+    now: Option<Nanos>,
+    line: usize,
+}
+
+impl Host {
+    /// Takes one line. True when a batch has ended and `reply` is complete.
+    pub fn take(&mut self, text: &str, reply: &mut Vec<u8>) -> Result<bool, WireError> {
+        self.line += 1;
+        self.line_of_batch(text, reply).map_err(|what| WireError { line: self.line, what })
+    }
+
+    fn line_of_batch(&mut self, text: &str, reply: &mut Vec<u8>) -> Parsed<bool> {
+        let line = Line::parse(text)?;
+        if let Some((list, left, mut rows)) = self.pending.take() {
+            rows.push(row(&line)?);
+            if left > 1 {
+                self.pending = Some((list, left - 1, rows));
+            } else {
+                self.lists.insert(list, rows);
+            }
+            return Ok(false);
+        }
+        let Some(now) = self.now else {
+            return match line.name {
+                "begin_batch" => {
+                    self.now = Some(line.number("time_ns")?);
+                    Ok(false)
+                }
+                "" => Ok(false),
+                other => Err(format!("'{other}' outside a batch")),
+            };
+        };
+        match line.name {
+            "" => return Ok(false),
+            "begin_batch" => return Err("begin_batch inside a batch".into()),
+            "your_turn" => {
+                self.now = None;
+                reply.extend_from_slice(b"done\n");
+                return Ok(true);
+            }
+            "ledger" => {
+                let list = line.number("list")?;
+                match line.number::<usize>("records")? {
+                    0 => drop(self.lists.insert(list, Vec::new())),
+                    n => self.pending = Some((list, n, Vec::new())),
+                }
+                return Ok(false);
+            }
+            _ => {}
+        }
+        let id: u32 = line.number("i")?;
+        let mut actions = Vec::new();
+        match line.name {
+            "spawn" => {
+                let (settings, names) = settings(line.need("settings")?)?;
+                let seed = line.number("seed")?;
+                let (controller, first) =
+                    Controller::new(settings, seed, now).map_err(|e| format!("settings: {e}"))?;
+                actions = first;
+                self.instances.insert(id, Instance { controller, names });
+            }
+            "exit" => drop(self.instances.remove(&id)),
+            _ => {
+                let instance = self.instances.get_mut(&id).ok_or_else(|| format!("no instance {id} runs"))?;
+                if let Some(event) = instance.event(&line, &self.lists)? {
+                    instance.controller.handle(now, event, &mut actions);
+                }
+            }
+        }
+        actions.iter().for_each(|action| print(reply, id, action));
+        Ok(false)
+    }
+}
+
+/// Answers batches from `input` on `output` until the input ends.
+pub fn serve(mut input: impl BufRead, mut output: impl Write) -> Result<(), Box<dyn std::error::Error>> {
+    let mut host = Host::default();
+    let mut reply = Vec::new();
+    let mut text = Vec::new();
+    loop {
+        text.clear();
+        if input.read_until(b'\n', &mut text)? == 0 {
+            return match host.now {
+                None => Ok(()),
+                Some(_) => Err("the input ended inside a batch".into()),
+            };
+        }
+        if text.last() == Some(&b'\n') {
+            text.pop();
+        }
+        let line = std::str::from_utf8(&text)
+            .map_err(|_| WireError { line: host.line + 1, what: "not UTF-8 text".into() })?;
+        if host.take(line, &mut reply)? {
+            output.write_all(&reply)?;
+            output.flush()?;
+            reply.clear();
+        }
+    }
+}
