--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,6 +29,11 @@
 const TRY_PART: f64 = 0.5;
 /// Part of the cold budget that is used: chance and other fronts' uneven shares take the rest.
 const COLD_PART: f64 = 0.8;
+/// Deviations of chance that the sum of all fronts' lots for a cold server leaves free.
+const SPREAD: f64 = 3.0;
+/// Windows of the cold budget over which own requests are counted and a lot is good for: one request in so
+/// long is as rare as a front of a large fleet sees for one server.
+const COLD_SPAN: f64 = 2.0;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found to give less than it claims is trusted again over this time.
@@ -245,6 +250,13 @@
     ran: Option<(Nanos, u32, u32)>,
 }
 
+/// A number's draw from [0, 1).
+fn mix(mut z: u64) -> f64 {
+    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 // ===== The controller.
 /// The decisions of one front. See `src/interface.rs` for the contract.
 #[derive(Debug, Default)]
@@ -262,6 +274,8 @@
     seats: BTreeMap<(TitleId, usize), u32>,
     pricing: Pricing,
     taken: VecDeque<Nanos>,
+    /// Requests of late: when, and the cells that hold the title.
+    recent: VecDeque<(Nanos, u32, u32)>,
     further: VecDeque<Nanos>,
 }
 
@@ -311,10 +325,7 @@
     /// A draw from [0, 1): splitmix64.
     fn chance(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.random;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+        mix(self.random)
     }
 
     /// How long a session lasts, in seconds, by Little's law: sessions held over the rate of new ones.
@@ -563,6 +574,9 @@
         }
         self.arrived += usize::from(!wish.again);
         self.taken.extend(self.s.retry_budget.map(|_| self.now));
+        self.recent.push_back((self.now, wish.base, wish.spread));
+        let since = self.now.saturating_sub((COLD_SPAN * self.s.fall_window as f64) as Nanos);
+        self.recent.retain(|r| r.0 > since);
         self.sample(&wish);
         self.sessions.insert(id, self.session(wish));
         self.place(id, out);
@@ -616,23 +630,37 @@
         server.cold_since > 0 && self.now < server.cold_since.saturating_add(self.s.cold_for)
     }
 
-    /// Whether the cold budget allows a set-up now: this front's part of what all may send in any window.
-    fn cold_room(&self, server: &Server) -> bool {
+    /// Whether the cold budget allows this set-up now. The sum over all fronts must hold in every window: a
+    /// front whose part is a set-up or more counts its own; where parts are smaller, a lot is drawn with this
+    /// front's part over its own requests of late for that server, so uneven shares add up to the same sum.
+    fn cold_room(&self, server: &Server, id: SessionId) -> bool {
         if !self.cold(server) {
             return true;
         }
         let window = self.s.fall_window as f64;
         let pace = self.streams_of(server) / self.s.cold_for as f64 * self.s.cold_from;
-        let part = pace * self.s.fall_multiple * window * COLD_PART / self.fronts();
-        let (most, span) = if part >= 1.0 { (part.floor(), window) } else { (1.0, window / part.max(0.001)) };
-        let since = self.now.saturating_sub(span as Nanos);
-        (server.cold_sends.iter().filter(|&&t| t > since).count() as f64) < most
+        let budget = pace * self.s.fall_multiple * window;
+        let since = self.now.saturating_sub(self.s.fall_window);
+        let sent = server.cold_sends.iter().filter(|&&t| t > since).count() as f64;
+        let part = budget * COLD_PART / self.fronts();
+        if part >= 1.0 {
+            return sent < part.floor();
+        }
+        // Sums of many small lots spread like their root: the mean leaves SPREAD deviations free.
+        let mean = ((budget + SPREAD * SPREAD / 4.0).sqrt() - SPREAD / 2.0).powi(2);
+        let asked = self.recent.iter().filter(|r| self.holds(&server.entry, r.1, r.2)).count().max(1);
+        let draw = mix(self.random ^ id.0.wrapping_mul(31) ^ u64::from(server.entry.server.0));
+        sent < 1.0 && draw < mean * COLD_SPAN / self.fronts() / asked as f64
+    }
+
+    /// Whether a server holds the titles of these cells.
+    fn holds(&self, e: &ServerEntry, base: u32, spread: u32) -> bool {
+        (e.cell % self.s.cells + self.s.cells - base % self.s.cells) % self.s.cells < spread
     }
 
     /// Whether a server may be asked for this session at all.
     fn usable(&self, server: &Server, s: &Session) -> bool {
         let e = &server.entry;
-        let cell = (e.cell % self.s.cells + self.s.cells - s.wish.base % self.s.cells) % self.s.cells;
         let scope = match (s.ran, self.s.classes[s.wish.class.0].effect) {
             (None, _) | (_, Effect::Idempotent) => true,
             (Some(_), Effect::AtMostOnce) => false,
@@ -646,10 +674,10 @@
             }
         };
         e.state == ServerState::Ready
-            && cell < s.wish.spread
+            && self.holds(e, s.wish.base, s.wish.spread)
             && scope
             && !s.tried.contains(&e.server)
-            && self.cold_room(server)
+            && self.cold_room(server, s.wish.session)
             && !self.silent(server)
     }
 
