--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,7 +19,7 @@
 const SETTLE: Nanos = 2 * SECOND;
 /// First budget of link rate, over the middle rung: just under 1, so that the price caps at that rung.
 const PRIOR: f64 = 0.99;
-/// Set-ups, sessions handed over included, after which prices are solved again: even a slow front gets there.
+/// Set-ups, sessions handed over included, after which prices are solved again.
 const SAMPLE: usize = 20;
 /// Housekeeping: rungs and suspicion are looked at so often.
 const TICK: Nanos = 200 * MS;
@@ -34,29 +34,29 @@
 /// Windows of the cold budget over which own requests are counted and a lot is good for: one request in so
 /// long is as rare as a front of a large fleet sees for one server.
 const COLD_SPAN: f64 = 2.0;
+/// Use of links while none was heard of: a fresh front must not read silence as empty, and this leaves room
+/// for the middle rung.
+const UNSEEN: f64 = 0.8;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
-/// A pool found to give less than it claims is trusted again over this time.
+/// A pool found short is trusted again over this time, in seconds.
 const TRUST: f64 = 20.0;
-/// Holders whose use differs by less than this are drawn from by chance: fronts must not herd.
+/// Holders whose use differs by less than this are drawn from by chance.
 const HERD: f64 = 0.04;
 /// Crossing zones is worth this many points of use for each point of its price.
 const CROSS: f64 = 1.5;
 /// A playing session steps up only where the higher rung's limit would hold with this much left: a change
 /// that must be taken back costs worth twice.
 const UP_GAP: f64 = 0.12;
-/// A step up must promise this many times what the change costs, over the time that a session lasts: it may
-/// have to be taken back, and more sessions than one wait for the same room.
+/// A step up must promise this many times its cost over the time that a session lasts: others want the room.
 const PAYS: f64 = 10.0;
-/// A set-up is fitted at this many times its rate: others send to the same room before the next note tells.
+/// A set-up is fitted at this many times its rate: others send to the same room before the next note.
 const CROWD: f64 = 1.2;
 /// No set-up goes past this use: playing sessions would lose more than it earns.
 const FULL: f64 = 0.98;
-/// Part of a pool kept free is this over the root of the sessions that it carries at the middle rung: true
-/// rates lie around the ladder's, and many sessions even out.
+/// Part of a pool kept free, over the root of its sessions at the middle rung: true rates even out in many.
 const GRAIN: f64 = 0.25;
-/// A playing session steps down only when use is this far past its rung's limit: one session of the top
-/// rung is a tenth of a small link or more, and each change costs worth.
+/// A playing session steps down only when use is this far past its rung's limit: each change costs worth.
 const SLACK: f64 = 0.09;
 /// What a refused viewer is told to wait: about a note's age, after which the account has changed.
 const COME_BACK: Nanos = SECOND;
@@ -131,8 +131,7 @@
 }
 
 // ===== Accounts: what is asked of a link or an uplink over what it gives.
-/// What accounts are read against: the clock, the number of fronts, the mean use heard of lately, and the
-/// age from which a figure fades.
+/// What accounts are read against; a figure fades from the age `fade` to the `mean` use heard of lately.
 #[derive(Debug, Clone, Copy)]
 struct View {
     now: Nanos,
@@ -166,25 +165,26 @@
     /// Use now: the last figure heard and this front's changes since. Where nothing was heard for long (no
     /// session there, no note) it fades to what the pools heard of lately show on the mean.
     fn usage(&self, view: View) -> f64 {
-        let own = if self.size > 0.0 { self.own * view.fronts / self.size } else { 0.0 };
-        let Some((value, as_of)) = self.heard else { return own.max(view.mean) };
+        // Never heard of: the others are taken to ask what they ask elsewhere. Own sessions times the number
+        // of fronts would say nothing where a front has none or one of them there.
+        let own = if self.size > 0.0 { self.own / self.size } else { 0.0 };
+        let Some((value, as_of)) = self.heard else { return own + view.mean * (1.0 - 1.0 / view.fronts) };
         let old = view.now.saturating_sub(as_of) as f64 / view.fade.max(1) as f64 - 1.0;
         let base = value + (view.mean - value) * old.clamp(0.0, 1.0);
         (base + self.log.iter().map(|l| l.1).sum::<f64>()).max(0.0)
     }
 
-    /// This front's share of what is asked. All fronts hear the same note at once, so each answers with its
-    /// own share of the needed change and books the whole.
+    /// This front's share of what is asked.
     fn share(&self, view: View) -> f64 {
         let all = self.usage(view) * self.size;
         if all > 0.0 { (self.own / all).clamp(0.5 / view.fronts, 1.0) } else { 1.0 }
     }
 
-    /// Books a change of this front's rate; `echo` is by how much the other fronts are taken to multiply it.
-    fn change(&mut self, now: Nanos, rate: f64, echo: f64) {
-        self.own = (self.own + rate).max(0.0);
-        if self.heard.is_some() && self.size > 0.0 {
-            self.log.push_back((now, rate * echo / self.size));
+    /// Books a change of rate since the last figure; `own` is 1 where it is this front's.
+    fn change(&mut self, now: Nanos, rate: f64, own: f64) {
+        self.own = (self.own + rate * own).max(0.0);
+        if self.heard.is_some() && self.size > 0.0 && rate != 0.0 {
+            self.log.push_back((now, rate / self.size));
         }
     }
 
@@ -209,14 +209,14 @@
     cold_sends: VecDeque<Nanos>,
     /// What it gives over what its account says, at the time beside it.
     gives: (f64, Nanos),
+    /// News of it that all fronts with sessions there have heard waits for an answer.
+    told: bool,
 }
 
 impl Server {
     fn new(entry: ServerEntry) -> Self {
-        let cold_since = entry.started_at;
-        let (link, cold_sends) = (Pool::default(), VecDeque::new());
-        let (streams, gives) = (0, (1.0, 0));
-        Server { entry, link, streams, cold_since, cold_sends, gives }
+        let (link, cold_since, cold_sends) = (Pool::default(), entry.started_at, VecDeque::new());
+        Server { entry, link, streams: 0, cold_since, cold_sends, gives: (1.0, 0), told: false }
     }
 
     fn rack(&self, racks: u32) -> u32 {
@@ -268,6 +268,7 @@
     arrived: usize,
     mean: f64,
     ticking: bool,
+    guessed_at: Nanos,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<u32, Pool>,
     sessions: BTreeMap<SessionId, Session>,
@@ -283,7 +284,7 @@
     /// A controller that knows nothing yet; refuses settings that make no sense.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
         settings.check()?;
-        Ok(Controller { s: settings, random: seed, now, born: now, ..Controller::default() })
+        Ok(Controller { s: settings, random: seed, now, born: now, mean: UNSEEN, ..Controller::default() })
     }
 
     /// How many sessions are held, set-ups included.
@@ -312,12 +313,17 @@
             Event::Left { session } => {
                 self.sessions.get_mut(&session).into_iter().for_each(|s| s.answered = true)
             }
-            Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
+            Event::Note { session, server, kind, value } => self.note(session, server, kind, value),
             Event::Timer { .. } => {
                 out.push(Action::SetTimer { after: TICK, token: 0 });
                 self.average();
-                let all: Vec<ServerId> = self.servers.keys().copied().collect();
-                all.into_iter().for_each(|s| self.follow(s, out));
+                // News is answered at the next tick, when all figures of one report are in.
+                let guess = self.s.note_period == 0 && self.now >= self.guessed_at + SECOND;
+                self.guessed_at = if guess { self.now } else { self.guessed_at };
+                let news =
+                    |s: (&ServerId, &mut Server)| (std::mem::take(&mut s.1.told) || guess).then_some(*s.0);
+                let told: Vec<ServerId> = self.servers.iter_mut().filter_map(news).collect();
+                told.into_iter().for_each(|s| self.follow(s, out));
             }
         }
     }
@@ -363,8 +369,7 @@
 
     /// Highest rung that the viewer and the class can use, never under the class's floor.
     fn top(&self, wish: &Wish) -> Rung {
-        let class = &self.s.classes[wish.class.0];
-        wish.top.min(class.top).max(class.floor)
+        wish.top.min(self.s.classes[wish.class.0].top).max(self.s.classes[wish.class.0].floor)
     }
 
     /// Use up to which a rung is given: the mark, and a step more for each rung under the top one.
@@ -407,11 +412,10 @@
 
     /// Sizes of links from weights, or, where weights tell nothing, from the streams of the machine's kind.
     fn sizes(&mut self) {
-        let all = self.servers.values().map(|s| self.streams_of(s)).sum::<f64>();
-        let mean = all / self.servers.len().max(1) as f64;
+        let streams: Vec<f64> = self.servers.values().map(|s| self.streams_of(s)).collect();
+        let mean = streams.iter().sum::<f64>() / streams.len().max(1) as f64;
         let middle = self.s.ladder[self.s.ladder.len() / 2].rate;
-        for s in self.servers.values_mut() {
-            let streams = f64::from(self.s.streams_by_kind.get(s.entry.kind).copied().unwrap_or(0));
+        for (s, streams) in self.servers.values_mut().zip(streams) {
             let by_weight = self.s.weights_tell_size || mean <= 0.0;
             let part = if by_weight { s.entry.weight } else { streams / mean };
             s.link.resize(self.s.link_per_weight * part, middle);
@@ -421,18 +425,13 @@
 
     // ----- accounts
 
-    /// Books a change of own rate at a server and its rack.
-    fn book(&mut self, server: ServerId, rate: f64, echoed: bool) {
-        let (now, view) = (self.now, self.view());
-        if let Some(s) = self.servers.get_mut(&server) {
-            let echo = |p: &Pool| if echoed { 1.0 / p.share(view) } else { 1.0 };
-            let e = echo(&s.link);
-            s.link.change(now, rate, e);
-            if let Some(rack) = self.racks.get_mut(&s.rack(self.s.racks)) {
-                let e = echo(rack);
-                rack.change(now, rate, e);
-            }
-        }
+    /// Books a change of rate at a server and its rack; `own` is 1 where it is this front's.
+    fn book(&mut self, server: ServerId, rate: f64, own: f64) {
+        let (now, racks) = (self.now, self.s.racks);
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.link.change(now, rate, own);
+        let rack = self.racks.get_mut(&s.rack(racks));
+        rack.into_iter().for_each(|r| r.change(now, rate, own));
     }
 
     /// Use of a server: the higher of its link and its rack's uplink, over what it was seen to give.
@@ -450,7 +449,7 @@
         (link / cold).max(if rack > 0.0 { rate / rack } else { 0.0 }) / server.gives(self.now).max(0.01)
     }
 
-    fn note(&mut self, id: SessionId, server: ServerId, kind: NoteKind, value: f64, out: &mut Vec<Action>) {
+    fn note(&mut self, id: SessionId, server: ServerId, kind: NoteKind, value: f64) {
         let (now, view) = (self.now, self.view());
         let session = self.sessions.get(&id).filter(|s| s.playing && s.server == Some(server));
         if !value.is_finite() || value < 0.0 || session.is_none() {
@@ -461,7 +460,7 @@
         let as_of = if fresh { now } else { now.saturating_sub(self.s.note_delay) };
         if kind == NoteKind::RungInForce {
             let rung = (value as Rung).min(self.s.ladder.len() - 1);
-            return self.book_rung(id, rung, false);
+            return self.book_rung(id, rung);
         }
         let Some(s) = self.servers.get_mut(&server) else { return };
         let Some(rack) = self.racks.get_mut(&s.rack(self.s.racks)) else { return };
@@ -478,15 +477,18 @@
             }
             _ => {}
         }
-        self.follow(server, out);
+        // The figure at set-up comes to this front alone: no one answers it.
+        s.told |= !fresh;
     }
 
     // ----- rungs of playing sessions
 
     /// The rung rule: top rung up to the mark, one lower per step past it. A session steps down once use is
-    /// SLACK beyond its rung's limit and up when a higher rung's limit would hold with UP_GAP to spare, each
-    /// front doing its share of the change.
+    /// SLACK beyond its rung's limit and up when a higher rung's limit would hold with UP_GAP to spare. All
+    /// fronts hear the same news, and each answers it once, with its own share of the change: what is less
+    /// than a step is drawn by lot, so that the sum is right for a few fronts and for hundreds.
     fn follow(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        let mut lot = self.chance();
         let Some(server) = self.servers.get(&id) else { return };
         let (usage, share, own) = (self.usage(server), server.link.share(self.view()), server.link.own);
         // Where notes come, nothing is changed on a guess before the first of them.
@@ -495,58 +497,60 @@
         }
         let free = |s: &&Session| s.playing && s.server == Some(id) && self.now >= s.changed_at + CHANGE_GAP;
         let all = self.sessions.values().filter(free);
-        let mut mine: Vec<(SessionId, ClassId, Rung, Rung)> =
-            all.map(|s| (s.wish.session, s.wish.class, s.rung, self.top(&s.wish))).collect();
-        let before = mine.clone();
-        let mut left = own;
+        let mut mine: Vec<(SessionId, ClassId, Rung, Rung, Rung)> =
+            all.map(|s| (s.wish.session, s.wish.class, s.rung, self.top(&s.wish), s.rung)).collect();
+        let (mut freed, mut meant) = (0.0, 0.0);
         loop {
             // The step down that loses the least worth for the rate it frees, until the rest would fit.
             let loss = |i: &usize| self.slope(mine[*i].1, mine[*i].2);
+            let need = |rung: Rung| own * (1.0 - self.limit(rung) / usage) - freed;
             let over = |&i: &usize| {
-                let (_, class, rung, _) = mine[i];
+                let (_, class, rung, ..) = mine[i];
                 rung > self.s.classes[class.0].floor
                     && usage > (self.limit(rung) + SLACK).min(1.0)
-                    && usage * left / own > self.limit(rung)
+                    && need(rung) > 0.0
             };
             let next = (0..mine.len()).filter(over).min_by(|a, b| loss(a).total_cmp(&loss(b)));
             let Some(i) = next else { break };
-            left -= self.rate(mine[i].1, mine[i].2) - self.rate(mine[i].1, mine[i].2 - 1);
+            let step = self.rate(mine[i].1, mine[i].2) - self.rate(mine[i].1, mine[i].2 - 1);
+            let part = need(mine[i].2) / step;
+            meant -= step * part.min(1.0);
+            if lot >= part {
+                break;
+            }
+            lot = if part < 1.0 { 1.0 } else { lot };
+            freed += step;
             mine[i].2 -= 1;
         }
-        // Room: the step up that gains the most worth for its rate, if it fits with every front doing the
-        // same, or, where one step is more than this front's part, by lot. It goes as far as fits, for a
-        // change costs the same however far, and only where it pays for itself PAYS times.
-        let mut lot = false;
+        // Room: the step up that gains the most worth for its rate, as far as fits (a change costs the same
+        // however far), and only where it pays for itself PAYS times.
         let fresh = server.link.heard.is_some_and(|h| h.1 + self.view().fade >= self.now);
-        if left >= own && (fresh || self.s.note_period == 0) {
-            let room = |i: usize, to: Rung| {
-                let more = self.adds(server, self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2));
-                (self.limit(to) - UP_GAP - usage) / more
-            };
+        if meant >= 0.0 && (fresh || self.s.note_period == 0) {
+            let more = |i: usize, to: Rung| self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2);
+            let room =
+                |i: usize, to: Rung| (self.limit(to) - UP_GAP - usage) / self.adds(server, more(i, to));
             let gain = |i: &usize| self.slope(mine[*i].1, mine[*i].2 + 1);
             let can = (0..mine.len()).filter(|&i| mine[i].2 < mine[i].3 && room(i, mine[i].2 + 1) >= 1.0);
             if let Some(i) = can.max_by(|a, b| gain(a).total_cmp(&gain(b))) {
-                let (from, part) = (mine[i].2, room(i, mine[i].2 + 1) * share);
-                lot = part < 1.0;
+                let from = mine[i].2;
                 let rise = |to: Rung| self.s.ladder[to].worth - self.s.ladder[from].worth;
-                let need = if lot { 1.0 } else { 1.0 / share };
-                let to = (from + 1..=mine[i].3).rev().find(|&to| room(i, to) >= need);
+                let to = (from + 1..=mine[i].3).rev().find(|&to| room(i, to) >= 1.0);
                 let to = to.filter(|&to| rise(to) * self.life() >= PAYS * self.s.change_cost_s);
-                if let Some(to) = to
-                    && (!lot || self.chance() < part * TICK as f64 / SECOND as f64)
-                {
-                    mine[i].2 = to;
+                if let Some(to) = to {
+                    let part = (room(i, to) * share).min(1.0);
+                    meant = more(i, to) * part;
+                    mine[i].2 = if lot < part { to } else { from };
                 }
             }
         }
-        for (m, old) in mine.into_iter().zip(before) {
-            if m.2 != old.2 {
-                self.book_rung(m.0, m.2, !lot);
-                if let Some(s) = self.sessions.get_mut(&m.0) {
-                    s.changed_at = self.now;
-                }
-                out.push(Action::SetRung { session: m.0, rung: m.2 });
-            }
+        // The account is charged with what the others are taken to do on the same news.
+        let others = meant * (1.0 / share - 1.0);
+        let now = self.now;
+        self.book(id, others, 0.0);
+        for m in mine.into_iter().filter(|m| m.2 != m.4) {
+            self.book_rung(m.0, m.2);
+            self.sessions.get_mut(&m.0).into_iter().for_each(|s| s.changed_at = now);
+            out.push(Action::SetRung { session: m.0, rung: m.2 });
         }
     }
 
@@ -556,12 +560,12 @@
             / (self.rate(class, rung) - self.rate(class, rung - 1))
     }
 
-    fn book_rung(&mut self, id: SessionId, rung: Rung, echoed: bool) {
+    fn book_rung(&mut self, id: SessionId, rung: Rung) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
         let (class, old, server) = (s.wish.class, s.rung, s.server);
         s.rung = rung;
         if let Some(server) = server {
-            self.book(server, self.rate(class, rung) - self.rate(class, old), echoed);
+            self.book(server, self.rate(class, rung) - self.rate(class, old), 1.0);
         }
     }
 
@@ -605,7 +609,7 @@
         let Some(s) = self.sessions.get(&id) else { return };
         let rate = self.rate(s.wish.class, s.rung);
         *self.seats.entry((s.wish.title.clone(), s.wish.class.0)).or_default() += 1;
-        self.book(server, rate, false);
+        self.book(server, rate, 1.0);
         if let Some(s) = self.servers.get_mut(&server) {
             s.streams += 1;
         }
@@ -616,11 +620,9 @@
         let Some(server) = s.server.take() else { return };
         s.playing = false;
         let (class, rung, key) = (s.wish.class, s.rung, (s.wish.title.clone(), s.wish.class.0));
-        if let Some(n) = self.seats.get_mut(&key) {
-            *n -= 1;
-        }
+        self.seats.get_mut(&key).into_iter().for_each(|n| *n -= 1);
         self.seats.retain(|_, n| *n > 0);
-        self.book(server, -self.rate(class, rung), false);
+        self.book(server, -self.rate(class, rung), 1.0);
         if let Some(s) = self.servers.get_mut(&server) {
             s.streams = s.streams.saturating_sub(1);
         }
@@ -750,9 +752,7 @@
 
     fn send(&mut self, id: SessionId, server: ServerId, rung: Rung, out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(s) = self.sessions.get_mut(&id) else {
-            return;
-        };
+        let Some(s) = self.sessions.get_mut(&id) else { return };
         if s.attempts > 0 && self.s.retry_budget.is_some() {
             self.further.push_back(now);
         }
@@ -780,9 +780,7 @@
 
     /// The final answer, at once: refused where that is certain to do no harm, else failed.
     fn give_up(&mut self, id: SessionId, out: &mut Vec<Action>) {
-        let Some(s) = self.sessions.remove(&id) else {
-            return;
-        };
+        let Some(s) = self.sessions.remove(&id) else { return };
         let harmless = match self.s.classes[s.wish.class.0].effect {
             Effect::Idempotent => true,
             Effect::Deduplicated { scope, .. } => s.ran.is_none() || scope == Scope::All,
@@ -798,9 +796,7 @@
 
     fn started(&mut self, id: SessionId) {
         let now = self.now;
-        let Some(s) = self.sessions.get_mut(&id) else {
-            return;
-        };
+        let Some(s) = self.sessions.get_mut(&id) else { return };
         (s.playing, s.answered, s.started_at) = (true, true, now);
         s.changed_at = (now + SETTLE).saturating_sub(CHANGE_GAP);
     }
@@ -827,9 +823,7 @@
                 h.cold_since = now;
             }
         }
-        let Some(s) = self.sessions.get_mut(&id) else {
-            return;
-        };
+        let Some(s) = self.sessions.get_mut(&id) else { return };
         let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         if !never_ran && s.ran.is_none() {
             s.ran = Some((sent_at, place.0, place.1));
