--- a/src/decide.rs
+++ b/src/decide.rs
@@ -267,7 +267,6 @@
     born: Nanos,
     arrived: usize,
     mean: f64,
-    mean_rate: f64,
     ticking: bool,
     guessed_at: Nanos,
     servers: BTreeMap<ServerId, Server>,
@@ -285,7 +284,7 @@
     /// A controller that knows nothing yet; refuses settings that make no sense.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
         settings.check()?;
-        Ok(Controller { s: settings, random: seed, now, born: now, mean: UNSEEN, mean_rate: f64::INFINITY, ..Controller::default() })
+        Ok(Controller { s: settings, random: seed, now, born: now, mean: UNSEEN, ..Controller::default() })
     }
 
     /// How many sessions are held, set-ups included.
@@ -355,8 +354,6 @@
         let view = self.view();
         let lately = |p: &&Server| p.link.heard.is_some_and(|h| h.1 + view.fade >= self.now);
         let all: Vec<f64> = self.servers.values().filter(lately).map(|s| s.link.usage(view)).collect();
-        let (rate, n) = self.servers.values().fold((0.0, 0), |a, s| (a.0 + s.link.own, a.1 + s.streams));
-        self.mean_rate = if n > 0 { rate / f64::from(n) } else { f64::INFINITY };
         if !all.is_empty() {
             self.mean = all.iter().sum::<f64>() / all.len() as f64;
         }
@@ -735,8 +732,8 @@
     /// The highest rung that fits a server's streams and link and clears the prices.
     fn fit(&self, server: &Server, s: &Session, prices: Prices) -> Option<Rung> {
         let usage = self.usage(server);
-        // Others' streams are unseen: their rates are taken to be those of this front's sessions on the mean.
-        let streams = server.link.usage(self.view()) * server.link.size / self.mean_rate.max(1.0);
+        // Others' streams are unseen: they are taken to be as many for their rate as this front's.
+        let streams = f64::from(server.streams) / server.link.share(self.view());
         if self.streams_of(server) > 0.0 && streams + 1.0 > self.streams_of(server) {
             return None;
         }
