--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,8 +37,6 @@
 /// Use of links while none was heard of: a fresh front must not read silence as empty, and this leaves room
 /// for the middle rung.
 const UNSEEN: f64 = 0.8;
-/// A load figure in an answer tells of this long ago.
-const REPORT_AGE: Nanos = 500 * MS;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found short is trusted again over this time, in seconds.
@@ -309,8 +307,8 @@
             Event::Request(wish) => self.request(wish, out),
             Event::Adopted { wish, server } => self.adopt(wish, server),
             Event::Started { session } => self.started(session),
-            Event::Ended { session, server, outcome, finished, report } => {
-                self.ended(session, server, outcome, finished, report, out)
+            Event::Ended { session, server, outcome, finished } => {
+                self.ended(session, server, outcome, finished, out)
             }
             Event::Left { session } => {
                 self.sessions.get_mut(&session).into_iter().for_each(|s| s.answered = true)
@@ -804,8 +802,7 @@
     }
 
     fn ended(
-        &mut self, id: SessionId, at: ServerId, outcome: Outcome, finished: bool, report: LoadReport,
-        out: &mut Vec<Action>,
+        &mut self, id: SessionId, at: ServerId, outcome: Outcome, finished: bool, out: &mut Vec<Action>,
     ) {
         let now = self.now;
         let Some(s) = self.sessions.get(&id) else { return };
@@ -821,19 +818,6 @@
             if outcome == Outcome::Full && self.s.full_from > 0.0 {
                 h.link.hear(self.s.full_from, now);
             }
-            // A load figure in an answer serves where no note is as young: it is noisy and may stop at 1.
-            let as_of = now.saturating_sub(REPORT_AGE);
-            let young = as_of.saturating_sub(self.s.note_delay + self.s.note_period);
-            let rack = self.racks.get_mut(&h.rack(self.s.racks));
-            for (pool, value) in
-                rack.map(|r| (r, report.uplink_use)).into_iter().chain([(&mut h.link, report.link_use)])
-            {
-                if let Some(value) = value
-                    && pool.heard.is_none_or(|h| h.1 < young && (value < 1.0 || h.0 < value))
-                {
-                    pool.hear(value, as_of);
-                }
-            }
             if outcome == Outcome::Reset {
                 // A broken process may come back cold before the list says so.
                 h.cold_since = now;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -267,15 +267,6 @@
     NotSent,
 }
 
-/// Load figures that a server adds to an answer; they lag and are noisy.
-#[derive(Debug, Default, Clone, Copy, PartialEq)]
-pub struct LoadReport {
-    /// Rate asked of the link over what it gives; some servers say 1 for anything above.
-    pub link_use: Option<f64>,
-    /// The same of the rack's uplink.
-    pub uplink_use: Option<f64>,
-}
-
 /// What a note on a playing session tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoteKind {
@@ -323,8 +314,6 @@
         outcome: Outcome,
         /// No further answer is owed.
         finished: bool,
-        /// The server's load, where the answer told it.
-        report: LoadReport,
     },
     /// The viewer left, or the answer is overdue; nothing is owed any more.
     Left {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -108,7 +108,6 @@
 #[derive(Default)]
 struct Names {
     classes: Vec<String>,
-    columns: Vec<String>,
     kinds: Vec<String>,
     zones: Vec<String>,
 }
@@ -181,7 +180,6 @@
     let v: Value = serde_json::from_str(json).map_err(|e| format!("settings can't be read: {e}"))?;
     let zones = names(&v, "dcs")?;
     let kinds = names(&v, "models")?;
-    let columns = names(&v, "stats.columns")?;
     let scales = floats(&v, "family_info.scale_by_class")?;
     let floors = floats(&v, "family_info.floor_by_class")?;
     let tops = floats(&v, "family_info.highest_rung")?;
@@ -278,7 +276,7 @@
         fall_window: nanos(&v, "rules.fall_ns")?,
         retry_budget,
     };
-    Ok((s, Names { classes: class_names, columns, kinds, zones }))
+    Ok((s, Names { classes: class_names, kinds, zones }))
 }
 
 /// An entry of a shared list, its names not yet looked up.
@@ -349,21 +347,6 @@
         })
     }
 
-    /// The load report on a line: values set apart by commas, in the order that the settings state.
-    fn report(&self, line: &Line) -> Parsed<LoadReport> {
-        let mut report = LoadReport::default();
-        let Some(text) = line.get("feedback") else { return Ok(report) };
-        for (column, value) in self.names.columns.iter().zip(text.split(',')) {
-            let value = Some(line.read::<f64>("feedback", value)?);
-            match column.as_str() {
-                "util" | "x0" => report.link_use = value,
-                "x1" => report.uplink_use = value,
-                _ => {}
-            }
-        }
-        Ok(report)
-    }
-
     /// The event of a line; none for events that the module has no use for.
     fn event(&self, line: &Line, lists: &HashMap<u32, Vec<Row>>) -> Parsed<Option<Event>> {
         let event = match line.name {
@@ -401,7 +384,6 @@
                     other => return Err(format!("returned: field status holds '{other}'")),
                 },
                 finished: line.flag("terminal")?,
-                report: self.report(line)?,
             },
             "lapsed" => Event::Left { session: line.session()? },
             "hint_update" => Event::Note {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -86,13 +86,7 @@
     }
 
     pub fn end(&mut self, id: u64, server: ServerId, outcome: Outcome, finished: bool) -> Vec<Action> {
-        self.feed(Event::Ended {
-            session: SessionId(id),
-            server,
-            outcome,
-            finished,
-            report: LoadReport::default(),
-        })
+        self.feed(Event::Ended { session: SessionId(id), server, outcome, finished })
     }
 
     pub fn start(&mut self, id: u64) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -269,13 +269,7 @@
                     if outcome == Outcome::Reset {
                         w.resets.insert(server, w.now);
                     }
-                    events.push(Event::Ended {
-                        session: id,
-                        server,
-                        outcome,
-                        finished: s.answers > 0,
-                        report: LoadReport::default(),
-                    });
+                    events.push(Event::Ended { session: id, server, outcome, finished: s.answers > 0 });
                 }
             }
             10 => {
@@ -287,13 +281,7 @@
                     if outcome == Outcome::Reset {
                         w.resets.insert(server, w.now);
                     }
-                    events.push(Event::Ended {
-                        session: id,
-                        server,
-                        outcome,
-                        finished: true,
-                        report: LoadReport::default(),
-                    });
+                    events.push(Event::Ended { session: id, server, outcome, finished: true });
                 }
             }
             11..=12 => {
@@ -369,7 +357,7 @@
                 0 | 1 => Event::Request(wish),
                 2 => Event::Adopted { wish, server },
                 3 => Event::Started { session: id },
-                4 => Event::Ended { session: id, server, outcome, finished: value > 0.0, report: LoadReport { link_use: Some(value), uplink_use: Some(-value) } },
+                4 => Event::Ended { session: id, server, outcome, finished: value > 0.0 },
                 5 => Event::Left { session: id },
                 6 => Event::Note { session: id, server, kind, value },
                 7 => Event::Timer { token: u64::from(arg) },
