--- a/src/decide.rs
+++ b/src/decide.rs
@@ -126,7 +126,6 @@
 struct Pricing {
     prices: Option<Prices>,
     sample: Vec<(usize, Rung)>,
-    returned: usize,
     frozen: bool,
 }
 
@@ -242,6 +241,8 @@
     /// Where its attempt is, in flight or playing.
     server: Option<ServerId>,
     playing: bool,
+    /// It was sent with no young figure of its server.
+    guess: bool,
     /// No answer is owed any more.
     answered: bool,
     attempts: u32,
@@ -298,9 +299,7 @@
         if !self.ticking {
             self.ticking = true;
             out.push(Action::SetTimer { after: TICK, token: 0 });
-            if self.s.listing == Listing::Subscribed {
-                out.push(Action::Subscribe);
-            }
+            out.extend((self.s.listing == Listing::Subscribed).then_some(Action::Subscribe));
         }
         match event {
             Event::List { kind, entries } => self.list(kind, entries, out),
@@ -313,7 +312,7 @@
             Event::Left { session } => {
                 self.sessions.get_mut(&session).into_iter().for_each(|s| s.answered = true)
             }
-            Event::Note { session, server, kind, value } => self.note(session, server, kind, value),
+            Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
             Event::Timer { .. } => {
                 out.push(Action::SetTimer { after: TICK, token: 0 });
                 self.average();
@@ -323,7 +322,7 @@
                 let news =
                     |s: (&ServerId, &mut Server)| (std::mem::take(&mut s.1.told) || guess).then_some(*s.0);
                 let told: Vec<ServerId> = self.servers.iter_mut().filter_map(news).collect();
-                told.into_iter().for_each(|s| self.follow(s, out));
+                told.into_iter().for_each(|s| self.follow(s, None, out));
             }
         }
     }
@@ -340,13 +339,9 @@
         self.sessions.len() as f64 * age / self.arrived.max(1) as f64
     }
 
-    fn fronts(&self) -> f64 {
-        f64::from(self.s.fronts)
-    }
-
     fn view(&self) -> View {
         let fade = self.s.note_delay + 6 * self.s.note_period.max(SECOND);
-        View { now: self.now, fronts: self.fronts(), mean: self.mean, fade }
+        View { now: self.now, fronts: f64::from(self.s.fronts), mean: self.mean, fade }
     }
 
     /// Mean use of the links heard of lately; while notes stay out the last one stands.
@@ -381,9 +376,7 @@
 
     fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            if self.s.listing == Listing::Subscribed {
-                out.push(Action::Subscribe);
-            }
+            out.extend((self.s.listing == Listing::Subscribed).then_some(Action::Subscribe));
             return;
         }
         if kind != ListKind::Delta {
@@ -444,12 +437,12 @@
     /// How much use a rate adds at a server.
     fn adds(&self, server: &Server, rate: f64) -> f64 {
         let rack = self.racks.get(&server.rack(self.s.racks)).map_or(0.0, |r| r.size * r.keeps);
-        let link = if server.link.size > 0.0 { rate / server.link.size / server.link.keeps } else { 0.0 };
-        let cold = if self.cold(server) { self.s.cold_from.clamp(0.1, 1.0) } else { 1.0 };
-        (link / cold).max(if rack > 0.0 { rate / rack } else { 0.0 }) / server.gives(self.now).max(0.01)
+        let link = server.link.size * server.link.keeps;
+        let part = |size: f64| if size > 0.0 { rate / size } else { 0.0 };
+        part(link).max(part(rack)) / server.gives(self.now).max(0.01)
     }
 
-    fn note(&mut self, id: SessionId, server: ServerId, kind: NoteKind, value: f64) {
+    fn note(&mut self, id: SessionId, server: ServerId, kind: NoteKind, value: f64, out: &mut Vec<Action>) {
         let (now, view) = (self.now, self.view());
         let session = self.sessions.get(&id).filter(|s| s.playing && s.server == Some(server));
         if !value.is_finite() || value < 0.0 || session.is_none() {
@@ -477,8 +470,10 @@
             }
             _ => {}
         }
-        // The figure at set-up comes to this front alone: no one answers it.
         s.told |= !fresh;
+        if fresh {
+            self.follow(server, Some(id), out);
+        }
     }
 
     // ----- rungs of playing sessions
@@ -487,15 +482,21 @@
     /// SLACK beyond its rung's limit and up when a higher rung's limit would hold with UP_GAP to spare. All
     /// fronts hear the same news, and each answers it once, with its own share of the change: what is less
     /// than a step is drawn by lot, so that the sum is right for a few fronts and for hundreds.
-    fn follow(&mut self, id: ServerId, out: &mut Vec<Action>) {
+    /// The figure at set-up comes to this front alone: where it was sent on a guess, its session steps down.
+    fn follow(&mut self, id: ServerId, new: Option<SessionId>, out: &mut Vec<Action>) {
         let mut lot = self.chance();
         let Some(server) = self.servers.get(&id) else { return };
-        let (usage, share, own) = (self.usage(server), server.link.share(self.view()), server.link.own);
+        let (usage, own) = (self.usage(server), server.link.own);
+        let share = if new.is_some() { 1.0 } else { server.link.share(self.view()) };
+        let asked = if new.is_some() { server.link.usage(self.view()) * server.link.size } else { own };
         // Where notes come, nothing is changed on a guess before the first of them.
         if own <= 0.0 || (self.s.note_period > 0 && server.link.heard.is_none() && server.gives.0 >= 1.0) {
             return;
         }
-        let free = |s: &&Session| s.playing && s.server == Some(id) && self.now >= s.changed_at + CHANGE_GAP;
+        let free = |s: &&Session| match new {
+            Some(new) => s.wish.session == new && s.guess,
+            None => s.playing && s.server == Some(id) && self.now >= s.changed_at + CHANGE_GAP,
+        };
         let all = self.sessions.values().filter(free);
         let mut mine: Vec<(SessionId, ClassId, Rung, Rung, Rung)> =
             all.map(|s| (s.wish.session, s.wish.class, s.rung, self.top(&s.wish), s.rung)).collect();
@@ -503,7 +504,7 @@
         loop {
             // The step down that loses the least worth for the rate it frees, until the rest would fit.
             let loss = |i: &usize| self.slope(mine[*i].1, mine[*i].2);
-            let need = |rung: Rung| own * (1.0 - self.limit(rung) / usage) - freed;
+            let need = |rung: Rung| asked * (1.0 - self.limit(rung) / usage) - freed;
             let over = |&i: &usize| {
                 let (_, class, rung, ..) = mine[i];
                 rung > self.s.classes[class.0].floor
@@ -525,7 +526,7 @@
         // Room: the step up that gains the most worth for its rate, as far as fits (a change costs the same
         // however far), and only where it pays for itself PAYS times.
         let fresh = server.link.heard.is_some_and(|h| h.1 + self.view().fade >= self.now);
-        if meant >= 0.0 && (fresh || self.s.note_period == 0) {
+        if new.is_none() && meant >= 0.0 && (fresh || self.s.note_period == 0) {
             let more = |i: usize, to: Rung| self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2);
             let room =
                 |i: usize, to: Rung| (self.limit(to) - UP_GAP - usage) / self.adds(server, more(i, to));
@@ -644,7 +645,7 @@
         let budget = pace * self.s.fall_multiple * window;
         let since = self.now.saturating_sub(self.s.fall_window);
         let sent = server.cold_sends.iter().filter(|&&t| t > since).count() as f64;
-        let part = budget * COLD_PART / self.fronts();
+        let part = budget * COLD_PART / f64::from(self.s.fronts);
         if part >= 1.0 {
             return sent < part.floor();
         }
@@ -652,7 +653,7 @@
         let mean = ((budget + SPREAD * SPREAD / 4.0).sqrt() - SPREAD / 2.0).powi(2);
         let asked = self.recent.iter().filter(|r| self.holds(&server.entry, r.1, r.2)).count().max(1);
         let draw = mix(self.random ^ id.0.wrapping_mul(31) ^ u64::from(server.entry.server.0));
-        sent < 1.0 && draw < mean * COLD_SPAN / self.fronts() / asked as f64
+        sent < 1.0 && draw < mean * COLD_SPAN / f64::from(self.s.fronts) / asked as f64
     }
 
     /// Whether a server holds the titles of these cells.
@@ -752,7 +753,10 @@
 
     fn send(&mut self, id: SessionId, server: ServerId, rung: Rung, out: &mut Vec<Action>) {
         let now = self.now;
+        let young = self.s.note_delay + 2 * self.s.note_period;
+        let heard = self.servers.get(&server).and_then(|h| h.link.heard);
         let Some(s) = self.sessions.get_mut(&id) else { return };
+        s.guess = heard.is_none_or(|h| h.1 + young < now);
         if s.attempts > 0 && self.s.retry_budget.is_some() {
             self.further.push_back(now);
         }
@@ -837,7 +841,7 @@
 
     // ----- prices
 
-    /// Class-and-rung types with the given weights; budgets per set-up for `held` sessions of this front
+    /// Class-and-rung types with the given weights; budgets per set-up for `held` sessions of all fronts
     /// (set-ups in a session's time, which is what the design's T stands for, by Little's law).
     fn programme(&self, weights: &[f64], held: f64) -> (Vec<Kind>, f64, f64) {
         let kinds = self.s.classes.iter().enumerate().map(|(i, c)| Kind {
@@ -848,7 +852,7 @@
         let (links, streams) = ready.fold((0.0, 0.0), |a, s| (a.0 + s.link.size, a.1 + self.streams_of(s)));
         let uplinks = self.s.uplink * f64::from(self.s.racks);
         let links = if uplinks > 0.0 { links.min(uplinks) } else { links };
-        (kinds.collect(), links / self.fronts() / held, streams / self.fronts() / held)
+        (kinds.collect(), links / held, streams / held)
     }
 
     /// Prices in force; the first are solved for even weights and links that the middle rung fills.
@@ -866,12 +870,11 @@
     }
 
     /// Collects the sample and re-prices once: kept only if better on the sample, then frozen. Windows of one
-    /// class or of returning viewers say nothing of the ordinary mixture and are thrown away.
+    /// class (a reconnect wave) say nothing of the ordinary mixture and are thrown away.
     fn sample(&mut self, wish: &Wish) {
         if self.pricing.frozen {
             return;
         }
-        self.pricing.returned += usize::from(wish.again);
         self.pricing.sample.push((wish.class.0, self.top(wish)));
         let n = self.pricing.sample.len();
         if n < SAMPLE || self.pricing.prices.is_none() {
@@ -880,18 +883,15 @@
         let mut weights = vec![0.0; self.s.classes.len()];
         self.pricing.sample.iter().for_each(|x| weights[x.0] += 1.0 / n as f64);
         let one_type = weights.len() > 1 && weights.iter().any(|&w| w > 0.95);
-        if one_type || self.pricing.returned * 2 > n {
-            self.pricing.sample.clear();
-            self.pricing.returned = 0;
-            return;
-        }
-        // Sessions of all fronts for this front's: by its share of what is asked of the links.
-        let heard = self.servers.values().filter(|h| h.link.heard.is_some());
-        let (own, all) =
-            heard.fold((0.0, 0.0), |a, h| (a.0 + h.link.own, a.1 + h.link.usage(self.view()) * h.link.size));
-        let share = if all > 0.0 { own / all * self.fronts() } else { 1.0 };
-        let held = self.sessions.len().max(1) as f64 / share.clamp(0.25, self.fronts());
-        let (kinds, links, streams) = self.programme(&weights, held);
+        if one_type {
+            return self.pricing.sample.clear();
+        }
+        // Sessions of all fronts: what the links carry on the mean, at the mean rate of this front's sessions.
+        // Own shares of servers heard of would mislead a front with a session or none on most of them.
+        let sum = |a: (f64, f64, u32), h: &Server| (a.0 + h.link.size, a.1 + h.link.own, a.2 + h.streams);
+        let (size, own, sessions) = self.servers.values().fold((0.0, 0.0, 0), sum);
+        let held = self.mean * size * f64::from(sessions) / own.max(1.0);
+        let (kinds, links, streams) = self.programme(&weights, held.max(1.0));
         let learned = solve(&kinds, links, streams);
         let prior = self.prices();
         let earns = |p: Prices| {
