--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,7 +17,7 @@
 const CHANGE_GAP: Nanos = 10 * SECOND;
 /// A session that has just started is left alone for this long: its own rate must show in a note first.
 const SETTLE: Nanos = 2 * SECOND;
-/// First budget of link rate, over the middle rung: just under 1, so that the price caps at that rung.
+/// First budget of link rate, over the middle rung: just under 1, so that the price caps there.
 const PRIOR: f64 = 0.99;
 /// Set-ups, sessions handed over included, after which prices are solved again.
 const SAMPLE: usize = 20;
@@ -550,7 +550,7 @@
         self.book(id, others, 0.0);
         for m in mine.into_iter().filter(|m| m.2 != m.4) {
             self.book_rung(m.0, m.2);
-            self.sessions.get_mut(&m.0).into_iter().for_each(|s| s.changed_at = now);
+            self.sessions.get_mut(&m.0).into_iter().for_each(|s| (s.changed_at, s.guess) = (now, false));
             out.push(Action::SetRung { session: m.0, rung: m.2 });
         }
     }
@@ -775,11 +775,9 @@
         out.push(Action::SetRung { session: id, rung });
         out.push(Action::Send { session: id, server, timeout: timeout.clamp(MS, left.max(MS)) });
         self.hold(id, server);
-        let cold_for = self.s.cold_for;
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.cold_sends.push_back(now);
-            s.cold_sends.retain(|&t| t + cold_for >= now);
-        }
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.cold_sends.push_back(now);
+        s.cold_sends.retain(|&t| t + self.s.fall_window >= now);
     }
 
     /// The final answer, at once: refused where that is certain to do no harm, else failed.
@@ -886,7 +884,7 @@
         if one_type {
             return self.pricing.sample.clear();
         }
-        // Sessions of all fronts: what the links carry on the mean, at the mean rate of this front's sessions.
+        // Sessions of all fronts: what links carry on the mean, at the mean rate of own sessions.
         // Own shares of servers heard of would mislead a front with a session or none on most of them.
         let sum = |a: (f64, f64, u32), h: &Server| (a.0 + h.link.size, a.1 + h.link.own, a.2 + h.streams);
         let (size, own, sessions) = self.servers.values().fold((0.0, 0.0, 0), sum);
