--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,9 +37,8 @@
 /// Use of links while none was heard of: a fresh front must not read silence as empty, and this leaves room
 /// for the middle rung.
 const UNSEEN: f64 = 0.8;
-/// Use from which sessions are moved off, and by how much links must be emptier on the mean.
-const MOVE_FROM: f64 = 1.2;
-const MOVE_GAP: f64 = 0.4;
+/// Seconds of worth that a viewer loses when its server is lost rather than left.
+const LOSS: f64 = 1.5;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found short is trusted again over this time, in seconds.
@@ -400,6 +399,17 @@
         self.servers.retain(|_, s| {
             s.entry.state != ServerState::Gone || s.streams > 0 || now < s.cold_since.saturating_add(cold_for)
         });
+        // Sessions on a server that will be gone are moved where that costs less than their viewers lose.
+        let life = self.life();
+        if self.s.move_price * life < LOSS {
+            for s in self.sessions.values_mut().filter(|s| s.playing && !s.moving) {
+                let state = s.server.and_then(|h| self.servers.get(&h)).map(|h| h.entry.state);
+                if state == Some(ServerState::Draining) {
+                    s.moving = true;
+                    out.push(Action::Move { session: s.wish.session });
+                }
+            }
+        }
         self.sizes();
     }
 
@@ -488,7 +498,7 @@
     /// than a step is drawn by lot, so that the sum is right for a few fronts and for hundreds.
     /// The figure at set-up comes to this front alone: where it was sent on a guess, its session steps down.
     fn follow(&mut self, id: ServerId, new: Option<SessionId>, out: &mut Vec<Action>) {
-        let (mut lot, second, mut moved) = (self.chance(), self.chance(), None);
+        let mut lot = self.chance();
         let Some(server) = self.servers.get(&id) else { return };
         let (usage, own) = (self.usage(server), server.link.own);
         let share = if new.is_some() { 1.0 } else { server.link.share(self.view()) };
@@ -548,28 +558,11 @@
                 }
             }
         }
-        // Moves: what steps do not free on a short link, where links are emptier on the mean.
-        if new.is_none() && usage > MOVE_FROM && self.mean + MOVE_GAP < usage {
-            let since = self.now.saturating_sub(2 * SETTLE);
-            let old = |s: &&Session| s.playing && s.server == Some(id) && s.started_at <= since && !s.moving;
-            let rates = self.sessions.values().filter(old).map(|s| (self.rate(s.wish.class, s.rung), s.wish.session));
-            if let Some((rate, session)) = rates.max_by(|a, b| a.0.total_cmp(&b.0)) {
-                let part = ((asked * (1.0 - 1.0 / usage) + meant) / rate).clamp(0.0, 1.0);
-                meant -= rate * part;
-                if second < part {
-                    moved = Some(session);
-                }
-            }
-        }
         // The account is charged with what the others are taken to do on the same news.
         let others = meant * (1.0 / share - 1.0);
         let now = self.now;
         self.book(id, others, 0.0);
-        if let Some(session) = moved {
-            self.sessions.get_mut(&session).into_iter().for_each(|s| s.moving = true);
-            out.push(Action::Move { session });
-        }
-        for m in mine.into_iter().filter(|m| m.2 != m.4 && Some(m.0) != moved) {
+        for m in mine.into_iter().filter(|m| m.2 != m.4) {
             self.book_rung(m.0, m.2);
             self.sessions.get_mut(&m.0).into_iter().for_each(|s| (s.changed_at, s.guess) = (now, false));
             out.push(Action::SetRung { session: m.0, rung: m.2 });
