--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,8 +37,6 @@
 /// Use of links while none was heard of: a fresh front must not read silence as empty, and this leaves room
 /// for the middle rung.
 const UNSEEN: f64 = 0.8;
-/// Seconds of worth that a viewer loses when its server is lost rather than left.
-const LOSS: f64 = 1.5;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found short is trusted again over this time, in seconds.
@@ -243,7 +241,6 @@
     /// Where its attempt is, in flight or playing.
     server: Option<ServerId>,
     playing: bool,
-    moving: bool,
     /// It was sent with no young figure of its server.
     guess: bool,
     /// No answer is owed any more.
@@ -399,17 +396,6 @@
         self.servers.retain(|_, s| {
             s.entry.state != ServerState::Gone || s.streams > 0 || now < s.cold_since.saturating_add(cold_for)
         });
-        // Sessions on a server that will be gone are moved where that costs less than their viewers lose.
-        let life = self.life();
-        if self.s.move_price * life < LOSS {
-            for s in self.sessions.values_mut().filter(|s| s.playing && !s.moving) {
-                let state = s.server.and_then(|h| self.servers.get(&h)).map(|h| h.entry.state);
-                if state == Some(ServerState::Draining) {
-                    s.moving = true;
-                    out.push(Action::Move { session: s.wish.session });
-                }
-            }
-        }
         self.sizes();
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -357,12 +357,6 @@
         /// Give the attempt up after this.
         timeout: Nanos,
     },
-    /// End a playing session, so that its viewer asks again at once; it comes back as a new
-    /// [`Event::Request`] with `again` set. Each move has a price, see [`Settings::move_price`].
-    Move {
-        /// Which session.
-        session: SessionId,
-    },
     /// Final answer: refused; trying again does no harm.
     Refuse {
         /// Which session.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -424,7 +424,6 @@
         Action::Refuse { session, come_back } => {
             writeln!(out, "overload_reply i={i} tid={:016x} come_back_ns={come_back}", session.0)
         }
-        Action::Move { session } => writeln!(out, "relocate i={i} tid={:016x}", session.0),
         Action::Fail { session } => writeln!(out, "lose i={i} tid={:016x}", session.0),
         Action::SetTimer { after, token } => writeln!(out, "set_timer i={i} offset_ns={after} tag={token}"),
         Action::Subscribe => writeln!(out, "watch i={i} want=1"),
