--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,8 +48,8 @@
 /// A playing session steps up only where the higher rung's limit would hold with this much left: a change
 /// that must be taken back costs worth twice.
 const UP_GAP: f64 = 0.12;
-/// A step up must promise this many times its cost over the time that a session lasts: others want the room.
-const PAYS: f64 = 10.0;
+/// A step up must promise this many times its cost over the time that a session lasts: it may be taken back.
+const PAYS: f64 = 3.0;
 /// A set-up is fitted at this many times its rate: others send to the same room before the next note.
 const CROWD: f64 = 1.2;
 /// No set-up goes past this use: playing sessions would lose more than it earns.
@@ -523,8 +523,8 @@
             freed += step;
             mine[i].2 -= 1;
         }
-        // Room: the step up that gains the most worth for its rate, as far as fits (a change costs the same
-        // however far), and only where it pays for itself PAYS times.
+        // Room: the step up that gains the most worth for its rate, as far as all alike could (low rungs gain
+        // most), or one rung by lot, and only where it pays for itself PAYS times.
         let fresh = server.link.heard.is_some_and(|h| h.1 + self.view().fade >= self.now);
         if new.is_none() && meant >= 0.0 && (fresh || self.s.note_period == 0) {
             let more = |i: usize, to: Rung| self.rate(mine[i].1, to) - self.rate(mine[i].1, mine[i].2);
@@ -535,7 +535,8 @@
             if let Some(i) = can.max_by(|a, b| gain(a).total_cmp(&gain(b))) {
                 let from = mine[i].2;
                 let rise = |to: Rung| self.s.ladder[to].worth - self.s.ladder[from].worth;
-                let to = (from + 1..=mine[i].3).rev().find(|&to| room(i, to) >= 1.0);
+                let alike = |&to: &Rung| to == from + 1 || room(i, to) * share >= 1.0;
+                let to = (from + 1..=mine[i].3).rev().find(alike);
                 let to = to.filter(|&to| rise(to) * self.life() >= PAYS * self.s.change_cost_s);
                 if let Some(to) = to {
                     let part = (room(i, to) * share).min(1.0);
