--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,8 +23,6 @@
 const SAMPLE: usize = 20;
 /// Housekeeping: rungs and suspicion are looked at so often.
 const TICK: Nanos = 200 * MS;
-/// An attempt unanswered for this long makes its server suspect: several times a healthy set-up.
-const SILENT: Nanos = 400 * MS;
 /// Part of the time to the aim that an attempt gets while a further one could still meet the aim.
 const TRY_PART: f64 = 0.5;
 /// Part of the cold budget that is used: chance and other fronts' uneven shares take the rest.
@@ -195,6 +193,13 @@
     }
 }
 
+/// Mean use of the pools that were heard of lately.
+fn mean<'a>(pools: impl Iterator<Item = &'a Pool>, view: View) -> Option<f64> {
+    let lately = pools.filter(|p| p.heard.is_some_and(|h| h.1 + view.fade >= view.now));
+    let (sum, n) = lately.fold((0.0, 0.0), |a, p| (a.0 + p.usage(view), a.1 + 1.0));
+    (n > 0.0).then(|| sum / n)
+}
+
 // ===== Servers and sessions.
 #[derive(Debug)]
 struct Server {
@@ -268,6 +273,7 @@
     born: Nanos,
     arrived: usize,
     mean: f64,
+    rack_mean: f64,
     ticking: bool,
     guessed_at: Nanos,
     servers: BTreeMap<ServerId, Server>,
@@ -344,14 +350,12 @@
         View { now: self.now, fronts: f64::from(self.s.fronts), mean: self.mean, fade }
     }
 
-    /// Mean use of the links heard of lately; while notes stay out the last one stands.
+    /// Mean use of links and of uplinks heard of lately; while notes stay out the last ones stand. Where
+    /// uplinks bind, an uplink never heard of must not stand at the mean of the links.
     fn average(&mut self) {
         let view = self.view();
-        let lately = |p: &&Server| p.link.heard.is_some_and(|h| h.1 + view.fade >= self.now);
-        let all: Vec<f64> = self.servers.values().filter(lately).map(|s| s.link.usage(view)).collect();
-        if !all.is_empty() {
-            self.mean = all.iter().sum::<f64>() / all.len() as f64;
-        }
+        self.mean = mean(self.servers.values().map(|s| &s.link), view).unwrap_or(self.mean);
+        self.rack_mean = mean(self.racks.values(), view).unwrap_or(self.rack_mean);
     }
 
     fn rate(&self, class: ClassId, rung: Rung) -> f64 {
@@ -430,7 +434,8 @@
     /// Use of a server: the higher of its link and its rack's uplink, over what it was seen to give.
     fn usage(&self, server: &Server) -> f64 {
         let rack = self.racks.get(&server.rack(self.s.racks));
-        let rack = rack.filter(|r| r.heard.is_some()).map_or(0.0, |r| r.usage(self.view()) / r.keeps);
+        let racks = View { mean: self.rack_mean, ..self.view() };
+        let rack = rack.filter(|_| self.rack_mean > 0.0).map_or(0.0, |r| r.usage(racks) / r.keeps);
         (server.link.usage(self.view()) / server.link.keeps).max(rack) / server.gives(self.now).max(0.01)
     }
 
@@ -682,15 +687,6 @@
             && scope
             && !s.tried.contains(&e.server)
             && self.cold_room(server, s.wish.session)
-            && !self.silent(server)
-    }
-
-    /// Guards against a server that answers nothing: while an attempt there has gone unanswered for long, no
-    /// other follows. Holds for hangs, cut links, lost machines.
-    /// May hurt when set-ups are merely slow: the holders left then carry more.
-    fn silent(&self, server: &Server) -> bool {
-        let mut out = self.sessions.values().filter(|s| s.server == Some(server.entry.server) && !s.playing);
-        out.any(|s| self.now >= s.sent_at + SILENT)
     }
 
     /// Whether a further attempt is within what the site allows.
