--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,8 +35,6 @@
 /// Use of links while none was heard of: a fresh front must not read silence as empty, and this leaves room
 /// for the middle rung.
 const UNSEEN: f64 = 0.8;
-/// A link that delivers short with less than this asked is held back by its uplink.
-const HIDDEN: f64 = 0.8;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found short is trusted again over this time, in seconds.
@@ -195,9 +193,9 @@
     }
 }
 
-/// Mean use of the pools that were heard of lately.
+/// Mean use of the pools that were heard of lately: a surge shows within two note periods.
 fn mean<'a>(pools: impl Iterator<Item = &'a Pool>, view: View) -> Option<f64> {
-    let lately = pools.filter(|p| p.heard.is_some_and(|h| h.1 + view.fade >= view.now));
+    let lately = pools.filter(|p| p.heard.is_some_and(|h| h.1 + view.fade / 3 >= view.now));
     let (sum, n) = lately.fold((0.0, 0.0), |a, p| (a.0 + p.usage(view), a.1 + 1.0));
     (n > 0.0).then(|| sum / n)
 }
@@ -474,20 +472,10 @@
                 let link = s.link.heard.map_or_else(|| s.link.usage(view), |h| h.0);
                 let asked = link.max(rack.heard.map_or(0.0, |h| h.0));
                 s.gives = ((asked * value).clamp(0.01, 1.0), now);
-                if asked * value < HIDDEN {
-                    // No figure explains it: the rack's uplink does, and its other servers share it.
-                    let (racks, number) = (self.s.racks, s.rack(self.s.racks));
-                    for s in self.servers.values_mut().filter(|s| s.rack(racks) == number && s.entry.server != server) {
-                        let gives = (s.link.usage(view) * value).clamp(0.01, 1.0);
-                        if s.gives(now) > gives {
-                            s.gives = (gives, now);
-                        }
-                    }
-                }
             }
             _ => {}
         }
-        if let Some(s) = self.servers.get_mut(&server) { s.told |= !fresh; }
+        s.told |= !fresh;
         if fresh {
             self.follow(server, Some(id), out);
         }
