--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,16 +35,12 @@
 /// Use of links while none was heard of: a fresh front must not read silence as empty, and this leaves room
 /// for the middle rung.
 const UNSEEN: f64 = 0.8;
-/// Fronts told of a set-up's figure: each then hears of most servers every few seconds; bytes are priced.
-const TELLS: u32 = 20;
-/// Use told in units of this, up to 255 of them.
-const USE_UNIT: f64 = 0.01;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found short is trusted again over this time, in seconds.
 const TRUST: f64 = 20.0;
 /// Holders whose use differs by less than this are drawn from by chance.
-const HERD: f64 = 0.1;
+const HERD: f64 = 0.04;
 /// Crossing zones is worth this many points of use for each point of its price.
 const CROSS: f64 = 1.5;
 /// A playing session steps up only where the higher rung's limit would hold with this much left: a change
@@ -323,7 +319,6 @@
                 self.sessions.get_mut(&session).into_iter().for_each(|s| s.answered = true)
             }
             Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
-            Event::Message { bytes, .. } => self.told(&bytes),
             Event::Timer { .. } => {
                 out.push(Action::SetTimer { after: TICK, token: 0 });
                 self.average();
@@ -482,36 +477,10 @@
         }
         s.told |= !fresh;
         if fresh {
-            self.tell(server, value, out);
             self.follow(server, Some(id), out);
         }
     }
 
-    /// Tells some other fronts, drawn by lot, of the use found at a set-up: a front with few sessions hears of
-    /// few servers. Nothing relies on it: what is lost, late, garbled or of an unknown server is left out.
-    fn tell(&mut self, server: ServerId, value: f64, out: &mut Vec<Action>) {
-        let others = self.s.fronts.saturating_sub(1);
-        if false {
-            let n = others.min(TELLS);
-            let start = (self.chance() * f64::from(others)) as u32;
-            let mut bytes = server.0.to_le_bytes().to_vec();
-            bytes.push((value / USE_UNIT).min(255.0) as u8);
-            // Evenly spread over the others, from a start drawn by lot.
-            out.extend((0..n).map(|k| {
-                let peer = (start + k * others / n) % others;
-                Action::Message { to: peer + u32::from(peer >= self.s.front), bytes: bytes.clone() }
-            }));
-        }
-    }
-
-    fn told(&mut self, bytes: &[u8]) {
-        if let &[a, b, c, d, value] = bytes
-            && let Some(s) = self.servers.get_mut(&ServerId(u32::from_le_bytes([a, b, c, d])))
-        {
-            s.link.hear(f64::from(value) * USE_UNIT, self.now);
-        }
-    }
-
     // ----- rungs of playing sessions
 
     /// The rung rule: top rung up to the mark, one lower per step past it. A session steps down once use is
@@ -781,9 +750,10 @@
 
     fn send(&mut self, id: SessionId, server: ServerId, rung: Rung, out: &mut Vec<Action>) {
         let now = self.now;
-        let alone = self.servers.get(&server).is_some_and(|h| h.streams == 0);
+        let young = self.s.note_delay + 2 * self.s.note_period;
+        let heard = self.servers.get(&server).and_then(|h| h.link.heard);
         let Some(s) = self.sessions.get_mut(&id) else { return };
-        s.guess = alone;
+        s.guess = heard.is_none_or(|h| h.1 + young < now);
         if s.attempts > 0 && self.s.retry_budget.is_some() {
             self.further.push_back(now);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -162,8 +162,6 @@
     pub may_advise: bool,
     /// The longest wait that a client obeys.
     pub max_come_back: Nanos,
-    /// Fronts may send each other messages.
-    pub may_message: bool,
     /// Price of moving every session once, as a share of all worth.
     pub move_price: f64,
     /// Price of crossing zones with every session, as a share of all worth.
@@ -333,13 +331,6 @@
         /// The figure.
         value: f64,
     },
-    /// A message from another front; it may be late, lost or garbled.
-    Message {
-        /// The sender's number, as in [`Settings::front`].
-        from: u32,
-        /// What it sent.
-        bytes: Vec<u8>,
-    },
     /// A timer came due.
     Timer {
         /// The token given with [`Action::SetTimer`].
@@ -385,13 +376,6 @@
         /// Comes back with the timer.
         token: u64,
     },
-    /// Send a message of at most 256 bytes to another front, where [`Settings::may_message`] is set.
-    Message {
-        /// Its number, as in [`Settings::front`].
-        to: u32,
-        /// What to send.
-        bytes: Vec<u8>,
-    },
     /// Ask for changes of the list from now on.
     Subscribe,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -99,17 +99,6 @@
         }
     }
 
-    /// Payload bytes in hex digits, "-" if there are none.
-    fn bytes(&self, key: &str) -> Parsed<Vec<u8>> {
-        let text = self.need(key)?;
-        let pair = |p: &[u8]| {
-            let digits = std::str::from_utf8(p).ok().filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()));
-            u8::from_str_radix(digits?, 16).ok().filter(|_| p.len() == 2)
-        };
-        let bytes = if text == "-" { Some(Vec::new()) } else { text.as_bytes().chunks(2).map(pair).collect() };
-        bytes.ok_or_else(|| format!("{}: field {key} holds '{text}', not bytes in hex digits", self.name))
-    }
-
     fn server(&self) -> Parsed<ServerId> {
         Ok(ServerId(self.number("server")?))
     }
@@ -278,7 +267,6 @@
         max_attempts: count(&v, "permissions.max_attempts")?,
         may_advise: truth(&v, "permissions.retry_after")?,
         max_come_back: nanos(&v, "permissions.max_retry_after_ns")?,
-        may_message: truth(&v, "permissions.peers")?,
         move_price: float(&v, "penalties.moves")?,
         cross_price: float(&v, "penalties.cross_zone")?,
         ask_within: nanos(&v, "rules.ask_within_ns")?,
@@ -411,12 +399,15 @@
                 value: line.number("amount")?,
             },
             "wakeup" => Event::Timer { token: line.number("tag")? },
-            // The module does not probe.
+            // The module neither probes nor talks to other fronts.
             "status_back" => {
                 line.server()?;
                 return Ok(None);
             }
-            "neighbour_says" => Event::Message { from: line.number("from")?, bytes: line.bytes("raw")? },
+            "neighbour_says" => {
+                line.number::<u32>("from")?;
+                return Ok(None);
+            }
             other => return Err(format!("unknown message '{other}'")),
         };
         Ok(Some(event))
@@ -435,10 +426,6 @@
         }
         Action::Fail { session } => writeln!(out, "lose i={i} tid={:016x}", session.0),
         Action::SetTimer { after, token } => writeln!(out, "set_timer i={i} offset_ns={after} tag={token}"),
-        Action::Message { to, ref bytes } => {
-            let raw: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
-            writeln!(out, "post i={i} addressee={to} raw={}", if raw.is_empty() { "-" } else { &raw })
-        }
         Action::Subscribe => writeln!(out, "watch i={i} want=1"),
     };
 }
