--- a/src/decide.rs
+++ b/src/decide.rs
@@ -304,7 +304,7 @@
 
     /// Takes one event at time `now`; what is to be done is appended to `out`.
     pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
-        // Guards against a front that stood still: ticks are due, so what it finds waited for up to this long.
+        // Guards against a front that stood still: ticks were due, so what it finds waited up to so long.
         // Catches any late turn. Hurts little where a tick was merely late: figures count as older.
         self.gap = if now > self.now { (now - self.now).saturating_sub(2 * TICK) } else { self.gap };
         self.now = self.now.max(now);
