--- a/src/decide.rs
+++ b/src/decide.rs
@@ -73,7 +73,7 @@
 
 /// A class in the fluid programme: its share of set-ups and its rungs as (rate, worth).
 #[derive(Debug, Clone, PartialEq)]
-pub struct Kind {
+pub struct FluidType {
     /// Share of the set-ups.
     pub weight: f64,
     /// Rate and worth of each rung that the class may play at.
@@ -81,7 +81,7 @@
 }
 
 /// The dual of the fluid programme: budget value plus what the classes keep at these prices.
-pub fn dual_value(kinds: &[Kind], link: f64, streams: f64, p: Prices) -> f64 {
+pub fn dual_value(kinds: &[FluidType], link: f64, streams: f64, p: Prices) -> f64 {
     let surplus = |&(rate, worth): &(f64, f64)| worth - p.rate * rate - p.stream;
     let kept = kinds.iter().map(|k| k.weight * k.rungs.iter().map(surplus).fold(0.0, f64::max));
     link * p.rate + streams * p.stream + kept.sum::<f64>()
@@ -89,7 +89,7 @@
 
 /// Solves the fluid programme exactly. Its dual is convex and piecewise linear in the two prices, so a least
 /// value lies where two of its bends (or axes) meet; among equals the lowest prices are taken.
-pub fn solve(kinds: &[Kind], link: f64, streams: f64) -> Prices {
+pub fn solve(kinds: &[FluidType], link: f64, streams: f64) -> Prices {
     // Lines a*rate + b*stream = c at which the dual bends, and the two axes.
     let mut lines = vec![(1.0, 0.0, 0.0), (0.0, 1.0, 0.0)];
     for kind in kinds {
@@ -239,7 +239,7 @@
 
 #[derive(Debug, Default)]
 struct Session {
-    wish: Wish,
+    wish: SessionRequest,
     rung: Rung,
     taken_at: Nanos,
     sent_at: Nanos,
@@ -373,7 +373,7 @@
     }
 
     /// Highest rung that the viewer and the class can use, never under the class's floor.
-    fn top(&self, wish: &Wish) -> Rung {
+    fn top(&self, wish: &SessionRequest) -> Rung {
         wish.top.min(self.s.classes[wish.class.0].top).max(self.s.classes[wish.class.0].floor)
     }
 
@@ -583,7 +583,7 @@
 
     // ----- requests
 
-    fn request(&mut self, wish: Wish, out: &mut Vec<Action>) {
+    fn request(&mut self, wish: SessionRequest, out: &mut Vec<Action>) {
         let id = wish.session;
         if wish.class.0 >= self.s.classes.len() || self.sessions.contains_key(&id) {
             return;
@@ -598,12 +598,12 @@
         self.place(id, out);
     }
 
-    fn session(&self, wish: Wish) -> Session {
+    fn session(&self, wish: SessionRequest) -> Session {
         let (rung, now) = (self.s.classes[wish.class.0].floor, self.now);
         Session { wish, rung, taken_at: now, sent_at: now, changed_at: now, ..Session::default() }
     }
 
-    fn adopt(&mut self, wish: Wish, server: ServerId) {
+    fn adopt(&mut self, wish: SessionRequest, server: ServerId) {
         let id = wish.session;
         if wish.class.0 >= self.s.classes.len() || self.sessions.contains_key(&id) {
             return;
@@ -840,8 +840,8 @@
 
     /// Class-and-rung types with the given weights; budgets per set-up for `held` sessions of all fronts
     /// (set-ups in a session's time, which is what the design's T stands for, by Little's law).
-    fn programme(&self, weights: &[f64], held: f64) -> (Vec<Kind>, f64, f64) {
-        let kinds = self.s.classes.iter().enumerate().map(|(i, c)| Kind {
+    fn programme(&self, weights: &[f64], held: f64) -> (Vec<FluidType>, f64, f64) {
+        let kinds = self.s.classes.iter().enumerate().map(|(i, c)| FluidType {
             weight: weights[i],
             rungs: (c.floor..=c.top).map(|r| (self.rate(ClassId(i), r), self.worth(ClassId(i), r))).collect(),
         });
@@ -868,7 +868,7 @@
 
     /// Collects the sample and re-prices once: kept only if better on the sample, then frozen. Windows of one
     /// class (a reconnect wave) say nothing of the ordinary mixture and are thrown away.
-    fn sample(&mut self, wish: &Wish) {
+    fn sample(&mut self, wish: &SessionRequest) {
         if self.pricing.frozen {
             return;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -81,8 +81,6 @@
     pub top: Rung,
     /// Sessions of one title that one front may hold; 0: no cap.
     pub seats: u32,
-    /// Viewers of one live title at one server and rung share a stream.
-    pub live: bool,
 }
 
 /// One rung of the ladder.
@@ -100,7 +98,7 @@
     /// Changes arrive unprompted.
     #[default]
     Pushed,
-    /// Changes arrive after [`Action::Subscribe`] or [`Action::Fetch`].
+    /// Changes arrive after [`Action::Subscribe`].
     Subscribed,
 }
 
@@ -118,8 +116,6 @@
 /// What a controller is told at its start.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Settings {
-    /// This front's number, from 0.
-    pub front: u32,
     /// How many fronts there are.
     pub fronts: u32,
     /// The zone of this front.
@@ -134,22 +130,16 @@
     pub racks: u32,
     /// Streams that a server of each kind runs at most.
     pub streams_by_kind: Vec<u32>,
-    /// All links together at the start, kB a second; 0: unknown.
-    pub all_links: f64,
     /// Mean uplink of a rack, kB a second; 0: unknown.
     pub uplink: f64,
     /// A server's link for each unit of its weight, kB a second; 0: unknown.
     pub link_per_weight: f64,
     /// Weights tell sizes (else they are all the same, or change with load).
     pub weights_tell_size: bool,
-    /// What a further viewer of a live title adds to a shared stream; 1: nothing is shared.
-    pub join: f64,
     /// A server turns set-ups away while so much of its link is asked; 0: never.
     pub full_from: f64,
     /// A change of rung costs so many seconds of worth.
     pub change_cost_s: f64,
-    /// Points of worth lost for each point of the rate that is missing.
-    pub stall: f64,
     /// How late notes are.
     pub note_delay: Nanos,
     /// Time between fullness notes; 0: there are none.
@@ -162,8 +152,6 @@
     pub may_advise: bool,
     /// The longest wait that a client obeys.
     pub max_come_back: Nanos,
-    /// Price of moving every session once, as a share of all worth.
-    pub move_price: f64,
     /// Price of crossing zones with every session, as a share of all worth.
     pub cross_price: f64,
     /// A subscribed front must have asked within this time.
@@ -225,7 +213,7 @@
 
 /// What a viewer asks for.
 #[derive(Debug, Default, Clone, PartialEq)]
-pub struct Wish {
+pub struct SessionRequest {
     /// The session's id.
     pub session: SessionId,
     /// Its class.
@@ -240,8 +228,6 @@
     pub top: Rung,
     /// When the viewer gives up waiting.
     pub give_up_at: Nanos,
-    /// A guess of how long it plays.
-    pub length: Option<Nanos>,
     /// The viewer was here before (a retry, a return, a move).
     pub again: bool,
 }
@@ -291,11 +277,11 @@
         entries: Vec<ServerEntry>,
     },
     /// A viewer wants a session.
-    Request(Wish),
+    Request(SessionRequest),
     /// A session that already plays is handed over; it counts as attempt 0.
     Adopted {
         /// What the viewer asked for.
-        wish: Wish,
+        wish: SessionRequest,
         /// Where it plays.
         server: ServerId,
     },
@@ -418,15 +404,38 @@
             if c.floor > c.top || c.top >= s.ladder.len() {
                 return bad("classes.floor", "must lie at or under classes.top, and that on the ladder");
             }
-            if !(c.worth >= 0.0 && c.worth.is_finite() && c.scale > 0.0 && c.scale.is_finite()) {
-                return bad("classes.worth", "must be a number from 0, and classes.scale above 0");
+            if !(c.worth >= 0.0 && c.worth.is_finite()) {
+                return bad("classes.worth", "must be a number from 0");
             }
+            if !(c.scale > 0.0 && c.scale.is_finite()) {
+                return bad("classes.scale", "must be a number above 0");
+            }
+        }
+        if s.cells == 0 {
+            return bad("cells", "must be above 0");
+        }
+        if s.racks == 0 {
+            return bad("racks", "must be above 0");
+        }
+        if s.fronts == 0 {
+            return bad("fronts", "must be above 0");
         }
-        if s.cells == 0 || s.racks == 0 {
-            return bad("cells", "must be above 0, and racks too");
+        if s.max_attempts == 0 {
+            return bad("max_attempts", "must be above 0");
         }
-        if s.fronts == 0 || s.max_attempts == 0 {
-            return bad("fronts", "must be above 0, and max_attempts too");
+        let figures = [
+            ("uplink", s.uplink),
+            ("link_per_weight", s.link_per_weight),
+            ("full_from", s.full_from),
+            ("change_cost_s", s.change_cost_s),
+            ("cross_price", s.cross_price),
+            ("cold_from", s.cold_from),
+            ("fall_multiple", s.fall_multiple),
+            ("retry_budget.spare", s.retry_budget.map_or(0.0, |b| b.spare)),
+            ("retry_budget.share", s.retry_budget.map_or(0.0, |b| b.share)),
+        ];
+        if let Some((field, _)) = figures.iter().find(|(_, v)| !(*v >= 0.0 && v.is_finite())) {
+            return bad(field, "must be a number from 0");
         }
         Ok(())
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -184,7 +184,6 @@
     let floors = floats(&v, "family_info.floor_by_class")?;
     let tops = floats(&v, "family_info.highest_rung")?;
     let seats = floats(&v, "family_info.licence_cap")?;
-    let live = list(&v, "family_info.class_live")?;
     let rates = floats(&v, "family_info.rung_kb")?;
     let worths = floats(&v, "family_info.worth_by_rung")?;
     if rates.len() != worths.len() {
@@ -227,7 +226,6 @@
             floor: floors.get(i).copied().unwrap_or(0.0) as Rung,
             top: tops.get(i).copied().unwrap_or(top) as Rung,
             seats: seats.get(i).copied().unwrap_or(0.0) as u32,
-            live: live.get(i).and_then(Value::as_bool).unwrap_or(false),
         });
     }
     let zone_name = text(&v, "zone")?;
@@ -239,9 +237,7 @@
             window: nanos(&v, "rules.counted_over_ns")?,
         }),
     };
-    let join = at(&v, "family_info.join");
     let s = Settings {
-        front: count(&v, "me")?,
         fronts: count(&v, "group_size")?.max(1),
         zone: position(&zones, zone_name).unwrap_or(zones.len()) as u32,
         classes,
@@ -249,14 +245,11 @@
         cells: count(&v, "family_info.cells")?,
         racks: count(&v, "family_info.racks")?,
         streams_by_kind: floats(&v, "family_info.places_by_kind")?.iter().map(|&p| p as u32).collect(),
-        all_links: float(&v, "family_info.all_links_kb")?,
         uplink: float(&v, "family_info.uplink_kb")?,
         link_per_weight: float(&v, "family_info.kb_per_weight")?,
         weights_tell_size: matches!(text(&v, "weights")?, "nominal" | "rough"),
-        join: join.as_f64().unwrap_or(1.0),
         full_from: float(&v, "family_info.full_from")?,
         change_cost_s: float(&v, "family_info.switch_s")?,
-        stall: float(&v, "family_info.stall")?,
         note_delay: nanos(&v, "family_info.see_ns")?,
         note_period: nanos(&v, "family_info.tell_ns")?,
         listing: if text(&v, "registry_mode")? == "subscribe" {
@@ -267,7 +260,6 @@
         max_attempts: count(&v, "permissions.max_attempts")?,
         may_advise: truth(&v, "permissions.retry_after")?,
         max_come_back: nanos(&v, "permissions.max_retry_after_ns")?,
-        move_price: float(&v, "penalties.moves")?,
         cross_price: float(&v, "penalties.cross_zone")?,
         ask_within: nanos(&v, "rules.ask_within_ns")?,
         cold_for: nanos(&v, "rules.cold_ns")?,
@@ -330,11 +322,11 @@
         rows.iter().map(entry).collect()
     }
 
-    fn wish(&self, line: &Line) -> Parsed<Wish> {
+    fn wish(&self, line: &Line) -> Parsed<SessionRequest> {
         let class = line.need("tier_class")?;
         let class = position(&self.names.classes, class)
             .ok_or_else(|| format!("{}: the settings know no class '{class}'", line.name))?;
-        Ok(Wish {
+        Ok(SessionRequest {
             session: line.session()?,
             class: ClassId(class),
             title: TitleId(line.get("item").unwrap_or("").into()),
@@ -342,7 +334,6 @@
             spread: line.index("spread")?,
             top: line.index("best_rung")? as Rung,
             give_up_at: line.maybe("not_after_ns")?.unwrap_or(0),
-            length: line.maybe("weight_hint_ns")?,
             again: line.flag("came_back")? | line.flag("is_retry")? | line.flag("moved")?,
         })
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,7 +9,7 @@
 pub const START: Nanos = 1_000 * SECOND;
 
 pub fn class(effect: Effect, floor: Rung, seats: u32) -> Class {
-    Class { worth: 1.0, aim: SECOND, effect, scale: 1.0, floor, top: 3, seats, live: false }
+    Class { worth: 1.0, aim: SECOND, effect, scale: 1.0, floor, top: 3, seats }
 }
 
 pub fn settings(classes: Vec<Class>) -> Settings {
@@ -21,13 +21,10 @@
         cells: 4,
         racks: 2,
         streams_by_kind: vec![20],
-        all_links: 20_000.0,
         uplink: 9_000.0,
         link_per_weight: 5_000.0,
         weights_tell_size: true,
-        join: 1.0,
         change_cost_s: 0.5,
-        stall: 7.0,
         note_delay: 500 * MS,
         note_period: 2 * SECOND,
         max_attempts: 3,
@@ -45,8 +42,8 @@
     ServerEntry { server: ServerId(n), state, kind: 0, weight: 1.0, cell: n % 4, zone: n % 2, started_at }
 }
 
-pub fn wish(id: u64, class: usize, title: &str, now: Nanos) -> Wish {
-    Wish {
+pub fn wish(id: u64, class: usize, title: &str, now: Nanos) -> SessionRequest {
+    SessionRequest {
         session: SessionId(id),
         class: ClassId(class),
         title: TitleId(title.into()),
@@ -54,7 +51,6 @@
         spread: 4,
         top: 3,
         give_up_at: now + 4 * SECOND,
-        length: None,
         again: false,
     }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -238,7 +238,20 @@
     assert_eq!(field(|s| s.ladder.reverse()), Err("ladder"));
     assert_eq!(field(|s| s.classes.clear()), Err("classes"));
     assert_eq!(field(|s| s.classes[0].floor = 9), Err("classes.floor"));
-    assert_eq!(field(|s| s.classes[0].scale = f64::NAN), Err("classes.worth"));
+    assert_eq!(field(|s| s.classes[0].scale = f64::NAN), Err("classes.scale"));
+    assert_eq!(field(|s| s.classes[0].worth = -1.0), Err("classes.worth"));
+    assert_eq!(field(|s| s.racks = 0), Err("racks"));
+    assert_eq!(field(|s| s.max_attempts = 0), Err("max_attempts"));
+    assert_eq!(field(|s| s.uplink = f64::NAN), Err("uplink"));
+    assert_eq!(field(|s| s.cold_from = -0.1), Err("cold_from"));
+    assert_eq!(field(|s| s.fall_multiple = f64::INFINITY), Err("fall_multiple"));
+    let budget = |share| Some(RetryBudget { spare: 1.0, share, window: SECOND });
+    assert_eq!(
+        Controller::new(Settings { retry_budget: budget(-1.0), ..good.clone() }, 1, START)
+            .map(|_| ())
+            .map_err(|e| e.field),
+        Err("retry_budget.share")
+    );
     assert_eq!(field(|s| s.cells = 0), Err("cells"));
     assert_eq!(field(|s| s.fronts = 0), Err("fronts"));
 }
@@ -290,7 +303,7 @@
 fn cold_sends(fronts: u32, asks: u64, seconds: u64) -> Vec<Nanos> {
     let mut all: Vec<Front> = (0..fronts)
         .map(|n| {
-            let s = Settings { fronts, front: n, ..settings(vec![class(IDEMPOTENT, 0, 0)]) };
+            let s = Settings { fronts, ..settings(vec![class(IDEMPOTENT, 0, 0)]) };
             let controller = Controller::new(s, u64::from(n) * 77, START).expect("sound settings");
             let mut f = Front { controller, now: START };
             f.feed(Event::List { kind: ListKind::Full, entries: vec![entry(0, ServerState::Ready, START)] });
@@ -332,7 +345,7 @@
     let heard = |n: u32| {
         let mut s = settings(vec![class(IDEMPOTENT, 0, 0)]);
         // A link that carries one session of each front at the third rung.
-        (s.fronts, s.front, s.link_per_weight) = (fronts, n, 400.0 * f64::from(fronts) / value);
+        (s.fronts, s.link_per_weight) = (fronts, 400.0 * f64::from(fronts) / value);
         let controller = Controller::new(s, u64::from(n) * 13 + 1, START).expect("sound settings");
         let mut f = Front { controller, now: START };
         f.feed(Event::List { kind: ListKind::Full, entries: vec![entry(0, ServerState::Ready, 0)] });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,7 +10,7 @@
 
 /// What the outside knows of a request.
 struct Seen {
-    wish: Wish,
+    wish: SessionRequest,
     attempts: Vec<(ServerId, Nanos)>,
     flying: bool,
     playing: bool,
@@ -168,10 +168,7 @@
         [Effect::AtMostOnce, Effect::Idempotent, dedup(Scope::All), dedup(Scope::Zone), dedup(Scope::Cell)];
     let effect = effects[pick as usize % 5];
     let mut s = settings(vec![class(effect, 1, u32::from(pick % 4)), class(Effect::Idempotent, 0, 0)]);
-    s.classes[0].live = pick.is_multiple_of(2);
-    s.join = if pick.is_multiple_of(2) { 0.2 } else { 1.0 };
-    s.fronts = 1 + u32::from(pick % 5);
-    s.front = u32::from(pick) % s.fronts;
+    s.fronts = [1, 2, 3, 60, 300][usize::from(pick % 5)];
     s.note_period = if pick.is_multiple_of(3) { 0 } else { 3 * SECOND };
     s.listing = if pick.is_multiple_of(7) { Listing::Subscribed } else { Listing::Pushed };
     s.weights_tell_size = pick % 2 == 1;
@@ -347,7 +344,7 @@
         for (op, arg, value) in ops {
             f.now = f.now.wrapping_add(u64::from(arg % 1000) * MS);
             let (id, server) = (SessionId(u64::from(arg % 8)), ServerId(arg / 8 % 4));
-            let wish = Wish { base: arg, spread: arg % 9, top: arg as usize % 4, ..wish(id.0, arg as usize % 3, "a", f.now) };
+            let wish = SessionRequest { base: arg, spread: arg % 9, top: arg as usize % 4, ..wish(id.0, arg as usize % 3, "a", f.now) };
             let outcome = [Outcome::Served, Outcome::Reset, Outcome::TimedOut, Outcome::Full][arg as usize % 4];
             let kind = [NoteKind::LinkUse, NoteKind::Delivered, NoteKind::RungInForce][arg as usize % 3];
             let state = [ServerState::Ready, ServerState::Gone, ServerState::Draining][arg as usize % 3];
--- a/tests/solver.rs
+++ b/tests/solver.rs
@@ -1,9 +1,9 @@
 //! The fluid programme against brute force.
 
-use micadyke::decide::{Kind, Prices, dual_value, solve};
+use micadyke::decide::{FluidType, Prices, dual_value, solve};
 use proptest::prelude::*;
 
-fn kinds() -> impl Strategy<Value = Vec<Kind>> {
+fn kinds() -> impl Strategy<Value = Vec<FluidType>> {
     let steps = prop::collection::vec((0.1f64..2.0, 0.01f64..1.0), 1..5);
     prop::collection::vec((0.1f64..1.0, steps), 1..4).prop_map(|classes| {
         let sum: f64 = classes.iter().map(|c| c.0).sum();
@@ -15,7 +15,7 @@
             };
             steps.into_iter().map(rise).collect::<Vec<_>>()
         };
-        classes.into_iter().map(|(w, steps)| Kind { weight: w / sum, rungs: ladder(steps) }).collect()
+        classes.into_iter().map(|(w, steps)| FluidType { weight: w / sum, rungs: ladder(steps) }).collect()
     })
 }
 
@@ -56,15 +56,15 @@
 #[test]
 fn a_binding_link_is_priced_at_the_marginal_rung() {
     // Half of the set-ups can have the upper rung: its extra worth over its extra rate is the price.
-    let kind = Kind { weight: 1.0, rungs: vec![(1.0, 0.5), (2.0, 0.8)] };
+    let kind = FluidType { weight: 1.0, rungs: vec![(1.0, 0.5), (2.0, 0.8)] };
     let p = solve(&[kind], 1.5, 10.0);
     assert!((p.rate - 0.3).abs() < 1e-9 && p.stream == 0.0, "{p:?}");
 }
 
 #[test]
 fn a_binding_link_turns_the_cheaper_class_away() {
-    let dear = Kind { weight: 0.5, rungs: vec![(1.0, 2.0)] };
-    let cheap = Kind { weight: 0.5, rungs: vec![(1.0, 1.0)] };
+    let dear = FluidType { weight: 0.5, rungs: vec![(1.0, 2.0)] };
+    let cheap = FluidType { weight: 0.5, rungs: vec![(1.0, 1.0)] };
     let p = solve(&[dear, cheap], 0.5, 10.0);
     assert!(2.0 - p.rate >= 0.0 && p.rate >= 1.0 - 1e-9, "{p:?}");
 }
