--- a/src/decide.rs
+++ b/src/decide.rs
@@ -58,6 +58,8 @@
 const GRAIN: f64 = 0.25;
 /// A playing session steps down only when use is this far past its rung's limit: each change costs worth.
 const SLACK: f64 = 0.09;
+/// Part of an excess that one answer takes off: the next news comes before the answer shows in it.
+const ANSWER: f64 = 0.7;
 /// What a refused viewer is told to wait: about a note's age, after which the account has changed.
 const COME_BACK: Nanos = SECOND;
 
@@ -514,7 +516,7 @@
         loop {
             // The step down that loses the least worth for the rate it frees, until the rest would fit.
             let loss = |i: &usize| self.slope(mine[*i].1, mine[*i].2);
-            let need = |rung: Rung| asked * (1.0 - self.limit(rung) / usage) - freed;
+            let need = |rung: Rung| asked * (1.0 - self.limit(rung) / usage) * ANSWER - freed;
             let over = |&i: &usize| {
                 let (_, class, rung, ..) = mine[i];
                 rung > self.s.classes[class.0].floor
