--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,21 +6,20 @@
 // ===== Constants. Each is a choice of ours that no setting states.
 const MS: Nanos = 1_000_000;
 const SECOND: Nanos = 1_000 * MS;
-/// Use of a link up to which the top rung is given; past it prices act. Below 1 by the spread of true rates
-/// over some ten sessions, since a missing point of rate costs several points of worth.
+/// Use of a link up to which the top rung is given: below 1, for a missing point costs several of worth.
 const MARK: f64 = 0.90;
 /// Use per rung: past the mark each step takes one rung off. The lowest rung still ends below a full link.
 const STEP: f64 = 0.035;
 /// Use from which prices act.
 const PRICED: f64 = 0.5;
-/// At most one change of rung per playing session in this time (the design's ten seconds).
+/// At most one change of rung per playing session in this time, as the design has it.
 const CHANGE_GAP: Nanos = 10 * SECOND;
-/// A session that has just started is left alone for this long: its own rate must show in a note first.
-const SETTLE: Nanos = 2 * SECOND;
 /// First budget of link rate, over the middle rung: just under 1, so that the price caps there.
 const PRIOR: f64 = 0.99;
 /// Set-ups, sessions handed over included, after which prices are solved again.
 const SAMPLE: usize = 20;
+/// Pause after the first failed call for changes of the list.
+const ASK_PAUSE: Nanos = 500 * MS;
 /// Housekeeping: rungs and suspicion are looked at so often.
 const TICK: Nanos = 200 * MS;
 /// Part of the time to the aim that an attempt gets while a further one could still meet the aim.
@@ -29,11 +28,9 @@
 const COLD_PART: f64 = 0.8;
 /// Deviations of chance that the sum of all fronts' lots for a cold server leaves free.
 const SPREAD: f64 = 3.0;
-/// Windows of the cold budget over which own requests are counted and a lot is good for: one request in so
-/// long is as rare as a front of a large fleet sees for one server.
+/// Windows of the cold budget over which own requests are counted and a lot is good for.
 const COLD_SPAN: f64 = 1.0;
-/// Use of links while none was heard of: a fresh front must not read silence as empty, and this leaves room
-/// for the middle rung.
+/// Use of links while none was heard of: silence is not emptiness, and this has room for the middle rung.
 const UNSEEN: f64 = 0.8;
 /// Own sessions at a server that tell of others' streams there.
 const FEW: u32 = 3;
@@ -45,15 +42,12 @@
 const HERD: f64 = 0.04;
 /// Crossing zones is worth this many points of use for each point of its price.
 const CROSS: f64 = 1.5;
-/// A playing session steps up only where the higher rung's limit would hold with this much left: a change
-/// that must be taken back costs worth twice.
+/// A playing session steps up only where the higher rung's limit would hold with this much left.
 const UP_GAP: f64 = 0.12;
 /// A step up must promise this many times its cost over the time that a session lasts: it may be taken back.
 const PAYS: f64 = 3.0;
 /// A set-up is fitted at this many times its rate: others send to the same room before the next note.
 const CROWD: f64 = 1.2;
-/// No set-up goes past this use: playing sessions would lose more than it earns.
-const FULL: f64 = 0.98;
 /// Part of a pool kept free, over the root of its sessions at the middle rung: true rates even out in many.
 const GRAIN: f64 = 0.25;
 /// A playing session steps down only when use is this far past its rung's limit: each change costs worth.
@@ -163,11 +157,9 @@
         self.keeps = 1.0 - GRAIN / sessions.sqrt();
     }
 
-    /// Use now: the last figure heard and this front's changes since. Where nothing was heard for long (no
-    /// session there, no note) it fades to what the pools heard of lately show on the mean.
+    /// Use now: the last figure heard and the changes since; an old one fades to the mean of those heard of.
     fn usage(&self, view: View) -> f64 {
-        // Never heard of: the others are taken to ask what they ask elsewhere. Own sessions times the number
-        // of fronts would say nothing where a front has none or one of them there.
+        // Never heard of: the others are taken to ask what they ask elsewhere.
         let own = if self.size > 0.0 { self.own / self.size } else { 0.0 };
         let Some((value, as_of)) = self.heard else { return own + view.mean * (1.0 - 1.0 / view.fronts) };
         let old = view.now.saturating_sub(as_of) as f64 / view.fade.max(1) as f64 - 1.0;
@@ -280,7 +272,9 @@
     rack_mean: f64,
     ticking: bool,
     gap: Nanos,
-    guessed_at: Nanos,
+    subscribed: bool,
+    ask_at: Nanos,
+    pause: Nanos,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<u32, Pool>,
     sessions: BTreeMap<SessionId, Session>,
@@ -313,10 +307,10 @@
         if !self.ticking {
             self.ticking = true;
             out.push(Action::SetTimer { after: TICK, token: 0 });
-            out.extend((self.s.listing == Listing::Subscribed).then_some(Action::Subscribe));
         }
+        self.ask(out);
         match event {
-            Event::List { kind, entries } => self.list(kind, entries, out),
+            Event::List { kind, entries } => self.list(kind, entries),
             Event::Request(wish) => self.request(wish, out),
             Event::Adopted { wish, server } => self.adopt(wish, server),
             Event::Started { session } => self.started(session),
@@ -330,9 +324,8 @@
             Event::Timer { .. } => {
                 out.push(Action::SetTimer { after: TICK, token: 0 });
                 self.average();
-                // News is answered at the next tick, when all figures of one report are in.
-                let guess = self.s.note_period == 0 && self.now >= self.guessed_at + SECOND;
-                self.guessed_at = if guess { self.now } else { self.guessed_at };
+                // News is answered at the next tick, when all figures are in; own accounts now and then.
+                let guess = self.s.note_period == 0 && self.chance() < 0.2;
                 let news =
                     |s: (&ServerId, &mut Server)| (std::mem::take(&mut s.1.told) || guess).then_some(*s.0);
                 let told: Vec<ServerId> = self.servers.iter_mut().filter_map(news).collect();
@@ -358,8 +351,7 @@
         View { now: self.now, fronts: f64::from(self.s.fronts), mean: self.mean, fade }
     }
 
-    /// Mean use of links and of uplinks heard of lately; while notes stay out the last ones stand. Where
-    /// uplinks bind, an uplink never heard of must not stand at the mean of the links.
+    /// Mean use of links and of uplinks heard of lately; while notes stay out the last ones stand.
     fn average(&mut self) {
         let view = self.view();
         self.mean = mean(self.servers.values().map(|s| &s.link), view).unwrap_or(self.mean);
@@ -386,11 +378,24 @@
 
     // ----- the list of servers
 
-    fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
+    /// Subscribes where that is needed, again after a pause that grows while calls fail, but well within the
+    /// time after which what was listed counts as told gone: so no listing lapses.
+    fn ask(&mut self, out: &mut Vec<Action>) {
+        if self.s.listing == Listing::Subscribed && !self.subscribed && self.now >= self.ask_at {
+            out.push(Action::Subscribe);
+            self.pause = (2 * self.pause).clamp(ASK_PAUSE, (self.s.ask_within / 3).max(ASK_PAUSE));
+            self.ask_at = self.now + self.pause;
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if kind == ListKind::Failed {
-            out.extend((self.s.listing == Listing::Subscribed).then_some(Action::Subscribe));
+            self.subscribed = false;
             return;
         }
+        if kind != ListKind::Cached {
+            (self.subscribed, self.pause) = (true, 0);
+        }
         if kind != ListKind::Delta {
             self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
         }
@@ -624,9 +629,7 @@
         let rate = self.rate(s.wish.class, s.rung);
         *self.seats.entry((s.wish.title.clone(), s.wish.class.0)).or_default() += 1;
         self.book(server, rate, 1.0);
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.streams += 1;
-        }
+        self.servers.get_mut(&server).into_iter().for_each(|s| s.streams += 1);
     }
 
     fn release(&mut self, id: SessionId) {
@@ -637,9 +640,7 @@
         self.seats.get_mut(&key).into_iter().for_each(|n| *n -= 1);
         self.seats.retain(|_, n| *n > 0);
         self.book(server, -self.rate(class, rung), 1.0);
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.streams = s.streams.saturating_sub(1);
-        }
+        self.servers.get_mut(&server).into_iter().for_each(|s| s.streams = s.streams.saturating_sub(1));
     }
 
     fn cold(&self, server: &Server) -> bool {
@@ -746,8 +747,8 @@
         (floor..=self.top(&s.wish)).rev().find(|&rung| {
             let rate = self.rate(s.wish.class, rung);
             let worth = self.worth(s.wish.class, rung);
-            let fits = usage + CROWD * self.adds(server, rate) <= self.limit(rung).min(FULL);
-            // Past the mark the rung must clear the prices, and so must what it adds to the next lower one:
+            let fits = usage + CROWD * self.adds(server, rate) <= self.limit(rung);
+            // From PRICED on the rung must clear the prices, and so must what it adds to the next lower one:
             // the programme gives a class the rung of the largest surplus, not the highest that pays at all.
             let extra = rung == floor || self.slope(s.wish.class, rung) >= prices.rate - 1e-12;
             fits && ((usage <= PRICED && !s.wish.again)
@@ -761,9 +762,7 @@
         let heard = self.servers.get(&server).and_then(|h| h.link.heard);
         let Some(s) = self.sessions.get_mut(&id) else { return };
         s.guess = heard.is_none_or(|h| h.1 + young < now);
-        if s.attempts > 0 && self.s.retry_budget.is_some() {
-            self.further.push_back(now);
-        }
+        self.further.extend((s.attempts > 0 && self.s.retry_budget.is_some()).then_some(now));
         let class = &self.s.classes[s.wish.class.0];
         let left = s.wish.give_up_at.saturating_sub(now);
         let to_aim = (s.taken_at + class.aim).saturating_sub(now);
@@ -801,7 +800,7 @@
         let now = self.now;
         let Some(s) = self.sessions.get_mut(&id) else { return };
         (s.playing, s.answered, s.started_at) = (true, true, now);
-        s.changed_at = (now + SETTLE).saturating_sub(CHANGE_GAP);
+        s.changed_at = now.saturating_sub(CHANGE_GAP);
     }
 
     fn ended(
@@ -840,8 +839,8 @@
 
     // ----- prices
 
-    /// Class-and-rung types with the given weights; budgets per set-up for `held` sessions of all fronts
-    /// (set-ups in a session's time, which is what the design's T stands for, by Little's law).
+    /// Types with the given weights; budgets per set-up for `held` sessions of all fronts (set-ups in a
+    /// session's time, the design's T, by Little's law).
     fn programme(&self, weights: &[f64], held: f64) -> (Vec<FluidType>, f64, f64) {
         let kinds = self.s.classes.iter().enumerate().map(|(i, c)| FluidType {
             weight: weights[i],
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -441,3 +441,34 @@
     f.note(1, server, NoteKind::LinkUse, 0.1);
     assert!(sent(&f.request(2, 0, "a")).is_some(), "a front that was awake takes it");
 }
+
+#[test]
+fn a_failed_subscription_is_asked_for_again_after_a_pause_that_grows() {
+    let mut s = settings(vec![class(IDEMPOTENT, 0, 0)]);
+    (s.listing, s.ask_within) = (Listing::Subscribed, 10 * SECOND);
+    let mut f = Front::new(s, 0);
+    let asks = |f: &mut Front, fail: bool, seconds: u64| {
+        let mut times = Vec::new();
+        for _ in 0..seconds * 5 {
+            f.now += 200 * MS;
+            if f.tick().contains(&Action::Subscribe) {
+                times.push(f.now);
+                if fail {
+                    assert!(
+                        f.feed(Event::List { kind: ListKind::Failed, entries: vec![] }).is_empty(),
+                        "not at once"
+                    );
+                }
+            }
+        }
+        times
+    };
+    let times = asks(&mut f, true, 30);
+    let pauses: Vec<Nanos> = times.windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(pauses.windows(2).all(|w| w[0] <= w[1] + 200 * MS) && pauses[0] <= SECOND, "{pauses:?}");
+    assert!(pauses.iter().all(|&p| p < 5 * SECOND), "a listing would lapse: {pauses:?}");
+    f.feed(Event::List { kind: ListKind::Full, entries: vec![entry(0, ServerState::Ready, 0)] });
+    assert!(asks(&mut f, true, 10).is_empty(), "subscribed");
+    f.feed(Event::List { kind: ListKind::Failed, entries: vec![] });
+    assert!(!asks(&mut f, false, 2).is_empty(), "a subscription that dropped is asked for again");
+}
