--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -365,10 +365,11 @@
 #[test]
 fn hundreds_answer_a_note_in_proportion_and_once() {
     // Found on the later deployments: each front with one session stepped down for the whole overload.
-    for fronts in [30, 300] {
+    for fronts in [60, 300] {
         let rungs = after_one_note(fronts, 2, 1.2);
         let down = rungs.iter().filter(|&&r| r < 2).count() as f64 / f64::from(fronts);
-        assert!(down > 0.1 && down < 0.8, "{down} of {fronts} fronts stepped down for a fifth too much");
+        // A step frees half of the rate, and seven tenths of about a quarter are to be freed.
+        assert!(down > 0.2 && down < 0.5, "{down} of {fronts} fronts stepped down for a fifth too much");
     }
     assert_eq!(after_one_note(3, 2, 0.9), vec![2, 2, 2], "nothing to answer at the mark");
 }
@@ -472,3 +473,20 @@
     f.feed(Event::List { kind: ListKind::Failed, entries: vec![] });
     assert!(!asks(&mut f, false, 2).is_empty(), "a subscription that dropped is asked for again");
 }
+
+#[test]
+fn the_account_is_charged_with_what_all_do_on_the_same_news() {
+    let mut s = settings(vec![class(IDEMPOTENT, 0, 0)]);
+    (s.fronts, s.link_per_weight, s.uplink) = (300, 110_000.0, 0.0);
+    let mut f = Front::new(s, 1);
+    f.feed(Event::Adopted { wish: wish(1, 0, "a", START), server: ServerId(0) });
+    f.note(1, ServerId(0), NoteKind::RungInForce, 2.0);
+    for _ in 0..100 {
+        f.now += 200 * MS;
+        f.tick();
+    }
+    f.note(1, ServerId(0), NoteKind::LinkUse, 1.05);
+    assert!(refused(&f.request(2, 0, "a")), "the link is overfull");
+    f.tick();
+    assert!(sent(&f.request(3, 0, "a")).is_some(), "the others have stepped down as this front would");
+}
