--- a/src/decide.rs
+++ b/src/decide.rs
@@ -273,7 +273,6 @@
     ticking: bool,
     gap: Nanos,
     subscribed: bool,
-    held_back: Vec<(SessionId, ServerId)>,
     ask_at: Nanos,
     pause: Nanos,
     servers: BTreeMap<ServerId, Server>,
@@ -322,20 +321,6 @@
                 self.sessions.get_mut(&session).into_iter().for_each(|s| s.answered = true)
             }
             Event::Note { session, server, kind, value } => self.note(session, server, kind, value, out),
-            Event::Probed { server, link_use, uplink_use } => {
-                let now = self.now.saturating_sub(500 * MS);
-                if let Some(s) = self.servers.get_mut(&server) {
-                    let rack = self.racks.get_mut(&s.rack(self.s.racks));
-                    link_use.into_iter().for_each(|v| s.link.hear(v, now));
-                    rack.zip(uplink_use).into_iter().for_each(|(r, v)| r.hear(v, now));
-                }
-                if let Some(i) = self.held_back.iter().position(|h| h.1 == server) {
-                    let id = self.held_back.remove(i).0;
-                    if self.sessions.contains_key(&id) {
-                        self.place(id, out);
-                    }
-                }
-            }
             Event::Timer { .. } => {
                 out.push(Action::SetTimer { after: TICK, token: 0 });
                 self.average();
@@ -617,18 +602,6 @@
         self.recent.retain(|r| r.0 > since);
         self.sample(&wish);
         self.sessions.insert(id, self.session(wish));
-        if self.s.may_probe {
-            let lot = self.chance();
-            let s = &self.sessions[&id];
-            let all: Vec<ServerId> =
-                self.servers.values().filter(|h| h.streams == 0 && self.usable(h, s)).map(|h| h.entry.server).collect();
-            if !all.is_empty() {
-                let server = all[(lot * all.len() as f64) as usize % all.len()];
-                out.push(Action::Probe { server });
-                self.held_back.push((id, server));
-                return;
-            }
-        }
         self.place(id, out);
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -152,8 +152,6 @@
     pub may_advise: bool,
     /// The longest wait that a client obeys.
     pub max_come_back: Nanos,
-    /// Servers may be probed.
-    pub may_probe: bool,
     /// Price of crossing zones with every session, as a share of all worth.
     pub cross_price: f64,
     /// A subscribed front must have asked within this time.
@@ -319,15 +317,6 @@
         /// The figure.
         value: f64,
     },
-    /// A probe came back with the server's load.
-    Probed {
-        /// Which server.
-        server: ServerId,
-        /// Rate asked of its link over what it gives.
-        link_use: Option<f64>,
-        /// The same of its rack's uplink.
-        uplink_use: Option<f64>,
-    },
     /// A timer came due.
     Timer {
         /// The token given with [`Action::SetTimer`].
@@ -373,11 +362,6 @@
         /// Comes back with the timer.
         token: u64,
     },
-    /// Ask a server for its load, where [`Settings::may_probe`] is set.
-    Probe {
-        /// Which server.
-        server: ServerId,
-    },
     /// Ask for changes of the list from now on.
     Subscribe,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -260,7 +260,6 @@
         max_attempts: count(&v, "permissions.max_attempts")?,
         may_advise: truth(&v, "permissions.retry_after")?,
         max_come_back: nanos(&v, "permissions.max_retry_after_ns")?,
-        may_probe: truth(&v, "permissions.probes")?,
         cross_price: float(&v, "penalties.cross_zone")?,
         ask_within: nanos(&v, "rules.ask_within_ns")?,
         cold_for: nanos(&v, "rules.cold_ns")?,
@@ -393,9 +392,8 @@
             "wakeup" => Event::Timer { token: line.number("tag")? },
             // The module neither probes nor talks to other fronts.
             "status_back" => {
-                let server = line.server()?;
-                let mut values = line.get("feedback").unwrap_or("").split(',').map(|v| v.parse::<f64>().ok());
-                Event::Probed { server, link_use: values.next().flatten(), uplink_use: values.next().flatten() }
+                line.server()?;
+                return Ok(None);
             }
             "neighbour_says" => {
                 line.number::<u32>("from")?;
@@ -419,7 +417,6 @@
         }
         Action::Fail { session } => writeln!(out, "lose i={i} tid={:016x}", session.0),
         Action::SetTimer { after, token } => writeln!(out, "set_timer i={i} offset_ns={after} tag={token}"),
-        Action::Probe { server } => writeln!(out, "test i={i} server={}", server.0),
         Action::Subscribe => writeln!(out, "watch i={i} want=1"),
     };
 }
