--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,97 @@
+//! A thin tokio layer for the client role: one connection, one request out at a time.
+
+use crate::message::{Method, Request, Response};
+use crate::parse::{Fault, Limits, ResponseParser};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Why a call brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection came about; nothing was sent.
+    NoConnection,
+    /// The connection broke before the whole answer was there; the peer may have acted.
+    Reset,
+    /// The answer breaks the protocol or a bound.
+    Malformed(Fault),
+}
+
+/// A connection to a server.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    parser: ResponseParser,
+    host: String,
+}
+
+impl Connection {
+    /// Connects within `timeout`.
+    pub async fn open(addr: SocketAddr, timeout: Duration, limits: Limits) -> Result<Self, CallError> {
+        let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await;
+        let stream = stream.map_err(|_| CallError::NoConnection)?.map_err(|_| CallError::NoConnection)?;
+        let _ = stream.set_nodelay(true);
+        Ok(Connection { stream, parser: ResponseParser::new(limits), host: addr.to_string() })
+    }
+
+    /// Whether the connection is quiet and still open, so that a further request may go out on it.
+    pub fn reusable(&self) -> bool {
+        let mut byte = [0u8; 1];
+        let quiet =
+            matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+        quiet && self.parser.idle()
+    }
+
+    /// Sends a request and reads its answer. After an error, or an answer that is not kept alive, the connection
+    /// is of no further use.
+    pub async fn call(&mut self, request: &Request) -> Result<Response, CallError> {
+        self.parser.expect(request.method == Method::Head, false);
+        self.write(request).await?;
+        self.answer().await
+    }
+
+    async fn write(&mut self, request: &Request) -> Result<(), CallError> {
+        let bytes = request.encode(&self.host);
+        self.stream.write_all(&bytes).await.map_err(|_| CallError::Reset)
+    }
+
+    async fn answer(&mut self) -> Result<Response, CallError> {
+        let mut buffer = [0u8; 4096];
+        loop {
+            if let Some(response) = self.parser.next().map_err(CallError::Malformed)? {
+                return Ok(response);
+            }
+            match self.stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return self.parser.close().ok_or(CallError::Reset),
+                Ok(n) => self.parser.feed(&buffer[..n]),
+            }
+        }
+    }
+
+    /// Sends a request whose answer is a stream; the head is returned, content follows by [`Self::chunk`].
+    pub async fn open_stream(&mut self, request: &Request) -> Result<Response, CallError> {
+        self.parser.expect(false, true);
+        self.write(request).await?;
+        self.answer().await
+    }
+
+    /// The next part of a stream's content; `None` at its end.
+    pub async fn chunk(&mut self) -> Result<Option<Vec<u8>>, CallError> {
+        let mut buffer = [0u8; 1024];
+        loop {
+            let (bytes, done) = self.parser.stream().map_err(CallError::Malformed)?;
+            if !bytes.is_empty() {
+                return Ok(Some(bytes));
+            }
+            if done {
+                return Ok(None);
+            }
+            match self.stream.read(&mut buffer).await {
+                Ok(0) => return Ok(None),
+                Err(_) => return Err(CallError::Reset),
+                Ok(n) => self.parser.feed(&buffer[..n]),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/parse.rs
@@ -0,0 +1,567 @@
+//! Incremental parsing and framing of HTTP/1.1 messages (RFC 9112).
+//!
+//! A parser is fed bytes as they come and hands out whole messages. It keeps one buffer for its connection and
+//! remembers how far it has looked, so a byte that trickles in is looked at once. It is strict where leniency
+//! lets two parties read one message differently: bare LF, folded fields, white space before a colon, doubled
+//! or mixed framing fields are all refused, and nothing is handed out after a refusal.
+
+use crate::message::{Headers, Method, Request, Response};
+
+/// Bounds on what a peer may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of the first line.
+    pub line: usize,
+    /// Bytes of the head: first line and all fields.
+    pub head: usize,
+    /// Number of fields.
+    pub fields: usize,
+    /// Bytes of the content.
+    pub body: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { line: 4 << 10, head: 16 << 10, fields: 64, body: 64 << 10 }
+    }
+}
+
+/// Why a message is refused: the status that a server answers with, and what is wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fault {
+    /// Status code of the answer.
+    pub status: u16,
+    /// What is wrong.
+    pub what: &'static str,
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn fault<T>(status: u16, what: &'static str) -> Result<T, Fault> {
+    Err(Fault { status, what })
+}
+
+/// How the content of a message is told from what follows (RFC 9112 section 6.3).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// Where chunked content stands (RFC 9112 section 7.1).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Chunk {
+    Size,
+    Data(usize),
+    DataEnd,
+    Trailer,
+}
+
+#[derive(Debug)]
+enum State<H> {
+    Head,
+    Body { head: H, framing: Framing, chunk: Chunk, body: Vec<u8> },
+    Failed(Fault),
+}
+
+/// The buffer of a connection: `at` bytes are used up, `seen` were searched for the end of a line or head.
+#[derive(Debug, Default)]
+struct Buffer {
+    bytes: Vec<u8>,
+    at: usize,
+    seen: usize,
+}
+
+impl Buffer {
+    fn rest(&self) -> &[u8] {
+        &self.bytes[self.at..]
+    }
+
+    fn take(&mut self, n: usize) {
+        self.at += n;
+        self.seen = self.at;
+        if self.at == self.bytes.len() {
+            self.bytes.clear();
+            (self.at, self.seen) = (0, 0);
+        } else if self.at > 16 << 10 {
+            self.bytes.drain(..self.at);
+            (self.at, self.seen) = (0, 0);
+        }
+    }
+
+    /// Length of the head up to and including its empty line, if it is all there.
+    fn head(&mut self, limits: &Limits) -> Result<Option<usize>, Fault> {
+        let from = self.seen.max(self.at + 3) - 3;
+        let found = self.bytes[from..].windows(4).position(|w| w == b"\r\n\r\n");
+        let length = found.map_or(self.rest().len(), |p| from + p + 4 - self.at);
+        self.seen = self.bytes.len();
+        let line = self.rest().iter().take(limits.line + 1).position(|&b| b == b'\n');
+        if line.is_none() && self.rest().len() > limits.line {
+            return fault(414, "the first line is too long");
+        }
+        if length > limits.head {
+            return fault(431, "the head is too long");
+        }
+        // A bare LF never ends a line here; waiting for CRLF would hang on a peer that sends none.
+        if let Some(p) = line
+            && (p == 0 || self.rest()[p - 1] != b'\r')
+        {
+            return fault(400, "a line ends in a bare LF");
+        }
+        Ok(found.map(|_| length))
+    }
+
+    /// The next line without its CRLF, and how many bytes it takes.
+    fn line(&mut self, limit: usize, what: &'static str) -> Result<Option<usize>, Fault> {
+        let from = self.seen.max(self.at);
+        let Some(p) = self.bytes[from..].iter().position(|&b| b == b'\n') else {
+            self.seen = self.bytes.len();
+            return if self.rest().len() > limit { fault(400, what) } else { Ok(None) };
+        };
+        let length = from + p - self.at;
+        if length > limit {
+            return fault(400, what);
+        }
+        if length == 0 || self.rest()[length - 1] != b'\r' {
+            return fault(400, "a line ends in a bare LF");
+        }
+        Ok(Some(length - 1))
+    }
+}
+
+fn is_token(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b)
+}
+
+fn text(bytes: &[u8]) -> Result<&str, Fault> {
+    match std::str::from_utf8(bytes) {
+        Ok(s) => Ok(s),
+        Err(_) => fault(400, "a field is not UTF-8"),
+    }
+}
+
+/// Parses the fields of a head, without its first line.
+fn fields(mut lines: &[u8], limits: &Limits) -> Result<Headers, Fault> {
+    let mut headers = Headers::default();
+    while lines != b"\r\n" {
+        let Some(end) = lines.iter().position(|&b| b == b'\n') else {
+            return fault(400, "a field has no end");
+        };
+        if end == 0 || lines[end - 1] != b'\r' {
+            return fault(400, "a line ends in a bare LF");
+        }
+        let line = &lines[..end - 1];
+        lines = &lines[end + 1..];
+        if headers.0.len() == limits.fields {
+            return fault(431, "too many fields");
+        }
+        if line.first().is_some_and(|&b| b == b' ' || b == b'\t') {
+            return fault(400, "a field is folded over lines");
+        }
+        let Some(colon) = line.iter().position(|&b| b == b':') else {
+            return fault(400, "a field has no colon");
+        };
+        let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
+        if name.is_empty() || !name.iter().all(|&b| is_token(b)) {
+            return fault(400, "a field's name is no token");
+        }
+        if value.iter().any(|&b| (b < b' ' && b != b'\t') || b == 0x7f) {
+            return fault(400, "a field's value holds a control character");
+        }
+        headers.0.push((text(name)?.to_ascii_lowercase(), text(value)?.to_owned()));
+    }
+    Ok(headers)
+}
+
+/// The framing of a message's content; `None` where the fields say nothing of it.
+fn framing(headers: &Headers, limits: &Limits) -> Result<Option<Framing>, Fault> {
+    let (mut lengths, mut codings) = (headers.all("content-length"), headers.all("transfer-encoding"));
+    let (length, coding) = (lengths.next(), codings.next());
+    if lengths.next().is_some() {
+        return fault(400, "two content lengths");
+    }
+    if codings.next().is_some() {
+        return fault(400, "two transfer encodings");
+    }
+    match (length, coding) {
+        (Some(_), Some(_)) => fault(400, "content length beside a transfer encoding"),
+        (None, None) => Ok(None),
+        (None, Some(c)) if c.eq_ignore_ascii_case("chunked") => Ok(Some(Framing::Chunked)),
+        (None, Some(_)) => fault(501, "a transfer encoding other than chunked"),
+        (Some(l), None) => {
+            if l.is_empty() || l.len() > 19 || !l.bytes().all(|b| b.is_ascii_digit()) {
+                return fault(400, "the content length is no number");
+            }
+            let n: u64 = l.parse().unwrap_or(u64::MAX);
+            if n > limits.body as u64 {
+                return fault(413, "the content is too large");
+            }
+            Ok(Some(Framing::Length(n as usize)))
+        }
+    }
+}
+
+/// Whether the connection persists (RFC 9112 section 9.3).
+fn keep_alive(minor: u8, headers: &Headers) -> bool {
+    if minor == 0 { headers.lists("connection", "keep-alive") } else { !headers.lists("connection", "close") }
+}
+
+fn version(v: &[u8]) -> Result<u8, Fault> {
+    match v {
+        b"HTTP/1.1" => Ok(1),
+        b"HTTP/1.0" => Ok(0),
+        _ if v.starts_with(b"HTTP/") => fault(505, "a version other than HTTP/1.1 and HTTP/1.0"),
+        _ => fault(400, "the first line has no version"),
+    }
+}
+
+/// Moves content from the buffer to `body`; true when it is complete.
+fn body(
+    buffer: &mut Buffer, framing: &mut Framing, chunk: &mut Chunk, body: &mut Vec<u8>, limits: &Limits,
+) -> Result<bool, Fault> {
+    loop {
+        match framing {
+            Framing::Length(n) => {
+                let part = buffer.rest().len().min(*n - body.len());
+                body.extend_from_slice(&buffer.rest()[..part]);
+                buffer.take(part);
+                return Ok(body.len() == *n);
+            }
+            Framing::UntilClose => {
+                let part = buffer.rest().len();
+                if body.len() + part > limits.body {
+                    return fault(413, "the content is too large");
+                }
+                body.extend_from_slice(buffer.rest());
+                buffer.take(part);
+                return Ok(false);
+            }
+            Framing::Chunked => match *chunk {
+                Chunk::Size => {
+                    let Some(n) = buffer.line(256, "a chunk's size line is too long")? else {
+                        return Ok(false);
+                    };
+                    let line = &buffer.rest()[..n];
+                    let digits = line.split(|&b| b == b';').next().unwrap_or(b"").trim_ascii_end();
+                    if digits.is_empty()
+                        || digits.len() > 15
+                        || !digits.iter().all(u8::is_ascii_hexdigit)
+                        || line.iter().any(|&b| b == b'\r' || b == 0)
+                    {
+                        return fault(400, "a chunk's size is no number");
+                    }
+                    let size = digits
+                        .iter()
+                        .fold(0usize, |a, &d| a * 16 + (d as char).to_digit(16).unwrap_or(0) as usize);
+                    buffer.take(n + 2);
+                    if body.len().saturating_add(size) > limits.body {
+                        return fault(413, "the content is too large");
+                    }
+                    *chunk = if size == 0 { Chunk::Trailer } else { Chunk::Data(size) };
+                }
+                Chunk::Data(left) => {
+                    let part = buffer.rest().len().min(left);
+                    if part == 0 {
+                        return Ok(false);
+                    }
+                    body.extend_from_slice(&buffer.rest()[..part]);
+                    buffer.take(part);
+                    *chunk = if part == left { Chunk::DataEnd } else { Chunk::Data(left - part) };
+                }
+                Chunk::DataEnd => {
+                    if buffer.rest().len() < 2 {
+                        return Ok(false);
+                    }
+                    if !buffer.rest().starts_with(b"\r\n") {
+                        return fault(400, "a chunk does not end where it said");
+                    }
+                    buffer.take(2);
+                    *chunk = Chunk::Size;
+                }
+                Chunk::Trailer => {
+                    let Some(n) = buffer.line(1024, "a trailer is too long")? else { return Ok(false) };
+                    buffer.take(n + 2);
+                    if n == 0 {
+                        *chunk = Chunk::Size;
+                        return Ok(true);
+                    }
+                    // Trailers are read and dropped (RFC 9112 section 7.1.2); their number counts as content.
+                    body.reserve(0);
+                    if n > limits.head {
+                        return fault(431, "a trailer is too long");
+                    }
+                }
+            },
+        }
+    }
+}
+
+/// Reads requests, as a server does.
+#[derive(Debug)]
+pub struct RequestParser {
+    limits: Limits,
+    buffer: Buffer,
+    state: State<(Method, String, Headers, bool)>,
+    /// The client waits for an interim answer before it sends the content.
+    expects: bool,
+    trailers: usize,
+}
+
+impl RequestParser {
+    /// A parser for one connection.
+    pub fn new(limits: Limits) -> Self {
+        let (buffer, state) = (Buffer::default(), State::Head);
+        RequestParser { limits, buffer, state, expects: false, trailers: 0 }
+    }
+
+    /// Takes bytes as they were read.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.bytes.extend_from_slice(bytes);
+    }
+
+    /// Bytes held that belong to no message handed out yet.
+    pub fn pending(&self) -> usize {
+        self.buffer.rest().len()
+    }
+
+    /// Whether part of a request has come and the rest has not.
+    pub fn midway(&self) -> bool {
+        !matches!(self.state, State::Head) || self.pending() > 0
+    }
+
+    /// Whether a `100 Continue` is due now; true once for each request that asks for one.
+    pub fn wants_continue(&mut self) -> bool {
+        std::mem::take(&mut self.expects)
+    }
+
+    /// The next whole request; a fault is final and comes again at each call.
+    pub fn next(&mut self) -> Result<Option<Request>, Fault> {
+        match self.step() {
+            Err(f) => {
+                self.state = State::Failed(f);
+                self.buffer = Buffer::default();
+                Err(f)
+            }
+            ok => ok,
+        }
+    }
+
+    fn step(&mut self) -> Result<Option<Request>, Fault> {
+        loop {
+            match &mut self.state {
+                State::Failed(f) => return Err(*f),
+                State::Head => {
+                    // An empty line before a request is passed over (RFC 9112 section 2.2), a few times only.
+                    while self.buffer.rest().starts_with(b"\r\n") {
+                        self.trailers += 1;
+                        if self.trailers > 4 {
+                            return fault(400, "empty lines in place of a request");
+                        }
+                        self.buffer.take(2);
+                    }
+                    if self.buffer.rest().is_empty() || self.buffer.rest() == b"\r" {
+                        return Ok(None);
+                    }
+                    let Some(length) = self.buffer.head(&self.limits)? else { return Ok(None) };
+                    let (head, framing) = request_head(&self.buffer.rest()[..length], &self.limits)?;
+                    self.buffer.take(length);
+                    self.trailers = 0;
+                    self.expects = match head.2.get("expect") {
+                        None => false,
+                        Some(e) if e.eq_ignore_ascii_case("100-continue") => framing != Framing::Length(0),
+                        Some(_) => return fault(417, "an expectation other than 100-continue"),
+                    };
+                    self.state = State::Body { head, framing, chunk: Chunk::Size, body: Vec::new() };
+                }
+                State::Body { framing, chunk, body: content, .. } => {
+                    if !body(&mut self.buffer, framing, chunk, content, &self.limits)? {
+                        return Ok(None);
+                    }
+                    let State::Body { head, body, .. } = std::mem::replace(&mut self.state, State::Head)
+                    else {
+                        return Ok(None);
+                    };
+                    let (method, target, headers, keep_alive) = head;
+                    self.expects = false;
+                    return Ok(Some(Request { method, target, headers, body, keep_alive }));
+                }
+            }
+        }
+    }
+}
+
+type RequestHead = (Method, String, Headers, bool);
+
+fn request_head(head: &[u8], limits: &Limits) -> Result<(RequestHead, Framing), Fault> {
+    let end = head.iter().position(|&b| b == b'\n').unwrap_or(0);
+    let line = &head[..end.saturating_sub(1)];
+    let mut parts = line.split(|&b| b == b' ');
+    let (method, target, v) = (parts.next(), parts.next(), parts.next());
+    let (Some(method), Some(target), Some(v), None) = (method, target, v, parts.next()) else {
+        return fault(400, "the first line is no request line");
+    };
+    if method.is_empty() || !method.iter().all(|&b| is_token(b)) {
+        return fault(400, "the method is no token");
+    }
+    let minor = version(v)?;
+    if target.is_empty() || !target.iter().all(u8::is_ascii_graphic) {
+        return fault(400, "the target holds what no URI may");
+    }
+    if target[0] != b'/' && target != b"*" {
+        return fault(400, "the target is no path");
+    }
+    let headers = fields(&head[end + 1..], limits)?;
+    let hosts = headers.all("host").count();
+    if hosts > 1 || (minor == 1 && hosts == 0) {
+        return fault(400, "one host field is due");
+    }
+    if minor == 0 && headers.get("transfer-encoding").is_some() {
+        return fault(400, "a transfer encoding in HTTP/1.0");
+    }
+    let framing = framing(&headers, limits)?.unwrap_or(Framing::Length(0));
+    let keep = keep_alive(minor, &headers);
+    Ok(((Method::of(method), text(target)?.to_owned(), headers, keep), framing))
+}
+
+/// Reads responses, as a client does. One request is out at a time.
+#[derive(Debug)]
+pub struct ResponseParser {
+    limits: Limits,
+    buffer: Buffer,
+    state: State<(u16, Headers, bool)>,
+    head_only: bool,
+    streaming: bool,
+}
+
+impl ResponseParser {
+    /// A parser for one connection.
+    pub fn new(limits: Limits) -> Self {
+        let (buffer, state) = (Buffer::default(), State::Head);
+        ResponseParser { limits, buffer, state, head_only: false, streaming: false }
+    }
+
+    /// Says what is asked next: a HEAD request's answer has no content; a stream's content is handed out as it
+    /// comes by [`Self::stream`].
+    pub fn expect(&mut self, head_only: bool, streaming: bool) {
+        (self.head_only, self.streaming) = (head_only, streaming);
+    }
+
+    /// Takes bytes as they were read.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.bytes.extend_from_slice(bytes);
+    }
+
+    /// Whether nothing of an answer has come yet.
+    pub fn idle(&self) -> bool {
+        matches!(self.state, State::Head) && self.buffer.rest().is_empty()
+    }
+
+    /// The next whole response, interim ones (1xx) passed over. For a stream, the head alone.
+    pub fn next(&mut self) -> Result<Option<Response>, Fault> {
+        let result = self.step();
+        if let Err(f) = result {
+            self.state = State::Failed(f);
+            self.buffer = Buffer::default();
+        }
+        result
+    }
+
+    fn step(&mut self) -> Result<Option<Response>, Fault> {
+        loop {
+            match &mut self.state {
+                State::Failed(f) => return Err(*f),
+                State::Head => {
+                    let Some(length) = self.buffer.head(&self.limits)? else { return Ok(None) };
+                    let head = &self.buffer.rest()[..length];
+                    let end = head.iter().position(|&b| b == b'\n').unwrap_or(0);
+                    let line = &head[..end.saturating_sub(1)];
+                    let (v, rest) = line.split_at(line.len().min(8));
+                    let minor = version(v)?;
+                    let digits = rest.get(1..4).unwrap_or(b"");
+                    if rest.first() != Some(&b' ')
+                        || digits.len() != 3
+                        || !digits.iter().all(u8::is_ascii_digit)
+                        || rest.get(4).is_some_and(|&b| b != b' ')
+                    {
+                        return fault(502, "the first line is no status line");
+                    }
+                    let status = digits.iter().fold(0u16, |a, &d| a * 10 + u16::from(d - b'0'));
+                    let headers = fields(&head[end + 1..], &self.limits)?;
+                    let keep = keep_alive(minor, &headers);
+                    self.buffer.take(length);
+                    if status < 200 {
+                        if status == 101 {
+                            return fault(502, "a switch of protocols that nobody asked for");
+                        }
+                        continue;
+                    }
+                    let none = self.head_only || status == 204 || status == 304;
+                    let framing = if none {
+                        Framing::Length(0)
+                    } else if self.streaming && status == 200 {
+                        let framing = framing(&headers, &Limits { body: usize::MAX, ..self.limits })?;
+                        let framing = framing.unwrap_or(Framing::UntilClose);
+                        let (chunk, body) = (Chunk::Size, Vec::new());
+                        let response = Response { status, headers, body: Vec::new(), keep_alive: false };
+                        self.state =
+                            State::Body { head: (0, Headers::default(), false), framing, chunk, body };
+                        return Ok(Some(response));
+                    } else {
+                        framing(&headers, &self.limits)?.unwrap_or(Framing::UntilClose)
+                    };
+                    let keep = keep && framing != Framing::UntilClose;
+                    let head = (status, headers, keep);
+                    self.state = State::Body { head, framing, chunk: Chunk::Size, body: Vec::new() };
+                }
+                State::Body { framing, chunk, body: content, .. } => {
+                    if !body(&mut self.buffer, framing, chunk, content, &self.limits)? {
+                        return Ok(None);
+                    }
+                    return Ok(self.finish());
+                }
+            }
+        }
+    }
+
+    fn finish(&mut self) -> Option<Response> {
+        let State::Body { head, body, .. } = std::mem::replace(&mut self.state, State::Head) else {
+            return None;
+        };
+        let (status, headers, keep_alive) = head;
+        Some(Response { status, headers, body, keep_alive })
+    }
+
+    /// The peer closed: the response that this completes, if its content ran until then.
+    pub fn close(&mut self) -> Option<Response> {
+        match &self.state {
+            State::Body { framing: Framing::UntilClose, head, .. } if head.0 > 0 => self.finish(),
+            _ => None,
+        }
+    }
+
+    /// Streamed content that came since the last call, and whether it is complete.
+    pub fn stream(&mut self) -> Result<(Vec<u8>, bool), Fault> {
+        let limits = Limits { body: usize::MAX, ..self.limits };
+        let State::Body { framing, chunk, body: content, .. } = &mut self.state else {
+            return Ok((Vec::new(), true));
+        };
+        let done = match framing {
+            Framing::Length(n) => {
+                let part = self.buffer.rest().len().min(*n);
+                content.extend_from_slice(&self.buffer.rest()[..part]);
+                self.buffer.take(part);
+                *n -= part;
+                *n == 0
+            }
+            _ => body(&mut self.buffer, framing, chunk, content, &limits)?,
+        };
+        Ok((std::mem::take(content), done))
+    }
+}
