--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -59,7 +59,7 @@
     async fn answer(&mut self) -> Result<Response, CallError> {
         let mut buffer = [0u8; 4096];
         loop {
-            if let Some(response) = self.parser.next().map_err(CallError::Malformed)? {
+            if let Some(response) = self.parser.poll().map_err(CallError::Malformed)? {
                 return Ok(response);
             }
             match self.stream.read(&mut buffer).await {
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -342,7 +342,7 @@
     }
 
     /// The next whole request; a fault is final and comes again at each call.
-    pub fn next(&mut self) -> Result<Option<Request>, Fault> {
+    pub fn poll(&mut self) -> Result<Option<Request>, Fault> {
         match self.step() {
             Err(f) => {
                 self.state = State::Failed(f);
@@ -464,7 +464,7 @@
     }
 
     /// The next whole response, interim ones (1xx) passed over. For a stream, the head alone.
-    pub fn next(&mut self) -> Result<Option<Response>, Fault> {
+    pub fn poll(&mut self) -> Result<Option<Response>, Fault> {
         let result = self.step();
         if let Err(f) = result {
             self.state = State::Failed(f);
--- a/crates/http/tests/parse.rs
+++ b/crates/http/tests/parse.rs
@@ -10,7 +10,7 @@
     let mut all = Vec::new();
     for part in bytes.chunks(cut.max(1)) {
         parser.feed(part);
-        while let Some(r) = parser.next()? {
+        while let Some(r) = parser.poll()? {
             all.push(r);
         }
     }
@@ -74,17 +74,17 @@
 fn answers_are_framed_by_length_chunks_and_close() {
     let mut p = ResponseParser::new(Limits::default());
     p.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\ncontent-length: 2\r\n\r\nok");
-    let r = p.next().expect("sound").expect("whole");
+    let r = p.poll().expect("sound").expect("whole");
     assert_eq!((r.status, r.body.as_slice(), r.keep_alive), (201, &b"ok"[..], true));
     p.feed(b"HTTP/1.1 200 OK\r\n\r\npart");
-    assert_eq!(p.next(), Ok(None));
+    assert_eq!(p.poll(), Ok(None));
     assert_eq!(p.close().expect("ends with the connection").body, b"part");
     let mut p = ResponseParser::new(Limits::default());
     p.feed(b"HTTP/1.1 201 Created\r\ncontent-length: 1073741824\r\n\r\n");
-    assert_eq!(p.next().map_err(|f| f.status), Err(413));
+    assert_eq!(p.poll().map_err(|f| f.status), Err(413));
     let mut p = ResponseParser::new(Limits::default());
     p.feed(b"HTTP/1.1 201 Created\r\ncontent-length: 10\r\n\r\nhalf");
-    assert_eq!((p.next(), p.close()), (Ok(None), None));
+    assert_eq!((p.poll(), p.close()), (Ok(None), None));
 }
 
 #[test]
@@ -149,7 +149,7 @@
     fn no_bytes_make_it_panic(bytes in prop::collection::vec(any::<u8>(), 0..300), cut in 1usize..40) {
         let _ = read(&bytes, cut);
         let mut p = ResponseParser::new(Limits::default());
-        for part in bytes.chunks(cut) { p.feed(part); let _ = p.next(); }
+        for part in bytes.chunks(cut) { p.feed(part); let _ = p.poll(); }
         let _ = Parser::new(64).feed(&bytes, &mut Vec::new());
         let text = String::from_utf8_lossy(&bytes);
         let _ = (Link::parse(&text, 8), IfMatch::parse(&text), prefer_wait(&text), LoadReport::parse(&text));
