--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,203 @@
+//! What each command does.
+
+use micadyke::interface::ServerState;
+use micadyke_config::{BoxRow, Config, Diagnostic, read_boxes, read_config};
+use micadyke_front::Front;
+use micadyke_front::list::{Fixed, News, Source, WatchedFile};
+use micadyke_front::shell::serve;
+use micadyke_standin::media_box::{Fleet, Habits};
+use micadyke_standin::model::{Terms, World};
+use micadyke_standin::record::Record;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+type Failure = Box<dyn std::error::Error>;
+
+const DEMO: &str = include_str!("demo.sexp");
+
+fn told(faults: Vec<Diagnostic>) -> Failure {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n").into()
+}
+
+fn load(file: &Path) -> Result<Config, Failure> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    read_config(&text, &file.display().to_string()).map_err(told)
+}
+
+fn boxes_of(config: &Config, file: &Path) -> PathBuf {
+    file.parent().unwrap_or(Path::new("")).join(&config.boxes)
+}
+
+/// Runs a future on one thread, as a task of a `LocalSet`.
+fn run<T>(future: impl Future<Output = T>) -> Result<T, Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(tokio::task::LocalSet::new().block_on(&runtime, future))
+}
+
+/// Resolves at SIGTERM or SIGINT; a second signal ends the process at once.
+async fn signalled() -> Result<(), std::io::Error> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    tokio::task::spawn_local(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        std::process::exit(130);
+    });
+    Ok(())
+}
+
+async fn listen(at: SocketAddr) -> Result<(TcpListener, SocketAddr), Failure> {
+    let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+    let addr = listener.local_addr()?;
+    Ok((listener, addr))
+}
+
+fn ready(addr: SocketAddr) -> std::io::Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "listening on http://{addr}")?;
+    out.flush()
+}
+
+pub fn front(file: &Path, at: Option<SocketAddr>) -> Result<ExitCode, Failure> {
+    let config = Rc::new(load(file)?);
+    let source: Box<dyn Source> = if config.boxes.is_empty() {
+        return Err("the settings name no list of boxes: (front (boxes \"FILE\"))".into());
+    } else {
+        Box::new(WatchedFile::new(boxes_of(&config, file), config.clone()))
+    };
+    run(async {
+        let (listener, addr) = listen(at.unwrap_or(config.listen)).await?;
+        ready(addr)?;
+        let made = config.clone();
+        let front = move |now| Front::new(made, rand::random(), now).expect("settings were checked");
+        serve(listener, front, config, source, async { signalled().await.unwrap_or(()) }).await;
+        Ok(ExitCode::SUCCESS)
+    })?
+}
+
+/// Stand-in boxes for the rows of a list.
+fn world(config: &Config, rows: &[BoxRow]) -> World {
+    let s = &config.settings;
+    let terms = Terms {
+        ladder: s.ladder.iter().map(|r| r.rate).collect(),
+        warm_after: s.cold_for,
+        cold_from: s.cold_from,
+        fall_multiple: s.fall_multiple,
+        fall_window: s.fall_window,
+        full_from: s.full_from,
+        reap_after: 15_000_000_000,
+    };
+    let mut world = World::new(terms, vec![s.uplink; s.racks as usize]);
+    for r in rows {
+        world.add(r.id, r.cell % s.racks, s.link_per_weight * r.weight, s.streams_by_kind[r.kind]);
+    }
+    for (name, t) in &config.titles {
+        let holds = |r: &&BoxRow| (r.cell + s.cells - t.base) % s.cells < t.spread;
+        world.holders.insert(name.clone(), rows.iter().filter(holds).map(|r| r.id).collect());
+    }
+    world
+}
+
+pub fn demo(at: SocketAddr) -> Result<ExitCode, Failure> {
+    let config = Rc::new(read_config(DEMO, "demo.sexp").map_err(told)?);
+    run(async {
+        let mut rows: Vec<BoxRow> = (0..config.settings.cells)
+            .map(|cell| BoxRow {
+                id: cell + 1,
+                address: SocketAddr::from(([127, 0, 0, 1], 0)),
+                state: ServerState::Ready,
+                kind: 0,
+                weight: 1.0,
+                cell,
+                zone: 0,
+                started_at: 0,
+            })
+            .collect();
+        let fleet = Fleet::new(world(&config, &rows), Habits::default(), Record::off(), 1);
+        for row in &mut rows {
+            row.address = fleet.open(row.id).await?;
+        }
+        let (listener, addr) = listen(at).await?;
+        ready(addr)?;
+        println!(
+            "try: curl -i -H 'content-type: application/sdp' --data-binary @fixtures/offers/chromium-play.sdp \
+             http://{addr}/whep/demo"
+        );
+        let made = config.clone();
+        let front = move |now| Front::new(made, rand::random(), now).expect("settings were checked");
+        let source = Box::new(Fixed(Some(rows)));
+        serve(listener, front, config, source, async { signalled().await.unwrap_or(()) }).await;
+        Ok(ExitCode::SUCCESS)
+    })?
+}
+
+pub fn standin(file: &Path) -> Result<ExitCode, Failure> {
+    let config = Rc::new(load(file)?);
+    let path = boxes_of(&config, file);
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let rows = read_boxes(&text, &path.display().to_string(), &config).map_err(told)?;
+    if let Some(r) = rows.iter().find(|r| !r.address.ip().is_loopback()) {
+        return Err(format!("box {}: stand-ins run on loopback only, not on {}", r.id, r.address).into());
+    }
+    run(async {
+        let fleet = Fleet::new(world(&config, &rows), Habits::default(), Record::off(), 1);
+        for row in &rows {
+            let addr = fleet.open_at(row.id, row.address).await;
+            let addr = addr.map_err(|e| format!("box {}: cannot listen on {}: {e}", row.id, row.address))?;
+            println!("box {} on http://{addr}", row.id);
+        }
+        let followed = fleet.clone();
+        let mut source = WatchedFile::new(path, config.clone());
+        tokio::task::spawn_local(async move {
+            loop {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                let Some(News::Full(rows)) = source.poll() else { continue };
+                followed.world(|w| {
+                    for row in rows {
+                        if let Some(b) = w.boxes.get_mut(&row.id) {
+                            b.draining = row.state != ServerState::Ready;
+                        }
+                    }
+                });
+            }
+        });
+        signalled().await?;
+        Ok(ExitCode::SUCCESS)
+    })?
+}
+
+pub fn check(file: &Path, boxes: Option<&Path>) -> Result<ExitCode, Failure> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let config = match read_config(&text, &file.display().to_string()) {
+        Ok(config) => config,
+        Err(faults) => return Ok(refused(&faults)),
+    };
+    println!("{}: sound; {} classes, {} routes", file.display(), config.classes.len(), config.routes.len());
+    let list =
+        boxes.map(Path::to_path_buf).or_else(|| (!config.boxes.is_empty()).then(|| boxes_of(&config, file)));
+    if let Some(path) = list {
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        match read_boxes(&text, &path.display().to_string(), &config) {
+            Ok(rows) => println!("{}: sound; {} boxes", path.display(), rows.len()),
+            Err(faults) => return Ok(refused(&faults)),
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn refused(faults: &[Diagnostic]) -> ExitCode {
+    faults.iter().for_each(|f| println!("{f}"));
+    ExitCode::from(1)
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,94 @@
+//! The command `micadyke`: the front, its stand-ins, the check of settings.
+
+mod commands;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A session front: places video sessions on streaming servers and shapes their quality, over WHIP and WHEP.
+#[derive(Debug, Parser)]
+#[command(version, propagate_version = true)]
+struct Cli {
+    #[command(flatten)]
+    log: Log,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Args)]
+struct Log {
+    /// Form of the log on standard error.
+    #[arg(long, global = true, value_enum, default_value_t = LogForm::Text)]
+    log: LogForm,
+    /// What is logged: error, warn, info, debug, trace, or directives such as micadyke_front=debug.
+    #[arg(long, global = true, default_value = "info")]
+    log_level: String,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a front by its settings, until SIGTERM or SIGINT.
+    Front {
+        /// The settings.
+        #[arg(long)]
+        config: PathBuf,
+        /// Listen here instead of where the settings say; port 0: any free one.
+        #[arg(long)]
+        listen: Option<SocketAddr>,
+    },
+    /// Run a front and stand-in boxes in one process on loopback, until interrupted.
+    Demo {
+        /// Where the front listens; port 0: any free one.
+        #[arg(long, default_value = "127.0.0.1:8080")]
+        listen: SocketAddr,
+    },
+    /// Run stand-in boxes at the addresses of a list of boxes, until interrupted.
+    Standin {
+        /// The settings that name the list.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Check settings, and the list of boxes that they name; exit 1 where they are refused.
+    Check {
+        /// The settings.
+        file: PathBuf,
+        /// The list of boxes, where it is not the one that the settings name.
+        #[arg(long)]
+        boxes: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let Ok(filter) = tracing_subscriber::EnvFilter::try_new(&cli.log.log_level) else {
+        eprintln!("micadyke: '{}' says not what is to be logged", cli.log.log_level);
+        return ExitCode::from(2);
+    };
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let builder = builder.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
+    match cli.log.log {
+        LogForm::Text => builder.init(),
+        LogForm::Json => builder.json().init(),
+    }
+    let result = match cli.command {
+        Command::Front { config, listen } => commands::front(&config, listen),
+        Command::Demo { listen } => commands::demo(listen),
+        Command::Standin { config } => commands::standin(&config),
+        Command::Check { file, boxes } => commands::check(&file, boxes.as_deref()),
+    };
+    match result {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("micadyke: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/core.rs
@@ -0,0 +1,606 @@
+//! The front as a state machine: inputs and the time in, outputs out. No I/O, no clock, seeded randomness.
+//!
+//! It joins three things: what viewers and boxes say, the decision module, and the books of who is owed what.
+//! The module is told of every request, attempt, note and list; which box, which rung, which time-out, whether
+//! again and whether at all are its choices. The core keeps what those choices must hold to on the wire: one
+//! answer to each request, one attempt of a session out at a time, nothing left behind at a box.
+
+use crate::session::{Phase, Session, SettingUp};
+use micadyke::decide::Controller;
+use micadyke::interface::{
+    Action, Event, ListKind, Nanos, Outcome, ServerEntry, ServerId, ServerState, SessionId, SettingsError,
+};
+use micadyke_config::{BoxRow, Config, Title};
+use micadyke_http::client::CallError;
+use micadyke_http::{Request, Response, sse};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A viewer's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// A call to a box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// An event stream from a box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamId(pub u64);
+
+/// The decision module as the core sees it.
+pub trait Decide {
+    /// Takes one event; what is to be done is appended to `out`.
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Controller {
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+        Controller::handle(self, now, event, out);
+    }
+}
+
+/// Something that happened outside.
+#[derive(Debug)]
+pub enum Input {
+    /// A whole request of a viewer. The connection brings no further one before its answer went out.
+    Request {
+        /// Its connection.
+        conn: ConnId,
+        /// The request.
+        request: Request,
+    },
+    /// A connection closed whose request has no answer yet.
+    Gone {
+        /// The connection.
+        conn: ConnId,
+    },
+    /// The list of boxes, whole. `epoch` is the Unix time, in nanoseconds, at which the front's clock was zero.
+    List {
+        /// All boxes.
+        rows: Vec<BoxRow>,
+        /// Unix time of the front's time zero, in nanoseconds.
+        epoch: u64,
+    },
+    /// A call came to its end. Each [`Output::Call`] comes back as exactly one of this and [`Input::Closed`].
+    Reply {
+        /// Which call.
+        call: CallId,
+        /// The answer, or why there is none.
+        result: Result<Response, CallError>,
+    },
+    /// The connection of a call that was aborted is closed; no answer was read.
+    Closed {
+        /// Which call.
+        call: CallId,
+    },
+    /// An event of a stream.
+    Event {
+        /// Which stream.
+        stream: StreamId,
+        /// The event.
+        event: sse::Event,
+    },
+    /// A stream ended, or never came about.
+    StreamEnded {
+        /// Which stream.
+        stream: StreamId,
+    },
+    /// A deadline of [`Front::deadline`] passed.
+    Tick,
+    /// No new sessions from now on; what is owed is still answered.
+    Stop,
+}
+
+/// Something to be done.
+#[derive(Debug)]
+pub enum Output {
+    /// Send a viewer its answer. Each [`Input::Request`] gets exactly one, unless its connection went.
+    Respond {
+        /// The connection.
+        conn: ConnId,
+        /// The answer.
+        response: Response,
+    },
+    /// Call a box.
+    Call {
+        /// Which call.
+        call: CallId,
+        /// The box's address.
+        to: SocketAddr,
+        /// The request.
+        request: Request,
+        /// Give up after this; `None`: when told to by [`Output::Abort`].
+        timeout: Option<Duration>,
+    },
+    /// Close a call's connection now.
+    Abort {
+        /// Which call.
+        call: CallId,
+    },
+    /// Open an event stream.
+    Listen {
+        /// Which stream.
+        stream: StreamId,
+        /// The box's address.
+        to: SocketAddr,
+        /// What is asked for.
+        request: Request,
+    },
+    /// Close an event stream.
+    Unlisten {
+        /// Which stream.
+        stream: StreamId,
+    },
+    /// Ask the source of the list for changes.
+    Subscribe,
+}
+
+/// What a call is for.
+#[derive(Debug)]
+pub(crate) enum Purpose {
+    /// An attempt to set a session up. `orphan`: nobody waits for it any more; what it set up is withdrawn.
+    SetUp { session: SessionId, server: ServerId, addr: SocketAddr, aborted: bool, orphan: bool },
+    /// A change of layer.
+    Layer { session: SessionId, rung: usize },
+    /// The opening of an event stream.
+    Subscribe { session: SessionId },
+    /// A viewer's PATCH passed on.
+    Patch { session: SessionId, conn: ConnId, restart: bool },
+    /// A session withdrawn at its box.
+    Withdraw { addr: SocketAddr, path: Box<str>, tries: u8 },
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    Module(u64),
+    Attempt(CallId),
+    Linger(CallId),
+    Resubscribe(SessionId),
+    Withdraw(SocketAddr, Box<str>, u8),
+}
+
+/// A box as the list names it, and the sessions there.
+#[derive(Debug)]
+pub(crate) struct MediaBox {
+    pub row: BoxRow,
+    pub playing: BTreeSet<SessionId>,
+}
+
+/// Counts of what the front did, since its start.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Offers taken.
+    pub taken: u64,
+    /// Sessions that came to play.
+    pub played: u64,
+    /// Offers refused by the module.
+    pub refused: u64,
+    /// Offers that failed.
+    pub failed: u64,
+    /// Viewers that left before their answer.
+    pub left: u64,
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Sessions withdrawn at boxes because nobody waited for them.
+    pub withdrawn: u64,
+}
+
+/// The front. See the module's text.
+pub struct Front {
+    pub(crate) config: Rc<Config>,
+    pub(crate) module: Box<dyn Decide>,
+    pub(crate) now: Nanos,
+    pub(crate) random: StdRng,
+    pub(crate) stopping: bool,
+    next_id: u64,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    timers: BinaryHeap<Reverse<(Nanos, u64, Timer)>>,
+    pub(crate) boxes: BTreeMap<ServerId, MediaBox>,
+    /// Start of a box's process by the front's clock, as worked out when it was first heard of.
+    starts: BTreeMap<ServerId, (u64, Nanos)>,
+    pub(crate) sessions: HashMap<SessionId, Session>,
+    pub(crate) names: HashMap<u128, SessionId>,
+    pub(crate) streams: HashMap<StreamId, SessionId>,
+    pub(crate) calls: HashMap<CallId, Purpose>,
+    /// Sessions whose viewers wait for the answer, by connection.
+    pub(crate) owed: HashMap<ConnId, SessionId>,
+    /// Other requests that wait for an answer of a box.
+    pub(crate) owed_patches: BTreeSet<ConnId>,
+    /// Sessions that ended, by name with their route, oldest first.
+    ended: (HashMap<u128, usize>, VecDeque<u128>),
+    /// Published titles and their publishers; without a place while the set-up runs.
+    pub(crate) published: HashMap<Arc<str>, (SessionId, Option<Title>)>,
+    /// Who asked for a title of late.
+    seen: (HashMap<u64, Nanos>, VecDeque<(u64, Nanos)>),
+    pub(crate) counts: Counts,
+    pub(crate) out: Vec<Output>,
+    /// The next attempt goes out without waiting for the last one to close: a front broken on purpose.
+    overlap: bool,
+}
+
+/// A viewer that asks again within this time counts as come again.
+const AGAIN: Nanos = 60_000_000_000;
+/// Viewers remembered for that; the oldest is forgotten first and then counts as new.
+const AGAIN_MOST: usize = 65_536;
+
+impl std::fmt::Debug for Front {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Front {{ sessions: {}, calls: {} }}", self.sessions.len(), self.calls.len())
+    }
+}
+
+impl Front {
+    /// A front with the decision module; refuses settings that the module refuses.
+    pub fn new(config: Rc<Config>, seed: [u8; 32], now: Nanos) -> Result<Self, SettingsError> {
+        let mut random = StdRng::from_seed(seed);
+        let module = Controller::new(config.settings.clone(), random.random(), now)?;
+        Ok(Self::with(config, Box::new(module), random, now))
+    }
+
+    /// A front around other decisions: for tests that must see a rule broken.
+    #[doc(hidden)]
+    pub fn with_module(config: Rc<Config>, module: Box<dyn Decide>, seed: [u8; 32], now: Nanos) -> Self {
+        Self::with(config, module, StdRng::from_seed(seed), now)
+    }
+
+    /// Lets attempts overlap: a front broken on purpose.
+    #[doc(hidden)]
+    pub fn break_overlap(&mut self) {
+        self.overlap = true;
+    }
+
+    fn with(config: Rc<Config>, module: Box<dyn Decide>, random: StdRng, now: Nanos) -> Self {
+        Front {
+            config,
+            module,
+            now,
+            random,
+            stopping: false,
+            next_id: 1,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            timers: BinaryHeap::new(),
+            boxes: BTreeMap::new(),
+            starts: BTreeMap::new(),
+            sessions: HashMap::new(),
+            names: HashMap::new(),
+            streams: HashMap::new(),
+            calls: HashMap::new(),
+            owed: HashMap::new(),
+            owed_patches: BTreeSet::new(),
+            ended: Default::default(),
+            published: HashMap::new(),
+            seen: Default::default(),
+            counts: Counts::default(),
+            out: Vec::new(),
+            overlap: false,
+        }
+    }
+
+    /// When [`Input::Tick`] is due.
+    pub fn deadline(&self) -> Option<Nanos> {
+        self.timers.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Requests that still wait for their answer.
+    pub fn owed(&self) -> usize {
+        self.owed.len() + self.owed_patches.len()
+    }
+
+    /// Calls that withdraw what nobody waits for, and attempts that may still need it.
+    pub fn unsettled(&self) -> usize {
+        let open = |p: &Purpose| matches!(p, Purpose::Withdraw { .. } | Purpose::SetUp { .. });
+        self.calls.values().filter(|p| open(p)).count()
+    }
+
+    /// Sessions held, set-ups included.
+    pub fn held(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Takes one input at time `now`; what is to be done is appended to `out`.
+    pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Request { conn, request } => self.request(conn, request),
+            Input::Gone { conn } => self.gone(conn),
+            Input::List { rows, epoch } => self.list(rows, epoch),
+            Input::Reply { call, result } => self.reply(call, result),
+            Input::Closed { call } => self.closed(call),
+            Input::Event { stream, event } => self.event(stream, &event),
+            Input::StreamEnded { stream } => self.stream_ended(stream),
+            Input::Tick => self.tick(),
+            Input::Stop => self.stopping = true,
+        }
+        self.settle();
+        out.append(&mut self.out);
+    }
+
+    /// A number never given out before.
+    pub(crate) fn id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    /// A random name for a session's resource: it is what lets a viewer end or change the session.
+    pub(crate) fn name(&mut self) -> u128 {
+        self.random.random()
+    }
+
+    pub(crate) fn respond(&mut self, conn: ConnId, response: Response) {
+        let mut response = Self::dress(response);
+        response.keep_alive &= !self.stopping;
+        self.out.push(Output::Respond { conn, response });
+    }
+
+    pub(crate) fn timer(&mut self, after: Nanos, timer: Timer) {
+        let id = self.id();
+        self.timers.push(Reverse((self.now.saturating_add(after), id, timer)));
+    }
+
+    /// Queues an event for the module; it is told of it before this turn ends.
+    pub(crate) fn tell(&mut self, event: Event) {
+        self.events.push_back(event);
+    }
+
+    /// Tells the module what is queued, and carries out what it answers, until both are done.
+    pub(crate) fn settle(&mut self) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.module.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::SetRung { session, rung } => self.set_rung(session, rung),
+            Action::Send { session, server, timeout } => self.send(session, server, timeout),
+            Action::Refuse { session, come_back } => self.refuse(session, come_back),
+            Action::Fail { session } => self.fail(session),
+            Action::SetTimer { after, token } => self.timer(after, Timer::Module(token)),
+            Action::Subscribe => self.out.push(Output::Subscribe),
+        }
+    }
+
+    fn tick(&mut self) {
+        while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= self.now) {
+            let Some(Reverse((_, _, timer))) = self.timers.pop() else { return };
+            match timer {
+                Timer::Module(token) => self.tell(Event::Timer { token }),
+                Timer::Attempt(call) => self.overdue(call),
+                Timer::Linger(call) => {
+                    if self.calls.contains_key(&call) {
+                        self.out.push(Output::Abort { call });
+                    }
+                }
+                Timer::Resubscribe(session) => self.subscribe(session),
+                Timer::Withdraw(addr, path, tries) => self.withdraw(addr, path, tries),
+            }
+            self.settle();
+        }
+    }
+
+    // ----- the list
+
+    fn list(&mut self, rows: Vec<BoxRow>, epoch: u64) {
+        let mut entries = Vec::with_capacity(rows.len());
+        let mut named = BTreeSet::new();
+        for row in rows {
+            let server = ServerId(row.id);
+            let known = self.starts.get(&server).filter(|(unix, _)| *unix == row.started_at).map(|s| s.1);
+            // A start before the front's own time zero is as old as time zero.
+            let start = known.unwrap_or(if row.started_at == 0 {
+                0
+            } else {
+                row.started_at.saturating_sub(epoch).max(1)
+            });
+            self.starts.insert(server, (row.started_at, start));
+            named.insert(server);
+            entries.push(ServerEntry {
+                server,
+                state: row.state,
+                kind: row.kind,
+                weight: row.weight,
+                cell: row.cell,
+                zone: row.zone,
+                started_at: start,
+            });
+            let playing = self.boxes.remove(&server).map(|b| b.playing).unwrap_or_default();
+            self.boxes.insert(server, MediaBox { row, playing });
+        }
+        for (server, b) in &mut self.boxes {
+            if !named.contains(server) {
+                b.row.state = ServerState::Gone;
+            }
+        }
+        self.boxes.retain(|_, b| b.row.state != ServerState::Gone || !b.playing.is_empty());
+        self.starts.retain(|s, _| named.contains(s));
+        self.tell(Event::List { kind: ListKind::Full, entries });
+    }
+
+    // ----- books
+
+    /// Ends a session's books; its name stays known, so that a repeated DELETE is answered alike.
+    pub(crate) fn forget(&mut self, id: SessionId) -> Option<Session> {
+        let session = self.sessions.remove(&id)?;
+        self.names.remove(&session.name);
+        if let Phase::Playing(p) = &session.phase {
+            if let Some(b) = self.boxes.get_mut(&p.place.server) {
+                b.playing.remove(&id);
+            }
+            if let Some(stream) = p.stream {
+                self.streams.remove(&stream);
+                self.out.push(Output::Unlisten { stream });
+            }
+            let (names, order) = &mut self.ended;
+            names.insert(session.name, session.route);
+            order.push_back(session.name);
+            if order.len() > self.config.bounds.ended
+                && let Some(old) = order.pop_front()
+            {
+                names.remove(&old);
+            }
+        }
+        if self.published.get(&session.title).is_some_and(|p| p.0 == id) {
+            self.published.remove(&session.title);
+        }
+        Some(session)
+    }
+
+    /// The route of a session that has ended.
+    pub(crate) fn ended_route(&self, name: u128) -> Option<usize> {
+        self.ended.0.get(&name).copied()
+    }
+
+    /// Whether a viewer asked for a title before, of late; it is remembered now.
+    pub(crate) fn came_before(&mut self, key: u64) -> bool {
+        let now = self.now;
+        let (last, order) = &mut self.seen;
+        while order.front().is_some_and(|o| o.1 + AGAIN < now || order.len() > AGAIN_MOST) {
+            if let Some((key, at)) = order.pop_front()
+                && last.get(&key) == Some(&at)
+            {
+                last.remove(&key);
+            }
+        }
+        order.push_back((key, now));
+        last.insert(key, now).is_some_and(|at| at + AGAIN >= now)
+    }
+
+    /// Whether nothing forbids this box a new set-up by what the list says now.
+    pub(crate) fn may_take(&self, server: ServerId) -> Option<SocketAddr> {
+        let b = self.boxes.get(&server)?;
+        (b.row.state == ServerState::Ready).then_some(b.row.address)
+    }
+
+    // ----- attempts
+
+    fn send(&mut self, id: SessionId, server: ServerId, timeout: Nanos) {
+        let overlap = self.overlap;
+        let due = self.now.saturating_add(timeout);
+        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else {
+            return self.tell(Event::Ended {
+                session: id,
+                server,
+                outcome: Outcome::NotSent,
+                finished: true,
+            });
+        };
+        if let Some(old) = s.out.take() {
+            s.closing = Some(old);
+            if let Some(Purpose::SetUp { aborted, orphan, .. }) = self.calls.get_mut(&old) {
+                (*aborted, *orphan) = (true, true);
+            }
+            self.out.push(Output::Abort { call: old });
+        }
+        s.next = Some((server, due));
+        if s.closing.is_none() || overlap {
+            self.attempt(id);
+        }
+    }
+
+    /// Sends the attempt that waited for the one before it to close.
+    pub(crate) fn attempt(&mut self, id: SessionId) {
+        let call = CallId(self.id());
+        let via = format!("1.1 {}", self.config.name);
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let target = match session.kind {
+            micadyke_config::RouteKind::Play => format!("/whep/{}", session.title),
+            micadyke_config::RouteKind::Publish => format!("/whip/{}", session.title),
+        };
+        let Some(s) = session.setting_up() else { return };
+        let Some((server, due)) = s.next.take() else { return };
+        s.closing = None;
+        let offer = s.offer.as_bytes().to_vec();
+        let late = due <= self.now;
+        let addr = self.may_take(server).filter(|_| !late);
+        let Some(addr) = addr else {
+            // The list changed, or time ran out, while the last attempt closed: this one never ran.
+            return self.tell(Event::Ended {
+                session: id,
+                server,
+                outcome: Outcome::NotSent,
+                finished: false,
+            });
+        };
+        let request = Request::new(micadyke_http::Method::Post, target)
+            .with("via", via)
+            .with("accept", crate::endpoint::SDP)
+            .content(crate::endpoint::SDP, offer);
+        if let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) {
+            s.out = Some(call);
+        }
+        let (aborted, orphan) = (false, false);
+        self.calls.insert(call, Purpose::SetUp { session: id, server, addr, aborted, orphan });
+        self.counts.attempts += 1;
+        self.timer(due - self.now, Timer::Attempt(call));
+        self.out.push(Output::Call { call, to: addr, request, timeout: None });
+    }
+
+    /// An attempt has had its time.
+    fn overdue(&mut self, call: CallId) {
+        let Some(Purpose::SetUp { session, server, orphan, .. }) = self.calls.get_mut(&call) else { return };
+        if std::mem::replace(orphan, true) {
+            return;
+        }
+        let (session, server) = (*session, *server);
+        // Its connection stays open for a while: what comes late is withdrawn. If the module sends another
+        // attempt, this one is closed first.
+        self.timer(self.config.bounds.linger, Timer::Linger(call));
+        let finished = self.left(session);
+        if let Some(s) = self.sessions.get_mut(&session).and_then(Session::setting_up) {
+            s.last = Some(Outcome::TimedOut);
+        }
+        self.ended(session, server, Outcome::TimedOut, finished);
+    }
+
+    /// Whether nobody waits for a session's answer any more.
+    pub(crate) fn left(&mut self, id: SessionId) -> bool {
+        self.sessions
+            .get_mut(&id)
+            .and_then(Session::setting_up)
+            .is_none_or(|s: &mut SettingUp| s.conn.is_none())
+    }
+
+    /// Tells the module how an attempt ended; a session that nobody waits for is forgotten.
+    pub(crate) fn ended(&mut self, session: SessionId, server: ServerId, outcome: Outcome, finished: bool) {
+        if finished {
+            self.forget(session);
+        }
+        self.tell(Event::Ended { session, server, outcome, finished });
+    }
+
+    fn closed(&mut self, call: CallId) {
+        // Set-ups alone are ever aborted.
+        if let Some(Purpose::SetUp { session, .. }) = self.calls.remove(&call) {
+            self.after_close(session, call);
+        }
+    }
+
+    /// An attempt that was given up is closed, or its answer read: the next one may go out.
+    pub(crate) fn after_close(&mut self, session: SessionId, call: CallId) {
+        if let Some(s) = self.sessions.get_mut(&session).and_then(Session::setting_up)
+            && s.closing == Some(call)
+        {
+            s.closing = None;
+            self.attempt(session);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/endpoint.rs
@@ -0,0 +1,111 @@
+//! The answers of the front's own endpoints: what RFC 9725 and the WHEP draft ask of them.
+
+use crate::core::Front;
+use micadyke_config::Route;
+use micadyke_http::{Request, Response};
+
+/// Media type of descriptions (RFC 8866).
+pub(crate) const SDP: &str = "application/sdp";
+/// Media type of trickle-ICE fragments (RFC 8840).
+pub(crate) const FRAGMENT: &str = "application/trickle-ice-sdpfrag";
+/// Path of the front's own session resources.
+pub(crate) const SESSION: &str = "/session/";
+/// Methods of the two kinds of resources.
+pub(crate) const ENDPOINT_ALLOW: &str = "OPTIONS, POST";
+pub(crate) const SESSION_ALLOW: &str = "DELETE, OPTIONS, PATCH";
+
+/// What a request's path names.
+pub(crate) enum Target<'a> {
+    /// A title under a route.
+    Endpoint { route: usize, title: &'a str },
+    /// A session, by its name.
+    Session(u128),
+    /// Nothing.
+    Unknown,
+}
+
+impl Front {
+    pub(crate) fn target<'a>(&self, request: &'a Request) -> Target<'a> {
+        let path = request.path();
+        if let Some(name) = path.strip_prefix(SESSION) {
+            let hex =
+                name.len() == 32 && name.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+            return u128::from_str_radix(name, 16)
+                .ok()
+                .filter(|_| hex)
+                .map_or(Target::Unknown, Target::Session);
+        }
+        let found = self.config.routes.iter().enumerate().find_map(|(route, r)| {
+            let title = path.strip_prefix(r.prefix.as_str())?;
+            (!title.is_empty() && !title.contains('/')).then_some(Target::Endpoint { route, title })
+        });
+        found.unwrap_or(Target::Unknown)
+    }
+
+    /// Whether a request may use a route; the refusal where it may not (RFC 6750 section 3).
+    pub(crate) fn authorise(&self, route: usize, request: &Request) -> Result<(), Response> {
+        let route = &self.config.routes[route];
+        if route.bearers.is_empty() {
+            return Ok(());
+        }
+        let token = bearer(request);
+        if token.is_some_and(|t| knows(route, t)) {
+            return Ok(());
+        }
+        let elsewhere = token.is_some_and(|t| self.config.routes.iter().any(|r| knows(r, t)));
+        let (status, challenge, what) = match token {
+            None => (401, "Bearer realm=\"micadyke\"", "a bearer token is due"),
+            Some(_) if elsewhere => (
+                403,
+                "Bearer realm=\"micadyke\", error=\"insufficient_scope\"",
+                "the token is not for this route",
+            ),
+            Some(_) => (401, "Bearer realm=\"micadyke\", error=\"invalid_token\"", "the token is not known"),
+        };
+        Err(Response::problem(status, what).with("www-authenticate", challenge))
+    }
+
+    /// The answer to OPTIONS (RFC 9725 section 4.2, CORS of the Fetch standard).
+    pub(crate) fn options(&self, session: bool) -> Response {
+        let allow = if session { SESSION_ALLOW } else { ENDPOINT_ALLOW };
+        let response = Response::new(200)
+            .with("allow", allow)
+            .with("access-control-allow-methods", allow)
+            .with("access-control-allow-headers", "authorization, content-type, if-match, prefer")
+            .with("access-control-max-age", "600");
+        if session { response.with("accept-patch", FRAGMENT) } else { response.with("accept-post", SDP) }
+    }
+
+    /// Header fields that all answers carry.
+    pub(crate) fn dress(response: Response) -> Response {
+        response
+            .with("access-control-allow-origin", "*")
+            .with("access-control-expose-headers", "accept-post, etag, link, location, retry-after")
+    }
+
+    /// The `Link` fields that tell of ICE servers (RFC 9725 section 4.6).
+    pub(crate) fn ice_links(&self, mut response: Response) -> Response {
+        for server in &self.config.ice_servers {
+            response = response.with("link", micadyke_http::fields::Link::new(server, "ice-server").encode());
+        }
+        response
+    }
+}
+
+pub(crate) fn bearer(request: &Request) -> Option<&str> {
+    let (scheme, token) = request.headers.get("authorization")?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then_some(token.trim())
+}
+
+/// Compares without telling by time where two tokens differ.
+fn knows(route: &Route, token: &str) -> bool {
+    route.bearers.iter().fold(false, |found, b| {
+        let same =
+            b.len() == token.len() && b.bytes().zip(token.bytes()).fold(0, |d, (x, y)| d | (x ^ y)) == 0;
+        found | same
+    })
+}
+
+pub(crate) fn not_allowed(allow: &str) -> Response {
+    Response::problem(405, "the method is not allowed here").with("allow", allow)
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,16 @@
+//! The session front: WHIP (RFC 9725) and WHEP towards viewers, a WHIP and WHEP client towards media boxes, and
+//! the decision module between them.
+//!
+//! [`core`] is a state machine without I/O or clock: inputs and the time in, outputs out. [`shell`] is the tokio
+//! layer around it: one current-thread runtime, tasks on a `LocalSet`, no locks. [`list`] brings the list of boxes.
+#![warn(missing_docs)]
+
+pub mod core;
+mod endpoint;
+pub mod list;
+mod notes;
+mod session;
+pub mod shell;
+mod signalling;
+
+pub use crate::core::{CallId, ConnId, Counts, Decide, Front, Input, Output, StreamId};
--- /dev/null
+++ b/crates/front/src/shell.rs
@@ -0,0 +1,417 @@
+//! The tokio layer around the core: sockets, clock and tasks; no choices.
+//!
+//! Everything runs on one thread, as tasks of a `LocalSet`. A task that brings an input calls [`Shell::feed`],
+//! which hands it to the core with one reading of the clock and carries the outputs out before it returns.
+
+use crate::core::{CallId, ConnId, Counts, Front, Input, Output, StreamId};
+use crate::list::{News, Source};
+use micadyke::interface::Nanos;
+use micadyke_config::Config;
+use micadyke_http::client::{CallError, Connection, read_some};
+use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
+use tracing::{debug, info, warn};
+
+/// The front's clock at its start: boxes that started earlier than this count as old.
+const ZERO: Nanos = 3_600_000_000_000;
+/// A list older than this is looked at before anything else is done: the front stood still.
+const STOOD: Duration = Duration::from_millis(100);
+/// Bytes of one event of a stream at most; a stream with a longer one is closed.
+const EVENT: usize = 64 << 10;
+/// A connection that is refused is read on for this, so that the refusal reaches a peer that still writes.
+const DRAIN: Duration = Duration::from_secs(1);
+/// Bytes read on at most.
+const DRAIN_BYTES: usize = 4 << 20;
+/// A stopping front waits so long for what it withdraws.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// A running front.
+pub struct Shell {
+    core: RefCell<Front>,
+    config: Rc<Config>,
+    start: Instant,
+    /// Unix time of the front's time zero.
+    epoch: u64,
+    source: RefCell<Box<dyn Source>>,
+    polled: Cell<Instant>,
+    answers: RefCell<HashMap<ConnId, oneshot::Sender<Response>>>,
+    aborts: RefCell<HashMap<CallId, oneshot::Sender<()>>>,
+    listens: RefCell<HashMap<StreamId, oneshot::Sender<()>>>,
+    pool: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    connections: Cell<usize>,
+    next: Cell<u64>,
+    wake: Notify,
+    armed: Cell<Option<Nanos>>,
+}
+
+/// Serves on a listener until `stop` resolves; then takes no new sessions, gives the answers that are owed and
+/// returns. Must run inside a `LocalSet`.
+pub async fn serve(
+    listener: TcpListener, front: impl FnOnce(Nanos) -> Front, config: Rc<Config>, source: Box<dyn Source>,
+    stop: impl Future<Output = ()>,
+) -> Counts {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let start = Instant::now();
+    let shell = Rc::new(Shell {
+        core: RefCell::new(front(ZERO)),
+        config,
+        start,
+        epoch: unix.saturating_sub(ZERO),
+        source: RefCell::new(source),
+        polled: Cell::new(start),
+        answers: RefCell::default(),
+        aborts: RefCell::default(),
+        listens: RefCell::default(),
+        pool: RefCell::default(),
+        connections: Cell::new(0),
+        next: Cell::new(1),
+        wake: Notify::new(),
+        armed: Cell::new(None),
+    });
+    shell.poll_list();
+    let timers = spawn_local(shell.clone().timers());
+    let lists = spawn_local(shell.clone().lists());
+    let accepting = spawn_local(shell.clone().accept(listener));
+    stop.await;
+    info!("stopping: no new sessions");
+    shell.feed(Input::Stop);
+    let until = Instant::now() + SETTLE;
+    while shell.core.borrow().owed() > 0
+        || (shell.core.borrow().unsettled() > 0 && Instant::now() < until)
+        || !shell.answers.borrow().is_empty()
+    {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    accepting.abort();
+    // Answers handed to their connections are written by tasks of their own: one more turn lets them.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    timers.abort();
+    lists.abort();
+    let counts = shell.core.borrow().counts();
+    info!(?counts, "stopped");
+    counts
+}
+
+impl Shell {
+    fn now(&self) -> Nanos {
+        ZERO + self.start.elapsed().as_nanos() as u64
+    }
+
+    fn id(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    /// Hands an input to the core and carries its outputs out.
+    fn feed(self: &Rc<Self>, input: Input) {
+        if self.polled.get().elapsed() > STOOD {
+            self.poll_list();
+        }
+        self.hand(input);
+    }
+
+    fn hand(self: &Rc<Self>, input: Input) {
+        let mut out = Vec::new();
+        let deadline = {
+            let mut core = self.core.borrow_mut();
+            core.handle(self.now(), input, &mut out);
+            core.deadline()
+        };
+        for output in out {
+            self.carry_out(output);
+        }
+        if deadline.is_some() && deadline < self.armed.get().or(Some(Nanos::MAX)) {
+            self.wake.notify_one();
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, output: Output) {
+        match output {
+            Output::Respond { conn, response } => {
+                if let Some(waits) = self.answers.borrow_mut().remove(&conn) {
+                    let _ = waits.send(response);
+                }
+            }
+            Output::Call { call, to, request, timeout } => {
+                let (abort, aborted) = oneshot::channel();
+                self.aborts.borrow_mut().insert(call, abort);
+                spawn_local(self.clone().call(call, to, request, timeout, aborted));
+            }
+            Output::Abort { call } => {
+                if let Some(abort) = self.aborts.borrow_mut().remove(&call) {
+                    let _ = abort.send(());
+                }
+            }
+            Output::Listen { stream, to, request } => {
+                let (close, closed) = oneshot::channel();
+                self.listens.borrow_mut().insert(stream, close);
+                spawn_local(self.clone().listen(stream, to, request, closed));
+            }
+            Output::Unlisten { stream } => {
+                self.listens.borrow_mut().remove(&stream);
+            }
+            // A watched list is always subscribed.
+            Output::Subscribe => self.poll_list(),
+        }
+    }
+
+    async fn timers(self: Rc<Self>) {
+        loop {
+            let deadline = self.core.borrow().deadline();
+            self.armed.set(deadline);
+            let now = self.now();
+            match deadline {
+                Some(at) if at <= now => self.feed(Input::Tick),
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep(Duration::from_nanos(at - now)) => {}
+                    () = self.wake.notified() => {}
+                },
+                None => self.wake.notified().await,
+            }
+        }
+    }
+
+    // ----- the list
+
+    async fn lists(self: Rc<Self>) {
+        let period = self.source.borrow().period();
+        loop {
+            tokio::time::sleep(period).await;
+            self.poll_list();
+        }
+    }
+
+    fn poll_list(self: &Rc<Self>) {
+        self.polled.set(Instant::now());
+        let news = self.source.borrow_mut().poll();
+        match news {
+            Some(News::Full(rows)) => {
+                debug!(boxes = rows.len(), "list of boxes");
+                self.hand(Input::List { rows, epoch: self.epoch });
+            }
+            Some(News::Failed(faults)) => {
+                for fault in faults.iter().take(5) {
+                    warn!("{fault}; the list held stays");
+                }
+            }
+            None => {}
+        }
+    }
+
+    // ----- viewers
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if self.connections.get() < self.config.bounds.connections => {
+                    self.connections.set(self.connections.get() + 1);
+                    let shell = self.clone();
+                    spawn_local(async move {
+                        shell.clone().connection(stream).await;
+                        shell.connections.set(shell.connections.get() - 1);
+                    });
+                }
+                Ok(_) => warn!("more connections than the bound: one is closed"),
+                Err(e) => {
+                    warn!("accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let b = &self.config.bounds;
+        let limits = Limits { head: b.head, body: b.body, ..Limits::default() };
+        let mut parser = RequestParser::new(limits);
+        loop {
+            let Some(request) = self.next_request(&mut stream, &mut parser).await else { return };
+            let (head_only, keep_alive) = (request.method == Method::Head, request.keep_alive);
+            let conn = ConnId(self.id());
+            let (sender, mut answer) = oneshot::channel();
+            self.answers.borrow_mut().insert(conn, sender);
+            self.feed(Input::Request { conn, request });
+            let mut response = loop {
+                let room = parser.pending() < b.head + b.body;
+                tokio::select! {
+                    biased;
+                    response = &mut answer => match response {
+                        Ok(response) => break response,
+                        Err(_) => return,
+                    },
+                    read = read_some(&stream, |bytes| parser.feed(bytes)), if room => match read {
+                        Ok(0) | Err(_) => {
+                            self.answers.borrow_mut().remove(&conn);
+                            return self.feed(Input::Gone { conn });
+                        }
+                        Ok(_) => {}
+                    },
+                }
+            };
+            response.keep_alive &= keep_alive;
+            let bytes = response.encode(head_only);
+            if !self.write(&mut stream, &bytes).await {
+                return;
+            }
+            if !response.keep_alive {
+                return drain(stream).await;
+            }
+        }
+    }
+
+    async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> bool {
+        let limit = Duration::from_nanos(self.config.bounds.read);
+        matches!(tokio::time::timeout(limit, stream.write_all(bytes)).await, Ok(Ok(())))
+    }
+
+    /// The next request of a connection; `None`: it is over.
+    async fn next_request(&self, stream: &mut TcpStream, parser: &mut RequestParser) -> Option<Request> {
+        let idle = Instant::now() + Duration::from_nanos(self.config.bounds.idle);
+        let mut due: Option<Instant> = None;
+        loop {
+            let fault = match parser.poll() {
+                Ok(Some(request)) => return Some(request),
+                Ok(None) => None,
+                Err(fault) => Some((fault.status, fault.what)),
+            };
+            let until = if parser.midway() {
+                *due.get_or_insert_with(|| Instant::now() + Duration::from_nanos(self.config.bounds.read))
+            } else {
+                idle
+            };
+            let refused = match fault {
+                Some(fault) => fault,
+                None => {
+                    if parser.wants_continue() && !self.write(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await
+                    {
+                        return None;
+                    }
+                    match tokio::time::timeout_at(until.into(), read_some(stream, |b| parser.feed(b))).await {
+                        Ok(Ok(n)) if n > 0 => continue,
+                        Ok(_) => return None,
+                        Err(_) if parser.midway() => (408, "the request did not come in time"),
+                        Err(_) => return None,
+                    }
+                }
+            };
+            let mut response = Response::problem(refused.0, refused.1);
+            response.keep_alive = false;
+            if self.write(stream, &response.encode(false)).await {
+                drain_in_place(stream).await;
+            }
+            return None;
+        }
+    }
+
+    // ----- boxes
+
+    async fn call(
+        self: Rc<Self>, call: CallId, to: SocketAddr, request: Request, timeout: Option<Duration>,
+        aborted: oneshot::Receiver<()>,
+    ) {
+        let run = async {
+            match timeout {
+                None => self.exchange(to, &request).await,
+                Some(t) => tokio::time::timeout(t, self.exchange(to, &request))
+                    .await
+                    .unwrap_or(Err(CallError::Reset)),
+            }
+        };
+        // Whichever way it goes, the connection of a call without its whole answer is closed by then.
+        let result = tokio::select! {
+            biased;
+            result = run => Some(result),
+            _ = aborted => None,
+        };
+        self.aborts.borrow_mut().remove(&call);
+        self.feed(match result {
+            Some(result) => Input::Reply { call, result },
+            None => Input::Closed { call },
+        });
+    }
+
+    async fn exchange(&self, to: SocketAddr, request: &Request) -> Result<Response, CallError> {
+        let kept = loop {
+            match self.pool.borrow_mut().get_mut(&to).and_then(Vec::pop) {
+                Some(c) if !c.reusable() => {}
+                other => break other,
+            }
+        };
+        let mut connection = match kept {
+            Some(c) => c,
+            None => {
+                Connection::open(to, Duration::from_nanos(self.config.bounds.connect), self.limits()).await?
+            }
+        };
+        let response = connection.call(request).await?;
+        if response.keep_alive {
+            let mut pool = self.pool.borrow_mut();
+            let idle = pool.entry(to).or_default();
+            if idle.len() < self.config.bounds.idle_per_box {
+                idle.push(connection);
+            }
+        }
+        Ok(response)
+    }
+
+    fn limits(&self) -> Limits {
+        Limits { head: self.config.bounds.head, body: self.config.bounds.body, ..Limits::default() }
+    }
+
+    async fn listen(
+        self: Rc<Self>, stream: StreamId, to: SocketAddr, request: Request, closed: oneshot::Receiver<()>,
+    ) {
+        tokio::select! {
+            biased;
+            // Dropped by the core: it wants to hear no more.
+            _ = closed => return,
+            _ = self.clone().read_events(stream, to, request) => {}
+        }
+        self.listens.borrow_mut().remove(&stream);
+        self.feed(Input::StreamEnded { stream });
+    }
+
+    async fn read_events(self: Rc<Self>, stream: StreamId, to: SocketAddr, request: Request) -> Option<()> {
+        let connect = Duration::from_nanos(self.config.bounds.connect);
+        let mut connection = Connection::open(to, connect, self.limits()).await.ok()?;
+        let head = connection.open_stream(&request).await.ok()?;
+        if head.status != 200 || head.media_type().as_deref() != Some("text/event-stream") {
+            return None;
+        }
+        let (mut parser, mut events) = (sse::Parser::new(EVENT), Vec::new());
+        while let Some(bytes) = connection.chunk().await.ok()? {
+            parser.feed(&bytes, &mut events).ok()?;
+            for event in events.drain(..) {
+                self.feed(Input::Event { stream, event });
+            }
+        }
+        Some(())
+    }
+}
+
+/// Ends a connection after its last answer: no more is written, and what the peer still sends is read for a
+/// while, so that the answer is not lost to a reset.
+async fn drain(mut stream: TcpStream) {
+    drain_in_place(&mut stream).await;
+}
+
+async fn drain_in_place(stream: &mut TcpStream) {
+    let _ = stream.shutdown().await;
+    let until = tokio::time::Instant::now() + DRAIN;
+    let mut left = DRAIN_BYTES;
+    while left > 0 {
+        match tokio::time::timeout_at(until, read_some(stream, |_| {})).await {
+            Ok(Ok(n)) if n > 0 => left = left.saturating_sub(n),
+            _ => return,
+        }
+    }
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -4,7 +4,7 @@
 use crate::parse::{Fault, Limits, ResponseParser};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
 /// Why a call brought no answer.
@@ -57,14 +57,13 @@
     }
 
     async fn answer(&mut self) -> Result<Response, CallError> {
-        let mut buffer = [0u8; 4096];
         loop {
             if let Some(response) = self.parser.poll().map_err(CallError::Malformed)? {
                 return Ok(response);
             }
-            match self.stream.read(&mut buffer).await {
+            match read_some(&self.stream, |b| self.parser.feed(b)).await {
                 Ok(0) | Err(_) => return self.parser.close().ok_or(CallError::Reset),
-                Ok(n) => self.parser.feed(&buffer[..n]),
+                Ok(_) => {}
             }
         }
     }
@@ -78,7 +77,6 @@
 
     /// The next part of a stream's content; `None` at its end.
     pub async fn chunk(&mut self) -> Result<Option<Vec<u8>>, CallError> {
-        let mut buffer = [0u8; 1024];
         loop {
             let (bytes, done) = self.parser.stream().map_err(CallError::Malformed)?;
             if !bytes.is_empty() {
@@ -87,11 +85,28 @@
             if done {
                 return Ok(None);
             }
-            match self.stream.read(&mut buffer).await {
+            match read_some(&self.stream, |b| self.parser.feed(b)).await {
                 Ok(0) => return Ok(None),
                 Err(_) => return Err(CallError::Reset),
-                Ok(n) => self.parser.feed(&buffer[..n]),
+                Ok(_) => {}
             }
         }
     }
 }
+
+/// Waits until a connection has bytes, hands them over and says how many; 0: it was closed. The buffer lives on
+/// the stack for the read alone, so a connection that waits holds none.
+pub async fn read_some(stream: &TcpStream, mut take: impl FnMut(&[u8])) -> std::io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        let mut buffer = [0u8; 8192];
+        match stream.try_read(&mut buffer) {
+            Ok(n) => {
+                take(&buffer[..n]);
+                return Ok(n);
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
