--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -5,6 +5,9 @@
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
 use micadyke_front::shell::serve;
+use micadyke_rehearse::run::play;
+use micadyke_rehearse::sabotage::Break;
+use micadyke_rehearse::scenario::read_scenario;
 use micadyke_standin::media_box::{Fleet, Habits};
 use micadyke_standin::model::{Terms, World};
 use micadyke_standin::record::Record;
@@ -201,3 +204,41 @@
     faults.iter().for_each(|f| println!("{f}"));
     ExitCode::from(1)
 }
+
+pub fn rehearse(files: &[PathBuf], how: Option<&str>) -> Result<ExitCode, Failure> {
+    let how = match how {
+        None => None,
+        Some(word) => {
+            let named = |b: &&Break| format!("{b:?}").eq_ignore_ascii_case(word);
+            Some(
+                *Break::ALL
+                    .iter()
+                    .find(named)
+                    .ok_or_else(|| format!("'{word}' is no way to break a front"))?,
+            )
+        }
+    };
+    let mut broken = false;
+    for file in files {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        let scenario = read_scenario(&text, &file.display().to_string()).map_err(told)?;
+        let config = load(&file.parent().unwrap_or(Path::new("")).join(&scenario.settings))?;
+        println!(
+            "{}: {} fronts, {} boxes, {:?}",
+            scenario.name, scenario.fronts, scenario.boxes, scenario.length
+        );
+        let ran = play(&scenario, &config, how)?;
+        let t = ran.tally;
+        println!(
+            "requests {}: played {}, refused {}, failed {}, no answer {}, withdrew {}",
+            t.asked, t.played, t.refused, t.failed, t.missed, t.left
+        );
+        println!(
+            "quality of what played {:.3}; waits {:.1} ms at p50, {:.1} ms at p99",
+            t.quality, t.waits.0, t.waits.1
+        );
+        println!("{}", ran.verdict);
+        broken |= !ran.verdict.kept();
+    }
+    Ok(ExitCode::from(u8::from(broken)))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -56,6 +56,16 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Play scenarios through real fronts and judge the six rules from the traffic: exit 0 kept, 1 broken, 2 could
+    /// not run.
+    Rehearse {
+        /// The scenarios.
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+        /// With fronts that are broken on purpose: answers, overlap, twice, drains, cold, floors, seats, budget.
+        #[arg(long = "break", value_name = "HOW")]
+        how: Option<String>,
+    },
     /// Check settings, and the list of boxes that they name; exit 1 where they are refused.
     Check {
         /// The settings.
@@ -82,6 +92,7 @@
         Command::Front { config, listen } => commands::front(&config, listen),
         Command::Demo { listen } => commands::demo(listen),
         Command::Standin { config } => commands::standin(&config),
+        Command::Rehearse { scenarios, how } => commands::rehearse(&scenarios, how.as_deref()),
         Command::Check { file, boxes } => commands::check(&file, boxes.as_deref()),
     };
     match result {
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -55,6 +55,8 @@
         conn: ConnId,
         /// The request.
         request: Request,
+        /// It may have lain unread for so long: the front stood still.
+        waited: Nanos,
     },
     /// A connection closed whose request has no answer yet.
     Gone {
@@ -91,6 +93,8 @@
     StreamEnded {
         /// Which stream.
         stream: StreamId,
+        /// It was cut off, not ended in good order.
+        cut: bool,
     },
     /// A deadline of [`Front::deadline`] passed.
     Tick,
@@ -315,13 +319,13 @@
     pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         match input {
-            Input::Request { conn, request } => self.request(conn, request),
+            Input::Request { conn, request, waited } => self.request(conn, request, waited),
             Input::Gone { conn } => self.gone(conn),
             Input::List { rows, epoch } => self.list(rows, epoch),
             Input::Reply { call, result } => self.reply(call, result),
             Input::Closed { call } => self.closed(call),
             Input::Event { stream, event } => self.event(stream, &event),
-            Input::StreamEnded { stream } => self.stream_ended(stream),
+            Input::StreamEnded { stream, cut } => self.stream_ended(stream, cut),
             Input::Tick => self.tick(),
             Input::Stop => self.stopping = true,
         }
@@ -503,7 +507,7 @@
                 finished: true,
             });
         };
-        if let Some(old) = s.out.take() {
+        if let Some(old) = s.out.take().filter(|_| !overlap) {
             s.closing = Some(old);
             if let Some(Purpose::SetUp { aborted, orphan, .. }) = self.calls.get_mut(&old) {
                 (*aborted, *orphan) = (true, true);
@@ -511,7 +515,7 @@
             self.out.push(Output::Abort { call: old });
         }
         s.next = Some((server, due));
-        if s.closing.is_none() || overlap {
+        if s.closing.is_none() {
             self.attempt(id);
         }
     }
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -36,7 +36,7 @@
     }
 
     fn period(&self) -> Duration {
-        Duration::from_secs(3600)
+        Duration::from_millis(50)
     }
 }
 
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -82,6 +82,8 @@
     pub subscribing: bool,
     /// Streams lost in a row since the last event.
     pub lost: u8,
+    /// The last stream was cut off: if its box knows the session no more, the box was started anew.
+    pub cut: bool,
     /// It hears load figures for the whole box.
     pub watches: bool,
 }
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -24,6 +24,10 @@
 const ZERO: Nanos = 3_600_000_000_000;
 /// A list older than this is looked at before anything else is done: the front stood still.
 const STOOD: Duration = Duration::from_millis(100);
+/// So long after it stood still, what the front reads may be as old as that.
+const CAUGHT_UP: Duration = Duration::from_millis(100);
+/// After it stood still, the front reads what boxes said for so long before it takes requests.
+const NEWS_FIRST: Duration = Duration::from_millis(40);
 /// Bytes of one event of a stream at most; a stream with a longer one is closed.
 const EVENT: usize = 64 << 10;
 /// A connection that is refused is read on for this, so that the refusal reaches a peer that still writes.
@@ -42,6 +46,8 @@
     epoch: u64,
     source: RefCell<Box<dyn Source>>,
     polled: Cell<Instant>,
+    /// When the front last found that it had stood still, and for how long.
+    stood: Cell<(Instant, Duration)>,
     answers: RefCell<HashMap<ConnId, oneshot::Sender<Response>>>,
     aborts: RefCell<HashMap<CallId, oneshot::Sender<()>>>,
     listens: RefCell<HashMap<StreamId, oneshot::Sender<()>>>,
@@ -67,6 +73,7 @@
         epoch: unix.saturating_sub(ZERO),
         source: RefCell::new(source),
         polled: Cell::new(start),
+        stood: Cell::new((start, Duration::ZERO)),
         answers: RefCell::default(),
         aborts: RefCell::default(),
         listens: RefCell::default(),
@@ -112,7 +119,7 @@
 
     /// Hands an input to the core and carries its outputs out.
     fn feed(self: &Rc<Self>, input: Input) {
-        if self.polled.get().elapsed() > STOOD {
+        if self.polled.get().elapsed() > self.source.borrow().period() + STOOD {
             self.poll_list();
         }
         self.hand(input);
@@ -190,7 +197,13 @@
     }
 
     fn poll_list(self: &Rc<Self>) {
-        self.polled.set(Instant::now());
+        // Polls are due every period of the source: what exceeds that, the front did not run.
+        let (now, period) = (Instant::now(), self.source.borrow().period());
+        let gap = now.duration_since(self.polled.replace(now)).saturating_sub(period);
+        if gap > STOOD {
+            warn!(?gap, "the front stood still");
+            self.stood.set((now, gap));
+        }
         let news = self.source.borrow_mut().poll();
         match news {
             Some(News::Full(rows)) => {
@@ -235,11 +248,16 @@
         let mut parser = RequestParser::new(limits);
         loop {
             let Some(request) = self.next_request(&mut stream, &mut parser).await else { return };
+            let waited = self.waited();
+            if waited > 0 {
+                // News first: what boxes said meanwhile is read before the requests that piled up are placed.
+                tokio::time::sleep(NEWS_FIRST).await;
+            }
             let (head_only, keep_alive) = (request.method == Method::Head, request.keep_alive);
             let conn = ConnId(self.id());
             let (sender, mut answer) = oneshot::channel();
             self.answers.borrow_mut().insert(conn, sender);
-            self.feed(Input::Request { conn, request });
+            self.feed(Input::Request { conn, request, waited });
             let mut response = loop {
                 let room = parser.pending() < b.head + b.body;
                 tokio::select! {
@@ -268,6 +286,15 @@
         }
     }
 
+    /// How long a request that is read now may have lain unread.
+    fn waited(self: &Rc<Self>) -> Nanos {
+        if self.polled.get().elapsed() > self.source.borrow().period() + STOOD {
+            self.poll_list();
+        }
+        let (at, gap) = self.stood.get();
+        if at.elapsed() < CAUGHT_UP { gap.as_nanos() as u64 } else { 0 }
+    }
+
     async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> bool {
         let limit = Duration::from_nanos(self.config.bounds.read);
         matches!(tokio::time::timeout(limit, stream.write_all(bytes)).await, Ok(Ok(())))
@@ -370,31 +397,36 @@
     async fn listen(
         self: Rc<Self>, stream: StreamId, to: SocketAddr, request: Request, closed: oneshot::Receiver<()>,
     ) {
-        tokio::select! {
+        let cut = tokio::select! {
             biased;
             // Dropped by the core: it wants to hear no more.
             _ = closed => return,
-            _ = self.clone().read_events(stream, to, request) => {}
-        }
+            read = self.clone().read_events(stream, to, request) => read == Err(CallError::Reset),
+        };
         self.listens.borrow_mut().remove(&stream);
-        self.feed(Input::StreamEnded { stream });
+        self.feed(Input::StreamEnded { stream, cut });
     }
 
-    async fn read_events(self: Rc<Self>, stream: StreamId, to: SocketAddr, request: Request) -> Option<()> {
+    async fn read_events(
+        self: Rc<Self>, stream: StreamId, to: SocketAddr, request: Request,
+    ) -> Result<(), CallError> {
         let connect = Duration::from_nanos(self.config.bounds.connect);
-        let mut connection = Connection::open(to, connect, self.limits()).await.ok()?;
-        let head = connection.open_stream(&request).await.ok()?;
+        let mut connection = Connection::open(to, connect, self.limits()).await?;
+        let head = connection.open_stream(&request).await?;
         if head.status != 200 || head.media_type().as_deref() != Some("text/event-stream") {
-            return None;
+            return Ok(());
         }
         let (mut parser, mut events) = (sse::Parser::new(EVENT), Vec::new());
-        while let Some(bytes) = connection.chunk().await.ok()? {
-            parser.feed(&bytes, &mut events).ok()?;
+        while let Some(bytes) = connection.chunk().await? {
+            if parser.feed(&bytes, &mut events).is_err() {
+                warn!(%to, "an event is longer than the bound: the stream is closed");
+                return Ok(());
+            }
             for event in events.drain(..) {
                 self.feed(Input::Event { stream, event });
             }
         }
-        Some(())
+        Ok(())
     }
 }
 
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -35,7 +35,7 @@
 impl Front {
     // ----- requests of viewers
 
-    pub(crate) fn request(&mut self, conn: ConnId, request: Request) {
+    pub(crate) fn request(&mut self, conn: ConnId, request: Request, waited: Nanos) {
         match self.target(&request) {
             Target::Unknown => {
                 let response = Response::problem(404, "there is no such resource");
@@ -43,13 +43,13 @@
             }
             Target::Endpoint { route, title } => {
                 let title = title.to_owned();
-                self.endpoint(conn, route, &title, request);
+                self.endpoint(conn, route, &title, request, waited);
             }
             Target::Session(name) => self.resource(conn, name, request),
         }
     }
 
-    fn endpoint(&mut self, conn: ConnId, route: usize, title: &str, request: Request) {
+    fn endpoint(&mut self, conn: ConnId, route: usize, title: &str, request: Request, waited: Nanos) {
         match request.method {
             Method::Options => {
                 let response = self.options(false);
@@ -66,14 +66,16 @@
                 Response::problem(415, "an offer as application/sdp is due").with("accept-post", SDP);
             return self.respond(conn, response);
         }
-        match self.offer(conn, route, title, &request) {
+        match self.offer(conn, route, title, &request, waited) {
             Ok(()) => {}
             Err(response) => self.respond(conn, response),
         }
     }
 
     /// Takes an offer: from here on its viewer is owed one answer.
-    fn offer(&mut self, conn: ConnId, route: usize, title: &str, request: &Request) -> Result<(), Response> {
+    fn offer(
+        &mut self, conn: ConnId, route: usize, title: &str, request: &Request, waited: Nanos,
+    ) -> Result<(), Response> {
         let (kind, class) = (self.config.routes[route].kind, self.config.routes[route].class);
         let used = if kind == RouteKind::Play { Use::Play } else { Use::Publish };
         let text = std::str::from_utf8(&request.body)
@@ -99,6 +101,8 @@
         let patience = asked.map_or(patience, |s| patience.min(s.saturating_mul(SECOND)));
         // A viewer in a hurry still gets half of its wait used.
         let patience = patience.saturating_sub(self.config.answer_margin).max(patience / 2);
+        // What lay unread while the front stood still has waited for up to so long already.
+        let patience = patience.saturating_sub(waited);
         let mut key = DefaultHasher::new();
         (bearer(request).unwrap_or(offer.fingerprint), title).hash(&mut key);
         let section =
@@ -522,6 +526,7 @@
             stream: None,
             subscribing: false,
             lost: 0,
+            cut: false,
             watches: false,
         });
         self.names.insert(name, id);
@@ -663,11 +668,13 @@
         let via = format!("1.1 {}", self.config.name);
         let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
         p.subscribing = false;
-        let (addr, server) = (p.place.addr, p.place.server);
+        let (addr, server, cut) = (p.place.addr, p.place.server, p.cut);
         let target = match &result {
             Ok(r) if r.status == 201 => r.headers.get("location").and_then(|l| path_of(l, addr)),
-            // The box no longer knows the session: it ended there.
-            Ok(r) if r.status == 404 || r.status == 410 => return self.ended_at_box(id, Outcome::Served),
+            // The box no longer knows the session: it ended there, or the box was started anew.
+            Ok(r) if r.status == 404 || r.status == 410 => {
+                return self.ended_at_box(id, if cut { Outcome::Reset } else { Outcome::Served });
+            }
             Err(CallError::NoConnection) if p.lost > 0 => {
                 debug!(session = id.0, server = server.0, "its box is gone");
                 return self.ended_at_box(id, Outcome::Reset);
@@ -711,7 +718,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let (rung, top) = (session.rung, self.config.settings.ladder.len());
         let Some(p) = session.playing() else { return };
-        p.lost = 0;
+        (p.lost, p.cut) = (0, false);
         let (server, changing) = (p.place.server, p.changing);
         for (kind, value) in notes {
             if kind == NoteKind::RungInForce {
@@ -732,13 +739,13 @@
         }
     }
 
-    pub(crate) fn stream_ended(&mut self, stream: StreamId) {
+    pub(crate) fn stream_ended(&mut self, stream: StreamId, cut: bool) {
         let Some(id) = self.streams.remove(&stream) else { return };
         let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
         if p.stream == Some(stream) {
             p.stream = None;
         }
-        p.lost = p.lost.saturating_add(1);
+        (p.lost, p.cut) = (p.lost.saturating_add(1), p.cut || cut);
         if p.lost > LOST_MOST {
             return self.ended_at_box(id, Outcome::Reset);
         }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -86,6 +86,8 @@
                 return Ok(None);
             }
             match read_some(&self.stream, |b| self.parser.feed(b)).await {
+                // Content that says where it ends and did not come to it was cut off (RFC 9112 section 8).
+                Ok(0) if self.parser.stream_is_framed() => return Err(CallError::Reset),
                 Ok(0) => return Ok(None),
                 Err(_) => return Err(CallError::Reset),
                 Ok(_) => {}
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -184,6 +184,13 @@
         finish(self.head(), &[])
     }
 
+    /// The head of a response whose content is streamed in chunks ([`chunk`]) until the empty one.
+    pub fn encode_chunked(&self) -> Vec<u8> {
+        let mut head = self.head();
+        head.push_str("transfer-encoding: chunked\r\n");
+        finish(head, &[])
+    }
+
     fn head(&self) -> String {
         let mut head = String::with_capacity(128 + self.headers.0.len() * 40);
         let _ = write!(head, "HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
@@ -195,6 +202,14 @@
     }
 }
 
+/// A chunk of streamed content (RFC 9112 section 7.1); the empty one ends it.
+pub fn chunk(bytes: &[u8]) -> Vec<u8> {
+    let mut out = format!("{:x}\r\n", bytes.len()).into_bytes();
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+    out
+}
+
 fn media_type(headers: &Headers) -> Option<String> {
     let kind = headers.get("content-type")?;
     Some(kind.split(';').next().unwrap_or("").trim().to_ascii_lowercase())
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -546,6 +546,11 @@
         }
     }
 
+    /// Whether a stream's content says itself where it ends, so that a close before that is a break.
+    pub fn stream_is_framed(&self) -> bool {
+        matches!(&self.state, State::Body { framing, .. } if *framing != Framing::UntilClose)
+    }
+
     /// Streamed content that came since the last call, and whether it is complete.
     pub fn stream(&mut self) -> Result<(Vec<u8>, bool), Fault> {
         let limits = Limits { body: usize::MAX, ..self.limits };
--- /dev/null
+++ b/crates/rehearse/src/check.rs
@@ -0,0 +1,480 @@
+//! The verdict on the six rules, from the traffic at viewers' and boxes' sockets.
+//!
+//! A viewer's request and the attempts that it led to are joined by the ICE user name fragment of the offer, which
+//! the front passes on unchanged. An attempt is out from its first byte at the box until its answer was written
+//! there or its connection was closed. Nothing that the front says of itself is used.
+
+use crate::traffic::{Conversation, Message, conversations};
+use micadyke::interface::Effect;
+use micadyke_config::Config;
+use micadyke_standin::record::{Deed, End, Entry};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+const MS: u64 = 1_000_000;
+/// Nothing new to a box later than this after the front heard that it drains or is gone.
+pub const DRAIN: u64 = 250 * MS;
+/// Resolution of the record where two sockets are compared: one turn of the thread that reads both.
+const TURN: u64 = 50 * MS;
+/// An answer counts until so long after the viewer's patience: the way back.
+const GRACE: u64 = 40 * MS;
+
+/// What is needed beyond the record.
+#[derive(Debug, Clone)]
+pub struct Terms<'a> {
+    /// The settings of the fronts.
+    pub config: &'a Config,
+    /// Streams that each box runs at most.
+    pub places: &'a BTreeMap<u32, u32>,
+}
+
+/// The finding on one rule.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Finding {
+    /// What was looked at.
+    pub looked_at: u64,
+    /// How many of them were put to the test: cases in which a front could have broken it.
+    pub tried: u64,
+    /// What was found against it, the first few in words.
+    pub broken: Vec<String>,
+    /// How often.
+    pub times: u64,
+}
+
+impl Finding {
+    fn against(&mut self, what: String) {
+        self.times += 1;
+        if self.broken.len() < 5 {
+            self.broken.push(what);
+        }
+    }
+}
+
+/// The six rules in words, in their order.
+pub const RULES: [&str; 6] = [
+    "one answer to each request, in time",
+    "no set-up twice, one attempt at a time",
+    "drains kept within 250 ms",
+    "no cold box pushed over",
+    "floors and seats kept",
+    "further attempts within the budget",
+];
+
+/// The verdict.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// One finding for each rule, in their order.
+    pub rules: [Finding; 6],
+}
+
+impl Verdict {
+    /// Whether all rules were kept.
+    pub fn kept(&self) -> bool {
+        self.rules.iter().all(|r| r.times == 0)
+    }
+
+    /// Numbers, from 1, of the rules that were broken.
+    pub fn broken(&self) -> Vec<usize> {
+        (1..=6).filter(|n| self.rules[n - 1].times > 0).collect()
+    }
+}
+
+impl std::fmt::Display for Verdict {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for (i, r) in self.rules.iter().enumerate() {
+            let word = if r.times == 0 { "kept".to_owned() } else { format!("BROKEN {} times", r.times) };
+            writeln!(
+                f,
+                "rule {}: {:<40} {} looked at, {} tried: {word}",
+                i + 1,
+                RULES[i],
+                r.looked_at,
+                r.tried
+            )?;
+            r.broken.iter().try_for_each(|b| writeln!(f, "        {b}"))?;
+        }
+        write!(f, "verdict: {}", if self.kept() { "all rules kept" } else { "broken" })
+    }
+}
+
+/// A viewer's request for a session.
+struct Ask {
+    front: u32,
+    class: usize,
+    title: String,
+    ufrag: String,
+    sent: u64,
+    patience: u64,
+    answer: Option<(u16, u64)>,
+    location: Option<String>,
+    closed: Option<u64>,
+    peer_closed: Option<u64>,
+}
+
+/// An attempt at a box.
+struct Attempt {
+    at: u32,
+    ufrag: String,
+    first: u64,
+    /// Status and time of the answer.
+    answer: Option<(u16, u64)>,
+    closed: Option<u64>,
+    /// The session's path at the box.
+    location: Option<String>,
+}
+
+impl Attempt {
+    fn over(&self) -> u64 {
+        self.answer.map(|a| a.1).or(self.closed).unwrap_or(u64::MAX)
+    }
+
+    /// Whether it may have run: anything but being turned away.
+    fn may_have_run(&self) -> bool {
+        !self.answer.is_some_and(|a| a.0 != 201)
+    }
+}
+
+fn ufrag(m: &Message) -> Option<String> {
+    let text = String::from_utf8_lossy(&m.body);
+    text.lines().find_map(|l| l.trim_end().strip_prefix("a=ice-ufrag:").map(str::to_owned))
+}
+
+/// Judges a record.
+pub fn check(entries: &[Entry], deeds: &[(u64, Deed)], terms: &Terms<'_>) -> Verdict {
+    let all = conversations(entries);
+    let mut verdict = Verdict::default();
+    let asks = asks(&all, terms.config, &mut verdict.rules[0]);
+    let attempts = attempts(&all);
+    let by_ufrag: HashMap<&str, &Ask> = asks.iter().map(|a| (a.ufrag.as_str(), a)).collect();
+    answers(&asks, deeds, &mut verdict.rules[0]);
+    doubles(&asks, &attempts, terms.config, &mut verdict.rules[1]);
+    drains(&attempts, &by_ufrag, deeds, &mut verdict.rules[2]);
+    cold(&attempts, &by_ufrag, deeds, terms, &mut verdict.rules[3]);
+    floors(&all, &attempts, &by_ufrag, deeds, terms.config, &mut verdict.rules[4]);
+    budget(&asks, &attempts, &by_ufrag, terms.config, &mut verdict.rules[5]);
+    verdict
+}
+
+fn asks(all: &[Conversation], config: &Config, finding: &mut Finding) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    for c in all {
+        let End::Viewer(front) = c.end else { continue };
+        if c.responses.len() > c.requests.len() {
+            finding.against(format!(
+                "front {front}: {} answers to {} requests",
+                c.responses.len(),
+                c.requests.len()
+            ));
+        }
+        for (i, m) in c.requests.iter().enumerate().filter(|(_, m)| m.method == "POST") {
+            let route = config.routes.iter().find(|r| m.target.starts_with(r.prefix.as_str()));
+            let (Some(route), Some(ufrag)) = (route, ufrag(m)) else { continue };
+            asks.push(Ask {
+                front,
+                class: route.class,
+                title: m.target[route.prefix.len()..].to_owned(),
+                ufrag,
+                sent: m.last,
+                patience: config.classes[route.class].patience,
+                answer: c.responses.get(i).map(|r| (r.status, r.last)),
+                location: c.responses.get(i).and_then(|r| r.header("location")).map(str::to_owned),
+                closed: c.closed,
+                peer_closed: c.peer_closed,
+            });
+        }
+    }
+    asks
+}
+
+fn attempts(all: &[Conversation]) -> Vec<Attempt> {
+    let mut attempts = Vec::new();
+    for c in all {
+        let End::Box(at) = c.end else { continue };
+        for (i, m) in c.requests.iter().enumerate() {
+            let set_up =
+                m.method == "POST" && (m.target.starts_with("/whep/") || m.target.starts_with("/whip/"));
+            let Some(ufrag) = set_up.then(|| ufrag(m)).flatten() else { continue };
+            let answer = c.responses.get(i);
+            attempts.push(Attempt {
+                at,
+                ufrag,
+                first: m.first,
+                answer: answer.map(|r| (r.status, r.last)),
+                closed: c.closed,
+                location: answer.and_then(|r| r.header("location")).map(str::to_owned),
+            });
+        }
+    }
+    attempts.sort_by_key(|a| a.first);
+    attempts
+}
+
+/// Rule 1.
+fn answers(asks: &[Ask], deeds: &[(u64, Deed)], finding: &mut Finding) {
+    let killed = |front: u32, from: u64, to: u64| {
+        deeds
+            .iter()
+            .any(|(at, d)| matches!(d, Deed::Killed { front: f } if *f == front) && (from..=to).contains(at))
+    };
+    for a in asks {
+        finding.looked_at += 1;
+        let due = a.sent + a.patience + GRACE;
+        match a.answer {
+            Some((_, at)) if at <= due => finding.tried += 1,
+            Some((status, at)) => {
+                let late = (at - a.sent) / MS;
+                finding.against(format!("front {}: {} answered {status} after {late} ms", a.front, a.ufrag));
+            }
+            None => {
+                // A front that was ended owes nothing more; neither does one whose viewer left early.
+                let until = a.peer_closed.or(a.closed).unwrap_or(u64::MAX);
+                let left = a.peer_closed.is_none() && a.closed.is_some_and(|c| c < a.sent + a.patience);
+                if !left && !killed(a.front, a.sent.saturating_sub(TURN), until.saturating_add(TURN)) {
+                    let (sent, until) = (a.sent / MS, until / MS);
+                    let by = if a.peer_closed.is_some() { "the front" } else { "its viewer" };
+                    finding.against(format!(
+                        "front {}: {} got no answer: sent at {sent} ms, closed by {by} at {until} ms",
+                        a.front, a.ufrag
+                    ));
+                }
+            }
+        }
+    }
+}
+
+/// Rule 2.
+fn doubles(asks: &[Ask], attempts: &[Attempt], config: &Config, finding: &mut Finding) {
+    let mut by: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+    for a in attempts {
+        finding.looked_at += 1;
+        by.entry(&a.ufrag).or_default().push(a);
+    }
+    let asked: HashMap<&str, &Ask> = asks.iter().map(|a| (a.ufrag.as_str(), a)).collect();
+    for (ufrag, tries) in &by {
+        for (i, later) in tries.iter().enumerate().skip(1) {
+            finding.tried += 1;
+            if let Some(out) = tries[..i].iter().find(|t| t.over() > later.first + TURN) {
+                finding.against(format!(
+                    "{ufrag}: an attempt at box {} while the one at box {} was out",
+                    later.at, out.at
+                ));
+            }
+        }
+        let Some(ask) = asked.get(ufrag) else { continue };
+        if config.settings.classes[ask.class].effect != Effect::AtMostOnce {
+            continue;
+        }
+        finding.tried += 1;
+        let ran = tries.iter().position(|t| t.may_have_run());
+        if let Some(ran) = ran
+            && ran + 1 < tries.len()
+        {
+            finding.against(format!(
+                "{ufrag}: set up again after an attempt at box {} that may have run",
+                tries[ran].at
+            ));
+        }
+        if ran.is_some() && ask.answer.is_some_and(|a| a.0 == 503) {
+            finding.against(format!("{ufrag}: refused though an attempt may have run"));
+        }
+    }
+}
+
+/// Rule 3.
+fn drains(attempts: &[Attempt], asked: &HashMap<&str, &Ask>, deeds: &[(u64, Deed)], finding: &mut Finding) {
+    // For each front and box: since when its list has it as not ready.
+    let mut news: BTreeMap<u32, Vec<(u64, BTreeSet<u32>)>> = BTreeMap::new();
+    for (at, deed) in deeds {
+        if let Deed::List { front, unready } = deed {
+            news.entry(*front).or_default().push((*at, unready.iter().copied().collect()));
+        }
+    }
+    finding.looked_at = attempts.len() as u64;
+    for a in attempts {
+        let Some(front) = asked.get(a.ufrag.as_str()).map(|k| k.front) else { continue };
+        let Some(lists) = news.get(&front) else { continue };
+        let mut since = None;
+        for (at, unready) in lists.iter().take_while(|(at, _)| *at <= a.first) {
+            since = if unready.contains(&a.at) { since.or(Some(*at)) } else { None };
+        }
+        let Some(since) = since else { continue };
+        finding.tried += 1;
+        // A front that stands still hears nothing; one that is not there neither.
+        let still = deeds.iter().filter_map(|(at, d)| match d {
+            Deed::Stalled { front: f, length } if *f == front => Some((*at, at + length)),
+            _ => None,
+        });
+        let heard = still
+            .filter(|(from, to)| *from <= since + DRAIN && *to >= since)
+            .map(|s| s.1)
+            .fold(since, u64::max);
+        if a.first > heard + DRAIN {
+            let late = (a.first - heard) / MS;
+            finding.against(format!(
+                "front {front}: an attempt at box {} {late} ms after the list had it out",
+                a.at
+            ));
+        }
+    }
+}
+
+/// Rule 4.
+fn cold(
+    attempts: &[Attempt], asked: &HashMap<&str, &Ask>, deeds: &[(u64, Deed)], terms: &Terms<'_>,
+    finding: &mut Finding,
+) {
+    let s = &terms.config.settings;
+    if s.cold_for == 0 || s.fall_multiple <= 0.0 {
+        return;
+    }
+    for (start, id) in deeds.iter().filter_map(|(at, d)| match d {
+        Deed::Started { id } => Some((*at, *id)),
+        _ => None,
+    }) {
+        finding.looked_at += 1;
+        let stopped =
+            deeds.iter().find(|(at, d)| *at > start && matches!(d, Deed::Stopped { id: i } if *i == id));
+        let until = (start + s.cold_for).min(stopped.map_or(u64::MAX, |d| d.0));
+        let sent: Vec<&Attempt> =
+            attempts.iter().filter(|a| a.at == id && a.first >= start && a.first < until).collect();
+        let times: Vec<u64> = sent.iter().map(|a| a.first).collect();
+        finding.tried += times.len() as u64;
+        let places = f64::from(terms.places.get(&id).copied().unwrap_or(0));
+        for (i, &t) in times.iter().enumerate() {
+            let window = || sent[..=i].iter().filter(|a| a.first + s.fall_window > t);
+            let count = window().count() as f64;
+            let warmth =
+                (s.cold_from + (1.0 - s.cold_from) * (t - start) as f64 / s.cold_for as f64).min(1.0);
+            let most = places / s.cold_for as f64 * warmth * s.fall_multiple * s.fall_window as f64;
+            if count > most.max(1.0) {
+                let by = |a: &&Attempt| asked.get(a.ufrag.as_str()).map_or(u32::MAX, |k| k.front);
+                let mut fronts: BTreeMap<u32, u32> = BTreeMap::new();
+                window().for_each(|a| *fronts.entry(by(a)).or_default() += 1);
+                let age = (t - start) / MS;
+                finding.against(format!(
+                    "box {id}: {count} set-ups in one window {age} ms after its start, {most:.1} is what it bears; \
+                     by front {fronts:?}"
+                ));
+                break;
+            }
+        }
+    }
+}
+
+/// Rule 5.
+fn floors(
+    all: &[Conversation], attempts: &[Attempt], asked: &HashMap<&str, &Ask>, deeds: &[(u64, Deed)],
+    config: &Config, finding: &mut Finding,
+) {
+    // Changes of layer and ends at boxes, by box and path.
+    let mut layers: HashMap<(u32, String), Vec<(u64, usize)>> = HashMap::new();
+    let mut ends: HashMap<(u32, String), u64> = HashMap::new();
+    // The last closing of a session's event streams: without one, its box ends it.
+    let mut alone: HashMap<(u32, String), u64> = HashMap::new();
+    // Viewers' own ends, by front and resource.
+    let mut given_up: HashMap<(u32, &str), u64> = HashMap::new();
+    for c in all {
+        if let End::Viewer(front) = c.end {
+            for m in c.requests.iter().filter(|m| m.method == "DELETE") {
+                given_up.entry((front, m.target.as_str())).or_insert(m.first);
+            }
+        }
+        let End::Box(at) = c.end else { continue };
+        for m in c.requests.iter().filter(|m| m.method == "GET") {
+            if let Some((path, _)) = m.target.split_once("/events/") {
+                let closed = alone.entry((at, path.to_owned())).or_default();
+                *closed = c.closed.unwrap_or(u64::MAX).max(*closed);
+            }
+        }
+        for (i, m) in c.requests.iter().enumerate() {
+            let done = c.responses.get(i).is_some_and(|r| r.status < 300);
+            if let Some(path) = m.target.strip_suffix("/layer").filter(|_| m.method == "POST" && done) {
+                let body = serde_json::from_slice::<serde_json::Value>(&m.body).unwrap_or_default();
+                let rung = body.get("encodingId").and_then(|v| v.as_str()).and_then(|v| v.parse().ok());
+                // In force from its answer on; a call that is still out does not count yet.
+                let at_time = c.responses.get(i).map_or(m.last, |r| r.last);
+                layers.entry((at, path.to_owned())).or_default().extend(rung.map(|r| (at_time, r)));
+            } else if m.method == "DELETE" {
+                ends.entry((at, m.target.clone())).or_insert(m.first);
+            }
+        }
+    }
+    let mut held: BTreeMap<(u32, usize, &str), Vec<(u64, u64)>> = BTreeMap::new();
+    for a in attempts {
+        let Some(ask) = asked.get(a.ufrag.as_str()) else { continue };
+        let class = &config.settings.classes[ask.class];
+        let key = (a.at, a.location.clone().unwrap_or_default());
+        let stopped = deeds.iter().find_map(|(t, d)| match d {
+            Deed::Stopped { id } if *id == a.at && *t >= a.first => Some(*t),
+            Deed::Killed { front } if *front == ask.front && *t >= a.first => Some(*t),
+            _ => None,
+        });
+        let left = ask.location.as_deref().and_then(|l| given_up.get(&(ask.front, l)));
+        let known = [ends.get(&key).copied(), alone.get(&key).copied(), left.copied(), stopped];
+        let end = known.into_iter().flatten().min().unwrap_or(u64::MAX);
+        let plays = ask.answer.filter(|x| x.0 == 201 && a.answer.is_some_and(|y| y.0 == 201));
+        if class.floor > 0
+            && let Some((_, since)) = plays
+        {
+            finding.looked_at += 1;
+            finding.tried += 1;
+            let set = layers.get(&key).map_or(&[][..], Vec::as_slice);
+            let at_start = set.iter().rev().find(|l| l.0 <= since + TURN).map_or(0, |l| l.1);
+            let low = set.iter().filter(|l| l.0 > since && l.0 < end).map(|l| l.1).fold(at_start, usize::min);
+            if low < class.floor {
+                finding
+                    .against(format!("{}: played at rung {low}, under the floor {}", a.ufrag, class.floor));
+            }
+        }
+        if class.seats > 0 {
+            let end = match a.answer {
+                Some((201, _)) => end,
+                _ => a.over(),
+            };
+            held.entry((ask.front, ask.class, &ask.title)).or_default().push((a.first, end));
+        }
+    }
+    for ((front, class, title), spans) in held {
+        let seats = config.settings.classes[class].seats as usize;
+        finding.looked_at += spans.len() as u64;
+        for &(from, _) in &spans {
+            finding.tried += 1;
+            // An end is seen at the box a moment after the front counted the seat as free.
+            let now = spans.iter().filter(|s| s.0 <= from && s.1 > from + TURN).count();
+            if now > seats {
+                finding.against(format!("front {front}: {now} sessions of '{title}', {seats} seats"));
+                break;
+            }
+        }
+    }
+}
+
+/// Rule 6.
+fn budget(
+    asks: &[Ask], attempts: &[Attempt], asked: &HashMap<&str, &Ask>, config: &Config, finding: &mut Finding,
+) {
+    let Some(b) = config.settings.retry_budget else { return };
+    let mut first: BTreeSet<&str> = BTreeSet::new();
+    let mut further: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
+    for a in attempts {
+        finding.looked_at += 1;
+        let Some(ask) = asked.get(a.ufrag.as_str()) else { continue };
+        if !first.insert(&a.ufrag) {
+            further.entry(ask.front).or_default().push(a.first);
+        }
+    }
+    for (front, times) in further {
+        let taken: Vec<u64> = asks.iter().filter(|a| a.front == front).map(|a| a.sent).collect();
+        for (i, &t) in times.iter().enumerate() {
+            finding.tried += 1;
+            // The two ends of the window are seen at two sockets.
+            let sent = times[..=i].iter().filter(|&&u| u + b.window > t + TURN).count() as f64;
+            let taken = taken.iter().filter(|&&u| u <= t && u + b.window + TURN > t).count() as f64;
+            if sent > b.spare + b.share * taken {
+                finding.against(format!(
+                    "front {front}: {sent} further attempts in one window, {taken} requests taken"
+                ));
+                break;
+            }
+        }
+    }
+}
--- a/crates/standin/src/media_box.rs
+++ b/crates/standin/src/media_box.rs
@@ -5,6 +5,7 @@
 use crate::record::{End, Record, What};
 use micadyke_http::client::read_some;
 use micadyke_http::fields::{IfMatch, Link, LoadReport};
+use micadyke_http::message::chunk;
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
 use micadyke_sdp::{Answerer, Fragment, Offer, OfferError, Use, answer};
 use std::cell::{Cell, RefCell};
@@ -512,12 +513,17 @@
         }
         let head =
             Response::new(200).with("content-type", "text/event-stream").with("cache-control", "no-store");
-        let mut ok = self.write(&mut stream, conn, id, &head.encode_stream()).await;
+        let mut ok = self.write(&mut stream, conn, id, &head.encode_chunked()).await;
         while ok.is_some() {
             tokio::select! {
                 event = events.recv() => match event {
-                    Some(bytes) => ok = self.write(&mut stream, conn, id, &bytes).await,
-                    None => break,
+                    Some(bytes) => ok = self.write(&mut stream, conn, id, &chunk(&bytes)).await,
+                    // The session ended: so does its stream, in good order. A process that is killed writes no
+                    // such end.
+                    None => {
+                        ok = self.write(&mut stream, conn, id, &chunk(&[])).await;
+                        break;
+                    }
                 },
                 read = read_some(&stream, |_| {}) => if !matches!(read, Ok(n) if n > 0) { break },
             }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -22,7 +22,9 @@
     Read(Vec<u8>),
     /// Bytes that this end wrote.
     Wrote(Vec<u8>),
-    /// The connection is closed, or this end has seen the other end close it.
+    /// This end has seen the other end close it.
+    PeerClosed,
+    /// This end is done with it.
     Closed,
 }
 
@@ -42,8 +44,10 @@
 /// Something that the rehearsal did to the world, needed to judge what was due.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Deed {
-    /// The list of boxes was written: boxes that are not ready, as (box, drains or gone).
+    /// A front's list of boxes was written.
     List {
+        /// Whose list.
+        front: u32,
         /// Boxes that take nothing new by it.
         unready: Vec<u32>,
     },
@@ -52,6 +56,11 @@
         /// Which box.
         id: u32,
     },
+    /// A box's process ended.
+    Stopped {
+        /// Which box.
+        id: u32,
+    },
     /// A front's process was ended without warning.
     Killed {
         /// Which front.
--- a/crates/standin/src/viewer.rs
+++ b/crates/standin/src/viewer.rs
@@ -66,7 +66,10 @@
             match timeout_at(until, read_some(&self.stream, note)).await {
                 Err(_) => return Err(Miss::Waited),
                 Ok(Ok(n)) if n > 0 => {}
-                Ok(_) => return self.parser.close().ok_or(Miss::Reset),
+                Ok(_) => {
+                    self.record.note(self.conn, self.end, What::PeerClosed);
+                    return self.parser.close().ok_or(Miss::Reset);
+                }
             }
         }
     }
--- /dev/null
+++ b/scenarios/bad-day.sexp
@@ -0,0 +1,27 @@
+; Several troubles at once: fronts restarted, one that stands still, a rolling deploy, a list that is out of reach
+; and then behind, weak uplinks, a frozen and an ageing box, answers lost and late, a crowd, a burst, viewers that
+; withdraw, another program on a link.
+(scenario "bad day"
+  (settings "front.sexp") (seed 20261201) (length 18s)
+  (fronts 3) (boxes 12) (titles 16) (copies 4) (list-lag 200ms) (set-up 3ms) (reap 2s)
+  (viewers (rate 60) (watch 1s 4s) (returns 0.9) (return-after 200ms 700ms) (small 0.25) (zipf 0.8) (mix 0.75 0.25))
+  (trouble front-restart (at 2s) (front 0) (down 400ms))
+  (trouble front-stall (at 5s) (length 2s) (front 1))
+  (trouble front-stop (at 9s) (front 2) (down 300ms))
+  (trouble rolling-deploy (at 3s) (length 9s) (part 0.5) (batch 2) (drain 700ms) (down 300ms))
+  (trouble list-out (at 6s) (length 2s))
+  (trouble list-behind (at 10s) (length 4s) (by 1500ms))
+  (trouble drain (at 12500ms) (length 2s) (box 9))
+  (trouble weak-uplink (at 4s) (length 6s) (rack 2) (part 0.5))
+  (trouble weak-uplink (at 8s) (length 5s) (rack 1) (part 0.6))
+  (trouble freeze (at 7s) (length 3s) (box 8))
+  (trouble ageing (at 2s) (length 8s) (box 10) (factor 300))
+  (trouble lose-answers (at 4s) (length 5s) (box 7) (part 0.3))
+  (trouble late-answers (at 11s) (length 3s) (box 11) (by 500ms))
+  (trouble resets (at 13s) (length 2s) (box 12) (part 0.5))
+  (trouble box-crash (at 14s) (box 12) (down 500ms))
+  (trouble late-notes (at 5s) (length 5s) (by 800ms) (lost 0.3))
+  (trouble crowd (at 6s) (length 4s) (title 1) (rate 25))
+  (trouble burst (at 11s) (length 3s) (factor 2))
+  (trouble withdrawn (at 8s) (length 5s) (part 0.2))
+  (trouble other-program (at 3s) (length 10s) (box 9) (rate 6MB/s)))
