--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -228,6 +228,8 @@
     pub(crate) out: Vec<Output>,
     /// The next attempt goes out without waiting for the last one to close: a front broken on purpose.
     overlap: bool,
+    /// What the list says of a box's state is not heard: a front broken on purpose.
+    deaf: bool,
 }
 
 /// A viewer that asks again within this time counts as come again.
@@ -261,6 +263,12 @@
         self.overlap = true;
     }
 
+    /// Sends to boxes whatever the list says of them: a front broken on purpose.
+    #[doc(hidden)]
+    pub fn break_list(&mut self) {
+        self.deaf = true;
+    }
+
     fn with(config: Rc<Config>, module: Box<dyn Decide>, random: StdRng, now: Nanos) -> Self {
         Front {
             config,
@@ -286,6 +294,7 @@
             counts: Counts::default(),
             out: Vec::new(),
             overlap: false,
+            deaf: false,
         }
     }
 
@@ -491,7 +500,7 @@
     /// Whether nothing forbids this box a new set-up by what the list says now.
     pub(crate) fn may_take(&self, server: ServerId) -> Option<SocketAddr> {
         let b = self.boxes.get(&server)?;
-        (b.row.state == ServerState::Ready).then_some(b.row.address)
+        (b.row.state == ServerState::Ready || self.deaf).then_some(b.row.address)
     }
 
     // ----- attempts
--- a/crates/rehearse/src/sabotage.rs
+++ b/crates/rehearse/src/sabotage.rs
@@ -100,8 +100,10 @@
     let inner = Controller::new(s, u64::from_le_bytes(seed[..8].try_into().unwrap_or_default()), now);
     let inner = inner.expect("settings were checked");
     let mut front = Front::with_module(config.clone(), Box::new(Broken { inner, how }), seed, now);
-    if how == Break::Overlap {
-        front.break_overlap();
+    match how {
+        Break::Overlap => front.break_overlap(),
+        Break::Drains => front.break_list(),
+        _ => {}
     }
     front
 }
