Measurements beside baselines: the box direct, plain hyper, ourselves

Need: set-ups a second, time added, memory a session and drain times, each beside a named baseline in one run.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,242 @@
+//! Measurements on loopback, each beside a named baseline in the same run. No part of CI: machines are noisy, so
+//! what counts is the ratio.
+
+mod load;
+mod peers;
+
+use clap::{Parser, Subcommand};
+use load::{closed, open};
+use micadyke_config::{BoxRow, read_config, write_boxes};
+use peers::{Peer, lean_box, our_front, plain_hyper};
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Measures the front beside the box called directly and the same proxying written plainly on hyper.
+#[derive(Debug, Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// Set-ups a second on one core, and time added at half of that rate.
+    Setups {
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 4)]
+        seconds: u64,
+        /// Times that all are measured in turn; the middle one counts.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
+    /// Memory of the front for each playing session.
+    Memory {
+        /// Sessions.
+        #[arg(long, default_value_t = 10_000)]
+        sessions: usize,
+    },
+    /// From a drain entering the list file to the last new set-up at the box.
+    Drains {
+        /// How many drains.
+        #[arg(long, default_value_t = 60)]
+        drains: usize,
+    },
+    /// A front alone, for the other measurements: boxes' addresses as arguments.
+    #[command(hide = true)]
+    Front {
+        /// Folder with the list of boxes.
+        folder: String,
+    },
+}
+
+type Failure = Box<dyn std::error::Error>;
+
+/// The settings of all measurements: links so wide that no offer is turned away.
+pub(crate) const SETTINGS: &str = r#"
+(front (name "bench") (listen "127.0.0.1:0"))
+(ladder (rung (rate 1kB/s) (worth 0.3)) (rung (rate 2kB/s) (worth 1)))
+(class play (aim 800ms) (patience 10s) (effect idempotent))
+(kind box (streams 900000))
+(fleet (cells 2) (racks 1) (link-per-weight 900GB/s) (note-delay 100ms) (note-period 1s))
+(attempts (most 3))
+(bounds (sessions 1000000) (connections 19000) (idle-per-box 256) (ended 1000))
+(route "/whep/" (kind whep) (class play))
+(title demo (from-cell 0) (cells 2))
+"#;
+
+fn main() -> Result<(), Failure> {
+    match Cli::parse().command {
+        What::Setups { seconds, rounds } => setups(Duration::from_secs(seconds), rounds),
+        What::Memory { sessions } => memory(sessions),
+        What::Drains { drains } => drain_times(drains),
+        What::Front { folder } => {
+            let peer = our_front(Path::new(&folder));
+            println!("{}", peer.addr);
+            std::io::stdout().flush()?;
+            peer.thread.join().map_err(|_| "the front broke down")?;
+            Ok(())
+        }
+    }
+}
+
+pub(crate) fn rows(addrs: &[SocketAddr]) -> Vec<BoxRow> {
+    let row = |(i, address): (usize, &SocketAddr)| BoxRow {
+        id: i as u32 + 1,
+        address: *address,
+        state: micadyke::interface::ServerState::Ready,
+        kind: 0,
+        weight: 1.0,
+        cell: i as u32,
+        zone: 0,
+        started_at: 0,
+    };
+    addrs.iter().enumerate().map(row).collect()
+}
+
+fn write_list(folder: &Path, rows: &[BoxRow]) -> std::io::Result<()> {
+    let config = read_config(SETTINGS, "settings").unwrap_or_else(|e| panic!("{e:?}"));
+    let next = folder.join("next");
+    std::fs::write(&next, write_boxes(rows, &config))?;
+    std::fs::rename(next, folder.join("boxes.sexp"))
+}
+
+fn folder(name: &str) -> std::io::Result<std::path::PathBuf> {
+    let dir = std::env::temp_dir().join(format!("micadyke-bench-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
+
+fn setups(time: Duration, rounds: usize) -> Result<(), Failure> {
+    let dir = folder("setups")?;
+    let plain = lean_box(false);
+    let full = lean_box(true);
+    write_list(&dir, &rows(&[plain.addr]))?;
+    let ours = our_front(&dir);
+    let full_dir = folder("setups-full")?;
+    write_list(&full_dir, &rows(&[full.addr]))?;
+    let ours_full = our_front(&full_dir);
+    let theirs = plain_hyper(plain.addr);
+    std::thread::sleep(Duration::from_millis(300));
+    let peers: [(&str, &Peer, &str); 4] = [
+        ("box called directly", &plain, ""),
+        ("plain hyper proxy", &theirs, ""),
+        ("micadyke front", &ours, ""),
+        ("micadyke front, layer and events too", &ours_full, ""),
+    ];
+    println!("closed loop, 32 connections, POST then DELETE; set-ups a second:");
+    let mut rates = vec![Vec::new(); peers.len()];
+    for _ in 0..rounds {
+        for (i, (_, peer, _)) in peers.iter().enumerate() {
+            rates[i].push(closed(peer.addr, 32, time)?);
+        }
+    }
+    let middle = |v: &mut Vec<f64>| {
+        v.sort_by(f64::total_cmp);
+        v[v.len() / 2]
+    };
+    let rates: Vec<f64> = rates.iter_mut().map(middle).collect();
+    for (i, (name, ..)) in peers.iter().enumerate() {
+        println!("  {name:<38} {:>9.0}  {:.2} of hyper", rates[i], rates[i] / rates[1]);
+    }
+    let rate = rates[1].min(rates[2]) / 2.0;
+    println!("open loop at {rate:.0} set-ups a second, from the intended send; ms:");
+    let mut all: Vec<Vec<[f64; 3]>> = vec![Vec::new(); peers.len()];
+    for _ in 0..rounds {
+        for (i, (_, peer, _)) in peers.iter().enumerate().take(3) {
+            all[i].push(open(peer.addr, rate, time)?);
+        }
+    }
+    for (i, (name, ..)) in peers.iter().enumerate().take(3) {
+        let at = |q: usize| middle(&mut all[i].iter().map(|r| r[q]).collect());
+        let base = |q: usize| middle(&mut all[0].iter().map(|r| r[q]).collect());
+        println!(
+            "  {name:<38} p50 {:.3}  p99 {:.3}  p99.9 {:.3}  added at p99 {:.3}",
+            at(0),
+            at(1),
+            at(2),
+            at(1) - base(1)
+        );
+    }
+    let _ = (std::fs::remove_dir_all(dir), std::fs::remove_dir_all(full_dir));
+    std::process::exit(0);
+}
+
+fn resident(pid: u32) -> Result<f64, Failure> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
+    Ok(line.trim().trim_end_matches("kB").trim().parse()?)
+}
+
+fn memory(sessions: usize) -> Result<(), Failure> {
+    let dir = folder("memory")?;
+    let full = lean_box(true);
+    write_list(&dir, &rows(&[full.addr]))?;
+    let mut child = Command::new(std::env::current_exe()?)
+        .args(["front", &dir.display().to_string()])
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().ok_or("no pipe")?).read_line(&mut line)?;
+    let addr: SocketAddr = line.trim().parse()?;
+    std::thread::sleep(Duration::from_millis(300));
+    load::hold(addr, 200)?;
+    let before = resident(child.id())?;
+    let began = Instant::now();
+    load::hold(addr, sessions)?;
+    std::thread::sleep(Duration::from_millis(1500));
+    let after = resident(child.id())?;
+    println!(
+        "{sessions} sessions play, each with its event stream: {:.2} kB resident a session ({before:.0} kB before, \
+         {after:.0} kB after; set up in {:.1} s)",
+        (after - before) / sessions as f64,
+        began.elapsed().as_secs_f64() - 1.5
+    );
+    let _ = child.kill();
+    let _ = std::fs::remove_dir_all(dir);
+    std::process::exit(0);
+}
+
+fn drain_times(drains: usize) -> Result<(), Failure> {
+    let dir = folder("drains")?;
+    let boxes = [lean_box(false), lean_box(false)];
+    let mut list = rows(&[boxes[0].addr, boxes[1].addr]);
+    write_list(&dir, &list)?;
+    let front = our_front(&dir);
+    std::thread::sleep(Duration::from_millis(300));
+    let addr = front.addr;
+    let until = Instant::now() + Duration::from_millis(500 * drains as u64 + 500);
+    let loading = std::thread::spawn(move || {
+        while Instant::now() < until {
+            let _ = closed(addr, 16, Duration::from_millis(300));
+        }
+    });
+    let mut times = Vec::new();
+    for n in 0..drains {
+        let which = n % 2;
+        list[which].state = micadyke::interface::ServerState::Draining;
+        // Not in step with the front's looks at the file.
+        std::thread::sleep(Duration::from_micros(200_000 + (n as u64 * 7_919) % 50_000));
+        let written = Instant::now();
+        write_list(&dir, &list)?;
+        std::thread::sleep(Duration::from_millis(250));
+        let last = boxes[which].last_set_up();
+        times.push(last.map_or(0.0, |l| l.saturating_duration_since(written).as_secs_f64() * 1e3));
+        list[which].state = micadyke::interface::ServerState::Ready;
+        write_list(&dir, &list)?;
+    }
+    times.sort_by(f64::total_cmp);
+    let at = |p: f64| times[((times.len() as f64 * p) as usize).min(times.len() - 1)];
+    println!(
+        "{drains} drains under load: last new set-up {:.1} ms after the list file was written at the median, {:.1} at \
+         p99, {:.1} at worst (limit 250)",
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+    drop(loading.join());
+    let _ = std::fs::remove_dir_all(dir);
+    std::process::exit(0);
+}
--- /dev/null
+++ b/crates/bench/src/peers.rs
@@ -0,0 +1,241 @@
+//! What is measured: a box as lean as it can be, the front, and the same proxying written plainly on hyper.
+
+use crate::SETTINGS;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use micadyke_config::read_config;
+use micadyke_front::Front;
+use micadyke_front::list::WatchedFile;
+use micadyke_front::shell::serve;
+use micadyke_http::client::read_some;
+use micadyke_http::fields::Link;
+use micadyke_http::{Limits, Method, Request, RequestParser, Response};
+use micadyke_standin::offers::offer;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::Instant;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Something that serves, on a thread of its own.
+pub struct Peer {
+    pub addr: SocketAddr,
+    pub thread: std::thread::JoinHandle<()>,
+    last: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Peer {
+    /// When the last set-up reached it.
+    pub fn last_set_up(&self) -> Option<Instant> {
+        self.last.lock().map_or(None, |l| *l)
+    }
+}
+
+fn start<F, R>(serve: F) -> Peer
+where
+    F: FnOnce(TcpListener, Arc<Mutex<Option<Instant>>>) -> R + Send + 'static,
+    R: Future<Output = ()>,
+{
+    let (tell, told) = mpsc::channel();
+    let last = Arc::new(Mutex::new(None));
+    let shared = last.clone();
+    let thread = std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+            tell.send(listener.local_addr().expect("an address")).expect("it is awaited");
+            serve(listener, shared).await;
+        });
+    });
+    Peer { addr: told.recv().expect("it starts"), thread, last }
+}
+
+/// A box that answers at once with what was made beforehand; `extensions`: with layers and event streams.
+pub fn lean_box(extensions: bool) -> Peer {
+    start(move |listener, last| async move {
+        let text = offer(false, 1, 1, None);
+        let offered = micadyke_sdp_answer(&text);
+        let next = Rc::new(Cell::new(0u64));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let _ = stream.set_nodelay(true);
+            let (answer, next, last) = (offered.clone(), next.clone(), last.clone());
+            spawn_local(async move {
+                let _ = lean(stream, &answer, &next, &last, extensions).await;
+            });
+        }
+    })
+}
+
+fn micadyke_sdp_answer(text: &str) -> Rc<str> {
+    // As a stand-in box answers; the same for every session, since every offer has the same shape.
+    let lines = text.lines().filter(|l| !l.starts_with("a=recvonly") && !l.starts_with("a=setup"));
+    let answer: String = lines.map(|l| format!("{l}\r\n")).collect();
+    answer.replace("a=rtcp-mux\r\n", "a=rtcp-mux\r\na=sendonly\r\na=setup:passive\r\n").into()
+}
+
+async fn lean(
+    mut stream: TcpStream, answer: &str, next: &Cell<u64>, last: &Mutex<Option<Instant>>, extensions: bool,
+) -> std::io::Result<()> {
+    let mut parser = RequestParser::new(Limits::default());
+    loop {
+        let Ok(polled) = parser.poll() else { return Ok(()) };
+        let Some(r) = polled else {
+            if read_some(&stream, |b| parser.feed(b)).await? == 0 {
+                return Ok(());
+            }
+            continue;
+        };
+        let path = r.path();
+        let response = match r.method {
+            Method::Post if path.starts_with("/whep/") => {
+                if let Ok(mut l) = last.lock() {
+                    *l = Some(Instant::now());
+                }
+                next.set(next.get() + 1);
+                let n = next.get();
+                let mut response =
+                    Response::new(201).with("location", format!("/s/{n}")).with("etag", "\"1\"");
+                if extensions {
+                    let layer = Link::new(format!("/s/{n}/layer"), "urn:ietf:params:whep:ext:core:layer");
+                    let events = Link::new(
+                        format!("/s/{n}/events"),
+                        "urn:ietf:params:whep:ext:core:server-sent-events",
+                    );
+                    response = response.with("link", layer.encode()).with("link", events.encode());
+                }
+                response.content("application/sdp", answer)
+            }
+            Method::Post if path.ends_with("/events") => {
+                Response::new(201).with("location", format!("{path}/1"))
+            }
+            Method::Get => {
+                let head = Response::new(200).with("content-type", "text/event-stream");
+                stream.write_all(&head.encode_chunked()).await?;
+                while read_some(&stream, |_| {}).await? > 0 {}
+                return Ok(());
+            }
+            _ => Response::new(200),
+        };
+        stream.write_all(&response.encode(false)).await?;
+    }
+}
+
+/// The front, by the list in a folder.
+pub fn our_front(folder: &Path) -> Peer {
+    let list = folder.join("boxes.sexp");
+    start(move |listener, _| async move {
+        let config = Rc::new(read_config(SETTINGS, "settings").unwrap_or_else(|e| panic!("{e:?}")));
+        let source = Box::new(WatchedFile::new(list, config.clone()));
+        let made = config.clone();
+        let front = move |now| Front::new(made, [9; 32], now).expect("sound settings");
+        serve(listener, front, config, source, std::future::pending()).await;
+    })
+}
+
+struct Proxy {
+    to: SocketAddr,
+    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    sessions: RefCell<HashMap<u64, String>>,
+    next: Cell<u64>,
+}
+
+impl Proxy {
+    async fn call(&self, request: hyper::Request<Full<Bytes>>) -> Option<hyper::Response<Bytes>> {
+        let kept = loop {
+            match self.idle.borrow_mut().pop() {
+                Some(s) if !s.is_ready() => {}
+                other => break other,
+            }
+        };
+        let mut sender = match kept {
+            Some(s) => s,
+            None => {
+                let stream = TcpStream::connect(self.to).await.ok()?;
+                let _ = stream.set_nodelay(true);
+                let (sender, connection) =
+                    hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+                spawn_local(connection);
+                sender
+            }
+        };
+        let (parts, body) = sender.send_request(request).await.ok()?.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        self.idle.borrow_mut().push(sender);
+        Some(hyper::Response::from_parts(parts, body))
+    }
+
+    async fn serve(self: Rc<Self>, request: hyper::Request<Incoming>) -> hyper::Response<Full<Bytes>> {
+        let bad = |status: u16| {
+            hyper::Response::builder().status(status).body(Full::default()).expect("a response")
+        };
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.collect().await else { return bad(400) };
+        let body = body.to_bytes();
+        let host = self.to.to_string();
+        if parts.method == hyper::Method::POST {
+            let out = hyper::Request::post(parts.uri.path())
+                .header("host", host)
+                .header("via", "1.1 hyper")
+                .header("content-type", "application/sdp")
+                .body(Full::new(body));
+            let Some(answer) = self.call(out.expect("a request")).await else { return bad(502) };
+            let location =
+                answer.headers().get("location").and_then(|l| l.to_str().ok()).unwrap_or("").to_owned();
+            let etag = answer.headers().get("etag").cloned();
+            self.next.set(self.next.get() + 1);
+            let n = self.next.get();
+            self.sessions.borrow_mut().insert(n, location);
+            let mut out = hyper::Response::builder()
+                .status(answer.status())
+                .header("location", format!("/session/{n}"))
+                .header("content-type", "application/sdp");
+            if let Some(tag) = etag {
+                out = out.header("etag", tag);
+            }
+            return out.body(Full::new(answer.into_body())).expect("a response");
+        }
+        let n = parts.uri.path().rsplit('/').next().and_then(|n| n.parse().ok());
+        let Some(path) = n.and_then(|n: u64| self.sessions.borrow_mut().remove(&n)) else { return bad(404) };
+        let out = hyper::Request::delete(path).header("host", host).body(Full::default());
+        spawn_local(async move {
+            let _ = self.call(out.expect("a request")).await;
+        });
+        bad(200)
+    }
+}
+
+/// The same proxying written plainly on hyper: no checks of the offer, no module, no books beyond a map.
+pub fn plain_hyper(to: SocketAddr) -> Peer {
+    start(move |listener, _| async move {
+        let (idle, sessions, next) = (RefCell::default(), RefCell::default(), Cell::new(0));
+        let proxy = Rc::new(Proxy { to, idle, sessions, next });
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let _ = stream.set_nodelay(true);
+            let proxy = proxy.clone();
+            spawn_local(async move {
+                let service = service_fn(move |r| {
+                    let proxy = proxy.clone();
+                    async move { Ok::<_, std::convert::Infallible>(proxy.serve(r).await) }
+                });
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    })
+}
+
+/// A request as the load sends it.
+pub fn request(n: u64) -> Vec<u8> {
+    Request::new(Method::Post, "/whep/demo").content("application/sdp", offer(false, n, n, None)).encode("h")
+}
