--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -3,6 +3,7 @@
 use crate::core::{CallId, ConnId, StreamId};
 use micadyke::interface::{Nanos, Outcome, Rung, ServerId};
 use micadyke_config::RouteKind;
+use micadyke_sdp::Shape;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,6 +47,8 @@
     /// Who waits for the answer; `None`: the viewer left.
     pub conn: Option<ConnId>,
     pub offer: Box<str>,
+    /// What a box's answer must fit.
+    pub shape: Shape,
     /// The viewer is answered by then.
     pub give_up_at: Nanos,
     /// The attempt that is out.
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -12,7 +12,7 @@
 use micadyke_http::client::CallError;
 use micadyke_http::fields::{IfMatch, Link, LoadReport, prefer_wait};
 use micadyke_http::{Method, Request, Response, sse};
-use micadyke_sdp::{Fragment, Offer, OfferError, Use};
+use micadyke_sdp::{Fragment, Offer, OfferError, Shape, Use};
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -116,6 +116,7 @@
         let phase = Phase::SettingUp(SettingUp {
             conn: Some(conn),
             offer: text.into(),
+            shape: offer.shape(),
             give_up_at: self.now.saturating_add(patience),
             out: None,
             closing: None,
@@ -449,7 +450,7 @@
                 self.withdraw(addr, place.resource, 0);
                 return self.ended(id, server, Outcome::Cancelled, true);
             }
-            (Ok(r), Some(Some(place))) => match answer_text(&s.offer, &r) {
+            (Ok(r), Some(Some(place))) => match answer_text(&s.shape, &r) {
                 Some(answer) => {
                     let reports = notes::reports(r.headers.get(LoadReport::FIELD));
                     return self.stands(id, place, answer, reports);
@@ -785,12 +786,10 @@
 }
 
 /// A box's answer, if it is one that fits the offer.
-fn answer_text(offer: &str, r: &Response) -> Option<Arc<str>> {
+fn answer_text(offered: &Shape, r: &Response) -> Option<Arc<str>> {
     if r.media_type().as_deref() != Some(SDP) {
         return None;
     }
     let text = std::str::from_utf8(&r.body).ok()?;
-    // The offer was checked when it was taken; here it is only read again.
-    let used = [Use::Play, Use::Publish].into_iter().find_map(|u| Offer::parse(offer, u).ok())?;
-    used.answered_by(text).ok().map(|()| text.into())
+    offered.answered_by(text).ok().map(|()| text.into())
 }
--- a/crates/sdp/src/lib.rs
+++ b/crates/sdp/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use answer::{Answerer, answer};
 pub use frag::{Fragment, FragmentError};
-pub use offer::{Direction, Offer, OfferError, Use};
+pub use offer::{Direction, Offer, OfferError, Shape, Use};
 
 /// Bytes of a description at most.
 pub const MAX_BYTES: usize = 64 << 10;
@@ -69,9 +69,17 @@
 pub(crate) fn attributes<'a, 'b>(
     lines: &'b [(u8, &'a str)], name: &'b str,
 ) -> impl Iterator<Item = &'a str> + use<'a, 'b> {
-    lines.iter().filter(|(t, _)| *t == b'a').filter_map(move |(_, v)| {
-        let (n, value) = v.split_once(':').unwrap_or((v, ""));
-        (n == name).then_some(value)
+    lines.iter().filter_map(move |(t, v)| {
+        // Compared before it is split: most lines are another attribute's.
+        let (v, n) = (*v, name.len());
+        if *t != b'a' || v.len() < n || v.as_bytes()[..n] != *name.as_bytes() {
+            return None;
+        }
+        match v.as_bytes().get(n) {
+            None => Some(""),
+            Some(b':') => Some(&v[n + 1..]),
+            Some(_) => None,
+        }
     })
 }
 
@@ -94,7 +102,10 @@
         if text.len() > MAX_BYTES {
             return bad(0, "the description is too long");
         }
-        let mut all = Description { lines: Vec::new(), media: Vec::new() };
+        if let Some(at) = text.bytes().position(|b| b == 0) {
+            return bad(text[..at].lines().count().max(1), "a line holds a control character");
+        }
+        let mut all = Description { lines: Vec::with_capacity(8), media: Vec::with_capacity(2) };
         let mut head = [b'v', b'o', b's'].into_iter();
         for (i, line) in text.lines().enumerate() {
             let n = i + 1;
@@ -108,7 +119,7 @@
             if bytes.len() < 2 || bytes[1] != b'=' || !bytes[0].is_ascii_lowercase() {
                 return bad(n, "a line is no type=value");
             }
-            if bytes.iter().any(|&b| b == 0 || b == b'\r') {
+            if bytes.last() == Some(&b'\r') {
                 return bad(n, "a line holds a control character");
             }
             let (kind, value) = (bytes[0], &line[2..]);
@@ -155,5 +166,5 @@
     let formats: Vec<&str> = parts.filter(|p| !p.is_empty()).collect();
     let port = port.split('/').next()?.parse().ok()?;
     let sound = !kind.is_empty() && !proto.is_empty() && !formats.is_empty() && formats.len() <= 128;
-    sound.then_some(Media { kind, port, proto, formats, lines: Vec::new() })
+    sound.then(|| Media { kind, port, proto, formats, lines: Vec::with_capacity(48) })
 }
--- a/crates/sdp/src/offer.rs
+++ b/crates/sdp/src/offer.rs
@@ -166,20 +166,31 @@
         self.description.media.iter().filter(|m| m.kind == "video").find_map(Media::bandwidth_kb)
     }
 
-    /// Whether a text is an answer that fits this offer: as many sections of the same kinds, with ICE
-    /// credentials, a fingerprint and a settled DTLS role.
+    /// What an answer must fit.
+    pub fn shape(&self) -> Shape {
+        Shape(self.description.media.iter().map(|m| (m.kind.into(), m.proto.into())).collect())
+    }
+
+    /// Whether a text is an answer that fits this offer.
+    pub fn answered_by(&self, answer: &str) -> Result<(), OfferError> {
+        self.shape().answered_by(answer)
+    }
+}
+
+/// What an answer must fit: kind and transport of each section of the offer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shape(Box<[(Box<str>, Box<str>)]>);
+
+impl Shape {
+    /// Whether a text is an answer that fits: as many sections of the same kinds, with ICE credentials, a
+    /// fingerprint and a settled DTLS role.
     pub fn answered_by(&self, answer: &str) -> Result<(), OfferError> {
         let answer = Description::parse(answer).map_err(OfferError::Syntax)?;
         let no = |what| Err(OfferError::Unanswerable(what));
-        if answer.media.len() != self.description.media.len() {
+        if answer.media.len() != self.0.len() {
             return no("the answer has another number of sections");
         }
-        if answer
-            .media
-            .iter()
-            .zip(&self.description.media)
-            .any(|(a, b)| a.kind != b.kind || a.proto != b.proto)
-        {
+        if answer.media.iter().zip(&self.0).any(|(a, b)| a.kind != &*b.0 || a.proto != &*b.1) {
             return no("a section of the answer is of another kind");
         }
         let Some(first) = answer.media.iter().find(|m| !m.rejected()) else {
