Structured fields, and a WebRTC library over the whole path

Need: structured fields are among the parsers of the front, and a real library has to get its session.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -101,7 +101,8 @@
         let times = Rc::new(RefCell::new(Histogram::<u64>::new_with_bounds(1, 60_000_000, 3)?));
         let idle: Rc<RefCell<VecDeque<Client>>> = Rc::default();
         for _ in 0..64 {
-            idle.borrow_mut().push_back(Client::open(addr).await?);
+            let client = Client::open(addr).await?;
+            idle.borrow_mut().push_back(client);
         }
         let (start, total) = (Instant::now(), (rate * time.as_secs_f64()) as u64);
         let failed = Rc::new(Cell::new(0u64));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod parse;
 pub mod sse;
+pub mod structured;
 
 pub use message::{Headers, Method, Request, Response, reason};
 pub use parse::{Fault, Limits, RequestParser, ResponseParser};
--- a/crates/rehearse/tests/sockets.rs
+++ b/crates/rehearse/tests/sockets.rs
@@ -322,3 +322,54 @@
         assert_eq!(client.call(&patch(&fresh, "newfrag1"), until).await.expect("an answer").status, 204);
     });
 }
+
+#[test]
+fn a_webrtc_library_gets_its_session_trickles_and_restarts() {
+    use str0m::change::SdpAnswer;
+    use str0m::media::{Direction, MediaKind};
+    local(async {
+        str0m::crypto::from_feature_flags().install_process_default();
+        let hall = Hall::new().await;
+        let mut rtc = str0m::Rtc::new(std::time::Instant::now());
+        let mut api = rtc.sdp_api();
+        api.add_media(MediaKind::Audio, Direction::RecvOnly, None, None, None);
+        api.add_media(MediaKind::Video, Direction::RecvOnly, None, None, None);
+        let (offered, pending) = api.apply().expect("an offer");
+        let text = offered.to_sdp_string();
+        let wish = Wish { offer: text.clone(), ..wish(1, "/whep/demo") };
+        let Outcome::Plays(session) = ask(0, hall.addr, &wish, &hall.record).await.0 else {
+            panic!("it plays")
+        };
+        let answer = SdpAnswer::from_sdp_string(&session.answer).expect("an answer");
+        rtc.sdp_api().accept_answer(pending, answer).expect("the library takes it");
+
+        let line =
+            |name: &str| text.lines().find_map(|l| l.strip_prefix(name)).expect("a line").trim().to_owned();
+        let mine = (line("a=ice-ufrag:"), line("a=ice-pwd:"));
+        let candidate = str0m::Candidate::host("127.0.0.1:6001".parse().expect("an address"), "udp")
+            .expect("a candidate");
+        let candidate = candidate.to_sdp_string().trim_start_matches("a=").replace("candidate:", "");
+        let body = |ufrag: &str, password: &str| {
+            format!(
+                "a=ice-ufrag:{ufrag}\r\na=ice-pwd:{password}\r\nm=audio 9 RTP/AVP 0\r\na=mid:0\r\na=candidate:{candidate}\r\n"
+            )
+        };
+        let until = Instant::now() + Duration::from_secs(5);
+        let mut client = Client::open(0, hall.addr, &hall.record, until).await.expect("a connection");
+        let tag = session.etag.clone().expect("a tag");
+        let patch = |body: String| {
+            let kind = "application/trickle-ice-sdpfrag";
+            Request::new(Method::Patch, &*session.location).with("if-match", &*tag).content(kind, body)
+        };
+        let trickled = client.call(&patch(body(&mine.0, &mine.1)), until).await.expect("an answer");
+        assert_eq!(trickled.status, 204);
+        let fresh = rtc.sdp_api().ice_restart(true);
+        let restarted = client.call(&patch(body(&fresh.ufrag, &fresh.pass)), until).await.expect("an answer");
+        assert_eq!(restarted.status, 200);
+        let fragment = String::from_utf8(restarted.body).expect("text");
+        let fragment = micadyke_sdp::Fragment::parse(&fragment).expect("a fragment");
+        let theirs = fragment.candidates.first().map(|c| format!("candidate:{}", c.1)).expect("a candidate");
+        assert!(str0m::Candidate::from_sdp_string(&theirs).is_ok());
+        assert!(fragment.ufrag.is_some() && fragment.password.is_some());
+    });
+}
