--- /dev/null
+++ b/crates/tokens/src/holder.rs
@@ -0,0 +1,489 @@
+//! The front's side: seats asked for before a set-up, renewed ahead of their expiry, given back, and given up in time.
+//! A state machine: calls and the time in, [`Output`]s out.
+
+use crate::Nanos;
+use crate::message::{Key, LeaseId, MAX_OPS, MAX_RESUME, Op, Refusal, Reply, Request, Verdict};
+use crate::store::Record;
+use crate::wheel::Wheel;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// Who uses a seat: a session, by a number of the front's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct User(pub u64);
+
+/// Terms of a holder.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Terms {
+    /// Its name; the same over restarts, and no other front's.
+    pub name: String,
+    /// Clocks run within this share of true time.
+    pub drift: f64,
+    /// Ending a session takes at most this, also where the front is dead and its boxes find that out: not less than
+    /// the time after which a box ends a session whose event stream is closed.
+    pub stop: Nanos,
+    /// A message without an answer is sent again after this at first; doubled up to `retry_most`.
+    pub retry: Nanos,
+    /// See `retry`.
+    pub retry_most: Nanos,
+    /// A seat given back is kept so long for the next session of its title and class.
+    pub keep: Nanos,
+    /// Sessions of a former start may go on at boxes for so long; their seats are kept as used.
+    pub settle: Nanos,
+    /// Leases at most; a session beyond finds it full.
+    pub most_leases: usize,
+}
+
+/// Something to be done, in this order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Write this down; before what follows, where it is a new epoch.
+    Record(Record),
+    /// Send this to the issuer.
+    Send(Request),
+    /// The session may be set up.
+    Granted(User),
+    /// All seats are taken.
+    Full(User),
+    /// The session's seat cannot be counted on any more: it must be over within `stop`.
+    Lost(User),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Asked for; whether it is held is not known.
+    Asking,
+    /// Held until `until`.
+    Held,
+    /// To be given back, or on its way.
+    Leaving,
+}
+
+#[derive(Debug, Clone)]
+struct Lease {
+    key: Key,
+    state: State,
+    /// It counts as ours until then.
+    until: Nanos,
+    user: Option<User>,
+    /// Without a user: given back at this time.
+    idle_until: Nanos,
+    /// Sessions of a former start may still use it.
+    settles_at: Nanos,
+    /// A renewal waits to be sent, or is out.
+    renewing: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Due {
+    Renew(LeaseId),
+    Expire(LeaseId),
+    Idle(LeaseId),
+    Resend(u64),
+}
+
+#[derive(Debug)]
+struct Out {
+    request: Request,
+    /// When it was first sent: what it was granted counts from here.
+    first: Nanos,
+    tries: u32,
+}
+
+/// The seats of one front.
+#[derive(Debug)]
+pub struct Holder {
+    terms: Terms,
+    epoch: u64,
+    seq: u64,
+    next: u64,
+    random: StdRng,
+    leases: BTreeMap<LeaseId, Lease>,
+    users: HashMap<User, LeaseId>,
+    idle: BTreeMap<Key, BTreeSet<LeaseId>>,
+    queue: VecDeque<Op>,
+    resume: Vec<(LeaseId, Key)>,
+    out: Option<Out>,
+    due: Wheel<Due>,
+    now: Nanos,
+    /// Messages sent, answers to them, and times that a message was sent again.
+    counts: Counts,
+}
+
+/// What a holder did since its start.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Messages first sent.
+    pub messages: u64,
+    /// Operations in them.
+    pub operations: u64,
+    /// Messages sent again.
+    pub again: u64,
+    /// Seats lost while in use.
+    pub lost: u64,
+    /// Times that the issuer knew a later start of this holder.
+    pub fenced: u64,
+}
+
+/// Part of a lease's time after which it is renewed, at the earliest and at the latest.
+const RENEW: (f64, f64) = (0.40, 0.60);
+
+impl Holder {
+    /// A holder after a start: `epoch` and leases as its store has them. The new epoch is to be recorded before
+    /// anything is sent; seats of the former start are resumed.
+    pub fn new(
+        terms: Terms, epoch: u64, held: Vec<(LeaseId, Key)>, seed: u64, now: Nanos, out: &mut Vec<Output>,
+    ) -> Self {
+        let epoch = epoch + 1;
+        let mut holder = Holder {
+            terms,
+            epoch,
+            seq: 0,
+            next: epoch << 32,
+            random: StdRng::seed_from_u64(seed),
+            leases: BTreeMap::new(),
+            users: HashMap::new(),
+            idle: BTreeMap::new(),
+            queue: VecDeque::new(),
+            resume: held.into_iter().take(MAX_RESUME).collect(),
+            out: None,
+            due: Wheel::new(now),
+            now,
+            counts: Counts::default(),
+        };
+        out.push(Output::Record(Record::Epoch(epoch)));
+        if !holder.resume.is_empty() {
+            holder.flush(out);
+        }
+        holder
+    }
+
+    /// The epoch in force.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// What it did since its start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Leases that count as ours now, in use or not; what a session may rest on.
+    pub fn held(&self, now: Nanos) -> impl Iterator<Item = (&Key, Option<User>)> {
+        self.leases
+            .values()
+            .filter(move |l| l.state == State::Held && l.until > now)
+            .map(|l| (&l.key, l.user))
+    }
+
+    /// Leases of any state.
+    pub fn len(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Whether it has no leases.
+    pub fn is_empty(&self) -> bool {
+        self.leases.is_empty()
+    }
+
+    /// When [`Holder::tick`] is due.
+    pub fn next(&self) -> Option<Nanos> {
+        self.due.next()
+    }
+
+    /// Whether a seat is held that nobody uses.
+    pub fn has_idle(&self, key: &Key) -> bool {
+        self.idle.get(key).is_some_and(|all| all.iter().any(|l| self.usable(*l)))
+    }
+
+    fn usable(&self, id: LeaseId) -> bool {
+        self.leases
+            .get(&id)
+            .is_some_and(|l| l.state == State::Held && l.until > self.now && l.settles_at <= self.now)
+    }
+
+    /// A session wants a seat. It is answered by [`Output::Granted`] or [`Output::Full`], now or when the issuer has
+    /// answered; until then [`Holder::release`] takes the wish back.
+    pub fn acquire(&mut self, now: Nanos, key: Key, user: User, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        if self.users.contains_key(&user) {
+            return;
+        }
+        let kept = self.idle.get(&key).and_then(|all| all.iter().copied().find(|l| self.usable(*l)));
+        if let Some(id) = kept {
+            if let Some(all) = self.idle.get_mut(&key) {
+                all.remove(&id);
+            }
+            self.leases.get_mut(&id).into_iter().for_each(|l| l.user = Some(user));
+            self.users.insert(user, id);
+            return out.push(Output::Granted(user));
+        }
+        if self.leases.len() >= self.terms.most_leases {
+            return out.push(Output::Full(user));
+        }
+        self.next += 1;
+        let id = LeaseId(self.next);
+        let lease = Lease {
+            key: key.clone(),
+            state: State::Asking,
+            until: 0,
+            user: Some(user),
+            idle_until: 0,
+            settles_at: 0,
+            renewing: false,
+        };
+        self.leases.insert(id, lease);
+        self.users.insert(user, id);
+        out.push(Output::Record(Record::Held(id, key.clone())));
+        self.queue.push_back(Op::Grant(id, key));
+        self.flush(out);
+    }
+
+    /// A session is over, or its wish taken back.
+    pub fn release(&mut self, now: Nanos, user: User, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        let Some(id) = self.users.remove(&user) else { return };
+        let keep = self.terms.keep;
+        let Some(l) = self.leases.get_mut(&id) else { return };
+        l.user = None;
+        // One that is only asked for is given back when it is known to be held.
+        if l.state == State::Held {
+            l.idle_until = now + keep;
+            self.idle.entry(l.key.clone()).or_default().insert(id);
+            self.due.insert(now + keep, Due::Idle(id));
+            if keep == 0 {
+                self.give_back(id);
+            }
+        }
+        self.flush(out);
+    }
+
+    fn give_back(&mut self, id: LeaseId) {
+        let Some(l) = self.leases.get_mut(&id).filter(|l| l.state == State::Held) else { return };
+        l.state = State::Leaving;
+        let key = l.key.clone();
+        if let Some(all) = self.idle.get_mut(&key) {
+            all.remove(&id);
+            if all.is_empty() {
+                self.idle.remove(&key);
+            }
+        }
+        self.queue.push_back(Op::Release(id));
+    }
+
+    /// Sends the next message, if none is out and there is anything to say.
+    fn flush(&mut self, out: &mut Vec<Output>) {
+        if self.out.is_some() || (self.queue.is_empty() && self.resume.is_empty()) {
+            return;
+        }
+        self.seq += 1;
+        let n = self.queue.len().min(MAX_OPS);
+        let request = Request {
+            holder: self.terms.name.clone(),
+            epoch: self.epoch,
+            seq: self.seq,
+            resume: std::mem::take(&mut self.resume),
+            ops: self.queue.drain(..n).collect(),
+        };
+        self.counts.messages += 1;
+        self.counts.operations += request.ops.len() as u64;
+        out.push(Output::Send(request.clone()));
+        self.out = Some(Out { request, first: self.now, tries: 0 });
+        self.due.insert(self.now + self.terms.retry, Due::Resend(self.seq));
+    }
+
+    /// Sends what is out again, unchanged: whether it was taken is not known.
+    fn resend(&mut self, out: &mut Vec<Output>) {
+        let spread = self.random.random_range(0.8..1.2);
+        let Some(o) = self.out.as_mut() else { return };
+        o.tries += 1;
+        self.counts.again += 1;
+        let pause = (self.terms.retry << o.tries.min(16)).min(self.terms.retry_most) as f64 * spread;
+        let (seq, request) = (o.request.seq, o.request.clone());
+        out.push(Output::Send(request));
+        self.due.insert(self.now + pause as Nanos, Due::Resend(seq));
+    }
+
+    /// An answer of the issuer.
+    pub fn reply(&mut self, now: Nanos, reply: &Reply, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        let fits = |o: &Out| o.request.epoch == reply.epoch && o.request.seq == reply.seq;
+        if !self.out.as_ref().is_some_and(fits) {
+            return;
+        }
+        let verdicts = match &reply.result {
+            Ok(v) => v,
+            Err(Refusal::Fenced { epoch }) => return self.fenced(*epoch, out),
+            // Overtaken, or beyond a bound: what it asked is not known to be granted; nothing is counted on.
+            Err(Refusal::Stale | Refusal::Bounds) => return self.fenced(self.epoch, out),
+        };
+        let Some(o) = self.out.take() else { return };
+        let span = reply.ttl as f64 * (1.0 - 2.0 * self.terms.drift) - self.terms.stop as f64;
+        let until = o.first + span.max(0.0) as Nanos;
+        let mut verdicts = verdicts.iter().copied();
+        for (id, key) in o.request.resume {
+            if verdicts.next() == Some(Verdict::Held) {
+                // A former process may still run, cut off, and use it until its own clock says stop.
+                let zombie = (reply.ttl as f64 * (1.0 + 2.0 * self.terms.drift)) as Nanos;
+                let settles_at = now + self.terms.settle.max(zombie);
+                let idle_until = settles_at + self.terms.keep;
+                let state = State::Held;
+                let lease = Lease {
+                    key: key.clone(),
+                    state,
+                    until,
+                    user: None,
+                    idle_until,
+                    settles_at,
+                    renewing: false,
+                };
+                self.leases.insert(id, lease);
+                self.idle.entry(key).or_default().insert(id);
+                self.due.insert(idle_until, Due::Idle(id));
+                self.renew_later(id, o.first, reply.ttl);
+            } else {
+                out.push(Output::Record(Record::Gone(id)));
+            }
+        }
+        for op in o.request.ops {
+            let verdict = verdicts.next().unwrap_or(Verdict::Gone);
+            match op {
+                Op::Grant(id, _) => self.granted(id, verdict, until, o.first, reply.ttl, out),
+                Op::Renew(id, _) => self.renewed(id, verdict, until, o.first, reply.ttl, out),
+                Op::Release(id) => {
+                    self.leases.remove(&id);
+                    out.push(Output::Record(Record::Gone(id)));
+                }
+            }
+        }
+        self.flush(out);
+    }
+
+    fn granted(
+        &mut self, id: LeaseId, v: Verdict, until: Nanos, first: Nanos, ttl: Nanos, out: &mut Vec<Output>,
+    ) {
+        let Some(l) = self.leases.get_mut(&id).filter(|l| l.state == State::Asking) else { return };
+        let user = l.user;
+        if v != Verdict::Held {
+            self.leases.remove(&id);
+            out.push(Output::Record(Record::Gone(id)));
+            if let Some(user) = user {
+                self.users.remove(&user);
+                out.push(Output::Full(user));
+            }
+            return;
+        }
+        (l.state, l.until) = (State::Held, until);
+        match user {
+            // An answer so late that its time is over already is of no use.
+            Some(user) if until <= self.now => {
+                self.users.remove(&user);
+                l.user = None;
+                out.push(Output::Full(user));
+                self.give_back(id);
+            }
+            Some(user) => {
+                out.push(Output::Granted(user));
+                self.renew_later(id, first, ttl);
+            }
+            None => self.give_back(id),
+        }
+    }
+
+    fn renewed(
+        &mut self, id: LeaseId, v: Verdict, until: Nanos, first: Nanos, ttl: Nanos, out: &mut Vec<Output>,
+    ) {
+        let Some(l) = self.leases.get_mut(&id) else { return };
+        l.renewing = false;
+        match v {
+            Verdict::Held => {
+                l.until = l.until.max(until);
+                self.renew_later(id, first, ttl);
+            }
+            _ => self.lose(id, out),
+        }
+    }
+
+    /// Renewals are spread over a fifth of the lease's time, so that they do not come in step.
+    fn renew_later(&mut self, id: LeaseId, first: Nanos, ttl: Nanos) {
+        let part = self.random.random_range(RENEW.0..RENEW.1);
+        self.due.insert(first + (ttl as f64 * part) as Nanos, Due::Renew(id));
+        if let Some(l) = self.leases.get(&id) {
+            self.due.insert(l.until, Due::Expire(id));
+        }
+    }
+
+    /// A seat cannot be counted on any more.
+    fn lose(&mut self, id: LeaseId, out: &mut Vec<Output>) {
+        let Some(l) = self.leases.get_mut(&id) else { return };
+        if let Some(user) = l.user.take() {
+            self.users.remove(&user);
+            self.counts.lost += 1;
+            out.push(Output::Lost(user));
+        }
+        if l.state == State::Held {
+            // The issuer may still count it: it is given back all the same.
+            self.give_back(id);
+        }
+    }
+
+    /// The issuer knows a later start of this holder, or has lost the thread: nothing held is counted on; a new
+    /// epoch begins, without claims, and what the old one held runs out at the issuer.
+    fn fenced(&mut self, epoch: u64, out: &mut Vec<Output>) {
+        self.counts.fenced += 1;
+        self.out = None;
+        self.queue.clear();
+        self.resume.clear();
+        for (id, l) in std::mem::take(&mut self.leases) {
+            out.push(Output::Record(Record::Gone(id)));
+            if let Some(user) = l.user {
+                let asking = l.state == State::Asking;
+                out.push(if asking { Output::Full(user) } else { Output::Lost(user) });
+                self.counts.lost += u64::from(!asking);
+            }
+        }
+        self.users.clear();
+        self.idle.clear();
+        self.epoch = epoch.max(self.epoch) + 1;
+        (self.seq, self.next) = (0, self.epoch << 32);
+        out.push(Output::Record(Record::Epoch(self.epoch)));
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Nanos, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        let mut due = Vec::new();
+        self.due.advance(now, &mut due);
+        for d in due {
+            match d {
+                Due::Renew(id) => {
+                    if let Some(l) =
+                        self.leases.get_mut(&id).filter(|l| l.state == State::Held && !l.renewing)
+                    {
+                        l.renewing = true;
+                        self.queue.push_back(Op::Renew(id, l.key.clone()));
+                    }
+                }
+                Due::Expire(id) => match self.leases.get(&id) {
+                    Some(l) if l.state == State::Held && l.until <= now => self.lose(id, out),
+                    _ => {}
+                },
+                Due::Idle(id) => match self.leases.get(&id) {
+                    Some(l) if l.user.is_none() && l.idle_until <= now => self.give_back(id),
+                    _ => {}
+                },
+                Due::Resend(seq) => {
+                    if self
+                        .out
+                        .as_ref()
+                        .is_some_and(|o| o.request.seq == seq && o.request.epoch == self.epoch)
+                    {
+                        self.resend(out);
+                    }
+                }
+            }
+        }
+        self.flush(out);
+    }
+}
--- /dev/null
+++ b/crates/tokens/src/wheel.rs
@@ -0,0 +1,109 @@
+//! A hierarchical timer wheel (Varghese and Lauck, 1987): inserting takes constant time, however many wait.
+//!
+//! Six levels of 64 slots; a tick is a millisecond, so the wheel spans two years. Nothing is ever cancelled: whoever
+//! pops an entry that has become void drops it. Entries come out no earlier than they are due and within a tick.
+
+use crate::Nanos;
+
+const TICK: Nanos = 1_000_000;
+const BITS: u32 = 6;
+const SLOTS: usize = 1 << BITS;
+const LEVELS: usize = 6;
+
+/// A timer wheel.
+#[derive(Debug)]
+pub struct Wheel<T> {
+    /// The tick up to which all has come out.
+    now: u64,
+    slots: Vec<Vec<(u64, T)>>,
+    /// For each level, which slots hold anything.
+    held: [u64; LEVELS],
+    due: Vec<(u64, T)>,
+    len: usize,
+}
+
+impl<T> Wheel<T> {
+    /// An empty wheel at a time.
+    pub fn new(now: Nanos) -> Self {
+        let slots = (0..LEVELS * SLOTS).map(|_| Vec::new()).collect();
+        Wheel { now: now / TICK, slots, held: [0; LEVELS], due: Vec::new(), len: 0 }
+    }
+
+    /// How many entries wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Lets an entry come out at a time, rounded up to the next tick.
+    pub fn insert(&mut self, at: Nanos, entry: T) {
+        self.len += 1;
+        self.put(at.div_ceil(TICK), entry);
+    }
+
+    fn put(&mut self, at: u64, entry: T) {
+        if at <= self.now {
+            return self.due.push((at, entry));
+        }
+        // The level of the highest digit in which the time differs from now.
+        let level = ((63 - (at ^ self.now).leading_zeros()) / BITS) as usize;
+        let (level, slot) = if level >= LEVELS {
+            // Beyond the span: as far out as the wheel goes; it is put again when it comes down.
+            (LEVELS - 1, ((self.now >> (BITS * 5)) as usize + SLOTS - 1) % SLOTS)
+        } else {
+            (level, (at >> (BITS * level as u32)) as usize % SLOTS)
+        };
+        self.held[level] |= 1 << slot;
+        self.slots[level * SLOTS + slot].push((at, entry));
+    }
+
+    /// The earliest time at which something may come out; it may turn out to be a step of the wheel only.
+    pub fn next(&self) -> Option<Nanos> {
+        if !self.due.is_empty() {
+            return Some(self.now * TICK);
+        }
+        (0..LEVELS).find_map(|level| self.step_at(level)).map(|t| t * TICK)
+    }
+
+    /// The tick at which the next slot of a level that holds anything is reached.
+    fn step_at(&self, level: usize) -> Option<u64> {
+        let shift = BITS * level as u32;
+        let here = (self.now >> shift) as usize % SLOTS;
+        let ahead = self.held[level].rotate_right((here as u32 + 1) & 63).trailing_zeros();
+        (self.held[level] != 0).then(|| ((self.now >> shift) + 1 + u64::from(ahead)) << shift)
+    }
+
+    /// Moves to a time; all that is due by then is appended to `out`, in the order of its time.
+    pub fn advance(&mut self, now: Nanos, out: &mut Vec<T>) {
+        let to = now / TICK;
+        let first = out.len();
+        let mut ready: Vec<(u64, T)> = std::mem::take(&mut self.due);
+        while let Some(next) = (0..LEVELS).filter_map(|l| self.step_at(l)).min().filter(|n| *n <= to) {
+            self.now = next;
+            // From the top down: what falls out of a higher slot belongs into a lower one, or is due.
+            for level in (0..LEVELS).rev() {
+                let shift = BITS * level as u32;
+                if next & ((1 << shift) - 1) != 0 {
+                    continue;
+                }
+                let slot = (next >> shift) as usize % SLOTS;
+                if self.held[level] & (1 << slot) != 0 {
+                    self.held[level] &= !(1 << slot);
+                    for (at, entry) in std::mem::take(&mut self.slots[level * SLOTS + slot]) {
+                        self.put(at, entry);
+                    }
+                }
+            }
+            ready.append(&mut self.due);
+        }
+        self.now = self.now.max(to);
+        ready.sort_by_key(|r| r.0);
+        self.len -= ready.len();
+        out.extend(ready.into_iter().map(|r| r.1));
+        debug_assert!(out.len() >= first);
+    }
+}
