--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -9,7 +9,7 @@
 use micadyke_config::read_config;
 use micadyke_front::Front;
 use micadyke_front::list::WatchedFile;
-use micadyke_front::shell::serve;
+use micadyke_front::shell::{Extras, serve};
 use micadyke_http::client::read_some;
 use micadyke_http::fields::Link;
 use micadyke_http::{Limits, Method, Request, RequestParser, Response};
@@ -138,7 +138,7 @@
         let source = Box::new(WatchedFile::new(list, config.clone()));
         let made = config.clone();
         let front = move |now| Front::new(made, [9; 32], now).expect("sound settings");
-        serve(listener, front, config, source, std::future::pending()).await;
+        serve(listener, front, config, source, Extras::default(), std::future::pending()).await;
     })
 }
 
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,16 +1,21 @@
 //! What each command does.
 
 use micadyke::interface::ServerState;
-use micadyke_config::{BoxRow, Config, Diagnostic, read_boxes, read_config};
+use micadyke_config::units::{Unit, quantity};
+use micadyke_config::{BoxRow, Config, Diagnostic, Entitlements, read_boxes, read_config};
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
-use micadyke_front::shell::serve;
+use micadyke_front::shell::{Extras, serve};
 use micadyke_rehearse::run::play;
 use micadyke_rehearse::sabotage::Break;
 use micadyke_rehearse::scenario::read_scenario;
+use micadyke_standin::issuer::Issuer;
 use micadyke_standin::media_box::{Fleet, Habits};
 use micadyke_standin::model::{Terms, World};
 use micadyke_standin::record::Record;
+use micadyke_tokens::bearer::{Checker, TokenKey};
+use micadyke_tokens::ledger::Terms as SeatTerms;
+use micadyke_tokens::store::File;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -80,16 +85,48 @@
     } else {
         Box::new(WatchedFile::new(boxes_of(&config, file), config.clone()))
     };
+    let seats = match &config.issuer {
+        None => None,
+        Some(i) => {
+            let path = file.parent().unwrap_or(Path::new("")).join(&i.state);
+            Some(File::open(&path).map_err(|e| format!("{}: {e}", path.display()))?)
+        }
+    };
+    let entitlements = config.entitlements.as_ref().map(|e| checker(e, file)).transpose()?;
+    let extras = Extras { seats, entitlements };
     run(async {
         let (listener, addr) = listen(at.unwrap_or(config.listen)).await?;
         ready(addr)?;
         let made = config.clone();
         let front = move |now| Front::new(made, rand::random(), now).expect("settings were checked");
-        serve(listener, front, config, source, async { signalled().await.unwrap_or(()) }).await;
+        serve(listener, front, config, source, extras, async { signalled().await.unwrap_or(()) }).await;
         Ok(ExitCode::SUCCESS)
     })?
 }
 
+/// The keys of the settings, read from their files.
+fn checker(e: &Entitlements, file: &Path) -> Result<Checker, Failure> {
+    let mut checker = Checker::new(&e.audience, e.leeway);
+    for k in &e.keys {
+        let path = file.parent().unwrap_or(Path::new("")).join(&k.file);
+        let bytes = std::fs::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let key = match k.algorithm.as_str() {
+            "HS256" => TokenKey::hmac(bytes.trim_ascii(), k.from, k.until),
+            "ES256" => TokenKey::es256(&bytes, k.from, k.until),
+            _ => TokenKey::ed25519(&bytes, k.from, k.until),
+        };
+        let what = || {
+            format!(
+                "{}: no key for {} (a secret of 32 bytes at least, or a public key)",
+                path.display(),
+                k.algorithm
+            )
+        };
+        checker.put(&k.id, key.ok_or_else(what)?);
+    }
+    Ok(checker)
+}
+
 /// Stand-in boxes for the rows of a list.
 fn world(config: &Config, rows: &[BoxRow]) -> World {
     let s = &config.settings;
@@ -141,7 +178,8 @@
         let made = config.clone();
         let front = move |now| Front::new(made, rand::random(), now).expect("settings were checked");
         let source = Box::new(Fixed(Some(rows)));
-        serve(listener, front, config, source, async { signalled().await.unwrap_or(()) }).await;
+        serve(listener, front, config, source, Extras::default(), async { signalled().await.unwrap_or(()) })
+            .await;
         Ok(ExitCode::SUCCESS)
     })?
 }
@@ -181,6 +219,27 @@
     })?
 }
 
+/// A stand-in issuer of seats, until interrupted.
+pub fn issuer(at: SocketAddr, seats: &[String], ttl: &str) -> Result<ExitCode, Failure> {
+    if !at.ip().is_loopback() {
+        return Err(format!("stand-ins run on loopback only, not on {at}").into());
+    }
+    let ttl = quantity(ttl, Unit::Time).map_err(|e| format!("--ttl: {e}"))? as u64;
+    let one = |s: &String| -> Result<(std::sync::Arc<str>, u32), Failure> {
+        let (class, n) = s.split_once('=').ok_or_else(|| format!("'{s}' is not CLASS=SEATS"))?;
+        Ok((class.into(), n.parse().map_err(|_| format!("'{n}' is no number of seats"))?))
+    };
+    let seats = seats.iter().map(one).collect::<Result<_, Failure>>()?;
+    run(async {
+        let terms = SeatTerms { ttl, seats, most_holders: 10_000, most_leases: 10_000_000 };
+        let issuer = Issuer::new(terms, 1.0, 1);
+        let addr = issuer.open(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        ready(addr)?;
+        signalled().await?;
+        Ok(ExitCode::SUCCESS)
+    })?
+}
+
 pub fn check(file: &Path, boxes: Option<&Path>) -> Result<ExitCode, Failure> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
     let config = match read_config(&text, &file.display().to_string()) {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -56,6 +56,18 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Run a stand-in issuer of seats, until interrupted.
+    Issuer {
+        /// Where it listens; port 0: any free one.
+        #[arg(long, default_value = "127.0.0.1:9100")]
+        listen: SocketAddr,
+        /// Seats for each title of a class, as CLASS=SEATS.
+        #[arg(long, required = true)]
+        seats: Vec<String>,
+        /// How long a lease holds, with its unit.
+        #[arg(long, default_value = "30s")]
+        ttl: String,
+    },
     /// Play scenarios through real fronts and judge the six rules from the traffic: exit 0 kept, 1 broken, 2 could
     /// not run.
     Rehearse {
@@ -92,6 +104,7 @@
         Command::Front { config, listen } => commands::front(&config, listen),
         Command::Demo { listen } => commands::demo(listen),
         Command::Standin { config } => commands::standin(&config),
+        Command::Issuer { listen, seats, ttl } => commands::issuer(listen, &seats, &ttl),
         Command::Rehearse { scenarios, how } => commands::rehearse(&scenarios, how.as_deref()),
         Command::Check { file, boxes } => commands::check(&file, boxes.as_deref()),
     };
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -27,6 +27,8 @@
     pub class: usize,
     /// Bearer tokens that it takes; empty: it asks for none.
     pub bearers: Vec<String>,
+    /// It asks for a signed token that entitles to the title and class.
+    pub entitled: bool,
 }
 
 /// Where a title lies.
@@ -45,6 +47,66 @@
     pub name: String,
     /// A viewer waits so long for an answer, in nanoseconds.
     pub patience: u64,
+    /// Its seats are the issuer's to grant; `None`: it asks for none.
+    pub tokens: Option<SeatPolicy>,
+}
+
+/// What a class does when its seats fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SeatPolicy {
+    /// A request that cannot get its seat in time may use one that is held and idle.
+    pub use_held: bool,
+    /// A session whose seat is lost plays on.
+    pub play_on: bool,
+}
+
+/// The issuer of seats.
+#[derive(Debug, Clone, PartialEq)]
+pub struct IssuerConfig {
+    /// Where it is asked.
+    pub address: SocketAddr,
+    /// The log of seats, relative to the settings.
+    pub state: String,
+    /// A request waits so long for its seat, in nanoseconds.
+    pub wait: u64,
+    /// Clocks run within this share of true time.
+    pub drift: f64,
+    /// Ending a session takes at most this, front alive or dead, in nanoseconds.
+    pub stop: u64,
+    /// A message without an answer is sent again after this, in nanoseconds.
+    pub retry: u64,
+    /// A seat given back is kept for so long, in nanoseconds.
+    pub keep: u64,
+    /// Sessions of a former start may go on for so long, in nanoseconds.
+    pub settle: u64,
+    /// Leases at most.
+    pub leases: usize,
+}
+
+/// A key for bearer entitlements.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyConfig {
+    /// Its id.
+    pub id: String,
+    /// Algorithm: HS256, ES256 or EdDSA.
+    pub algorithm: String,
+    /// File with the secret or the public key, relative to the settings.
+    pub file: String,
+    /// It counts from then on and until then, in Unix seconds.
+    pub from: u64,
+    /// See `from`.
+    pub until: u64,
+}
+
+/// How bearer entitlements are checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entitlements {
+    /// Tokens name this audience.
+    pub audience: String,
+    /// Clocks may differ by so many seconds.
+    pub leeway: u64,
+    /// Keys in force.
+    pub keys: Vec<KeyConfig>,
 }
 
 /// Bounds of the running front. Each says what passing it does.
@@ -101,6 +163,10 @@
     pub titles: BTreeMap<String, Title>,
     /// Part of a viewer's patience kept for the way of the answer, in nanoseconds.
     pub answer_margin: u64,
+    /// The issuer of seats, where there is one.
+    pub issuer: Option<IssuerConfig>,
+    /// Bearer entitlements, where routes ask for them.
+    pub entitlements: Option<Entitlements>,
     /// What the decision module is told.
     pub settings: Settings,
 }
@@ -130,7 +196,8 @@
 }
 
 fn config(nodes: &[crate::sexp::Node], faults: &Faults) -> Option<Config> {
-    const ONCE: [&str; 7] = ["front", "zones", "ladder", "fleet", "attempts", "come-back", "bounds"];
+    const ONCE: [&str; 9] =
+        ["front", "zones", "ladder", "fleet", "attempts", "come-back", "bounds", "issuer", "entitlements"];
     const MANY: [&str; 4] = ["class", "kind", "route", "title"];
     let forms: Vec<Form> = nodes.iter().filter_map(|n| Form::of(n, faults)).collect();
     let mut seen: Vec<&str> = Vec::new();
@@ -197,7 +264,7 @@
     let top = steps.len() as u64 - 1;
     let (mut classes, mut named): (Vec<Class>, Vec<ClassConfig>) = (Vec::new(), Vec::new());
     for c in all("class") {
-        c.allow(&["worth", "aim", "patience", "effect", "scale", "floor", "top", "seats"], &[]);
+        c.allow(&["worth", "aim", "patience", "effect", "scale", "floor", "top", "seats", "tokens"], &[]);
         let name = match c.arguments() {
             [n] => n.text().unwrap_or("").to_owned(),
             _ => {
@@ -230,7 +297,17 @@
             top: most as usize,
             seats: c.count("seats", 0, 1_000_000, Some(0)) as u32,
         });
-        named.push(ClassConfig { name, patience });
+        let tokens = c.part("tokens").map(|t| {
+            t.allow(&["unreachable", "lost"], &[]);
+            SeatPolicy {
+                use_held: t.choice("unreachable", &["refuse", "use-held"], Some(0)) == 1,
+                play_on: t.choice("lost", &["end", "play-on"], Some(0)) == 1,
+            }
+        });
+        if tokens.is_some() && one("issuer").is_none() {
+            c.fault(format!("class '{name}' wants tokens, and no 'issuer' is named"));
+        }
+        named.push(ClassConfig { name, patience, tokens });
     }
     if classes.is_empty() {
         faults.add(Place { line: 1, column: 1 }, "the settings lack a 'class'");
@@ -295,7 +372,14 @@
     // Routes and titles.
     let mut routes: Vec<Route> = Vec::new();
     for r in all("route") {
-        r.allow(&["kind", "class", "bearer"], &[]);
+        r.allow(&["kind", "class", "bearer", "entitled"], &[]);
+        let entitled = r.choice("entitled", &["no", "yes"], Some(0)) == 1;
+        if entitled && one("entitlements").is_none() {
+            r.fault("the route wants entitlements, and no 'entitlements' are named");
+        }
+        if entitled && r.part("bearer").is_some() {
+            r.fault("a route asks for fixed bearers or for entitlements, not both");
+        }
         let prefix = r.arguments().first().and_then(|n| n.text()).unwrap_or("").to_owned();
         if !prefix.starts_with('/') || !prefix.ends_with('/') || prefix.contains("//") || prefix.len() > 256 {
             r.fault(format!("route '{prefix}' must begin and end with a slash"));
@@ -314,6 +398,7 @@
             kind,
             class: r.choice("class", &names, None),
             bearers: strings(r.part("bearer")),
+            entitled,
         });
     }
     if routes.is_empty() {
@@ -365,6 +450,8 @@
     {
         front.fault(format!("the decision module refuses {e}"));
     }
+    let issuer = one("issuer").map(|i| issuer(&i));
+    let entitlements = one("entitlements").map(|e| entitlements(&e));
     let b = one("bounds");
     if let Some(b) = b {
         b.allow(
@@ -421,10 +508,62 @@
         routes,
         titles,
         answer_margin,
+        issuer,
+        entitlements,
         settings,
     })
 }
 
+fn issuer(i: &Form) -> IssuerConfig {
+    i.allow(&["address", "state", "wait", "drift", "stop", "retry", "keep", "settle", "leases"], &[]);
+    let text = i.word_of("address", None);
+    let address = text.parse().unwrap_or_else(|_| {
+        i.fault(format!("address: '{text}' is no address and port"));
+        SocketAddr::from(([127, 0, 0, 1], 0))
+    });
+    let time = |n, or: f64| i.get(n, Unit::Time, (0.0, HOUR), Some(or)) as u64;
+    IssuerConfig {
+        address,
+        state: i.word_of("state", None).to_owned(),
+        wait: time("wait", 300e6),
+        drift: i.get("drift", Unit::Share, (0.0, 0.2), Some(0.001)),
+        stop: time("stop", 5e9),
+        retry: time("retry", 200e6),
+        keep: time("keep", 2e9),
+        settle: time("settle", 5e9),
+        leases: i.count("leases", 1, 10_000_000, Some(100_000)) as usize,
+    }
+}
+
+fn entitlements(e: &Form) -> Entitlements {
+    e.allow(&["audience", "leeway"], &["key"]);
+    let mut keys: Vec<KeyConfig> = Vec::new();
+    for k in e.parts().filter(|p| p.word == "key") {
+        k.allow(&["algorithm", "file", "from", "until"], &[]);
+        let id = k.arguments().first().and_then(|n| n.text()).unwrap_or("").to_owned();
+        if id.is_empty() || keys.iter().any(|o| o.id == id) {
+            k.fault("a key takes one id of its own");
+        }
+        let known = ["HS256", "ES256", "EdDSA"];
+        let seconds = |n, or: f64| (k.get(n, Unit::Time, (0.0, 9e18), Some(or)) / 1e9) as u64;
+        keys.push(KeyConfig {
+            id,
+            algorithm: known[k.choice("algorithm", &known, None)].to_owned(),
+            file: k.word_of("file", None).to_owned(),
+            from: seconds("from", 0.0),
+            until: seconds("until", 9e18),
+        });
+    }
+    if keys.is_empty() {
+        e.fault("'entitlements' lacks a 'key'");
+    }
+    Entitlements {
+        audience: e.word_of("audience", None).to_owned(),
+        leeway: (e.get("leeway", Unit::Time, (0.0, 600e9), Some(5e9)) / 1e9) as u64,
+        keys,
+    }
+}
+
 /// Whether a text may name a title in a path.
 pub(crate) fn title_name(name: &str) -> bool {
     (1..=128).contains(&name.len())
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,4 +12,7 @@
 
 pub use boxes::{BoxRow, read_boxes, write_boxes};
 pub use form::{Diagnostic, Faults, Form};
-pub use front::{Bounds, ClassConfig, Config, Route, RouteKind, Title, read_config};
+pub use front::{
+    Bounds, ClassConfig, Config, Entitlements, IssuerConfig, KeyConfig, Route, RouteKind, SeatPolicy, Title,
+    read_config,
+};
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -5,6 +5,7 @@
 //! again and whether at all are its choices. The core keeps what those choices must hold to on the wire: one
 //! answer to each request, one attempt of a session out at a time, nothing left behind at a box.
 
+use crate::seats::Seats;
 use crate::session::{Phase, Session, SettingUp};
 use micadyke::decide::Controller;
 use micadyke::interface::{
@@ -13,6 +14,8 @@
 use micadyke_config::{BoxRow, Config, Title};
 use micadyke_http::client::CallError;
 use micadyke_http::{Request, Response, sse};
+use micadyke_tokens::bearer::Checker;
+use micadyke_tokens::store::Record;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -144,6 +147,8 @@
     },
     /// Ask the source of the list for changes.
     Subscribe,
+    /// Append this to the log of seats, before anything that follows is done.
+    Record(Record),
 }
 
 /// What a call is for.
@@ -158,7 +163,9 @@
     /// A viewer's PATCH passed on.
     Patch { session: SessionId, conn: ConnId, restart: bool },
     /// A session withdrawn at its box.
-    Withdraw { addr: SocketAddr, path: Box<str>, tries: u8 },
+    Withdraw { session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8 },
+    /// A message to the issuer of seats.
+    Issuer,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -167,7 +174,9 @@
     Attempt(CallId),
     Linger(CallId),
     Resubscribe(SessionId),
-    Withdraw(SocketAddr, Box<str>, u8),
+    Withdraw(SessionId, SocketAddr, Box<str>, u8),
+    SeatWait(SessionId),
+    SeatFree(SessionId),
 }
 
 /// A box as the list names it, and the sessions there.
@@ -224,6 +233,10 @@
     pub(crate) published: HashMap<Arc<str>, (SessionId, Option<Title>)>,
     /// Who asked for a title of late.
     seen: (HashMap<u64, Nanos>, VecDeque<(u64, Nanos)>),
+    /// What checks signed tokens, and the Unix time of the front's time zero, in nanoseconds.
+    pub(crate) entitlements: Option<(Checker, u64)>,
+    /// Seats of the issuer, where the settings name one.
+    pub(crate) seats: Option<Box<Seats>>,
     pub(crate) counts: Counts,
     pub(crate) out: Vec<Output>,
     /// The next attempt goes out without waiting for the last one to close: a front broken on purpose.
@@ -257,6 +270,12 @@
         Self::with(config, module, StdRng::from_seed(seed), now)
     }
 
+    /// Checks signed tokens on routes that ask for them; `epoch` is the Unix time of the front's time zero, in
+    /// nanoseconds.
+    pub fn with_entitlements(&mut self, checker: Checker, epoch: u64) {
+        self.entitlements = Some((checker, epoch));
+    }
+
     /// Lets attempts overlap: a front broken on purpose.
     #[doc(hidden)]
     pub fn break_overlap(&mut self) {
@@ -291,6 +310,8 @@
             ended: Default::default(),
             published: HashMap::new(),
             seen: Default::default(),
+            entitlements: None,
+            seats: None,
             counts: Counts::default(),
             out: Vec::new(),
             overlap: false,
@@ -300,7 +321,8 @@
 
     /// When [`Input::Tick`] is due.
     pub fn deadline(&self) -> Option<Nanos> {
-        self.timers.peek().map(|Reverse((at, ..))| *at)
+        let timer = self.timers.peek().map(|Reverse((at, ..))| *at);
+        timer.into_iter().chain(self.seat_deadline()).min()
     }
 
     /// Requests that still wait for their answer.
@@ -404,10 +426,13 @@
                     }
                 }
                 Timer::Resubscribe(session) => self.subscribe(session),
-                Timer::Withdraw(addr, path, tries) => self.withdraw(addr, path, tries),
+                Timer::Withdraw(session, addr, path, tries) => self.withdraw(session, addr, path, tries),
+                Timer::SeatWait(session) => self.seat_overdue(session),
+                Timer::SeatFree(session) => self.free_seat(session),
             }
             self.settle();
         }
+        self.seat_tick();
     }
 
     // ----- the list
@@ -453,6 +478,7 @@
     /// Ends a session's books; its name stays known, so that a repeated DELETE is answered alike.
     pub(crate) fn forget(&mut self, id: SessionId) -> Option<Session> {
         let session = self.sessions.remove(&id)?;
+        self.seat_of(id, &session);
         self.names.remove(&session.name);
         if let Phase::Playing(p) = &session.phase {
             if let Some(b) = self.boxes.get_mut(&p.place.server) {
--- a/crates/front/src/endpoint.rs
+++ b/crates/front/src/endpoint.rs
@@ -3,6 +3,7 @@
 use crate::core::Front;
 use micadyke_config::Route;
 use micadyke_http::{Request, Response};
+use micadyke_tokens::bearer::Denied;
 
 /// Media type of descriptions (RFC 8866).
 pub(crate) const SDP: &str = "application/sdp";
@@ -43,8 +44,13 @@
     }
 
     /// Whether a request may use a route; the refusal where it may not (RFC 6750 section 3).
-    pub(crate) fn authorise(&self, route: usize, request: &Request) -> Result<(), Response> {
+    pub(crate) fn authorise(
+        &self, route: usize, title: Option<&str>, request: &Request,
+    ) -> Result<(), Response> {
         let route = &self.config.routes[route];
+        if route.entitled {
+            return self.entitled(route, title, request);
+        }
         if route.bearers.is_empty() {
             return Ok(());
         }
@@ -65,6 +71,34 @@
         Err(Response::problem(status, what).with("www-authenticate", challenge))
     }
 
+    /// Whether a request's signed token entitles it to a title on a route; a session that has ended has no title,
+    /// and its random name is enough to hear so.
+    fn entitled(&self, route: &Route, title: Option<&str>, request: &Request) -> Result<(), Response> {
+        let Some(title) = title else { return Ok(()) };
+        let no = |status, error: &str, what: &str| {
+            let challenge = format!("Bearer realm=\"micadyke\"{error}");
+            Err(Response::problem(status, what).with("www-authenticate", challenge))
+        };
+        let Some(token) = bearer(request) else { return no(401, "", "a bearer token is due") };
+        let Some((checker, zero)) = &self.entitlements else {
+            return no(401, "", "no keys are in force");
+        };
+        let unix = (zero + self.now) / 1_000_000_000;
+        let class = self.config.classes[route.class].name.as_str();
+        match checker.check(token, unix, title, class) {
+            Ok(_) => Ok(()),
+            Err(Denied::Entitlement) => no(
+                403,
+                ", error=\"insufficient_scope\"",
+                "the token does not entitle to this title and class",
+            ),
+            Err(denied) => {
+                tracing::debug!(?denied, "a token is refused");
+                no(401, ", error=\"invalid_token\"", "the token does not hold")
+            }
+        }
+    }
+
     /// The answer to OPTIONS (RFC 9725 section 4.2, CORS of the Fetch standard).
     pub(crate) fn options(&self, session: bool) -> Response {
         let allow = if session { SESSION_ALLOW } else { ENDPOINT_ALLOW };
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 pub mod list;
 mod notes;
+mod seats;
 mod session;
 pub mod shell;
 mod signalling;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -9,6 +9,8 @@
 use micadyke_config::Config;
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
+use micadyke_tokens::bearer::Checker;
+use micadyke_tokens::store::{File, State};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -37,6 +39,15 @@
 /// A stopping front waits so long for what it withdraws.
 const SETTLE: Duration = Duration::from_secs(2);
 
+/// What a front is given beside its settings.
+#[derive(Default)]
+pub struct Extras {
+    /// What its log of seats says, and the log; due where the settings name an issuer.
+    pub seats: Option<(State, File)>,
+    /// What checks signed tokens; due where a route asks for them.
+    pub entitlements: Option<Checker>,
+}
+
 /// A running front.
 pub struct Shell {
     core: RefCell<Front>,
@@ -45,6 +56,8 @@
     /// Unix time of the front's time zero.
     epoch: u64,
     source: RefCell<Box<dyn Source>>,
+    /// The log of seats.
+    log: RefCell<Option<File>>,
     polled: Cell<Instant>,
     /// When the front last found that it had stood still, and for how long.
     stood: Cell<(Instant, Duration)>,
@@ -62,7 +75,7 @@
 /// returns. Must run inside a `LocalSet`.
 pub async fn serve(
     listener: TcpListener, front: impl FnOnce(Nanos) -> Front, config: Rc<Config>, source: Box<dyn Source>,
-    stop: impl Future<Output = ()>,
+    extras: Extras, stop: impl Future<Output = ()>,
 ) -> Counts {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let start = Instant::now();
@@ -72,6 +85,7 @@
         start,
         epoch: unix.saturating_sub(ZERO),
         source: RefCell::new(source),
+        log: RefCell::new(None),
         polled: Cell::new(start),
         stood: Cell::new((start, Duration::ZERO)),
         answers: RefCell::default(),
@@ -83,6 +97,16 @@
         wake: Notify::new(),
         armed: Cell::new(None),
     });
+    if let Some(checker) = extras.entitlements {
+        shell.core.borrow_mut().with_entitlements(checker, shell.epoch);
+    }
+    if let Some((state, file)) = extras.seats {
+        *shell.log.borrow_mut() = Some(file);
+        let mut out = Vec::new();
+        let seed = rand::random();
+        shell.core.borrow_mut().with_seats(state, seed, &mut out);
+        out.into_iter().for_each(|o| shell.carry_out(o));
+    }
     shell.poll_list();
     let timers = spawn_local(shell.clone().timers());
     let lists = spawn_local(shell.clone().lists());
@@ -165,6 +189,11 @@
             Output::Unlisten { stream } => {
                 self.listens.borrow_mut().remove(&stream);
             }
+            Output::Record(record) => {
+                if let Some(Err(e)) = self.log.borrow_mut().as_mut().map(|l| l.append(&[record])) {
+                    warn!("the log of seats cannot be written: {e}");
+                }
+            }
             // A watched list is always subscribed.
             Output::Subscribe => self.poll_list(),
         }
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -58,7 +58,7 @@
             Method::Post => {}
             _ => return self.respond(conn, not_allowed(ENDPOINT_ALLOW)),
         }
-        if let Err(response) = self.authorise(route, &request) {
+        if let Err(response) = self.authorise(route, Some(title), &request) {
             return self.respond(conn, response);
         }
         if request.media_type().as_deref() != Some(SDP) {
@@ -135,7 +135,7 @@
         }
         self.counts.taken += 1;
         debug!(session = id.0, title = &*title, again, "offer taken");
-        self.tell(Event::Request(SessionRequest {
+        let wish = SessionRequest {
             session: id,
             class: ClassId(class),
             title: TitleId(title),
@@ -144,7 +144,12 @@
             top,
             give_up_at: self.now.saturating_add(patience),
             again,
-        }));
+        };
+        if self.seated(class) {
+            self.wait_for_seat(wish);
+        } else {
+            self.tell(Event::Request(wish));
+        }
         Ok(())
     }
 
@@ -181,7 +186,8 @@
         let Some(route) = route else {
             return self.respond(conn, Response::problem(404, "there is no such session"));
         };
-        if let Err(response) = self.authorise(route, &request) {
+        let title = id.and_then(|id| self.sessions.get(&id)).map(|s| s.title.clone());
+        if let Err(response) = self.authorise(route, title.as_deref(), &request) {
             return self.respond(conn, response);
         }
         match request.method {
@@ -197,11 +203,11 @@
     }
 
     /// The viewer ends its session.
-    fn delete(&mut self, id: SessionId) {
+    pub(crate) fn delete(&mut self, id: SessionId) {
         let Some(session) = self.close_books(id) else { return };
         let Phase::Playing(p) = session.phase else { return };
         debug!(session = id.0, "ended by its viewer");
-        self.withdraw(p.place.addr, p.place.resource, 0);
+        self.withdraw(id, p.place.addr, p.place.resource, 0);
         self.ended(id, p.place.server, Outcome::Served, true);
     }
 
@@ -317,10 +323,15 @@
         self.owed_patches.remove(&conn);
         let Some(id) = self.owed.remove(&conn) else { return };
         self.counts.left += 1;
-        self.tell(Event::Left { session: id });
-        let Some(session) = self.sessions.get_mut(&id) else { return };
-        let Some(s) = session.setting_up() else { return };
+        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else { return };
         s.conn = None;
+        if self.stop_waiting(id) {
+            // The module has not heard of it.
+            self.forget(id);
+            return;
+        }
+        self.tell(Event::Left { session: id });
+        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else { return };
         // Its attempt goes on: what it sets up is withdrawn when the answer names it.
         if s.stands.is_some() {
             self.abandon(id);
@@ -340,8 +351,9 @@
     }
 
     /// The answer to a viewer whose session will not play.
-    fn answer(&mut self, id: SessionId, response: Response) {
+    pub(crate) fn answer(&mut self, id: SessionId, response: Response) {
         let Some(mut session) = self.sessions.remove(&id) else { return };
+        self.seat_of(id, &session);
         if self.published.get(&session.title).is_some_and(|p| p.0 == id) {
             self.published.remove(&session.title);
         }
@@ -382,7 +394,7 @@
 
     // ----- answers of boxes
 
-    fn call(&mut self, call: CallId, to: SocketAddr, request: Request) {
+    pub(crate) fn call(&mut self, call: CallId, to: SocketAddr, request: Request) {
         let timeout = Some(Duration::from_nanos(self.config.bounds.call));
         self.out.push(Output::Call { call, to, request, timeout });
     }
@@ -401,12 +413,15 @@
             }
             Some(Purpose::Subscribe { session }) => self.subscribed(session, result),
             Some(Purpose::Patch { session, conn, restart }) => self.patched(session, conn, restart, result),
-            Some(Purpose::Withdraw { addr, path, tries }) => {
+            Some(Purpose::Issuer) => self.issuer_replied(result),
+            Some(Purpose::Withdraw { session, addr, path, tries }) => {
                 // 404 and 410: it is gone already.
                 let done = result.is_ok_and(|r| r.status < 300 || r.status == 404 || r.status == 410);
-                if !done && tries + 1 < WITHDRAWALS {
-                    self.timer(SECOND, Timer::Withdraw(addr, path, tries + 1));
-                } else if !done {
+                if done {
+                    self.free_seat(session);
+                } else if tries + 1 < WITHDRAWALS {
+                    self.timer(SECOND, Timer::Withdraw(session, addr, path, tries + 1));
+                } else {
                     warn!(%addr, %path, "a session could not be withdrawn");
                 }
             }
@@ -414,10 +429,10 @@
     }
 
     /// Ends a session at its box.
-    pub(crate) fn withdraw(&mut self, addr: SocketAddr, path: Box<str>, tries: u8) {
+    pub(crate) fn withdraw(&mut self, session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8) {
         let call = CallId(self.id());
         let request = Request::new(Method::Delete, &*path).with("via", format!("1.1 {}", self.config.name));
-        self.calls.insert(call, Purpose::Withdraw { addr, path, tries });
+        self.calls.insert(call, Purpose::Withdraw { session, addr, path, tries });
         self.call(call, addr, request);
     }
 
@@ -430,14 +445,14 @@
             // Nobody waits for it; the module has been told how it ended.
             if let Some(Some(place)) = created {
                 self.counts.withdrawn += 1;
-                self.withdraw(addr, place.resource, 0);
+                self.withdraw(id, addr, place.resource, 0);
             }
             return;
         }
         let left = self.left(id);
         let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else {
             if let Some(Some(place)) = created {
-                self.withdraw(addr, place.resource, 0);
+                self.withdraw(id, addr, place.resource, 0);
             }
             return;
         };
@@ -447,7 +462,7 @@
             (Ok(r), Some(Some(place))) if left => {
                 debug!(session = id.0, status = r.status, "set up for nobody: withdrawn");
                 self.counts.withdrawn += 1;
-                self.withdraw(addr, place.resource, 0);
+                self.withdraw(id, addr, place.resource, 0);
                 return self.ended(id, server, Outcome::Cancelled, true);
             }
             (Ok(r), Some(Some(place))) => match answer_text(&s.shape, &r) {
@@ -475,7 +490,7 @@
         s.last = Some(outcome);
         if let Some(path) = take_back {
             self.counts.withdrawn += 1;
-            self.withdraw(addr, path, 0);
+            self.withdraw(id, addr, path, 0);
         }
         debug!(session = id.0, server = server.0, ?outcome, "attempt ended");
         self.ended(id, server, outcome, left);
@@ -555,12 +570,12 @@
     }
 
     /// The viewer left after the set-up stood: it is withdrawn.
-    fn abandon(&mut self, id: SessionId) {
+    pub(crate) fn abandon(&mut self, id: SessionId) {
         let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else { return };
         let Some(stands) = s.stands.take() else { return };
         let place = stands.0;
         self.counts.withdrawn += 1;
-        self.withdraw(place.addr, place.resource, 0);
+        self.withdraw(id, place.addr, place.resource, 0);
         self.ended(id, place.server, Outcome::Cancelled, true);
     }
 
@@ -602,7 +617,7 @@
             let Some(stands) = s.stands.take() else { return };
             s.last = Some(Outcome::Error);
             let place = stands.0;
-            self.withdraw(place.addr, place.resource, 0);
+            self.withdraw(id, place.addr, place.resource, 0);
             return self.ended(id, place.server, Outcome::Error, false);
         }
         let (in_force, wanted) = (session.in_force, session.rung);
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -7,6 +7,8 @@
 use micadyke_http::fields::Link;
 use micadyke_http::{Method, Request, Response, sse};
 use micadyke_sdp::{Answerer, Offer, Use, answer};
+use micadyke_tokens::message::{Op, Reply, Request as SeatRequest, Verdict};
+use micadyke_tokens::store::{Record, State};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -93,7 +95,7 @@
                 Output::Unlisten { stream } => {
                     self.streams.remove(&stream);
                 }
-                Output::Subscribe => {}
+                Output::Subscribe | Output::Record(_) => {}
             }
         }
         self.one_attempt_at_a_time();
@@ -549,6 +551,121 @@
     b.pass(SECOND);
 }
 
+/// The settings with seats for paid sessions by an issuer.
+fn seated(extra: &str) -> Bench {
+    let mut b = Bench::new();
+    let text = SETTINGS.replace("(seats 3))", &format!("(tokens {extra}))"))
+        + "(issuer (address \"127.0.0.1:9900\") (state \"x\") (wait 500ms) (stop 2s) (retry 100ms) (keep 1s))";
+    let config = Rc::new(read_config(&text, "s").unwrap_or_else(|e| panic!("{e:?}")));
+    b.front = Front::new(config, [7; 32], START).expect("sound");
+    let mut out = Vec::new();
+    b.front.with_seats(State::default(), 1, &mut out);
+    assert!(
+        matches!(&out[..], [Output::Record(Record::Epoch(1))]),
+        "its epoch is written, and nothing asked"
+    );
+    b.list((1..=4).map(|id| row(id, ServerState::Ready)).collect());
+    b
+}
+
+impl Bench {
+    /// Answers the message that is at the issuer.
+    fn issue(&mut self, verdict: Verdict) {
+        let call = *self.find(|r| r.path() == "/seats").first().expect("a message to the issuer");
+        let request: SeatRequest = serde_json::from_slice(&self.calls[&call].1.body).expect("a message");
+        let n = request.ops.len() + request.resume.len();
+        let reply =
+            Reply { epoch: request.epoch, seq: request.seq, ttl: 20 * SECOND, result: Ok(vec![verdict; n]) };
+        self.reply(
+            call,
+            Ok(Response::new(200).content("application/json", serde_json::to_vec(&reply).expect("JSON"))),
+        );
+    }
+
+    fn issuer_calls(&self) -> usize {
+        self.find(|r| r.path() == "/seats").len()
+    }
+
+    fn start_paid(&mut self, n: u64) -> (ConnId, String) {
+        let conn = self.post("/paid/demo", offer_text(n));
+        if self.issuer_calls() > 0 {
+            self.issue(Verdict::Held);
+        }
+        let call = self.set_ups()[0];
+        self.take(call);
+        let layer = self.find(|r| r.path().ends_with("/layer"));
+        layer.into_iter().for_each(|l| self.reply(l, Ok(Response::new(200))));
+        let location = self.answer(conn).headers.get("location").expect("it plays").to_owned();
+        (conn, location)
+    }
+}
+
+#[test]
+fn a_class_without_tokens_asks_nothing() {
+    let mut b = seated("");
+    b.play(1);
+    b.pass(10 * SECOND);
+    assert_eq!(b.issuer_calls(), 0);
+}
+
+#[test]
+fn a_seat_comes_before_the_set_up_and_goes_after_the_end() {
+    let mut b = seated("");
+    let conn = b.post("/paid/demo", offer_text(1));
+    assert_eq!((b.set_ups().len(), b.issuer_calls()), (0, 1), "first the seat");
+    b.issue(Verdict::Full);
+    assert_eq!((b.answer(conn).status, b.answer(conn).headers.get("retry-after")), (503, Some("1")));
+    let (_, location) = b.start_paid(2);
+    let end = b.request(Request::new(Method::Delete, &*location).with("authorization", "Bearer t1"));
+    assert_eq!(b.answer(end).status, 200);
+    // The next session may have the seat only when the box has confirmed the end.
+    b.post("/paid/demo", offer_text(3));
+    assert_eq!(b.issuer_calls(), 1, "a seat of its own is asked for");
+    b.issue(Verdict::Full);
+    let delete = b.find(|r| r.method == Method::Delete);
+    b.reply(delete[0], Ok(Response::new(200)));
+    b.post("/paid/demo", offer_text(4));
+    assert_eq!((b.issuer_calls(), b.set_ups().len()), (0, 1), "the seat that was kept is used");
+}
+
+#[test]
+fn an_issuer_out_of_reach_is_met_as_the_class_says() {
+    let mut b = seated("(unreachable refuse)");
+    let conn = b.post("/paid/demo", offer_text(1));
+    b.pass(SECOND);
+    assert_eq!(b.answer(conn).status, 503);
+    assert_eq!(b.set_ups().len(), 0);
+    assert!(b.issuer_calls() > 1, "whether it was taken is not known: it is sent again, unchanged");
+    let bodies: BTreeSet<Vec<u8>> =
+        b.calls.values().filter(|c| c.1.path() == "/seats").map(|c| c.1.body.clone()).collect();
+    assert_eq!(bodies.len(), 1);
+
+    // One that leaves while it waits leaves nothing behind.
+    let mut b = seated("");
+    let conn = b.post("/paid/demo", offer_text(1));
+    b.feed(Input::Gone { conn });
+    assert_eq!(b.front.held(), 0);
+    b.issue(Verdict::Held);
+    let given_back = b.find(|r| r.path() == "/seats");
+    let message: SeatRequest = serde_json::from_slice(&b.calls[&given_back[0]].1.body).expect("a message");
+    assert!(matches!(message.ops[..], [Op::Release(_)]), "{message:?}");
+    assert_eq!((b.set_ups().len(), b.answered(conn)), (0, false));
+}
+
+#[test]
+fn a_session_whose_seat_is_lost_ends_or_plays_on_as_the_class_says() {
+    for (how, ends) in [("(lost end)", true), ("(lost play-on)", false)] {
+        let mut b = seated(how);
+        b.start_paid(1);
+        // Renewals are not answered; its time by the front's own clock runs out.
+        b.pass(17 * SECOND);
+        assert_eq!(b.front.held(), 1, "{how}: not yet");
+        b.pass(2 * SECOND);
+        let ended = !b.find(|r| r.method == Method::Delete && r.path() == "/s/1").is_empty();
+        assert_eq!((ended, b.front.held() == 0), (ends, ends), "{how}");
+    }
+}
+
 /// One step of a random history.
 #[derive(Debug, Clone)]
 enum Step {
--- a/crates/rehearse/src/check.rs
+++ b/crates/rehearse/src/check.rs
@@ -25,6 +25,10 @@
     pub config: &'a Config,
     /// Streams that each box runs at most.
     pub places: &'a BTreeMap<u32, u32>,
+    /// Seats of an issuer for each title of each class with tokens, all fronts together.
+    pub seats: Option<u32>,
+    /// Boxes end a session whose event streams are closed for so long, in nanoseconds.
+    pub reap: u64,
 }
 
 /// The finding on one rule.
@@ -149,7 +153,7 @@
     doubles(&asks, &attempts, terms.config, &mut verdict.rules[1]);
     drains(&attempts, &by_ufrag, deeds, &mut verdict.rules[2]);
     cold(&attempts, &by_ufrag, deeds, terms, &mut verdict.rules[3]);
-    floors(&all, &attempts, &by_ufrag, deeds, terms.config, &mut verdict.rules[4]);
+    floors(&all, &attempts, &by_ufrag, deeds, terms, &mut verdict.rules[4]);
     budget(&asks, &attempts, &by_ufrag, terms.config, &mut verdict.rules[5]);
     verdict
 }
@@ -365,8 +369,9 @@
 /// Rule 5.
 fn floors(
     all: &[Conversation], attempts: &[Attempt], asked: &HashMap<&str, &Ask>, deeds: &[(u64, Deed)],
-    config: &Config, finding: &mut Finding,
+    terms: &Terms<'_>, finding: &mut Finding,
 ) {
+    let config = terms.config;
     // Changes of layer and ends at boxes, by box and path.
     let mut layers: HashMap<(u32, String), Vec<(u64, usize)>> = HashMap::new();
     let mut ends: HashMap<(u32, String), u64> = HashMap::new();
@@ -402,6 +407,7 @@
     }
     type Seats<'a> = (u32, usize, &'a str);
     let mut held: BTreeMap<Seats<'_>, Vec<(u64, u64)>> = BTreeMap::new();
+    let mut all_fronts: BTreeMap<(usize, &str), Vec<(u64, u64)>> = BTreeMap::new();
     for a in attempts {
         let Some(ask) = asked.get(a.ufrag.as_str()) else { continue };
         let class = &config.settings.classes[ask.class];
@@ -428,6 +434,22 @@
                     .against(format!("{}: played at rung {low}, under the floor {}", a.ufrag, class.floor));
             }
         }
+        if terms.seats.is_some() && config.classes[ask.class].tokens.is_some() {
+            // Of the issuer's seats a session takes one until its box is done with it, whoever is gone.
+            let at_box = match a.answer {
+                Some((201, _)) => {
+                    let reaped = alone.get(&key).map_or(u64::MAX, |c| c.saturating_add(terms.reap));
+                    let stopped = deeds.iter().find_map(|(t, d)| match d {
+                        Deed::Stopped { id } if *id == a.at && *t >= a.first => Some(*t),
+                        _ => None,
+                    });
+                    ends.get(&key).copied().unwrap_or(u64::MAX).min(reaped).min(stopped.unwrap_or(u64::MAX))
+                }
+                Some((_, at)) => at,
+                None => a.over().saturating_add(terms.reap),
+            };
+            all_fronts.entry((ask.class, &ask.title)).or_default().push((a.first, at_box));
+        }
         if class.seats > 0 {
             let end = match a.answer {
                 Some((201, _)) => end,
@@ -436,6 +458,21 @@
             held.entry((ask.front, ask.class, &ask.title)).or_default().push((a.first, end));
         }
     }
+    for ((_, title), spans) in all_fronts {
+        let seats = terms.seats.unwrap_or(0) as usize;
+        finding.looked_at += spans.len() as u64;
+        for &(from, _) in &spans {
+            finding.tried += 1;
+            let now = spans.iter().filter(|s| s.0 <= from && s.1 > from + TURN).count();
+            if now > seats {
+                finding.against(format!(
+                    "all fronts: {now} sessions of '{title}' at {} ms, {seats} seats",
+                    from / MS
+                ));
+                break;
+            }
+        }
+    }
     for ((front, class, title), spans) in held {
         let seats = config.settings.classes[class].seats as usize;
         finding.looked_at += spans.len() as u64;
--- a/crates/rehearse/src/run.rs
+++ b/crates/rehearse/src/run.rs
@@ -7,12 +7,15 @@
 use micadyke_config::{BoxRow, Config, RouteKind, Title, write_boxes};
 use micadyke_front::Front;
 use micadyke_front::list::WatchedFile;
-use micadyke_front::shell::serve;
+use micadyke_front::shell::{Extras, serve};
+use micadyke_standin::issuer::Issuer;
 use micadyke_standin::media_box::{Fleet, Habits};
 use micadyke_standin::model::{Terms as BoxTerms, World};
 use micadyke_standin::offers::offer;
 use micadyke_standin::record::{Deed, Entry, Record};
 use micadyke_standin::viewer::{Outcome, Session, Wish, ask, end};
+use micadyke_tokens::ledger::Terms as SeatTerms;
+use micadyke_tokens::store::File;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, Zipf};
@@ -87,6 +90,7 @@
 /// Starts a front on a thread of its own.
 fn start(
     n: u32, listener: TcpListener, config: Config, list: PathBuf, how: Option<Break>, seed: u64,
+    log: Option<PathBuf>,
 ) -> Result<RunningFront, CannotRun> {
     let (commands, mut taken) = mpsc::unbounded_channel();
     listener.set_nonblocking(true).map_err(|e| CannotRun(e.to_string()))?;
@@ -107,7 +111,9 @@
             };
             let (stop, stopped) = oneshot::channel::<()>();
             let mut stop = Some(stop);
-            let mut serving = spawn_local(serve(listener, front, config, source, async {
+            let seats = log.and_then(|l| File::open(&l).ok());
+            let extras = Extras { seats, ..Extras::default() };
+            let mut serving = spawn_local(serve(listener, front, config, source, extras, async {
                 let _ = stopped.await;
             }));
             loop {
@@ -134,6 +140,7 @@
     config: Config,
     record: Rc<Record>,
     fleet: Fleet,
+    issuer: Option<Issuer>,
     how: Option<Break>,
     dir: PathBuf,
     rows: RefCell<Vec<BoxRow>>,
@@ -223,6 +230,21 @@
     for row in &mut rows {
         row.address = fleet.open(row.id).await.map_err(|e| CannotRun(format!("box {}: {e}", row.id)))?;
     }
+    let mut issuer = None;
+    if let (Some((seats, ttl)), Some(told)) = (scenario.issuer, config.issuer.as_mut()) {
+        let classes = config.classes.iter().filter(|c| c.tokens.is_some());
+        let terms = SeatTerms {
+            ttl: ttl.as_nanos() as u64,
+            seats: classes.map(|c| (c.name.as_str().into(), seats)).collect(),
+            most_holders: 1000,
+            most_leases: 1_000_000,
+        };
+        // Its clock is not the fronts'.
+        let made = Issuer::new(terms, 1.005, scenario.seed);
+        let at = SocketAddr::from(([127, 0, 0, 1], 0));
+        told.address = made.open(at).await.map_err(|e| CannotRun(format!("issuer: {e}")))?;
+        issuer = Some(made);
+    }
     let dir = std::env::temp_dir().join(format!("micadyke-{}-{:x}", std::process::id(), unix()));
     std::fs::create_dir_all(&dir).map_err(|e| CannotRun(format!("{}: {e}", dir.display())))?;
     let _folder = Folder(dir.clone());
@@ -236,6 +258,7 @@
     let stage = Rc::new(Stage {
         record: record.clone(),
         fleet,
+        issuer,
         how,
         dir,
         rows: RefCell::new(rows),
@@ -283,7 +306,10 @@
         f.thread.join().map_err(|_| fail("a front broke down"))?;
     }
     let (entries, deeds) = (record.entries(), record.deeds());
-    let verdict = check(&entries, &deeds, &Terms { config: &stage.config, places: &places });
+    let seats = stage.scenario.issuer.map(|i| i.0);
+    let reap = stage.scenario.reap.as_nanos() as u64;
+    let terms = Terms { config: &stage.config, places: &places, seats, reap };
+    let verdict = check(&entries, &deeds, &terms);
     let mut tally = *stage.tally.borrow();
     let (earned, wanted) = stage.worth.get();
     tally.quality = if wanted > 0.0 { earned / wanted } else { 0.0 };
@@ -380,7 +406,8 @@
         config.name = format!("front-{n}");
         config.settings.zone = n % config.zones.len() as u32;
         let seed = self.scenario.seed.wrapping_mul(1_000_003).wrapping_add(u64::from(n)) ^ self.record.now();
-        let front = start(n, listener, config, self.list_file(n), self.how, seed)?;
+        let log = config.issuer.as_ref().map(|_| self.dir.join(format!("seats-{n}.log")));
+        let front = start(n, listener, config, self.list_file(n), self.how, seed, log)?;
         self.fronts.borrow_mut()[n as usize] = Some(front);
         Ok(())
     }
@@ -598,6 +625,28 @@
                 }
                 set(0.0);
             }
+            Kind::IssuerDown { books_lost } => {
+                let Some(issuer) = &self.issuer else { return };
+                issuer.kill(books_lost);
+                sleep_until(over).await;
+                for _ in 0..50 {
+                    if issuer.open(SocketAddr::from(([127, 0, 0, 1], 0))).await.is_ok() {
+                        return;
+                    }
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+            Kind::IssuerLossy { part, by } => {
+                let Some(issuer) = &self.issuer else { return };
+                let set = |part, by| {
+                    issuer.trouble(|t| {
+                        (t.lose_messages, t.lose_answers, t.double, t.delay) = (part, part, part, by);
+                    });
+                };
+                set(part, by);
+                sleep_until(over).await;
+                set(0.0, Duration::ZERO);
+            }
             // These shape who comes.
             Kind::Burst { .. } | Kind::Crowd { .. } | Kind::Withdrawn { .. } => {}
         }
--- a/crates/rehearse/src/sabotage.rs
+++ b/crates/rehearse/src/sabotage.rs
@@ -90,6 +90,11 @@
 
 /// A front that is broken so.
 pub fn broken(config: &Rc<Config>, how: Break, seed: [u8; 32], now: Nanos) -> Front {
+    let mut config = config.clone();
+    if how == Break::Seats {
+        // Nor does it ask the issuer.
+        Rc::make_mut(&mut config).classes.iter_mut().for_each(|c| c.tokens = None);
+    }
     let mut s: Settings = config.settings.clone();
     match how {
         Break::Twice => s.classes.iter_mut().for_each(|c| c.effect = Effect::Idempotent),
--- a/crates/rehearse/src/scenario.rs
+++ b/crates/rehearse/src/scenario.rs
@@ -135,6 +135,18 @@
         /// Part of them.
         part: f64,
     },
+    /// The issuer of seats is down, and comes back with its books or without.
+    IssuerDown {
+        /// Its books are lost.
+        books_lost: bool,
+    },
+    /// Messages and answers of the issuer are lost, doubled and late.
+    IssuerLossy {
+        /// Part that is lost, of each; as many are doubled.
+        part: f64,
+        /// At most so late.
+        by: Duration,
+    },
     /// Another program takes part of a box's link, on and off.
     OtherProgram {
         /// Which box.
@@ -199,6 +211,8 @@
     pub set_up: Duration,
     /// A box ends sessions whose event stream is not open for so long.
     pub reap: Duration,
+    /// Seats of each class with tokens for each title, and how long a lease holds.
+    pub issuer: Option<(u32, Duration)>,
     /// Viewers.
     pub viewers: Viewers,
     /// Troubles.
@@ -268,7 +282,7 @@
     f.allow(
         &[
             "settings", "seed", "length", "fronts", "boxes", "titles", "copies", "list-lag", "set-up",
-            "reap", "viewers",
+            "reap", "viewers", "issuer",
         ],
         &["trouble"],
     );
@@ -306,6 +320,10 @@
         list_lag: time(&f, "list-lag", Some(3e8)),
         set_up: time(&f, "set-up", Some(2e6)),
         reap: time(&f, "reap", Some(2e9)),
+        issuer: f.part("issuer").map(|i| {
+            i.allow(&["seats", "ttl"], &[]);
+            (i.count("seats", 0, 1_000_000, None) as u32, time(&i, "ttl", None))
+        }),
         viewers,
         troubles,
     })
@@ -378,6 +396,10 @@
             &["by", "lost"],
             Kind::LateNotes { by: by(), lost: f.get("lost", Unit::Share, (0.0, 1.0), Some(0.0)) },
         ),
+        "issuer-down" => {
+            (&["books"], Kind::IssuerDown { books_lost: f.choice("books", &["kept", "lost"], Some(0)) == 1 })
+        }
+        "issuer-lossy" => (&["part", "by"], Kind::IssuerLossy { part: part(), by: by() }),
         "burst" => (&["factor"], Kind::Burst { factor: f.get("factor", Unit::Number, (0.0, 100.0), None) }),
         "crowd" => (
             &["title", "rate"],
@@ -392,7 +414,10 @@
             Kind::OtherProgram { id: id(), rate: f.get("rate", Unit::Rate, (0.0, 1e9), None) },
         ),
         _ => {
-            f.fault(format!("'{word}' is no trouble; known: {}, other-program", KINDS.join(", ")));
+            f.fault(format!(
+                "'{word}' is no trouble; known: {}, other-program, issuer-down, issuer-lossy",
+                KINDS.join(", ")
+            ));
             return None;
         }
     };
--- a/crates/rehearse/tests/rules.rs
+++ b/crates/rehearse/tests/rules.rs
@@ -69,6 +69,11 @@
     caught("rule-5-seats.sexp", Break::Seats);
 }
 
+#[test]
+fn rule_5_more_than_the_issuers_seats() {
+    caught("seats.sexp", Break::Seats);
+}
+
 #[test]
 fn rule_6_budget_overdrawn() {
     caught("rule-6-budget.sexp", Break::Budget);
--- a/crates/rehearse/tests/sockets.rs
+++ b/crates/rehearse/tests/sockets.rs
@@ -4,7 +4,7 @@
 use micadyke_config::{BoxRow, Config, read_config};
 use micadyke_front::Front;
 use micadyke_front::list::Fixed;
-use micadyke_front::shell::serve;
+use micadyke_front::shell::{Extras, serve};
 use micadyke_http::{Method, Request};
 use micadyke_standin::media_box::{Fleet, Habits};
 use micadyke_standin::model::{Terms, World};
@@ -83,7 +83,7 @@
         let serving = spawn_local(async move {
             let front = move |now| Front::new(made, [3; 32], now).expect("sound");
             let stop = async { drop(stopped.await) };
-            serve(listener, front, config, Box::new(Fixed(Some(rows))), stop).await;
+            serve(listener, front, config, Box::new(Fixed(Some(rows))), Extras::default(), stop).await;
         });
         Hall { addr, fleet, record, stop: Some(stop), serving }
     }
--- /dev/null
+++ b/crates/standin/src/issuer.rs
@@ -0,0 +1,179 @@
+//! A stand-in issuer of seats: the ledger of `micadyke-tokens` behind HTTP, with troubles on demand.
+//!
+//! `POST /seats` takes a holder's message as JSON and answers with the ledger's reply. The `Idempotency-Key` field
+//! repeats what the message's own numbers say.
+
+use micadyke_http::client::read_some;
+use micadyke_http::{Limits, Method, Request, RequestParser, Response};
+use micadyke_tokens::ledger::{Ledger, Terms};
+use micadyke_tokens::message::{self, Key};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, spawn_local};
+
+/// What goes wrong at the issuer.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Trouble {
+    /// Part of the messages that are lost before they are taken.
+    pub lose_messages: f64,
+    /// Part of the answers that are lost after they were given.
+    pub lose_answers: f64,
+    /// Part of the messages that are taken twice, the second time later.
+    pub double: f64,
+    /// Answers come so much later, each by a different part of it: so they overtake each other.
+    pub delay: Duration,
+}
+
+/// The issuer. Clones share it.
+#[derive(Clone)]
+pub struct Issuer(Rc<Inner>);
+
+struct Inner {
+    terms: Terms,
+    ledger: RefCell<Ledger>,
+    trouble: RefCell<Trouble>,
+    start: Instant,
+    /// Its clock runs this much faster than true time.
+    rate: f64,
+    addr: Cell<Option<SocketAddr>>,
+    tasks: RefCell<Vec<AbortHandle>>,
+    chance: Cell<u64>,
+    messages: Cell<u64>,
+}
+
+impl Issuer {
+    /// An issuer whose clock runs at a rate of true time.
+    pub fn new(terms: Terms, rate: f64, seed: u64) -> Self {
+        let ledger = RefCell::new(Ledger::new(terms.clone(), 0));
+        Issuer(Rc::new(Inner {
+            terms,
+            ledger,
+            trouble: RefCell::default(),
+            start: Instant::now(),
+            rate,
+            addr: Cell::new(None),
+            tasks: RefCell::default(),
+            chance: Cell::new(seed | 1),
+            messages: Cell::new(0),
+        }))
+    }
+
+    fn now(&self) -> u64 {
+        (self.0.start.elapsed().as_nanos() as f64 * self.0.rate) as u64
+    }
+
+    fn chance(&self) -> f64 {
+        let z = self
+            .0
+            .chance
+            .get()
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        self.0.chance.set(z);
+        (z >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Changes what goes wrong.
+    pub fn trouble(&self, with: impl FnOnce(&mut Trouble)) {
+        with(&mut self.0.trouble.borrow_mut());
+    }
+
+    /// Messages that reached it.
+    pub fn messages(&self) -> u64 {
+        self.0.messages.get()
+    }
+
+    /// Seats in use, by its books.
+    pub fn in_use(&self, key: &Key) -> u32 {
+        let now = self.now();
+        let mut ledger = self.0.ledger.borrow_mut();
+        ledger.tick(now);
+        ledger.in_use(key)
+    }
+
+    /// Opens its socket, at the port it had before if it ran before.
+    pub async fn open(&self, at: SocketAddr) -> std::io::Result<SocketAddr> {
+        let at = self.0.addr.get().unwrap_or(at);
+        let listener = TcpListener::bind(at).await?;
+        let addr = listener.local_addr()?;
+        self.0.addr.set(Some(addr));
+        let this = self.clone();
+        let task = spawn_local(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                let _ = stream.set_nodelay(true);
+                let task = spawn_local(this.clone().connection(stream)).abort_handle();
+                let mut tasks = this.0.tasks.borrow_mut();
+                tasks.retain(|t| !t.is_finished());
+                tasks.push(task);
+            }
+        });
+        self.0.tasks.borrow_mut().push(task.abort_handle());
+        Ok(addr)
+    }
+
+    /// Ends its process; with its books, or without them.
+    pub fn kill(&self, books_lost: bool) {
+        self.0.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
+        if books_lost {
+            *self.0.ledger.borrow_mut() = Ledger::recovering(self.0.terms.clone(), self.now(), 0.01);
+        }
+    }
+
+    async fn connection(self, mut stream: TcpStream) -> Option<()> {
+        let mut parser = RequestParser::new(Limits { body: 4 << 20, ..Limits::default() });
+        loop {
+            let request = loop {
+                match parser.poll() {
+                    Ok(Some(r)) => break r,
+                    Ok(None) => {}
+                    Err(f) => {
+                        let bytes = Response::problem(f.status, f.what).encode(false);
+                        return stream.write_all(&bytes).await.ok();
+                    }
+                }
+                if read_some(&stream, |b| parser.feed(b)).await.ok()? == 0 {
+                    return None;
+                }
+            };
+            let t = self.0.trouble.borrow().clone();
+            if self.chance() < t.lose_messages {
+                return None;
+            }
+            let response = self.answer(&request);
+            if self.chance() < t.double {
+                let (this, again, late) = (self.clone(), request.clone(), t.delay.mul_f64(self.chance()));
+                spawn_local(async move {
+                    tokio::time::sleep(late + Duration::from_millis(20)).await;
+                    this.answer(&again);
+                });
+            }
+            tokio::time::sleep(t.delay.mul_f64(self.chance())).await;
+            if self.chance() < t.lose_answers {
+                return None;
+            }
+            stream.write_all(&response.encode(false)).await.ok()?;
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Response {
+        if request.path() != "/seats" {
+            return Response::problem(404, "no such resource");
+        }
+        if request.method != Method::Post {
+            return Response::problem(405, "POST is due").with("allow", "POST");
+        }
+        let message: message::Request = match serde_json::from_slice(&request.body) {
+            Ok(m) => m,
+            Err(e) => return Response::problem(400, &format!("no message of a holder: {e}")),
+        };
+        self.0.messages.set(self.0.messages.get() + 1);
+        let reply = self.0.ledger.borrow_mut().handle(self.now(), &message);
+        let body = serde_json::to_vec(&reply).unwrap_or_default();
+        Response::new(200).content("application/json", body)
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! either is noted in a [`record::Record`], from which verdicts are computed.
 #![warn(missing_docs)]
 
+pub mod issuer;
 pub mod media_box;
 pub mod model;
 pub mod offers;
