Seats measured: cost of a seat, grants a second, the wheel beside map and heap, a restart

Need: what seats cost, and what the wheel is worth. A sleeping front that wakes believing its leases is a test.

--- a/crates/bench/src/seats.rs
+++ b/crates/bench/src/seats.rs
@@ -2,7 +2,8 @@
 
 use micadyke_tokens::holder::{Holder, Output, Terms as HolderTerms, User};
 use micadyke_tokens::ledger::{Ledger, Terms};
-use micadyke_tokens::message::Key;
+use micadyke_tokens::message::{Key, LeaseId};
+use micadyke_tokens::store::{Record, encode, read};
 use micadyke_tokens::wheel::Wheel;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -111,8 +112,44 @@
     line.trim().trim_end_matches("kB").trim().parse().unwrap_or(0.0)
 }
 
+/// Reading a log of held leases, and taking them up with an issuer that has lost its books; milliseconds.
+fn recovery(leases: u64) -> (f64, f64) {
+    let key = |n: u64| Key { title: format!("t{}", n % 1_000).as_str().into(), class: "c".into() };
+    let records = (0..leases).map(|n| Record::Held(LeaseId(n), key(n)));
+    let bytes: Vec<u8> = std::iter::once(Record::Epoch(1)).chain(records).flat_map(|r| encode(&r)).collect();
+    let began = Instant::now();
+    let state = read(&bytes);
+    let reading = began.elapsed().as_secs_f64() * 1e3;
+    let (ttl, seats) = (30_000 * MS, [("c".into(), 1_000_000)].into());
+    let mut ledger =
+        Ledger::recovering(Terms { ttl, seats, most_holders: 10, most_leases: 10_000_000 }, 0, 0.01);
+    let terms = HolderTerms {
+        name: "f".into(),
+        drift: 0.001,
+        stop: 1_000 * MS,
+        retry: 200 * MS,
+        retry_most: 2_000 * MS,
+        keep: 0,
+        settle: 0,
+        most_leases: 10_000_000,
+        spread: 0.2,
+    };
+    let (began, mut out) = (Instant::now(), Vec::new());
+    let mut holder = Holder::new(terms, state.epoch, state.held.into_iter().collect(), 1, 0, &mut out);
+    let request = out.into_iter().find_map(|o| if let Output::Send(r) = o { Some(r) } else { None });
+    let wire = serde_json::to_vec(&request.expect("it resumes")).expect("JSON");
+    let request = serde_json::from_slice(&wire).expect("JSON");
+    let reply = ledger.handle(0, &request);
+    holder.reply(0, &reply, &mut Vec::new());
+    (reading, began.elapsed().as_secs_f64() * 1e3)
+}
+
 /// Prints all of it.
 pub fn measure() {
+    let (reading, resuming) = recovery(65_536);
+    println!(
+        "a restart with 65,536 seats held: log read in {reading:.0} ms, taken up again in {resuming:.0} ms"
+    );
     let (rate, bytes) = ledger_rate(200_000);
     println!(
         "leases, holder and ledger together, one operation a message: {rate:.0} grants a second, {bytes:.0} bytes a lease (both sides)"
--- a/crates/tokens/tests/seats.rs
+++ b/crates/tokens/tests/seats.rs
@@ -379,6 +379,35 @@
     );
 }
 
+#[test]
+fn a_front_that_slept_for_a_minute_does_not_believe_its_leases() {
+    let mut ledger = Ledger::new(ledger_terms(), 0);
+    let mut out = Vec::new();
+    let mut holder = Holder::new(holder_terms("a"), 0, Vec::new(), 1, 0, &mut out);
+    let answer = |out: &mut Vec<Output>, ledger: &mut Ledger, holder: &mut Holder, now| {
+        let request = out.iter().find_map(|o| if let Output::Send(r) = o { Some(r.clone()) } else { None });
+        out.clear();
+        let reply = ledger.handle(now, &request.expect("a message"));
+        holder.reply(now, &reply, out);
+    };
+    holder.acquire(0, key("t"), User(1), &mut out);
+    answer(&mut out, &mut ledger, &mut holder, 0);
+    assert!(out.contains(&Output::Granted(User(1))));
+    out.clear();
+    holder.release(SECOND / 2, User(1), &mut out);
+    // It wakes, and the first thing that happens is a request, before any timer: the kept seat is not used.
+    holder.acquire(60 * SECOND, key("t"), User(2), &mut out);
+    assert!(!out.contains(&Output::Granted(User(2))), "{out:?}");
+    assert_eq!(holder.held(60 * SECOND).count(), 0);
+    // One that plays is told of at the first tick.
+    let mut holder = Holder::new(holder_terms("b"), 0, Vec::new(), 1, 0, &mut out);
+    out.clear();
+    holder.acquire(0, key("t"), User(3), &mut out);
+    answer(&mut out, &mut ledger, &mut holder, 0);
+    holder.tick(60 * SECOND, &mut out);
+    assert!(out.contains(&Output::Lost(User(3))));
+}
+
 #[test]
 fn ten_thousand_leases_send_few_messages() {
     let mut terms = ledger_terms();
