A front whose epoch cannot be written asks for no seat

Cause: on a full disk the epoch of a start would not survive it; the next start would take the same one, and old messages could be taken for its own. Classes with tokens are refused until the next start, others play on; a lease's record that is lost only costs time. Result: tests with a full device and of the front's answers.

--- a/crates/front/src/seats.rs
+++ b/crates/front/src/seats.rs
@@ -27,7 +27,8 @@
     policies: Vec<Option<Policy>>,
     /// Requests that wait for their seat, since when.
     waiting: HashMap<SessionId, (SessionRequest, Nanos)>,
-    armed: Option<Nanos>,
+    /// Its epoch could not be written down: after a restart it might be used twice, so it is not used at all.
+    broken: bool,
 }
 
 impl Front {
@@ -61,8 +62,15 @@
         let policies = self.config.classes.iter().map(policy).collect();
         let (wait, stop) = (i.wait, i.stop);
         let waiting = HashMap::new();
-        self.seats =
-            Some(Box::new(Seats { holder, address: i.address, wait, stop, policies, waiting, armed: None }));
+        self.seats = Some(Box::new(Seats {
+            holder,
+            address: i.address,
+            wait,
+            stop,
+            policies,
+            waiting,
+            broken: false,
+        }));
         self.seat_outputs(outputs);
         out.append(&mut self.out);
     }
@@ -78,6 +86,9 @@
         let class = self.config.classes[wish.class.0].name.as_str();
         let key = Key { title: wish.title.0.clone(), class: class.into() };
         let Some(seats) = self.seats.as_mut() else { return };
+        if seats.broken {
+            return self.refuse_seat(id);
+        }
         // Some of its patience is left for the set-up.
         let wait = seats.wait.min(wish.give_up_at.saturating_sub(now) / 2);
         seats.waiting.insert(id, (wish, now));
@@ -168,7 +179,6 @@
         let Some(seats) = self.seats.as_mut().filter(|s| s.holder.next().is_some_and(|at| at <= now)) else {
             return;
         };
-        seats.armed = None;
         let mut out = Vec::new();
         seats.holder.tick(now, &mut out);
         self.seat_outputs(out);
@@ -184,7 +194,8 @@
             match output {
                 holder::Output::Record(record) => self.out.push(Output::Record(record)),
                 holder::Output::Send(request) => {
-                    let Some(to) = self.seats.as_ref().map(|s| s.address) else { return };
+                    let to = self.seats.as_ref().filter(|s| !s.broken).map(|s| s.address);
+                    let Some(to) = to else { continue };
                     let body = serde_json::to_vec(&request).unwrap_or_default();
                     let key = format!("\"{}-{}-{}\"", request.holder, request.epoch, request.seq);
                     let call = CallId(self.id());
@@ -230,9 +241,17 @@
         }
     }
 
-    /// What the log of seats says is kept by whoever carries the outputs out.
-    #[doc(hidden)]
-    pub fn is_epoch(record: &Record) -> bool {
-        matches!(record, Record::Epoch(_))
+    /// Whether seats are not used because the epoch could not be written.
+    pub fn seats_broken(&self) -> bool {
+        self.seats.as_ref().is_some_and(|s| s.broken)
+    }
+
+    /// A record could not be written. Without a lease's record a restart only takes longer; without an epoch's no
+    /// seat may be asked for: the next start would take the same epoch, and its messages for this one's.
+    pub fn not_recorded(&mut self, record: &Record) {
+        if let (Record::Epoch(_), Some(seats)) = (record, self.seats.as_mut()) {
+            seats.broken = true;
+            warn!("no seats until the next start: the epoch could not be written");
+        }
     }
 }
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -105,7 +105,14 @@
         let mut out = Vec::new();
         let seed = rand::random();
         shell.core.borrow_mut().with_seats(state, seed, &mut out);
-        out.into_iter().for_each(|o| shell.carry_out(o));
+        // The epoch comes first; where it cannot be written, nothing is sent under it.
+        let mut out = out.into_iter();
+        if let Some(epoch) = out.next() {
+            shell.carry_out(epoch);
+        }
+        if !shell.core.borrow().seats_broken() {
+            out.for_each(|o| shell.carry_out(o));
+        }
     }
     shell.poll_list();
     let timers = spawn_local(shell.clone().timers());
@@ -190,8 +197,10 @@
                 self.listens.borrow_mut().remove(&stream);
             }
             Output::Record(record) => {
-                if let Some(Err(e)) = self.log.borrow_mut().as_mut().map(|l| l.append(&[record])) {
+                let written = self.log.borrow_mut().as_mut().map(|l| l.append(std::slice::from_ref(&record)));
+                if let Some(Err(e)) = written {
                     warn!("the log of seats cannot be written: {e}");
+                    self.core.borrow_mut().not_recorded(&record);
                 }
             }
             // A watched list is always subscribed.
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -628,6 +628,17 @@
     assert_eq!((b.issuer_calls(), b.set_ups().len()), (0, 1), "the seat that was kept is used");
 }
 
+#[test]
+fn without_its_epoch_written_a_front_asks_for_no_seat() {
+    let mut b = seated("");
+    b.front.not_recorded(&Record::Gone(micadyke_tokens::message::LeaseId(1)));
+    assert!(!b.front.seats_broken(), "a lease's record may be lost");
+    b.front.not_recorded(&Record::Epoch(1));
+    let conn = b.post("/paid/demo", offer_text(1));
+    assert_eq!((b.answer(conn).status, b.issuer_calls(), b.set_ups().len()), (503, 0, 0));
+    b.play(2);
+}
+
 #[test]
 fn an_issuer_out_of_reach_is_met_as_the_class_says() {
     let mut b = seated("(unreachable refuse)");
--- a/crates/tokens/src/store.rs
+++ b/crates/tokens/src/store.rs
@@ -104,6 +104,12 @@
         Ok((state, file))
     }
 
+    /// A log over a file that is open already: for tests of a disk that is full.
+    #[doc(hidden)]
+    pub fn over(file: std::fs::File) -> Self {
+        File { path: PathBuf::new(), file, bytes: 0 }
+    }
+
     /// Writes a log that says the same beside the old one, and puts it in its place.
     fn rewrite(path: &Path, state: &State) -> std::io::Result<Self> {
         let next = path.with_extension("next");
--- a/crates/tokens/tests/parts.rs
+++ b/crates/tokens/tests/parts.rs
@@ -139,6 +139,12 @@
     );
 }
 
+#[test]
+fn a_full_disk_is_told() {
+    let Ok(full) = std::fs::OpenOptions::new().write(true).open("/dev/full") else { return };
+    assert!(File::over(full).append(&[Record::Epoch(1)]).is_err());
+}
+
 #[test]
 fn policies() {
     let refuse = Policy::default();
