--- a/crates/tokens/src/holder.rs
+++ b/crates/tokens/src/holder.rs
@@ -217,7 +217,12 @@
             if let Some(all) = self.idle.get_mut(&key) {
                 all.remove(&id);
             }
-            self.leases.get_mut(&id).into_iter().for_each(|l| l.user = Some(user));
+            if let Some(l) = self.leases.get_mut(&id) {
+                l.user = Some(user);
+                if std::mem::take(&mut l.settles_at) > 0 {
+                    out.push(Output::Record(Record::Held(id, key)));
+                }
+            }
             self.users.insert(user, id);
             return out.push(Output::Granted(user));
         }
@@ -331,6 +336,9 @@
         let until = o.first + span.max(0.0) as Nanos;
         let mut verdicts = verdicts.iter().copied();
         for (id, key) in o.request.resume {
+            // It leaves the log until it is used again: a front that is killed over and over renews a seat that nobody
+            // uses once, not at every start, and it comes free.
+            out.push(Output::Record(Record::Gone(id)));
             if verdicts.next() == Some(Verdict::Held) {
                 // A former process may still run, cut off, and use it until its own clock says stop.
                 let zombie = (reply.ttl as f64 * (1.0 + 2.0 * self.terms.drift)) as Nanos;
@@ -350,8 +358,6 @@
                 self.idle.entry(key).or_default().insert(id);
                 self.due.insert(idle_until, Due::Idle(id));
                 self.renew_later(id, o.first, reply.ttl);
-            } else {
-                out.push(Output::Record(Record::Gone(id)));
             }
         }
         for op in o.request.ops {
