Front: one way to call a box, to take a session back, to lose a stream, to refuse a token

Read once more: calls to boxes were put together in seven places (number, Via, books, time-out), sessions taken back in five, seats reached through the same four lines in six, and two functions counted lost streams. Each has one piece now. Starts of boxes are worked out from the list instead of remembered; a flag carried for one debug line is gone; a session that waits for its seat keeps how long it may, instead of a figure made to fit. Behaviour as before; the front's tests hold unchanged.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -5,15 +5,16 @@
 //! again and whether at all are its choices. The core keeps what those choices must hold to on the wire: one
 //! answer to each request, one attempt of a session out at a time, nothing left behind at a box.
 
+use crate::endpoint::SDP;
 use crate::seats::Seats;
 use crate::session::{Phase, Session, SettingUp};
 use micadyke::decide::Controller;
 use micadyke::interface::{
     Action, Event, ListKind, Nanos, Outcome, ServerEntry, ServerId, ServerState, SessionId, SettingsError,
 };
-use micadyke_config::{BoxRow, Config, Title};
+use micadyke_config::{BoxRow, Config, RouteKind, Title};
 use micadyke_http::client::CallError;
-use micadyke_http::{Request, Response, sse};
+use micadyke_http::{Method, Request, Response, sse};
 use micadyke_tokens::bearer::Checker;
 use micadyke_tokens::store::Record;
 use rand::rngs::StdRng;
@@ -161,7 +162,7 @@
     /// The opening of an event stream.
     Subscribe { session: SessionId },
     /// A viewer's PATCH passed on.
-    Patch { session: SessionId, conn: ConnId, restart: bool },
+    Patch { session: SessionId, conn: ConnId },
     /// A session withdrawn at its box.
     Withdraw { session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8 },
     /// A message to the issuer of seats.
@@ -217,8 +218,6 @@
     actions: Vec<Action>,
     timers: BinaryHeap<Reverse<(Nanos, u64, Timer)>>,
     pub(crate) boxes: BTreeMap<ServerId, MediaBox>,
-    /// Start of a box's process by the front's clock, as worked out when it was first heard of.
-    starts: BTreeMap<ServerId, (u64, Nanos)>,
     pub(crate) sessions: HashMap<SessionId, Session>,
     pub(crate) names: HashMap<u128, SessionId>,
     pub(crate) streams: HashMap<StreamId, SessionId>,
@@ -300,7 +299,6 @@
             actions: Vec::new(),
             timers: BinaryHeap::new(),
             boxes: BTreeMap::new(),
-            starts: BTreeMap::new(),
             sessions: HashMap::new(),
             names: HashMap::new(),
             streams: HashMap::new(),
@@ -442,14 +440,9 @@
         let mut named = BTreeSet::new();
         for row in rows {
             let server = ServerId(row.id);
-            let known = self.starts.get(&server).filter(|(unix, _)| *unix == row.started_at).map(|s| s.1);
-            // A start before the front's own time zero is as old as time zero.
-            let start = known.unwrap_or(if row.started_at == 0 {
-                0
-            } else {
-                row.started_at.saturating_sub(epoch).max(1)
-            });
-            self.starts.insert(server, (row.started_at, start));
+            // A start before the front's own time zero is as old as time zero; 0: long ago.
+            let since_zero = row.started_at.saturating_sub(epoch).max(1);
+            let started_at = if row.started_at == 0 { 0 } else { since_zero };
             named.insert(server);
             entries.push(ServerEntry {
                 server,
@@ -458,7 +451,7 @@
                 weight: row.weight,
                 cell: row.cell,
                 zone: row.zone,
-                started_at: start,
+                started_at,
             });
             let playing = self.boxes.remove(&server).map(|b| b.playing).unwrap_or_default();
             self.boxes.insert(server, MediaBox { row, playing });
@@ -469,7 +462,6 @@
             }
         }
         self.boxes.retain(|_, b| b.row.state != ServerState::Gone || !b.playing.is_empty());
-        self.starts.retain(|s, _| named.contains(s));
         self.tell(Event::List { kind: ListKind::Full, entries });
     }
 
@@ -557,20 +549,17 @@
 
     /// Sends the attempt that waited for the one before it to close.
     pub(crate) fn attempt(&mut self, id: SessionId) {
-        let call = CallId(self.id());
-        let via = format!("1.1 {}", self.config.name);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let target = match session.kind {
-            micadyke_config::RouteKind::Play => format!("/whep/{}", session.title),
-            micadyke_config::RouteKind::Publish => format!("/whip/{}", session.title),
+            RouteKind::Play => format!("/whep/{}", session.title),
+            RouteKind::Publish => format!("/whip/{}", session.title),
         };
         let Some(s) = session.setting_up() else { return };
         let Some((server, due)) = s.next.take() else { return };
         s.closing = None;
         let offer = s.offer.as_bytes().to_vec();
         let late = due <= self.now;
-        let addr = self.may_take(server).filter(|_| !late);
-        let Some(addr) = addr else {
+        let Some(addr) = self.may_take(server).filter(|_| !late) else {
             // The list changed, or time ran out, while the last attempt closed: this one never ran.
             return self.tell(Event::Ended {
                 session: id,
@@ -579,18 +568,36 @@
                 finished: false,
             });
         };
-        let request = Request::new(micadyke_http::Method::Post, target)
-            .with("via", via)
-            .with("accept", crate::endpoint::SDP)
-            .content(crate::endpoint::SDP, offer);
+        let request = self.to_box(Method::Post, target).with("accept", SDP).content(SDP, offer);
+        let (aborted, orphan) = (false, false);
+        let purpose = Purpose::SetUp { session: id, server, addr, aborted, orphan };
+        let call = self.call(purpose, addr, request, None);
         if let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) {
             s.out = Some(call);
         }
-        let (aborted, orphan) = (false, false);
-        self.calls.insert(call, Purpose::SetUp { session: id, server, addr, aborted, orphan });
         self.counts.attempts += 1;
         self.timer(due - self.now, Timer::Attempt(call));
-        self.out.push(Output::Call { call, to: addr, request, timeout: None });
+    }
+
+    /// A request to a box; it names the front that passes it on (RFC 9110 section 7.6.3).
+    pub(crate) fn to_box(&self, method: Method, path: impl Into<String>) -> Request {
+        Request::new(method, path).with("via", format!("1.1 {}", self.config.name))
+    }
+
+    /// Makes a call; without a time-out it lasts until it is aborted.
+    pub(crate) fn call(
+        &mut self, purpose: Purpose, to: SocketAddr, request: Request, timeout: Option<Nanos>,
+    ) -> CallId {
+        let call = CallId(self.id());
+        self.calls.insert(call, purpose);
+        let timeout = timeout.map(Duration::from_nanos);
+        self.out.push(Output::Call { call, to, request, timeout });
+        call
+    }
+
+    /// Makes a call that has the usual time.
+    pub(crate) fn call_soon(&mut self, purpose: Purpose, to: SocketAddr, request: Request) {
+        self.call(purpose, to, request, Some(self.config.bounds.call));
     }
 
     /// An attempt has had its time.
--- a/crates/front/src/endpoint.rs
+++ b/crates/front/src/endpoint.rs
@@ -59,44 +59,31 @@
             return Ok(());
         }
         let elsewhere = token.is_some_and(|t| self.config.routes.iter().any(|r| knows(r, t)));
-        let (status, challenge, what) = match token {
-            None => (401, "Bearer realm=\"micadyke\"", "a bearer token is due"),
-            Some(_) if elsewhere => (
-                403,
-                "Bearer realm=\"micadyke\", error=\"insufficient_scope\"",
-                "the token is not for this route",
-            ),
-            Some(_) => (401, "Bearer realm=\"micadyke\", error=\"invalid_token\"", "the token is not known"),
-        };
-        Err(Response::problem(status, what).with("www-authenticate", challenge))
+        Err(match token {
+            None => denied(401, "", "a bearer token is due"),
+            Some(_) if elsewhere => denied(403, SCOPE, "the token is not for this route"),
+            Some(_) => denied(401, INVALID, "the token is not known"),
+        })
     }
 
     /// Whether a request's signed token entitles it to a title on a route; a session that has ended has no title,
     /// and its random name is enough to hear so.
     fn entitled(&self, route: &Route, title: Option<&str>, request: &Request) -> Result<(), Response> {
         let Some(title) = title else { return Ok(()) };
-        let no = |status, error: &str, what: &str| {
-            let challenge = format!("Bearer realm=\"micadyke\"{error}");
-            Err(Response::problem(status, what).with("www-authenticate", challenge))
-        };
-        let Some(token) = bearer(request) else { return no(401, "", "a bearer token is due") };
-        let Some((checker, zero)) = &self.entitlements else {
-            return no(401, "", "no keys are in force");
-        };
+        let token = bearer(request).ok_or_else(|| denied(401, "", "a bearer token is due"))?;
+        let keys = self.entitlements.as_ref();
+        let (checker, zero) = keys.ok_or_else(|| denied(401, "", "no keys are in force"))?;
         let unix = (zero + self.now) / 1_000_000_000;
         let class = self.config.classes[route.class].name.as_str();
-        match checker.check(token, unix, title, class) {
-            Ok(_) => Ok(()),
-            Err(Denied::Entitlement) => no(
-                403,
-                ", error=\"insufficient_scope\"",
-                "the token does not entitle to this title and class",
-            ),
-            Err(denied) => {
-                tracing::debug!(?denied, "a token is refused");
-                no(401, ", error=\"invalid_token\"", "the token does not hold")
+        checker.check(token, unix, title, class).map(drop).map_err(|why| {
+            tracing::debug!(?why, "a token is refused");
+            match why {
+                Denied::Entitlement => {
+                    denied(403, SCOPE, "the token does not entitle to this title and class")
+                }
+                _ => denied(401, INVALID, "the token does not hold"),
             }
-        }
+        })
     }
 
     /// The answer to OPTIONS (RFC 9725 section 4.2, CORS of the Fetch standard).
@@ -126,6 +113,15 @@
     }
 }
 
+/// Errors of a challenge (RFC 6750 section 3.1).
+const SCOPE: &str = ", error=\"insufficient_scope\"";
+const INVALID: &str = ", error=\"invalid_token\"";
+
+/// A refusal with its challenge.
+fn denied(status: u16, error: &str, what: &str) -> Response {
+    Response::problem(status, what).with("www-authenticate", format!("Bearer realm=\"micadyke\"{error}"))
+}
+
 pub(crate) fn bearer(request: &Request) -> Option<&str> {
     let (scheme, token) = request.headers.get("authorization")?.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then_some(token.trim())
--- a/crates/front/src/seats.rs
+++ b/crates/front/src/seats.rs
@@ -2,7 +2,7 @@
 //!
 //! A class without tokens passes through here without a call, a state or a wait.
 
-use crate::core::{CallId, ConnId, Front, Output, Purpose, Timer};
+use crate::core::{ConnId, Front, Output, Purpose, Timer};
 use crate::session::{Phase, Session};
 use micadyke::interface::{Nanos, SessionId, SessionRequest};
 use micadyke_http::client::CallError;
@@ -16,7 +16,7 @@
 use tracing::{debug, warn};
 
 /// Path of the issuer's endpoint.
-pub const SEATS_PATH: &str = "/seats";
+const SEATS_PATH: &str = "/seats";
 
 /// The seats of a front.
 pub(crate) struct Seats {
@@ -25,8 +25,8 @@
     wait: Nanos,
     stop: Nanos,
     policies: Vec<Option<Policy>>,
-    /// Requests that wait for their seat, since when.
-    waiting: HashMap<SessionId, (SessionRequest, Nanos)>,
+    /// Requests that wait for their seat: since when, and for how long they may.
+    waiting: HashMap<SessionId, (SessionRequest, Nanos, Nanos)>,
     /// Its epoch could not be written down: after a restart it might be used twice, so it is not used at all.
     broken: bool,
 }
@@ -62,15 +62,9 @@
         let policies = self.config.classes.iter().map(policy).collect();
         let (wait, stop) = (i.wait, i.stop);
         let waiting = HashMap::new();
-        self.seats = Some(Box::new(Seats {
-            holder,
-            address: i.address,
-            wait,
-            stop,
-            policies,
-            waiting,
-            broken: false,
-        }));
+        let broken = false;
+        self.seats =
+            Some(Box::new(Seats { holder, address: i.address, wait, stop, policies, waiting, broken }));
         self.seat_outputs(outputs);
         out.append(&mut self.out);
     }
@@ -80,45 +74,49 @@
         self.seats.as_ref().is_some_and(|s| s.policies.get(class).is_some_and(Option::is_some))
     }
 
+    /// Calls the holder, and carries out what it answers.
+    fn holder(&mut self, call: impl FnOnce(&mut Holder, Nanos, &mut Vec<holder::Output>)) {
+        let Some(seats) = self.seats.as_mut() else { return };
+        let mut out = Vec::new();
+        call(&mut seats.holder, self.now, &mut out);
+        self.seat_outputs(out);
+    }
+
+    /// What a request's seat is counted for.
+    fn seat_key(&self, wish: &SessionRequest) -> Key {
+        Key { title: wish.title.0.clone(), class: self.config.classes[wish.class.0].name.as_str().into() }
+    }
+
     /// A request waits for its seat; the module is told of it when it has one.
     pub(crate) fn wait_for_seat(&mut self, wish: SessionRequest) {
-        let (id, now) = (wish.session, self.now);
-        let class = self.config.classes[wish.class.0].name.as_str();
-        let key = Key { title: wish.title.0.clone(), class: class.into() };
+        let (id, now, key) = (wish.session, self.now, self.seat_key(&wish));
         let Some(seats) = self.seats.as_mut() else { return };
         if seats.broken {
             return self.refuse_seat(id);
         }
         // Some of its patience is left for the set-up.
         let wait = seats.wait.min(wish.give_up_at.saturating_sub(now) / 2);
-        seats.waiting.insert(id, (wish, now));
-        let mut out = Vec::new();
-        seats.holder.acquire(now, key, User(id.0), &mut out);
-        self.seat_outputs(out);
+        seats.waiting.insert(id, (wish, now, wait));
+        self.holder(|h, now, out| h.acquire(now, key, User(id.0), out));
         self.timer(wait, Timer::SeatWait(id));
     }
 
     /// A request has waited for its seat for as long as it may.
     pub(crate) fn seat_overdue(&mut self, id: SessionId) {
-        let Some(seats) = self.seats.as_mut() else { return };
-        let Some((wish, since)) = seats.waiting.get(&id) else { return };
-        let class = self.config.classes[wish.class.0].name.as_str();
-        let key = Key { title: wish.title.0.clone(), class: class.into() };
+        let Some(seats) = self.seats.as_ref() else { return };
+        let Some((wish, since, wait)) = seats.waiting.get(&id) else { return };
+        let key = self.seat_key(wish);
         let policy = seats.policies[wish.class.0].unwrap_or_default();
         let waited = self.now.saturating_sub(*since);
-        let decision = policy.on_wait(waited.max(seats.wait), seats.wait, seats.holder.has_idle(&key));
-        let mut out = Vec::new();
-        match decision {
+        match policy.on_wait(waited, *wait, seats.holder.has_idle(&key)) {
             Waited::Wait => {}
-            Waited::UseHeld => {
-                seats.holder.release(self.now, User(id.0), &mut out);
-                seats.holder.acquire(self.now, key, User(id.0), &mut out);
-                self.seat_outputs(out);
-            }
+            Waited::UseHeld => self.holder(|h, now, out| {
+                h.release(now, User(id.0), out);
+                h.acquire(now, key, User(id.0), out);
+            }),
             Waited::Refuse => {
                 debug!(session = id.0, "no answer about its seat: refused");
-                seats.holder.release(self.now, User(id.0), &mut out);
-                self.seat_outputs(out);
+                self.free_seat(id);
                 self.refuse_seat(id);
             }
         }
@@ -155,10 +153,7 @@
 
     /// A seat is given back.
     pub(crate) fn free_seat(&mut self, id: SessionId) {
-        let Some(seats) = self.seats.as_mut() else { return };
-        let mut out = Vec::new();
-        seats.holder.release(self.now, User(id.0), &mut out);
-        self.seat_outputs(out);
+        self.holder(|h, now, out| h.release(now, User(id.0), out));
     }
 
     /// An answer of the issuer, or none: the holder sends again by its own clock.
@@ -167,21 +162,16 @@
             .ok()
             .filter(|r| r.status == 200)
             .and_then(|r| serde_json::from_slice::<Reply>(&r.body).ok());
-        let (Some(reply), Some(seats)) = (reply, self.seats.as_mut()) else { return };
-        let mut out = Vec::new();
-        seats.holder.reply(self.now, &reply, &mut out);
-        self.seat_outputs(out);
+        if let Some(reply) = reply {
+            self.holder(|h, now, out| h.reply(now, &reply, out));
+        }
     }
 
     /// What is due about seats.
     pub(crate) fn seat_tick(&mut self) {
-        let now = self.now;
-        let Some(seats) = self.seats.as_mut().filter(|s| s.holder.next().is_some_and(|at| at <= now)) else {
-            return;
-        };
-        let mut out = Vec::new();
-        seats.holder.tick(now, &mut out);
-        self.seat_outputs(out);
+        if self.seat_deadline().is_some_and(|at| at <= self.now) {
+            self.holder(Holder::tick);
+        }
     }
 
     /// When [`Front::seat_tick`] is due.
@@ -198,18 +188,16 @@
                     let Some(to) = to else { continue };
                     let body = serde_json::to_vec(&request).unwrap_or_default();
                     let key = format!("\"{}-{}-{}\"", request.holder, request.epoch, request.seq);
-                    let call = CallId(self.id());
                     let post = Request::new(Method::Post, SEATS_PATH)
                         .with("idempotency-key", key)
                         .content("application/json", body);
-                    self.calls.insert(call, Purpose::Issuer);
-                    self.call(call, to, post);
+                    self.call_soon(Purpose::Issuer, to, post);
                 }
                 holder::Output::Granted(user) => {
                     let id = SessionId(user.0);
                     let wish = self.seats.as_mut().and_then(|s| s.waiting.remove(&id));
                     match wish.filter(|_| self.sessions.contains_key(&id)) {
-                        Some((wish, _)) => self.tell(micadyke::interface::Event::Request(wish)),
+                        Some((wish, ..)) => self.tell(micadyke::interface::Event::Request(wish)),
                         None => self.free_seat(id),
                     }
                 }
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -29,8 +29,6 @@
     pub conn: ConnId,
     pub if_match: micadyke_http::fields::IfMatch,
     pub body: Vec<u8>,
-    /// It carries ICE credentials: a restart, if they are new to the box.
-    pub restart: bool,
 }
 
 /// Where a session stands.
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -150,10 +150,15 @@
 
     /// Hands an input to the core and carries its outputs out.
     fn feed(self: &Rc<Self>, input: Input) {
+        self.list_first();
+        self.hand(input);
+    }
+
+    /// Looks at the list now where that is overdue: the front stood still.
+    fn list_first(self: &Rc<Self>) {
         if self.polled.get().elapsed() > self.source.borrow().period() + STOOD {
             self.poll_list();
         }
-        self.hand(input);
     }
 
     fn hand(self: &Rc<Self>, input: Input) {
@@ -319,16 +324,14 @@
                 return;
             }
             if !response.keep_alive {
-                return drain(stream).await;
+                return drain(&mut stream).await;
             }
         }
     }
 
     /// How long a request that is read now may have lain unread.
     fn waited(self: &Rc<Self>) -> Nanos {
-        if self.polled.get().elapsed() > self.source.borrow().period() + STOOD {
-            self.poll_list();
-        }
+        self.list_first();
         let (at, gap) = self.stood.get();
         if at.elapsed() < CAUGHT_UP { gap.as_nanos() as u64 } else { 0 }
     }
@@ -371,7 +374,7 @@
             let mut response = Response::problem(refused.0, refused.1);
             response.keep_alive = false;
             if self.write(stream, &response.encode(false)).await {
-                drain_in_place(stream).await;
+                drain(stream).await;
             }
             return None;
         }
@@ -470,11 +473,7 @@
 
 /// Ends a connection after its last answer: no more is written, and what the peer still sends is read for a
 /// while, so that the answer is not lost to a reset.
-async fn drain(mut stream: TcpStream) {
-    drain_in_place(&mut stream).await;
-}
-
-async fn drain_in_place(stream: &mut TcpStream) {
+async fn drain(stream: &mut TcpStream) {
     let _ = stream.shutdown().await;
     let until = tokio::time::Instant::now() + DRAIN;
     let mut left = DRAIN_BYTES;
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -17,7 +17,6 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use tracing::{debug, info, warn};
 
 /// Relation of the WHEP layer extension.
@@ -244,11 +243,10 @@
                 IfMatch::parse(field).ok_or_else(|| refuse(400, "If-Match is no list of entity tags"))?;
             let text =
                 std::str::from_utf8(&request.body).map_err(|_| refuse(400, "the fragment is not UTF-8"))?;
-            let fragment =
-                Fragment::parse(text).map_err(|e| refuse(400, &format!("no trickle-ICE fragment: {e}")))?;
-            Ok((if_match, fragment.ufrag.is_some()))
+            Fragment::parse(text).map_err(|e| refuse(400, &format!("no trickle-ICE fragment: {e}")))?;
+            Ok(if_match)
         };
-        let (if_match, restart) = match checked() {
+        let if_match = match checked() {
             Ok(v) => v,
             Err(response) => return self.respond(conn, response),
         };
@@ -256,7 +254,7 @@
             let response = Response::problem(429, "too many changes wait").with("retry-after", "1");
             return self.respond(conn, response);
         }
-        p.patches.push_back(Patch { conn, if_match, body: request.body, restart });
+        p.patches.push_back(Patch { conn, if_match, body: request.body });
         self.owed_patches.insert(conn);
         if let Some(id) = id {
             self.next_patch(id);
@@ -266,8 +264,6 @@
     /// Passes the next PATCH on; they go to the box one at a time, in their order.
     fn next_patch(&mut self, id: SessionId) {
         loop {
-            let call = CallId(self.id());
-            let via = format!("1.1 {}", self.config.name);
             let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing).filter(|p| !p.patching)
             else {
                 return;
@@ -279,18 +275,14 @@
                 continue;
             }
             p.patching = true;
-            let tag = p.place.etag.to_string();
-            let request = Request::new(Method::Patch, &*p.place.resource)
-                .with("via", via)
-                .with("if-match", tag)
-                .content(FRAGMENT, patch.body);
-            let to = p.place.addr;
-            self.calls.insert(call, Purpose::Patch { session: id, conn: patch.conn, restart: patch.restart });
-            return self.call(call, to, request);
+            let (to, path, tag) = (p.place.addr, p.place.resource.clone(), p.place.etag.clone());
+            let request =
+                self.to_box(Method::Patch, path).with("if-match", tag).content(FRAGMENT, patch.body);
+            return self.call_soon(Purpose::Patch { session: id, conn: patch.conn }, to, request);
         }
     }
 
-    fn patched(&mut self, id: SessionId, conn: ConnId, restart: bool, result: Result<Response, CallError>) {
+    fn patched(&mut self, id: SessionId, conn: ConnId, result: Result<Response, CallError>) {
         self.owed_patches.remove(&conn);
         let mut response = match result {
             Ok(r) if r.status == 204 => Response::new(204),
@@ -313,7 +305,7 @@
         } else if response.status < 300 {
             response = Response::problem(404, "the session has ended");
         }
-        debug!(session = id.0, credentials = restart, status = response.status, "changed");
+        debug!(session = id.0, status = response.status, "changed");
         self.respond(conn, response);
         self.next_patch(id);
     }
@@ -352,11 +344,7 @@
 
     /// The answer to a viewer whose session will not play.
     pub(crate) fn answer(&mut self, id: SessionId, response: Response) {
-        let Some(mut session) = self.sessions.remove(&id) else { return };
-        self.seat_of(id, &session);
-        if self.published.get(&session.title).is_some_and(|p| p.0 == id) {
-            self.published.remove(&session.title);
-        }
+        let Some(mut session) = self.forget(id) else { return };
         let Some(s) = session.setting_up() else { return };
         if let Some(conn) = s.conn {
             self.owed.remove(&conn);
@@ -394,11 +382,6 @@
 
     // ----- answers of boxes
 
-    pub(crate) fn call(&mut self, call: CallId, to: SocketAddr, request: Request) {
-        let timeout = Some(Duration::from_nanos(self.config.bounds.call));
-        self.out.push(Output::Call { call, to, request, timeout });
-    }
-
     pub(crate) fn reply(&mut self, call: CallId, result: Result<Response, CallError>) {
         match self.calls.remove(&call) {
             None => {}
@@ -412,7 +395,7 @@
                 self.layered(session, rung, result.is_ok_and(|r| r.status < 300))
             }
             Some(Purpose::Subscribe { session }) => self.subscribed(session, result),
-            Some(Purpose::Patch { session, conn, restart }) => self.patched(session, conn, restart, result),
+            Some(Purpose::Patch { session, conn }) => self.patched(session, conn, result),
             Some(Purpose::Issuer) => self.issuer_replied(result),
             Some(Purpose::Withdraw { session, addr, path, tries }) => {
                 // 404 and 410: it is gone already.
@@ -430,10 +413,14 @@
 
     /// Ends a session at its box.
     pub(crate) fn withdraw(&mut self, session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8) {
-        let call = CallId(self.id());
-        let request = Request::new(Method::Delete, &*path).with("via", format!("1.1 {}", self.config.name));
-        self.calls.insert(call, Purpose::Withdraw { session, addr, path, tries });
-        self.call(call, addr, request);
+        let request = self.to_box(Method::Delete, &*path);
+        self.call_soon(Purpose::Withdraw { session, addr, path, tries }, addr, request);
+    }
+
+    /// Withdraws what was set up and nobody waits for.
+    fn take_back(&mut self, session: SessionId, place: &Place) {
+        self.counts.withdrawn += 1;
+        self.withdraw(session, place.addr, place.resource.clone(), 0);
     }
 
     fn set_up(
@@ -444,8 +431,7 @@
         if orphan {
             // Nobody waits for it; the module has been told how it ended.
             if let Some(Some(place)) = created {
-                self.counts.withdrawn += 1;
-                self.withdraw(id, addr, place.resource, 0);
+                self.take_back(id, &place);
             }
             return;
         }
@@ -457,12 +443,10 @@
             return;
         };
         s.out = None;
-        let mut take_back = None;
         let outcome = match (result, created) {
             (Ok(r), Some(Some(place))) if left => {
                 debug!(session = id.0, status = r.status, "set up for nobody: withdrawn");
-                self.counts.withdrawn += 1;
-                self.withdraw(id, addr, place.resource, 0);
+                self.take_back(id, &place);
                 return self.ended(id, server, Outcome::Cancelled, true);
             }
             (Ok(r), Some(Some(place))) => match answer_text(&s.shape, &r) {
@@ -472,7 +456,7 @@
                 }
                 None => {
                     warn!(%addr, "a box's answer does not fit the offer");
-                    take_back = Some(place.resource);
+                    self.take_back(id, &place);
                     Outcome::Error
                 }
             },
@@ -487,10 +471,8 @@
                 Outcome::Error
             }
         };
-        s.last = Some(outcome);
-        if let Some(path) = take_back {
-            self.counts.withdrawn += 1;
-            self.withdraw(id, addr, path, 0);
+        if let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) {
+            s.last = Some(outcome);
         }
         debug!(session = id.0, server = server.0, ?outcome, "attempt ended");
         self.ended(id, server, outcome, left);
@@ -510,11 +492,9 @@
         if !wait {
             return self.start(id);
         }
-        let call = CallId(self.id());
         let Some(request) = self.layer_request(id, &layer, rung) else { return };
-        self.calls.insert(call, Purpose::Layer { session: id, rung });
-        let timeout = Some(Duration::from_nanos(left.min(self.config.bounds.call)));
-        self.out.push(Output::Call { call, to, request, timeout });
+        let timeout = Some(left.min(self.config.bounds.call));
+        self.call(Purpose::Layer { session: id, rung }, to, request, timeout);
     }
 
     /// The session plays: its viewer is answered, the module told.
@@ -574,8 +554,7 @@
         let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else { return };
         let Some(stands) = s.stands.take() else { return };
         let place = stands.0;
-        self.counts.withdrawn += 1;
-        self.withdraw(id, place.addr, place.resource, 0);
+        self.take_back(id, &place);
         self.ended(id, place.server, Outcome::Cancelled, true);
     }
 
@@ -584,8 +563,7 @@
     fn layer_request(&self, id: SessionId, path: &str, rung: Rung) -> Option<Request> {
         let session = self.sessions.get(&id)?;
         let body = serde_json::json!({ "mediaId": &*session.media, "encodingId": rung.to_string() });
-        let request = Request::new(Method::Post, path).with("via", format!("1.1 {}", self.config.name));
-        Some(request.content("application/json", body.to_string()))
+        Some(self.to_box(Method::Post, path).content("application/json", body.to_string()))
     }
 
     /// Brings the box's layer to the rung that the module wants, one call at a time.
@@ -598,10 +576,8 @@
         }
         p.changing = true;
         let (path, to) = (p.place.layer.clone(), p.place.addr);
-        let call = CallId(self.id());
         let Some(request) = self.layer_request(id, &path, rung) else { return };
-        self.calls.insert(call, Purpose::Layer { session: id, rung });
-        self.call(call, to, request);
+        self.call_soon(Purpose::Layer { session: id, rung }, to, request);
     }
 
     fn layered(&mut self, id: SessionId, rung: Rung, done: bool) {
@@ -627,7 +603,7 @@
         if done {
             return self.change_layer(id);
         }
-        // The module is told what really plays. A floor is tried again: what plays may lie under it.
+        // The module is told what really plays; its next choice is tried again.
         if let Some(rung) = in_force
             && rung != wanted
         {
@@ -640,35 +616,26 @@
 
     /// Opens a session's event stream. One session at each box hears of the box's load too.
     pub(crate) fn subscribe(&mut self, id: SessionId) {
-        let call = CallId(self.id());
-        let via = format!("1.1 {}", self.config.name);
         let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
         if p.place.events.is_empty() || p.subscribing {
             return;
         }
         p.subscribing = true;
-        let (path, to, server, watches) = (p.place.events.clone(), p.place.addr, p.place.server, p.watches);
-        let first = || {
-            let all = self.boxes.get(&server).map(|b| &b.playing);
-            all.is_some_and(|all| all.iter().next() == Some(&id))
-        };
-        let watches = watches || first();
-        if let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) {
-            p.watches = watches;
-        }
+        let first = self.boxes.get(&p.place.server).and_then(|b| b.playing.first());
+        p.watches |= first == Some(&id);
+        let (path, to, watches) = (p.place.events.clone(), p.place.addr, p.watches);
         let events = if watches {
             format!("[\"{}\",\"{}\"]", notes::LAYERS, LoadReport::FIELD)
         } else {
             format!("[\"{}\"]", notes::LAYERS)
         };
-        let request = Request::new(Method::Post, &*path).with("via", via).content("application/json", events);
-        self.calls.insert(call, Purpose::Subscribe { session: id });
-        self.call(call, to, request);
+        let request = self.to_box(Method::Post, path).content("application/json", events);
+        self.call_soon(Purpose::Subscribe { session: id }, to, request);
     }
 
     /// Another session at a box hears of its load from now on.
     fn watch_another(&mut self, server: ServerId) {
-        let next = self.boxes.get(&server).and_then(|b| b.playing.iter().next().copied());
+        let next = self.boxes.get(&server).and_then(|b| b.playing.first().copied());
         let Some(id) = next else { return };
         let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
         p.watches = true;
@@ -681,7 +648,6 @@
 
     fn subscribed(&mut self, id: SessionId, result: Result<Response, CallError>) {
         let stream = StreamId(self.id());
-        let via = format!("1.1 {}", self.config.name);
         let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
         p.subscribing = false;
         let (addr, server, cut) = (p.place.addr, p.place.server, p.cut);
@@ -701,21 +667,23 @@
             Some(path) => {
                 p.stream = Some(stream);
                 self.streams.insert(stream, id);
-                let request =
-                    Request::new(Method::Get, path).with("via", via).with("accept", "text/event-stream");
+                let request = self.to_box(Method::Get, path).with("accept", "text/event-stream");
                 self.out.push(Output::Listen { stream, to: addr, request });
             }
-            None => self.lost_stream(id),
+            None => self.lost_stream(id, false),
         }
     }
 
-    fn lost_stream(&mut self, id: SessionId) {
+    /// A session's event stream is not there: it is opened again after a pause, the first time at once where one
+    /// had been open.
+    fn lost_stream(&mut self, id: SessionId, was_open: bool) {
         let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
         p.lost = p.lost.saturating_add(1);
-        let pause = RESUBSCRIBE << p.lost.min(5);
         if p.lost > LOST_MOST {
             return self.ended_at_box(id, Outcome::Reset);
         }
+        // A session that ended at its box, or a box that went, is found out this way.
+        let pause = if was_open && p.lost == 1 { 0 } else { RESUBSCRIBE << p.lost.min(5) };
         self.timer(pause, Timer::Resubscribe(id));
     }
 
@@ -761,13 +729,8 @@
         if p.stream == Some(stream) {
             p.stream = None;
         }
-        (p.lost, p.cut) = (p.lost.saturating_add(1), p.cut || cut);
-        if p.lost > LOST_MOST {
-            return self.ended_at_box(id, Outcome::Reset);
-        }
-        // At once the first time: a session that ended at its box, or a box that went, is found out this way.
-        let pause = if p.lost == 1 { 0 } else { RESUBSCRIBE << p.lost.min(5) };
-        self.timer(pause, Timer::Resubscribe(id));
+        p.cut |= cut;
+        self.lost_stream(id, true);
     }
 }
 
