HTTP: trailers are bounded in number too

Read once more: a comment said that the number of trailers counted as content, and nothing counted them, though each was short and dropped and the request's time bounded them all. As many are taken as a head may have fields; one more is 431. A count of blank lines that was named after trailers has its own name. Result: a case in the table of refusals, seen to fail before.

--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -61,7 +61,8 @@
     Size,
     Data(usize),
     DataEnd,
-    Trailer,
+    /// How many trailers were read and dropped.
+    Trailer(usize),
 }
 
 #[derive(Debug)]
@@ -264,7 +265,7 @@
                     if body.len().saturating_add(size) > limits.body {
                         return fault(413, "the content is too large");
                     }
-                    *chunk = if size == 0 { Chunk::Trailer } else { Chunk::Data(size) };
+                    *chunk = if size == 0 { Chunk::Trailer(0) } else { Chunk::Data(size) };
                 }
                 Chunk::Data(left) => {
                     let part = buffer.rest().len().min(left);
@@ -285,18 +286,21 @@
                     buffer.take(2);
                     *chunk = Chunk::Size;
                 }
-                Chunk::Trailer => {
+                Chunk::Trailer(read) => {
                     let Some(n) = buffer.line(1024, "a trailer is too long")? else { return Ok(false) };
                     buffer.take(n + 2);
                     if n == 0 {
                         *chunk = Chunk::Size;
                         return Ok(true);
                     }
-                    // Trailers are read and dropped (RFC 9112 section 7.1.2); their number counts as content.
-                    body.reserve(0);
+                    // Trailers are read and dropped (RFC 9112 section 7.1.2), as many as a head may have fields.
                     if n > limits.head {
                         return fault(431, "a trailer is too long");
                     }
+                    if read == limits.fields {
+                        return fault(431, "too many trailers");
+                    }
+                    *chunk = Chunk::Trailer(read + 1);
                 }
             },
         }
@@ -311,14 +315,15 @@
     state: State<(Method, String, Headers, bool)>,
     /// The client waits for an interim answer before it sends the content.
     expects: bool,
-    trailers: usize,
+    /// Empty lines passed over before the request.
+    blank_lines: usize,
 }
 
 impl RequestParser {
     /// A parser for one connection.
     pub fn new(limits: Limits) -> Self {
         let (buffer, state) = (Buffer::default(), State::Head);
-        RequestParser { limits, buffer, state, expects: false, trailers: 0 }
+        RequestParser { limits, buffer, state, expects: false, blank_lines: 0 }
     }
 
     /// Takes bytes as they were read.
@@ -360,8 +365,8 @@
                 State::Head => {
                     // An empty line before a request is passed over (RFC 9112 section 2.2), a few times only.
                     while self.buffer.rest().starts_with(b"\r\n") {
-                        self.trailers += 1;
-                        if self.trailers > 4 {
+                        self.blank_lines += 1;
+                        if self.blank_lines > 4 {
                             return fault(400, "empty lines in place of a request");
                         }
                         self.buffer.take(2);
@@ -372,7 +377,7 @@
                     let Some(length) = self.buffer.head(&self.limits)? else { return Ok(None) };
                     let (head, framing) = request_head(&self.buffer.rest()[..length], &self.limits)?;
                     self.buffer.take(length);
-                    self.trailers = 0;
+                    self.blank_lines = 0;
                     self.expects = match head.2.get("expect") {
                         None => false,
                         Some(e) if e.eq_ignore_ascii_case("100-continue") => framing != Framing::Length(0),
--- a/crates/http/tests/parse.rs
+++ b/crates/http/tests/parse.rs
@@ -46,6 +46,13 @@
         (format!("GET / HTTP/1.1\r\nhost: a\r\n{}\r\n", "x: y\r\n".repeat(70)), 431),
         ("\r\n\r\n\r\n\r\n\r\n\r\nGET / HTTP/1.1\r\n".into(), 400),
         ("\u{0}\u{1}\r\n\r\n".into(), 400),
+        (
+            format!(
+                "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n0\r\n{}\r\n",
+                "t: v\r\n".repeat(65)
+            ),
+            431,
+        ),
     ];
     for (text, status) in table {
         for cut in [1, 7, 1 << 21] {
