--- a/src/bin/micadyke-benchlink.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,5 +1,4 @@
 //! Hosts controllers on the bench's wire: standard input to standard output.
-#![forbid(unsafe_code)]
 
 use std::io::{BufReader, BufWriter};
 use std::process::ExitCode;
@@ -7,7 +6,7 @@
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, std::io::stdin().lock());
     let output = BufWriter::with_capacity(1 << 16, std::io::stdout().lock());
-    match micadyke::wire::serve(input, output) {
+    match benchlink::wire::serve(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("micadyke-benchlink: {e}");
--- a/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,8 +1,8 @@
 //! The bench's wire: text lines to events, actions to text lines. Parsing and printing only; nothing here
 //! chooses anything. The words are those of `WIRE-micadyke.md`; the module behind it knows none of them.
 
-use crate::decide::Controller;
-use crate::interface::*;
+use micadyke::decide::Controller;
+use micadyke::interface::*;
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
--- a/src/lib.rs
+++ b/crates/micadyke/src/lib.rs
@@ -1,8 +1,6 @@
 //! micadyke makes the decisions of a session controller for a fleet of media servers.
 #![doc = include_str!("../README.md")]
-#![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod decide;
 pub mod interface;
-pub mod wire;
