--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -244,7 +244,7 @@
     ExitCode::from(1)
 }
 
-pub fn rehearse(files: &[PathBuf], how: Option<&str>) -> Result<ExitCode, Failure> {
+pub fn rehearse(files: &[PathBuf], how: Option<&str>, required: &[usize]) -> Result<ExitCode, Failure> {
     let how = match how {
         None => None,
         Some(word) => {
@@ -277,6 +277,11 @@
         );
         println!("{}", ran.verdict);
         broken |= !ran.verdict.kept();
+        let required: Vec<usize> = required.iter().chain(&scenario.must_try).copied().collect();
+        for rule in ran.verdict.missing(&required) {
+            println!("rule {rule} had to be put to the test, and nothing did");
+            broken = true;
+        }
     }
     Ok(ExitCode::from(u8::from(broken)))
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -22,9 +22,10 @@
     /// Form of the log on standard error.
     #[arg(long, global = true, value_enum, default_value_t = LogForm::Text)]
     log: LogForm,
-    /// What is logged: error, warn, info, debug, trace, or directives such as micadyke_front=debug.
-    #[arg(long, global = true, default_value = "info")]
-    log_level: String,
+    /// What is logged: error, warn, info, debug, trace, or directives such as micadyke_front=debug; by default warn
+    /// for demo and rehearse, else info.
+    #[arg(long, global = true)]
+    log_level: Option<String>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
@@ -77,6 +78,9 @@
         /// With fronts that are broken on purpose: answers, overlap, twice, drains, cold, floors, seats, budget.
         #[arg(long = "break", value_name = "HOW")]
         how: Option<String>,
+        /// Rules that must be put to the test, by number: one that nothing tried counts as broken.
+        #[arg(long, value_name = "RULES", value_delimiter = ',', value_parser = clap::value_parser!(u8).range(1..=6))]
+        require: Vec<u8>,
     },
     /// Check settings, and the list of boxes that they name; exit 1 where they are refused.
     Check {
@@ -90,8 +94,10 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let Ok(filter) = tracing_subscriber::EnvFilter::try_new(&cli.log.log_level) else {
-        eprintln!("micadyke: '{}' says not what is to be logged", cli.log.log_level);
+    let quiet = matches!(cli.command, Command::Demo { .. } | Command::Rehearse { .. });
+    let level = cli.log.log_level.as_deref().unwrap_or(if quiet { "warn" } else { "info" });
+    let Ok(filter) = tracing_subscriber::EnvFilter::try_new(level) else {
+        eprintln!("micadyke: '{level}' says not what is to be logged");
         return ExitCode::from(2);
     };
     let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
@@ -105,7 +111,10 @@
         Command::Demo { listen } => commands::demo(listen),
         Command::Standin { config } => commands::standin(&config),
         Command::Issuer { listen, seats, ttl } => commands::issuer(listen, &seats, &ttl),
-        Command::Rehearse { scenarios, how } => commands::rehearse(&scenarios, how.as_deref()),
+        Command::Rehearse { scenarios, how, require } => {
+            let required: Vec<usize> = require.into_iter().map(usize::from).collect();
+            commands::rehearse(&scenarios, how.as_deref(), &required)
+        }
         Command::Check { file, boxes } => commands::check(&file, boxes.as_deref()),
     };
     match result {
--- a/crates/rehearse/src/check.rs
+++ b/crates/rehearse/src/check.rs
@@ -71,11 +71,22 @@
 }
 
 impl Verdict {
-    /// Whether all rules were kept.
+    /// Whether no rule was broken. One that nothing put to the test is not broken, and not kept either: see
+    /// [`Verdict::untried`].
     pub fn kept(&self) -> bool {
         self.rules.iter().all(|r| r.times == 0)
     }
 
+    /// Numbers, from 1, of the rules that nothing put to the test.
+    pub fn untried(&self) -> Vec<usize> {
+        (1..=6).filter(|n| self.rules[n - 1].times == 0 && self.rules[n - 1].tried == 0).collect()
+    }
+
+    /// Of the rules that had to be put to the test, those that were not.
+    pub fn missing(&self, required: &[usize]) -> Vec<usize> {
+        self.untried().into_iter().filter(|n| required.contains(n)).collect()
+    }
+
     /// Numbers, from 1, of the rules that were broken.
     pub fn broken(&self) -> Vec<usize> {
         (1..=6).filter(|n| self.rules[n - 1].times > 0).collect()
@@ -85,7 +96,11 @@
 impl std::fmt::Display for Verdict {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         for (i, r) in self.rules.iter().enumerate() {
-            let word = if r.times == 0 { "kept".to_owned() } else { format!("BROKEN {} times", r.times) };
+            let word = match (r.times, r.tried) {
+                (0, 0) => "not tried".to_owned(),
+                (0, _) => "kept".to_owned(),
+                (n, _) => format!("BROKEN {n} times"),
+            };
             writeln!(
                 f,
                 "rule {}: {:<40} {} looked at, {} tried: {word}",
@@ -96,7 +111,12 @@
             )?;
             r.broken.iter().try_for_each(|b| writeln!(f, "        {b}"))?;
         }
-        write!(f, "verdict: {}", if self.kept() { "all rules kept" } else { "broken" })
+        let list = |of: Vec<usize>| of.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
+        match (self.broken(), self.untried()) {
+            (broken, _) if !broken.is_empty() => write!(f, "verdict: broken: {}", list(broken)),
+            (_, untried) if untried.is_empty() => f.write_str("verdict: all rules kept"),
+            (_, untried) => write!(f, "verdict: kept as far as tried; not tried: {}", list(untried)),
+        }
     }
 }
 
--- a/crates/rehearse/src/scenario.rs
+++ b/crates/rehearse/src/scenario.rs
@@ -217,6 +217,8 @@
     pub viewers: Viewers,
     /// Troubles.
     pub troubles: Vec<Trouble>,
+    /// Numbers, from 1, of the rules that it must put to the test.
+    pub must_try: Vec<usize>,
 }
 
 const MINUTE: f64 = 60e9;
@@ -265,7 +267,7 @@
     f.allow(
         &[
             "settings", "seed", "length", "fronts", "boxes", "titles", "copies", "list-lag", "set-up",
-            "reap", "viewers", "issuer",
+            "reap", "viewers", "issuer", "must-try",
         ],
         &["trouble"],
     );
@@ -309,6 +311,14 @@
         }),
         viewers,
         troubles,
+        must_try: f.part("must-try").map_or_else(Vec::new, |m| {
+            let one = |text: Option<&str>| text.and_then(|t| t.parse().ok()).filter(|n| (1..=6).contains(n));
+            let rules = m.arguments().iter().map(|n| one(n.text())).collect::<Option<Vec<usize>>>();
+            rules.filter(|r| !r.is_empty()).unwrap_or_else(|| {
+                m.fault("must-try: numbers of rules are due, 1 to 6");
+                Vec::new()
+            })
+        }),
     })
 }
 
--- a/crates/rehearse/tests/rules.rs
+++ b/crates/rehearse/tests/rules.rs
@@ -26,11 +26,9 @@
     let broken = run(name, Some(how));
     let sound = sound.join().expect("it runs");
     assert!(sound.verdict.kept(), "{name}:\n{}", sound.verdict);
-    assert!(
-        sound.verdict.rules[how.rule() - 1].tried > 0,
-        "{name} puts its rule to the test:\n{}",
-        sound.verdict
-    );
+    let required = load(name).0.must_try;
+    assert!(required.contains(&how.rule()), "{name} has to try rule {}", how.rule());
+    assert_eq!(sound.verdict.missing(&required), [0usize; 0], "{name}:\n{}", sound.verdict);
     assert!(broken.verdict.broken().contains(&how.rule()), "{how:?} is not caught:\n{}", broken.verdict);
 }
 
@@ -83,6 +81,7 @@
 fn the_bad_day_keeps_all_rules() {
     let ran = run("bad-day.sexp", None);
     assert!(ran.verdict.kept(), "{}", ran.verdict);
+    assert_eq!(ran.verdict.missing(&load("bad-day.sexp").0.must_try), [0usize; 0], "{}", ran.verdict);
     let tried: Vec<u64> = ran.verdict.rules.iter().map(|r| r.tried).collect();
     assert!(
         tried[0] > 100 && tried[1] > 10 && tried[3] > 10 && tried[4] > 10 && tried[5] > 0,
@@ -92,6 +91,17 @@
     assert!(ran.tally.played > 100, "{:?}", ran.tally);
 }
 
+#[test]
+fn a_rule_that_nothing_put_to_the_test_is_not_kept() {
+    let (mut scenario, config) = load("rule-1-answers.sexp");
+    scenario.length = std::time::Duration::from_millis(500);
+    let verdict = play(&scenario, &config, None).expect("it runs").verdict;
+    let text = verdict.to_string();
+    assert!(verdict.kept() && verdict.untried().contains(&4) && verdict.untried().contains(&6), "{text}");
+    assert_eq!(verdict.missing(&[1, 4]), [4usize]);
+    assert!(text.contains("0 tried: not tried") && text.contains("verdict: kept as far as tried"), "{text}");
+}
+
 #[test]
 fn scenarios_that_are_refused_say_where() {
     let table = [
@@ -104,6 +114,10 @@
             "(scenario \"x\" (settings \"f\") (length 3s) (boxes 2) (viewers (rate 1)) (trouble fire (at 1s)))",
             "s:1:71: 'fire' is no trouble",
         ),
+        (
+            "(scenario \"x\" (settings \"f\") (length 3s) (boxes 2) (must-try 1 7) (viewers (rate 1)))",
+            "s:1:52: must-try: numbers of rules are due, 1 to 6",
+        ),
     ];
     for (text, message) in table {
         let faults = read_scenario(text, "s").expect_err(message);
--- a/scenarios/bad-day.sexp
+++ b/scenarios/bad-day.sexp
@@ -2,7 +2,7 @@
 ; and then behind, weak uplinks, a frozen and an ageing box, answers lost and late, a crowd, a burst, viewers that
 ; withdraw, another program on a link.
 (scenario "bad day"
-  (settings "front.sexp") (seed 20261201) (length 18s)
+  (settings "front.sexp") (must-try 1 2 3 4 5 6) (seed 20261201) (length 18s)
   (fronts 3) (boxes 12) (titles 16) (copies 4) (list-lag 200ms) (set-up 3ms) (reap 2s)
   (viewers (rate 60) (watch 1s 4s) (returns 0.9) (return-after 200ms 700ms) (small 0.25) (zipf 0.8) (mix 0.75 0.25))
   (trouble front-restart (at 2s) (front 0) (down 400ms))
--- a/scenarios/seats.sexp
+++ b/scenarios/seats.sexp
@@ -1,7 +1,7 @@
 ; Ten seats for the one spot that everybody wants, three fronts, an issuer that loses messages and answers, doubles and
 ; reorders them, is down for a while and comes back, once without its books; fronts are killed, stopped and stand still.
 (scenario "seats across fronts"
-  (settings "front-seats.sexp") (seed 31) (length 14s)
+  (settings "front-seats.sexp") (must-try 1 5) (seed 31) (length 14s)
   (fronts 3) (boxes 6) (titles 2) (copies 6) (list-lag 200ms) (set-up 2ms) (reap 1s)
   (issuer (seats 10) (ttl 4s))
   (viewers (rate 30) (watch 500ms 2s) (returns 0.9) (return-after 200ms 700ms) (zipf 2) (mix 0.2 0.8))
