A session ends at its box when its seat is over, whatever its front does

A front stopped by SIGSTOP keeps its sockets open: its boxes saw nothing, its lease ran out, and the issuer gave the seat to another front while the first session played on. The bound moves to the box: a set-up carries a signed token (RFC 7519) whose exp is a point of the box's own steady clock, renewed for all sessions at a box with one message. A front without a held seat sends no set-up, and one that wakes lets go of overdue seats before it acts on anything else. A seat whose session's end the box did not confirm stays taken until the last token that the box can have is over. 'check' says what is not promised where boxes know no such means.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -2,7 +2,7 @@
 
 use micadyke::interface::ServerState;
 use micadyke_config::units::{Unit, quantity};
-use micadyke_config::{BoxRow, Config, Diagnostic, Entitlements, read_boxes, read_config};
+use micadyke_config::{BoundConfig, BoxRow, Config, Diagnostic, Entitlements, read_boxes, read_config};
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
 use micadyke_front::shell::{Extras, serve};
@@ -14,6 +14,7 @@
 use micadyke_standin::model::World;
 use micadyke_standin::record::Record;
 use micadyke_tokens::bearer::{Checker, TokenKey};
+use micadyke_tokens::bound::SharedKey;
 use micadyke_tokens::ledger::Terms as SeatTerms;
 use micadyke_tokens::store::File;
 use std::io::Write;
@@ -114,7 +115,12 @@
         }
     };
     let entitlements = config.entitlements.as_ref().map(|e| checker(e, file)).transpose()?;
-    let extras = Extras { seats, entitlements };
+    let bound = config.issuer.as_ref().and_then(|i| i.bound.as_ref());
+    let bound = bound.map(|b| shared_key(b, file)).transpose()?;
+    for note in config.not_promised() {
+        tracing::warn!("{note}");
+    }
+    let extras = Extras { seats, bound, entitlements };
     run(async {
         let (listener, addr) = listen(addr.unwrap_or(config.listen)).await?;
         ready(addr)?;
@@ -122,6 +128,14 @@
     })?
 }
 
+/// The secret that fronts and boxes share, read from its file.
+fn shared_key(b: &BoundConfig, file: &Path) -> Result<SharedKey, Failure> {
+    let path = beside(file, &b.key_file);
+    let bytes = std::fs::read(&path).map_err(at(&path))?;
+    let key = SharedKey::new(&b.key_id, bytes.trim_ascii());
+    Ok(key.ok_or_else(|| format!("{}: a secret of 32 bytes at least is due", path.display()))?)
+}
+
 /// The keys of the settings, read from their files.
 fn checker(e: &Entitlements, file: &Path) -> Result<Checker, Failure> {
     let mut checker = Checker::new(&e.audience, e.leeway);
@@ -175,6 +189,9 @@
     }
     run(async {
         let fleet = Fleet::new(World::of(&config, &rows, REAP), Habits::default(), Record::off(), 1);
+        if let Some(b) = config.issuer.as_ref().and_then(|i| i.bound.as_ref()) {
+            fleet.guarded(&b.path, shared_key(b, file)?);
+        }
         for row in &rows {
             let addr = fleet.open_at(row.id, row.address).await;
             let addr = addr.map_err(|e| format!("box {}: cannot listen on {}: {e}", row.id, row.address))?;
@@ -227,6 +244,9 @@
         Err(faults) => return Ok(refused(&faults)),
     };
     println!("{}: sound; {} classes, {} routes", file.display(), config.classes.len(), config.routes.len());
+    for note in config.not_promised() {
+        println!("{}: not promised: {note}", file.display());
+    }
     let list = boxes
         .map(Path::to_path_buf)
         .or_else(|| (!config.boxes.is_empty()).then(|| beside(file, &config.boxes)));
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -81,6 +81,19 @@
     pub settle: u64,
     /// Leases at most.
     pub leases: usize,
+    /// Boxes end seated sessions by themselves when their seat's time is over; `None`: they know no such means.
+    pub bound: Option<BoundConfig>,
+}
+
+/// How boxes are told until when seated sessions may last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BoundConfig {
+    /// Path at each box that tells its clock and takes renewals.
+    pub path: String,
+    /// Id of the secret shared with boxes.
+    pub key_id: String,
+    /// File with the secret, relative to the settings.
+    pub key_file: String,
 }
 
 /// A key for bearer entitlements.
@@ -498,7 +511,29 @@
 }
 
 fn issuer(i: &Form) -> IssuerConfig {
-    i.allow(&["address", "state", "wait", "drift", "stop", "retry", "keep", "settle", "leases"], &[]);
+    i.allow(
+        &["address", "state", "wait", "drift", "stop", "retry", "keep", "settle", "leases", "bound"],
+        &[],
+    );
+    let bound = i.part("bound").map(|b| {
+        b.allow(&["path", "key"], &[]);
+        let path = b.word_of("path", Some("/leases")).to_owned();
+        if !path.starts_with('/') || path.len() > 256 || !path.bytes().all(|c| c.is_ascii_graphic()) {
+            b.fault(format!("path: '{path}' is no path at a box"));
+        }
+        let key = b.part("key");
+        if let Some(k) = &key {
+            k.allow(&["file"], &[]);
+        } else {
+            b.fault("'bound' lacks its 'key': (key \"ID\" (file \"FILE\"))");
+        }
+        let id = key.and_then(|k| k.arguments().first().and_then(|n| n.text())).unwrap_or("").to_owned();
+        let key_file = key.map_or_else(String::new, |k| k.word_of("file", None).to_owned());
+        if id.is_empty() && key.is_some() {
+            b.fault("a key takes one id of its own");
+        }
+        BoundConfig { path, key_id: id, key_file }
+    });
     let text = i.word_of("address", None);
     let address = text.parse().unwrap_or_else(|_| {
         i.fault(format!("address: '{text}' is no address and port"));
@@ -515,6 +550,7 @@
         keep: time("keep", 2e9),
         settle: time("settle", 5e9),
         leases: i.count("leases", 1, 10_000_000, Some(100_000)) as usize,
+        bound,
     }
 }
 
@@ -556,6 +592,23 @@
 }
 
 impl Config {
+    /// What these settings do not promise, though they are sound.
+    pub fn not_promised(&self) -> Vec<String> {
+        let unbounded: Vec<&str> =
+            self.classes.iter().filter(|c| c.tokens.is_some()).map(|c| c.name.as_str()).collect();
+        let Some(issuer) = self.issuer.as_ref().filter(|i| i.bound.is_none() && !unbounded.is_empty()) else {
+            return Vec::new();
+        };
+        vec![format!(
+            "boxes are told no end of a seat (issuer has no 'bound'): seats of {} hold while fronts run or are ended; a \
+             front that is stopped without being ended, or cut off from a box, for longer than the lease's time may \
+             exceed them by the sessions that it has there. 'stop' ({} ms) covers boxes that end a session whose event \
+             stream is closed, no more",
+            unbounded.join(", "),
+            issuer.stop / 1_000_000
+        )]
+    }
+
     /// Whether a text may name a title.
     pub fn is_title(name: &str) -> bool {
         title_name(name)
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -6,7 +6,7 @@
 //! answer to each request, one attempt of a session out at a time, nothing left behind at a box.
 
 use crate::endpoint::SDP;
-use crate::seats::Seats;
+use crate::seats::{Permitted, Seats};
 use crate::session::{Phase, Session, SettingUp};
 use micadyke::decide::Controller;
 use micadyke::interface::{
@@ -167,6 +167,10 @@
     Withdraw { session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8 },
     /// A message to the issuer of seats.
     Issuer,
+    /// A box asked for its clock, for the tokens that bound sessions there.
+    Clock { server: ServerId },
+    /// A renewal of sessions' time at a box.
+    Renew { server: ServerId },
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -178,6 +182,8 @@
     Withdraw(SessionId, SocketAddr, Box<str>, u8),
     SeatWait(SessionId),
     SeatFree(SessionId),
+    /// A set-up that waits for its box's clock has waited for as long as it may.
+    Permit(SessionId),
 }
 
 /// A box as the list names it, and the sessions there.
@@ -347,6 +353,8 @@
     /// Takes one input at time `now`; what is to be done is appended to `out`.
     pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        // A front that stood still finds all overdue at once: first it lets go of the seats whose time is over.
+        self.seat_tick();
         match input {
             Input::Request { conn, request, waited } => self.request(conn, request, waited),
             Input::Gone { conn } => self.gone(conn),
@@ -427,10 +435,10 @@
                 Timer::Withdraw(session, addr, path, tries) => self.withdraw(session, addr, path, tries),
                 Timer::SeatWait(session) => self.seat_overdue(session),
                 Timer::SeatFree(session) => self.free_seat(session),
+                Timer::Permit(session) => self.permit_overdue(session),
             }
             self.settle();
         }
-        self.seat_tick();
     }
 
     // ----- the list
@@ -461,7 +469,12 @@
                 b.row.state = ServerState::Gone;
             }
         }
-        self.boxes.retain(|_, b| b.row.state != ServerState::Gone || !b.playing.is_empty());
+        let gone = |b: &MediaBox| b.row.state == ServerState::Gone && b.playing.is_empty();
+        let left: Vec<ServerId> = self.boxes.iter().filter(|(_, b)| gone(b)).map(|(s, _)| *s).collect();
+        for server in left {
+            self.boxes.remove(&server);
+            self.forget_clock(server);
+        }
         self.tell(Event::List { kind: ListKind::Full, entries });
     }
 
@@ -568,7 +581,20 @@
                 finished: false,
             });
         };
-        let request = self.to_box(Method::Post, target).with("accept", SDP).content(SDP, offer);
+        let mut request = self.to_box(Method::Post, target).with("accept", SDP).content(SDP, offer);
+        match self.permit(id, server, addr, due) {
+            Permitted::Freely => {}
+            Permitted::With(token) => request = request.with("authorization", format!("Bearer {token}")),
+            Permitted::Later => return,
+            Permitted::Never => {
+                return self.tell(Event::Ended {
+                    session: id,
+                    server,
+                    outcome: Outcome::NotSent,
+                    finished: false,
+                });
+            }
+        }
         let (aborted, orphan) = (false, false);
         let purpose = Purpose::SetUp { session: id, server, addr, aborted, orphan };
         let call = self.call(purpose, addr, request, None);
--- a/crates/front/src/seats.rs
+++ b/crates/front/src/seats.rs
@@ -4,20 +4,34 @@
 
 use crate::core::{ConnId, Front, Output, Purpose, Timer};
 use crate::session::{Phase, Session};
-use micadyke::interface::{Nanos, SessionId, SessionRequest};
+use micadyke::interface::{Event, Nanos, Outcome, ServerId, SessionId, SessionRequest};
 use micadyke_http::client::CallError;
 use micadyke_http::{Method, Request, Response};
+use micadyke_tokens::bound::{self, BoxId, Keeper, KeeperTerms, Permit, SharedKey, Told};
 use micadyke_tokens::holder::{self, Holder, User};
 use micadyke_tokens::message::{Key, Reply};
 use micadyke_tokens::policy::{Lost, Policy, Unreachable, Waited};
 use micadyke_tokens::store::{Record, State};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use tracing::{debug, warn};
 
 /// Path of the issuer's endpoint.
 const SEATS_PATH: &str = "/seats";
 
+/// Whether a set-up may go out.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Permitted {
+    /// Its class has no seats, or boxes know no bound.
+    Freely,
+    /// With this token.
+    With(String),
+    /// When its box has told its clock.
+    Later,
+    /// Its seat's time is over.
+    Never,
+}
+
 /// The seats of a front.
 pub(crate) struct Seats {
     holder: Holder,
@@ -27,6 +41,12 @@
     policies: Vec<Option<Policy>>,
     /// Requests that wait for their seat: since when, and for how long they may.
     waiting: HashMap<SessionId, (SessionRequest, Nanos, Nanos)>,
+    /// Bounds sessions at their boxes, where boxes know how.
+    keeper: Option<Keeper>,
+    /// Path at boxes for the keeper's messages.
+    path: String,
+    /// Set-ups that wait for their box's clock.
+    unclocked: BTreeMap<ServerId, Vec<SessionId>>,
     /// Its epoch could not be written down: after a restart it might be used twice, so it is not used at all.
     broken: bool,
 }
@@ -34,8 +54,13 @@
 impl Front {
     /// Takes up the seats of a former start, as its log has them. Must be called before the first input where the
     /// settings name an issuer.
-    pub fn with_seats(&mut self, state: State, seed: u64, out: &mut Vec<Output>) {
+    pub fn with_seats(&mut self, state: State, key: Option<SharedKey>, seed: u64, out: &mut Vec<Output>) {
         let Some(i) = self.config.issuer.clone() else { return };
+        let keeper = key.zip(i.bound.as_ref()).map(|(key, _)| {
+            let terms = KeeperTerms { name: self.config.name.clone(), drift: i.drift, retry: i.retry };
+            Keeper::new(terms, key)
+        });
+        let path = i.bound.as_ref().map_or_else(String::new, |b| b.path.clone());
         let policy = |c: &micadyke_config::ClassConfig| {
             c.tokens.map(|t| Policy {
                 unreachable: if t.use_held { Unreachable::UseHeld } else { Unreachable::Refuse },
@@ -62,9 +87,18 @@
         let policies = self.config.classes.iter().map(policy).collect();
         let (wait, stop) = (i.wait, i.stop);
         let waiting = HashMap::new();
-        let broken = false;
-        self.seats =
-            Some(Box::new(Seats { holder, address: i.address, wait, stop, policies, waiting, broken }));
+        self.seats = Some(Box::new(Seats {
+            holder,
+            address: i.address,
+            wait,
+            stop,
+            policies,
+            waiting,
+            keeper,
+            path,
+            unclocked: BTreeMap::new(),
+            broken: false,
+        }));
         self.seat_outputs(outputs);
         out.append(&mut self.out);
     }
@@ -147,8 +181,159 @@
                 s.last.is_some() || s.out.is_some() || s.closing.is_some() || s.stands.is_some()
             }
         };
-        let stop = self.seats.as_ref().map_or(0, |s| s.stop);
-        if sent { self.timer(stop, Timer::SeatFree(id)) } else { self.free_seat(id) }
+        let now = self.now;
+        let Some(seats) = self.seats.as_mut() else { return };
+        // Its box may be out of reach: then it ends the session when the last token that it can have says so.
+        let bounded = seats.keeper.as_mut().and_then(|k| k.ended(User(id.0)));
+        let wait = seats.stop + bounded.map_or(0, |until| until.saturating_sub(now));
+        if sent { self.timer(wait, Timer::SeatFree(id)) } else { self.free_seat(id) }
+    }
+
+    // ----- the bound at the box
+
+    /// Whether a set-up may go out to a box now, and with what token.
+    pub(crate) fn permit(
+        &mut self, id: SessionId, server: ServerId, to: SocketAddr, due: Nanos,
+    ) -> Permitted {
+        let Some(session) = self.sessions.get(&id).filter(|s| self.seated(s.class)) else {
+            return Permitted::Freely;
+        };
+        let class = &self.config.classes[session.class];
+        let key = Key { title: session.title.clone(), class: class.name.as_str().into() };
+        // A class whose sessions outlive their seats is not bounded by them.
+        let plays_on = class.tokens.is_some_and(|t| t.play_on);
+        let (now, user, at) = (self.now, User(id.0), BoxId(server.0));
+        let Some(seats) = self.seats.as_mut() else { return Permitted::Freely };
+        let Some(until) = seats.holder.until(user, now) else {
+            // The front stood still between grant and set-up, or its issuer is out of reach.
+            return Permitted::Never;
+        };
+        let Some(keeper) = seats.keeper.as_mut().filter(|_| !plays_on) else { return Permitted::Freely };
+        let mut out = Vec::new();
+        let permit = keeper.permit(now, at, user, &key, until, &mut out);
+        let permitted = match permit {
+            Permit::Token(token) => Permitted::With(token),
+            Permit::Over => Permitted::Never,
+            Permit::Wait => {
+                seats.unclocked.entry(server).or_default().push(id);
+                Permitted::Later
+            }
+        };
+        if permitted == Permitted::Later {
+            if let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) {
+                s.next = Some((server, due));
+            }
+            self.timer(due.saturating_sub(now), Timer::Permit(id));
+        }
+        self.bound_outputs(out, Some(to));
+        permitted
+    }
+
+    /// A set-up still waits for its box's clock, and its time is over: it never ran.
+    pub(crate) fn permit_overdue(&mut self, id: SessionId) {
+        let Some(seats) = self.seats.as_mut() else { return };
+        let waits = seats.unclocked.iter_mut().find_map(|(server, all)| {
+            let at = all.iter().position(|w| *w == id)?;
+            all.remove(at);
+            Some(*server)
+        });
+        if let Some(server) = waits {
+            self.not_permitted(id, server, Outcome::NotSent);
+        }
+    }
+
+    fn not_permitted(&mut self, id: SessionId, server: ServerId, outcome: Outcome) {
+        let next = self.sessions.get_mut(&id).and_then(Session::setting_up).and_then(|s| s.next.take());
+        if next.is_some() {
+            self.tell(Event::Ended { session: id, server, outcome, finished: false });
+        }
+    }
+
+    /// A box told its clock, answered a renewal, or did neither.
+    pub(crate) fn bound_replied(
+        &mut self, server: ServerId, renewal: bool, result: Result<Response, CallError>,
+    ) {
+        // 409: the renewal was for another start of the box; it tells of this one.
+        let told = result
+            .ok()
+            .filter(|r| r.status == 200 || r.status == 409)
+            .and_then(|r| serde_json::from_slice::<Told>(&r.body).ok());
+        let known = told.is_some();
+        let now = self.now;
+        let Some(seats) = self.seats.as_mut() else { return };
+        let Some(keeper) = seats.keeper.as_mut() else { return };
+        let mut out = Vec::new();
+        keeper.told(now, BoxId(server.0), renewal, told, &mut out);
+        let waited =
+            if known || !renewal { seats.unclocked.remove(&server).unwrap_or_default() } else { Vec::new() };
+        self.bound_outputs(out, None);
+        for id in waited {
+            if known {
+                self.attempt(id);
+            } else {
+                self.not_permitted(id, server, Outcome::NoConnection);
+            }
+        }
+    }
+
+    /// A session stands at a box, bounded by the token of its set-up.
+    pub(crate) fn bounded(&mut self, id: SessionId, server: ServerId, path: &str) {
+        let now = self.now;
+        if let Some(keeper) = self.seats.as_mut().and_then(|s| s.keeper.as_mut()) {
+            keeper.stands(now, BoxId(server.0), User(id.0), path);
+        }
+    }
+
+    /// Whether a box's refusal is of the token, so that the set-up never ran.
+    pub(crate) fn token_refused(&mut self, id: SessionId, server: ServerId, status: u16) -> bool {
+        let seated = self.sessions.get(&id).is_some_and(|s| self.seated(s.class));
+        let keeper = self.seats.as_mut().and_then(|s| s.keeper.as_mut());
+        match keeper.filter(|_| seated && matches!(status, 401 | 403)) {
+            Some(keeper) => {
+                warn!(session = id.0, server = server.0, "its box turned the seat's token away");
+                keeper.refused(BoxId(server.0));
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// A box left the list.
+    pub(crate) fn forget_clock(&mut self, server: ServerId) {
+        if let Some(keeper) = self.seats.as_mut().and_then(|s| s.keeper.as_mut()) {
+            keeper.forget(BoxId(server.0));
+        }
+    }
+
+    fn bound_outputs(&mut self, outputs: Vec<bound::Output>, to: Option<SocketAddr>) {
+        for output in outputs {
+            let (at, body) = match output {
+                bound::Output::Gone(user) => {
+                    let id = SessionId(user.0);
+                    debug!(session = id.0, "its box knows it no more");
+                    self.ended_at_box(id, Outcome::Served, true);
+                    continue;
+                }
+                bound::Output::Ask(at) => (at, None),
+                bound::Output::Send(at, renewal) => (at, Some(renewal)),
+            };
+            let server = ServerId(at.0);
+            let renewal = body.is_some();
+            let addr = to.or_else(|| self.boxes.get(&server).map(|b| b.row.address));
+            let path = self.seats.as_ref().map_or_else(String::new, |s| s.path.clone());
+            let Some(addr) = addr else {
+                self.bound_replied(server, renewal, Err(CallError::NoConnection));
+                continue;
+            };
+            let (purpose, request) = match body {
+                None => (Purpose::Clock { server }, self.to_box(Method::Get, path)),
+                Some(jwt) => (
+                    Purpose::Renew { server },
+                    self.to_box(Method::Post, path).content("application/jwt", jwt.into_bytes()),
+                ),
+            };
+            self.call_soon(purpose, addr, request);
+        }
     }
 
     /// A seat is given back.
@@ -169,14 +354,23 @@
 
     /// What is due about seats.
     pub(crate) fn seat_tick(&mut self) {
-        if self.seat_deadline().is_some_and(|at| at <= self.now) {
+        let now = self.now;
+        let Some(seats) = self.seats.as_mut() else { return };
+        if seats.holder.next().is_some_and(|at| at <= now) {
             self.holder(Holder::tick);
         }
+        let keeper = self.seats.as_mut().and_then(|s| s.keeper.as_mut());
+        if let Some(keeper) = keeper.filter(|k| k.next().is_some_and(|at| at <= now)) {
+            let mut out = Vec::new();
+            keeper.tick(now, &mut out);
+            self.bound_outputs(out, None);
+        }
     }
 
     /// When [`Front::seat_tick`] is due.
     pub(crate) fn seat_deadline(&self) -> Option<Nanos> {
-        self.seats.as_ref().and_then(|s| s.holder.next())
+        let seats = self.seats.as_ref()?;
+        seats.holder.next().into_iter().chain(seats.keeper.as_ref().and_then(Keeper::next)).min()
     }
 
     fn seat_outputs(&mut self, outputs: Vec<holder::Output>) {
@@ -197,10 +391,16 @@
                     let id = SessionId(user.0);
                     let wish = self.seats.as_mut().and_then(|s| s.waiting.remove(&id));
                     match wish.filter(|_| self.sessions.contains_key(&id)) {
-                        Some((wish, ..)) => self.tell(micadyke::interface::Event::Request(wish)),
+                        Some((wish, ..)) => self.tell(Event::Request(wish)),
                         None => self.free_seat(id),
                     }
                 }
+                holder::Output::Extended(user, until) => {
+                    let now = self.now;
+                    if let Some(keeper) = self.seats.as_mut().and_then(|s| s.keeper.as_mut()) {
+                        keeper.extended(now, user, until);
+                    }
+                }
                 holder::Output::Full(user) => self.refuse_seat(SessionId(user.0)),
                 holder::Output::Lost(user) => self.seat_lost(SessionId(user.0)),
             }
@@ -222,7 +422,7 @@
             Some(conn) => {
                 self.owed.remove(&conn);
                 self.respond(conn, Response::problem(502, "the session's seat was lost"));
-                self.tell(micadyke::interface::Event::Left { session: id });
+                self.tell(Event::Left { session: id });
                 self.abandon(id);
             }
             None => self.delete(id),
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -10,6 +10,7 @@
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
 use micadyke_tokens::bearer::Checker;
+use micadyke_tokens::bound::SharedKey;
 use micadyke_tokens::store::{File, State};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -44,6 +45,8 @@
 pub struct Extras {
     /// What its log of seats says, and the log; due where the settings name an issuer.
     pub seats: Option<(State, File)>,
+    /// The secret shared with boxes that bound seated sessions by themselves; due where the settings name one.
+    pub bound: Option<SharedKey>,
     /// What checks signed tokens; due where a route asks for them.
     pub entitlements: Option<Checker>,
 }
@@ -104,7 +107,7 @@
         *shell.log.borrow_mut() = Some(file);
         let mut out = Vec::new();
         let seed = rand::random();
-        shell.core.borrow_mut().with_seats(state, seed, &mut out);
+        shell.core.borrow_mut().with_seats(state, extras.bound, seed, &mut out);
         // The epoch comes first; where it cannot be written, nothing is sent under it.
         let mut out = out.into_iter();
         if let Some(epoch) = out.next() {
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -397,6 +397,8 @@
             Some(Purpose::Subscribe { session }) => self.subscribed(session, result),
             Some(Purpose::Patch { session, conn }) => self.patched(session, conn, result),
             Some(Purpose::Issuer) => self.issuer_replied(result),
+            Some(Purpose::Clock { server }) => self.bound_replied(server, false, result),
+            Some(Purpose::Renew { server }) => self.bound_replied(server, true, result),
             Some(Purpose::Withdraw { session, addr, path, tries }) => {
                 // 404 and 410: it is gone already.
                 let done = result.is_ok_and(|r| r.status < 300 || r.status == 404 || r.status == 410);
@@ -436,6 +438,7 @@
             return;
         }
         let left = self.left(id);
+        let refused = result.as_ref().is_ok_and(|r| self.token_refused(id, server, r.status));
         let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else {
             if let Some(Some(place)) = created {
                 self.withdraw(id, addr, place.resource, 0);
@@ -460,6 +463,7 @@
                     Outcome::Error
                 }
             },
+            (Ok(_), _) if refused => Outcome::Full,
             (Ok(r), _) => {
                 s.offer_at_fault = matches!(r.status, 400 | 406 | 415 | 422);
                 if r.status == 503 { Outcome::Full } else { Outcome::Error }
@@ -481,6 +485,7 @@
     /// The set-up stands. Where the class has a floor, the viewer is answered once its rung is in force: the
     /// lowest rung, at which boxes begin, is not the session's to play at.
     fn stands(&mut self, id: SessionId, place: Place, answer: Arc<str>, reports: Reports) {
+        self.bounded(id, place.server, &place.resource);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let floor = self.config.settings.classes[session.class].floor;
         let wait = floor > 0 && session.kind == RouteKind::Play && !place.layer.is_empty();
@@ -655,11 +660,11 @@
             Ok(r) if r.status == 201 => r.headers.get("location").and_then(|l| path_of(l, addr)),
             // The box no longer knows the session: it ended there, or the box was started anew.
             Ok(r) if r.status == 404 || r.status == 410 => {
-                return self.ended_at_box(id, if cut { Outcome::Reset } else { Outcome::Served });
+                return self.ended_at_box(id, if cut { Outcome::Reset } else { Outcome::Served }, true);
             }
             Err(CallError::NoConnection) if p.lost > 0 => {
                 debug!(session = id.0, server = server.0, "its box is gone");
-                return self.ended_at_box(id, Outcome::Reset);
+                return self.ended_at_box(id, Outcome::Reset, false);
             }
             _ => None,
         };
@@ -680,18 +685,25 @@
         let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
         p.lost = p.lost.saturating_add(1);
         if p.lost > LOST_MOST {
-            return self.ended_at_box(id, Outcome::Reset);
+            return self.ended_at_box(id, Outcome::Reset, false);
         }
         // A session that ended at its box, or a box that went, is found out this way.
         let pause = if was_open && p.lost == 1 { 0 } else { RESUBSCRIBE << p.lost.min(5) };
         self.timer(pause, Timer::Resubscribe(id));
     }
 
-    /// A session ended at its box, not by its viewer.
-    fn ended_at_box(&mut self, id: SessionId, outcome: Outcome) {
+    /// A session ended at its box, not by its viewer. `sure`: the box said so itself, so its seat is free; else the box
+    /// only fell silent, and where seats count the end is asked for.
+    pub(crate) fn ended_at_box(&mut self, id: SessionId, outcome: Outcome, sure: bool) {
         let Some(session) = self.close_books(id) else { return };
+        let seated = self.seated(session.class);
         if let Phase::Playing(p) = session.phase {
-            debug!(session = id.0, ?outcome, "ended at its box");
+            debug!(session = id.0, ?outcome, sure, "ended at its box");
+            if seated && sure {
+                self.free_seat(id);
+            } else if seated {
+                self.withdraw(id, p.place.addr, p.place.resource, 0);
+            }
             self.ended(id, p.place.server, outcome, true);
         }
     }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -61,6 +61,29 @@
         /// Which box.
         id: u32,
     },
+    /// A box took a set-up: a session runs there from now on.
+    Held {
+        /// Which box.
+        id: u32,
+        /// Its number there.
+        session: u64,
+        /// ICE user name fragment of the offer.
+        ufrag: String,
+    },
+    /// A session at a box is over, whoever ended it.
+    Ended {
+        /// Which box.
+        id: u32,
+        /// Its number there.
+        session: u64,
+    },
+    /// A box's process was stopped, or let go: meanwhile it sends and does nothing.
+    Frozen {
+        /// Which box.
+        id: u32,
+        /// It stands still from now on.
+        on: bool,
+    },
     /// A front's process was ended without warning.
     Killed {
         /// Which front.
--- a/crates/tokens/src/holder.rs
+++ b/crates/tokens/src/holder.rs
@@ -20,8 +20,9 @@
     pub name: String,
     /// Clocks run within this share of true time.
     pub drift: f64,
-    /// Ending a session takes at most this, also where the front is dead and its boxes find that out: not less than
-    /// the time after which a box ends a session whose event stream is closed.
+    /// Ending a session takes at most this. Where boxes end sessions by the seat's own time (see [`crate::bound`]):
+    /// a box's stall and the grain in which it looks. Where they do not: also with the front dead and its boxes finding
+    /// that out, not less than the time after which a box ends a session whose event stream is closed.
     pub stop: Nanos,
     /// A message without an answer is sent again after this at first; doubled up to `retry_most`.
     pub retry: Nanos,
@@ -48,6 +49,8 @@
     Granted(User),
     /// All seats are taken.
     Full(User),
+    /// The session's seat is held for longer, until this time.
+    Extended(User, Nanos),
     /// The session's seat cannot be counted on any more: it must be over within `stop`.
     Lost(User),
 }
@@ -179,6 +182,12 @@
             .map(|l| (&l.key, l.user))
     }
 
+    /// Until when a session's seat counts as its own; `None`: it has none, or that time is over.
+    pub fn until(&self, user: User, now: Nanos) -> Option<Nanos> {
+        let l = self.leases.get(self.users.get(&user)?)?;
+        (l.state == State::Held && l.until > now).then_some(l.until)
+    }
+
     /// Leases of any state.
     pub fn len(&self) -> usize {
         self.leases.len()
@@ -413,6 +422,9 @@
         match v {
             Verdict::Held => {
                 l.until = l.until.max(until);
+                if let Some(user) = l.user {
+                    out.push(Output::Extended(user, l.until));
+                }
                 self.renew_later(id, first, ttl);
             }
             _ => self.lose(id, out),
--- a/crates/tokens/tests/seats.rs
+++ b/crates/tokens/tests/seats.rs
@@ -99,6 +99,7 @@
                     }
                 }
                 Output::Full(u) => drop(self.waiting.remove(&u)),
+                Output::Extended(..) => {}
                 Output::Lost(_) if self.stubborn => {}
                 Output::Lost(u) => drop(self.using.remove(&u)),
             }
