Rehearsals stop and let go real front processes, and links go half-open

A scenario with (processes yes) starts each front as a process of its own: restarts kill it, stalls stop it with SIGSTOP and let it go with SIGCONT, stops are SIGTERM. half-open puts a relay between a front and a box through which nothing passes while both ends keep their connections; issuer-stall holds the issuer. A request of which a stopped front had less than half of the viewer's patience is not owed. The random test runs three front processes, killed and stopped.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,7 +6,7 @@
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
 use micadyke_front::shell::{Extras, serve};
-use micadyke_rehearse::run::play;
+use micadyke_rehearse::run::{Post, Program, play_with};
 use micadyke_rehearse::sabotage::Break;
 use micadyke_rehearse::scenario::read_scenario;
 use micadyke_standin::issuer::Issuer;
@@ -265,18 +265,8 @@
 }
 
 pub fn rehearse(files: &[PathBuf], how: Option<&str>, required: &[usize]) -> Result<ExitCode, Failure> {
-    let how = match how {
-        None => None,
-        Some(word) => {
-            let named = |b: &&Break| format!("{b:?}").eq_ignore_ascii_case(word);
-            Some(
-                *Break::ALL
-                    .iter()
-                    .find(named)
-                    .ok_or_else(|| format!("'{word}' is no way to break a front"))?,
-            )
-        }
-    };
+    let how = how.map(breakage).transpose()?;
+    let exe = std::env::current_exe()?;
     let mut broken = false;
     for file in files {
         let scenario = checked(file, read_scenario)?.map_err(told)?;
@@ -285,7 +275,8 @@
             "{}: {} fronts, {} boxes, {:?}",
             scenario.name, scenario.fronts, scenario.boxes, scenario.length
         );
-        let ran = play(&scenario, &config, how)?;
+        let program = Program { exe: exe.clone(), scenario: file.clone() };
+        let ran = play_with(&scenario, &config, how, Some(program))?;
         let t = ran.tally;
         println!(
             "requests {}: played {}, refused {}, failed {}, no answer {}, withdrew {}",
@@ -305,3 +296,16 @@
     }
     Ok(ExitCode::from(u8::from(broken)))
 }
+
+fn breakage(word: &str) -> Result<Break, Failure> {
+    Ok(Break::named(word).ok_or_else(|| format!("'{word}' is no way to break a front"))?)
+}
+
+/// One front of a rehearsal, in a process of its own.
+pub fn rehearsed_front(file: &Path, mut post: Post, how: Option<&str>) -> Result<ExitCode, Failure> {
+    post.how = how.map(breakage).transpose()?;
+    let scenario = checked(file, read_scenario)?.map_err(told)?;
+    let config = load(&beside(file, &scenario.settings))?;
+    run(micadyke_rehearse::run::front(&scenario, config, post, async { signalled().await.unwrap_or(()) }))??;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use micadyke_rehearse::run::Post;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -75,13 +76,36 @@
         /// The scenarios.
         #[arg(required = true)]
         scenarios: Vec<PathBuf>,
-        /// With fronts that are broken on purpose: answers, overlap, twice, drains, cold, floors, seats, budget.
+        /// With fronts that are broken on purpose: answers, overlap, twice, drains, cold, floors, seats, bound,
+        /// budget.
         #[arg(long = "break", value_name = "HOW")]
         how: Option<String>,
         /// Rules that must be put to the test, by number: one that nothing tried counts as broken.
         #[arg(long, value_name = "RULES", value_delimiter = ',', value_parser = clap::value_parser!(u8).range(1..=6))]
         require: Vec<u8>,
     },
+    /// One front of a rehearsal, in a process of its own; started by `rehearse`.
+    #[command(hide = true)]
+    RehearsedFront {
+        /// The scenario.
+        #[arg(long)]
+        scenario: PathBuf,
+        /// Its number.
+        #[arg(long)]
+        front: u32,
+        /// Where it listens.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// The rehearsal's folder.
+        #[arg(long)]
+        dir: PathBuf,
+        /// The issuer of seats.
+        #[arg(long)]
+        issuer: Option<SocketAddr>,
+        /// How it is broken.
+        #[arg(long = "break")]
+        how: Option<String>,
+    },
     /// Check settings, and the list of boxes that they name; exit 1 where they are refused.
     Check {
         /// The settings.
@@ -115,6 +139,10 @@
             let required: Vec<usize> = require.into_iter().map(usize::from).collect();
             commands::rehearse(&scenarios, how.as_deref(), &required)
         }
+        Command::RehearsedFront { scenario, front, listen, dir, issuer, how } => {
+            let post = Post { front, listen, issuer, dir, how: None };
+            commands::rehearsed_front(&scenario, post, how.as_deref())
+        }
         Command::Check { file, boxes } => commands::check(&file, boxes.as_deref()),
     };
     match result {
--- a/crates/front/src/seats.rs
+++ b/crates/front/src/seats.rs
@@ -225,7 +225,7 @@
             }
             self.timer(due.saturating_sub(now), Timer::Permit(id));
         }
-        self.bound_outputs(out, Some(to));
+        self.bound_outputs(out, Some((to, due.saturating_sub(now))));
         permitted
     }
 
@@ -305,7 +305,8 @@
         }
     }
 
-    fn bound_outputs(&mut self, outputs: Vec<bound::Output>, to: Option<SocketAddr>) {
+    /// `asked`: for a set-up, at this address, that waits so long at most.
+    fn bound_outputs(&mut self, outputs: Vec<bound::Output>, asked: Option<(SocketAddr, Nanos)>) {
         for output in outputs {
             let (at, body) = match output {
                 bound::Output::Gone(user) => {
@@ -319,7 +320,8 @@
             };
             let server = ServerId(at.0);
             let renewal = body.is_some();
-            let addr = to.or_else(|| self.boxes.get(&server).map(|b| b.row.address));
+            let listed = || self.boxes.get(&server).map(|b| b.row.address);
+            let addr = asked.map(|a| a.0).or_else(listed);
             let path = self.seats.as_ref().map_or_else(String::new, |s| s.path.clone());
             let Some(addr) = addr else {
                 self.bound_replied(server, renewal, Err(CallError::NoConnection));
@@ -332,7 +334,8 @@
                     self.to_box(Method::Post, path).content("application/jwt", jwt.into_bytes()),
                 ),
             };
-            self.call_soon(purpose, addr, request);
+            let most = self.config.bounds.call;
+            self.call(purpose, addr, request, Some(asked.map_or(most, |a| a.1.min(most))));
         }
     }
 
--- a/crates/standin/src/issuer.rs
+++ b/crates/standin/src/issuer.rs
@@ -26,6 +26,8 @@
     pub double: f64,
     /// Answers come so much later, each by a different part of it: so they overtake each other.
     pub delay: Duration,
+    /// It stands still: what comes is taken up when it goes on.
+    pub frozen: bool,
 }
 
 /// The issuer. Clones share it.
@@ -116,6 +118,9 @@
                     return stream.write_all(&bytes).await.ok();
                 }
             };
+            while self.0.trouble.borrow().frozen {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
             let t = self.0.trouble.borrow().clone();
             if self.0.chance.draw() < t.lose_messages {
                 return None;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 #![warn(missing_docs)]
 
 pub mod issuer;
+pub mod link;
 pub mod media_box;
 pub mod model;
 pub mod offers;
