--- a/crates/cli/tests/kills.rs
+++ b/crates/cli/tests/kills.rs
@@ -67,19 +67,21 @@
 fn fronts_killed_and_stopped_at_random_points_never_exceed_the_seats() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let long = std::env::var("MICADYKE_STOPS").is_ok();
-    let longest = if long { 10_000 } else { 3_000 };
-    LocalSet::new().block_on(&runtime, play(form("MICADYKE_KILLS", 15), form("MICADYKE_STOPS", 6), longest));
+    // Milliseconds between troubles, and of a stop, at most.
+    let most = if long { (700, 10_000) } else { (500, 3_000) };
+    LocalSet::new().block_on(&runtime, play(form("MICADYKE_KILLS", 15), form("MICADYKE_STOPS", 6), most));
 }
 
 /// One front's troubles: kills, and stops of 100 ms to `longest`, in a random order.
 async fn troubles(
-    n: usize, path: String, at: SocketAddr, mut all: Vec<bool>, longest: u64, record: Rc<Record>,
+    n: usize, path: String, at: SocketAddr, mut all: Vec<bool>, (pause, longest): (u64, u64),
+    record: Rc<Record>,
 ) -> Child {
     let mut random = StdRng::seed_from_u64(n as u64 + 77);
     let mut child = start(&path, at);
     all.shuffle(&mut random);
     for kill in all {
-        sleep(Duration::from_millis(random.random_range(30..500))).await;
+        sleep(Duration::from_millis(random.random_range(30..pause))).await;
         if kill {
             record.deed(Deed::Killed { front: n as u32 });
             child.kill().expect("killed");
@@ -101,7 +103,7 @@
     assert!(status.expect("kill runs").success());
 }
 
-async fn play(kills: u32, stops: u32, longest: u64) {
+async fn play(kills: u32, stops: u32, most: (u64, u64)) {
     let ttl = 2_000_000_000;
     let seats = [("spot".into(), SEATS)].into();
     let issuer = Issuer::new(SeatTerms { ttl, seats, most_holders: 10, most_leases: 1000 }, 1.005, 3);
@@ -126,7 +128,7 @@
         let addr = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
         let path = file.to_str().expect("a path").to_owned();
         let all = [vec![true; share(kills, n)], vec![false; share(stops, n)]].concat();
-        fronts.push(spawn_local(troubles(n, path, addr, all, longest, record.clone())));
+        fronts.push(spawn_local(troubles(n, path, addr, all, most, record.clone())));
         addrs.push(addr);
     }
 
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -596,17 +596,28 @@
     pub fn not_promised(&self) -> Vec<String> {
         let unbounded: Vec<&str> =
             self.classes.iter().filter(|c| c.tokens.is_some()).map(|c| c.name.as_str()).collect();
+        let mut notes = Vec::new();
+        for (c, named) in self.settings.classes.iter().zip(&self.classes) {
+            if named.tokens.is_some() && c.effect == Effect::Idempotent && self.settings.max_attempts > 1 {
+                notes.push(format!(
+                    "class '{}' may be set up again after an answer was lost, on one seat: until the first box has \
+                     ended what nobody watches, both count there",
+                    named.name
+                ));
+            }
+        }
         let Some(issuer) = self.issuer.as_ref().filter(|i| i.bound.is_none() && !unbounded.is_empty()) else {
-            return Vec::new();
+            return notes;
         };
-        vec![format!(
+        notes.push(format!(
             "boxes are told no end of a seat (issuer has no 'bound'): seats of {} hold while fronts run or are ended; a \
              front that is stopped without being ended, or cut off from a box, for longer than the lease's time may \
              exceed them by the sessions that it has there. 'stop' ({} ms) covers boxes that end a session whose event \
              stream is closed, no more",
             unbounded.join(", "),
             issuer.stop / 1_000_000
-        )]
+        ));
+        notes
     }
 
     /// Whether a text may name a title.
--- a/crates/tokens/src/bound.rs
+++ b/crates/tokens/src/bound.rs
@@ -21,7 +21,7 @@
 use jsonwebtoken::{Algorithm, DecodingKey, EncodingKey, Header, Validation, decode, decode_header, encode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A box, by its number in the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -191,15 +191,16 @@
     terms: KeeperTerms,
     key: SharedKey,
     boxes: BTreeMap<BoxId, AtBox>,
-    bounds: HashMap<User, Bound>,
+    bounds: BTreeMap<User, Bound>,
     due: BTreeSet<(Nanos, BoxId)>,
     /// Renewals sent, and sessions in them.
     counts: (u64, u64),
 }
 
-/// Part of what a box was told that may pass before it is told more: a holder renews at half of a lease's time, so at
-/// two thirds the new time is known, and a third is left for repeats.
-const LEAD: f64 = 0.35;
+/// Part of what a box was told that is left when it must be told more: a fifth is enough for repeats, and since a holder
+/// renews at half of a lease's time, what waits for that moment goes along with the others of the box. At a third there
+/// are three times as many messages.
+const LEAD: f64 = 0.2;
 /// A reading so old that drift may eat this part of what is left of a seat is made anew before a set-up.
 const STALE: f64 = 0.1;
 /// With less than this left a seat is not used for a set-up: the box would end it before it played.
@@ -454,14 +455,14 @@
 pub struct Guard {
     instance: String,
     keys: Vec<SharedKey>,
-    until: HashMap<String, BoxMillis>,
+    until: BTreeMap<String, BoxMillis>,
     order: BTreeSet<(BoxMillis, String)>,
 }
 
 impl Guard {
     /// A guard of one start of a box; `instance` names it and is never used again.
     pub fn new(instance: &str, keys: Vec<SharedKey>) -> Self {
-        Guard { instance: instance.into(), keys, until: HashMap::new(), order: BTreeSet::new() }
+        Guard { instance: instance.into(), keys, until: BTreeMap::new(), order: BTreeSet::new() }
     }
 
     /// The box's answer: its clock, and what it does not know.
--- a/crates/tokens/src/holder.rs
+++ b/crates/tokens/src/holder.rs
@@ -449,8 +449,16 @@
             out.push(Output::Lost(user));
         }
         if l.state == State::Held {
-            // The issuer may still count it: it is given back all the same.
-            self.give_back(id);
+            // It is not given back: its session may take up to `stop` to end, and for that the issuer counts it on.
+            let key = l.key.clone();
+            self.leases.remove(&id);
+            if let Some(all) = self.idle.get_mut(&key) {
+                all.remove(&id);
+                if all.is_empty() {
+                    self.idle.remove(&key);
+                }
+            }
+            out.push(Output::Record(Record::Gone(id)));
         }
     }
 
