Idle seats by expected demand, restarts take up all they held, records written once a turn

A session that found no idle seat waited for the issuer. A module of its own (reserve.rs) says how many idle seats each title and class is worth, from its demand and the issuer's time to answer, none for two seconds after a refusal.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -168,9 +168,12 @@
     let plain = lean_box(false);
     let issuer = peers::issuer();
     let mut all = Vec::new();
-    for (name, settings) in
-        [("without an issuer", SETTINGS.to_owned()), ("a seat before each set-up", with_issuer(issuer.addr))]
-    {
+    let bound = "(bound (key \"k\" (file \"-\")))";
+    for (name, settings) in [
+        ("without an issuer", SETTINGS.to_owned()),
+        ("a seat before each set-up", with_issuer(issuer.addr, "")),
+        ("and a token for its box", with_issuer(issuer.addr, bound)),
+    ] {
         let dir = folder(&format!("seats-{}", all.len()))?;
         write_list(&dir, &rows(&[plain.addr]))?;
         let front = peers::front_with(&dir, &settings);
@@ -187,10 +190,10 @@
     std::process::exit(0);
 }
 
-fn with_issuer(addr: SocketAddr) -> String {
+fn with_issuer(addr: SocketAddr, bound: &str) -> String {
     let tokens = "(effect idempotent) (tokens (unreachable refuse)))";
     SETTINGS.replace("(effect idempotent))", tokens)
-        + &format!("(issuer (address \"{addr}\") (state \"\") (wait 5s) (keep 0s) (leases 1000000))")
+        + &format!("(issuer (address \"{addr}\") (state \"\") (wait 5s) (keep 0s) (leases 1000000) {bound})")
 }
 
 fn resident(pid: u32) -> Result<f64, Failure> {
--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -15,6 +15,7 @@
 use micadyke_http::{Limits, Method, Request, RequestParser, Response};
 use micadyke_standin::offers::offer;
 use micadyke_standin::server::next_request;
+use micadyke_tokens::bound::{Guard, SharedKey};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -26,6 +27,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 
+/// The secret that fronts and boxes share.
+const SECRET: &[u8] = b"a secret for measurements, 32 bytes and more";
+
 /// Something that serves, on a thread of its own.
 pub struct Peer {
     pub addr: SocketAddr,
@@ -66,12 +70,14 @@
         let text = offer(false, 1, 1, None);
         let offered = micadyke_sdp_answer(&text);
         let next = Rc::new(Cell::new(0u64));
+        let key = SharedKey::new("k", SECRET).expect("a secret");
+        let guard = Rc::new((Instant::now(), RefCell::new(Guard::new("1", vec![key]))));
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
             let _ = stream.set_nodelay(true);
-            let (answer, next, last) = (offered.clone(), next.clone(), last.clone());
+            let (answer, next, last, guard) = (offered.clone(), next.clone(), last.clone(), guard.clone());
             spawn_local(async move {
-                let _ = lean(stream, &answer, &next, &last, extensions).await;
+                let _ = lean(stream, &answer, &next, &last, &guard, extensions).await;
             });
         }
     })
@@ -85,13 +91,27 @@
 }
 
 async fn lean(
-    mut stream: TcpStream, answer: &str, next: &Cell<u64>, last: &Mutex<Option<Instant>>, extensions: bool,
+    mut stream: TcpStream, answer: &str, next: &Cell<u64>, last: &Mutex<Option<Instant>>,
+    (start, guard): &(Instant, RefCell<Guard>), extensions: bool,
 ) -> std::io::Result<()> {
     let mut parser = RequestParser::new(Limits::default());
     loop {
         let Some(Ok(r)) = next_request(&stream, &mut parser, |_| {}).await else { return Ok(()) };
         let path = r.path();
+        let now = start.elapsed().as_millis() as u64;
+        let token = r.headers.get("authorization").and_then(|a| a.strip_prefix("Bearer "));
+        let json = |told| {
+            Response::new(200).content("application/json", serde_json::to_vec(&told).unwrap_or_default())
+        };
+        if let Some(Err(why)) = token.map(|t| guard.borrow().admit(now, t, "demo")) {
+            panic!("a token is turned away: {why:?}");
+        }
         let response = match r.method {
+            Method::Get if path == "/leases" => json(guard.borrow().tell(now, Vec::new())),
+            Method::Post if path == "/leases" => {
+                let renewed = guard.borrow_mut().renew(now, &String::from_utf8_lossy(&r.body));
+                renewed.map_or_else(|_| Response::new(401), json)
+            }
             Method::Post if path.starts_with("/whep/") => {
                 if let Ok(mut l) = last.lock() {
                     *l = Some(Instant::now());
@@ -155,7 +175,8 @@
     start("front", move |listener, _| async move {
         let config = Rc::new(read_config(&settings, "settings").unwrap_or_else(|e| panic!("{e:?}")));
         let seats = config.issuer.as_ref().map(|_| micadyke_tokens::store::File::open(&log).expect("a log"));
-        let extras = Extras { seats, ..Extras::default() };
+        let bound = SharedKey::new("k", SECRET);
+        let extras = Extras { seats, bound, ..Extras::default() };
         let source = Box::new(WatchedFile::new(list, config.clone()));
         let made = config.clone();
         let front = move |now| Front::new(made, [9; 32], now).expect("sound settings");
--- a/crates/bench/src/seats.rs
+++ b/crates/bench/src/seats.rs
@@ -75,6 +75,7 @@
         keep: 0,
         settle: 0,
         most_leases: 10_000_000,
+        reserve: false,
         spread: 0.2,
     }
 }
@@ -127,20 +128,92 @@
     let (began, mut out) = (Instant::now(), Vec::new());
     let mut holder =
         Holder::new(holder_terms(), state.epoch, state.held.into_iter().collect(), 1, 0, &mut out);
-    let request = out.into_iter().find_map(|o| if let Output::Send(r) = o { Some(r) } else { None });
-    let wire = serde_json::to_vec(&request.expect("it resumes")).expect("JSON");
-    let request = serde_json::from_slice(&wire).expect("JSON");
-    let reply = ledger.handle(0, &request);
-    holder.reply(0, &reply, &mut Vec::new());
+    while let Some(at) = out.iter().position(|o| matches!(o, Output::Send(_))) {
+        let Output::Send(request) = out.swap_remove(at) else { break };
+        let wire = serde_json::to_vec(&request).expect("JSON");
+        let reply = ledger.handle(0, &serde_json::from_slice(&wire).expect("JSON"));
+        out.clear();
+        holder.reply(0, &reply, &mut out);
+    }
+    assert_eq!((holder.len() as u64, ledger.leases() as u64), (leases, leases), "all are taken up again");
     (reading, began.elapsed().as_secs_f64() * 1e3)
 }
 
+/// Sessions that come at a rate and last ten seconds, on seats of an issuer that answers after `answer`: the part that
+/// waited for it, and seats idle in the mean over those in use. `keep`: a seat given back is kept for so long.
+fn idle_and_waits(rate: f64, answer: u64, keep: u64, reserve: bool) -> (f64, f64) {
+    let terms = Terms {
+        ttl: 30_000 * MS,
+        seats: [("c".into(), 1_000_000)].into(),
+        most_holders: 10,
+        most_leases: 10_000_000,
+    };
+    let (mut ledger, mut out, mut random) = (Ledger::new(terms, 0), Vec::new(), StdRng::seed_from_u64(3));
+    let mut holder =
+        Holder::new(HolderTerms { keep, reserve, ..holder_terms() }, 0, Vec::new(), 1, 0, &mut out);
+    let gap = rand_distr::Exp::new(rate).expect("a rate");
+    let key = Key { title: "t".into(), class: "c".into() };
+    let mut next = 0;
+    let mut ends: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
+    let mut net: Vec<(u64, micadyke_tokens::message::Reply)> = Vec::new();
+    let (mut asked, mut at_once, mut idle, mut used, mut n) = (0u64, 0u64, 0u64, 0u64, 0u64);
+    for t in (0..60_000 * MS).step_by(MS as usize) {
+        for (_, reply) in net.extract_if(.., |m| m.0 <= t).collect::<Vec<_>>() {
+            holder.reply(t, &reply, &mut out);
+        }
+        holder.tick(t, &mut out);
+        while ends.peek().is_some_and(|Reverse(e)| e.0 <= t) {
+            let Some(Reverse((_, user))) = ends.pop() else { break };
+            holder.release(t, User(user), &mut out);
+        }
+        while next <= t {
+            next += (rand_distr::Distribution::sample(&gap, &mut random) * 1e9) as u64;
+            n += 1;
+            let before = out.len();
+            holder.acquire(t, key.clone(), User(n), &mut out);
+            let granted = out[before..].contains(&Output::Granted(User(n)));
+            ends.push(Reverse((t + 10_000 * MS, n)));
+            if t > 20_000 * MS {
+                (asked, at_once) = (asked + 1, at_once + u64::from(granted));
+            }
+        }
+        for o in out.drain(..) {
+            if let Output::Send(request) = o {
+                net.push((t + answer, ledger.handle(t, &request)));
+            }
+        }
+        if t > 20_000 * MS && t.is_multiple_of(100 * MS) {
+            let (free, all) = holder.held(t).fold((0, 0), |c, h| (c.0 + u64::from(h.1.is_none()), c.1 + 1));
+            (idle, used) = (idle + free, used + all - free);
+        }
+    }
+    (1.0 - at_once as f64 / asked.max(1) as f64, idle as f64 / used.max(1) as f64)
+}
+
+fn reserves() {
+    println!("simulated: set-ups that waited for the issuer, and seats idle over seats in use");
+    for (rate, answer) in [(0.2, 5), (2.0, 5), (20.0, 5), (200.0, 5), (200.0, 100)] {
+        print!("  {rate:>5} sessions a second, issuer answers in {answer:>3} ms:");
+        for (name, keep, reserve) in [
+            ("nothing kept", 0, false),
+            ("kept 2 s", 2_000, false),
+            ("by demand", 0, true),
+            ("both", 2_000, true),
+        ] {
+            let (waited, idle) = idle_and_waits(rate, answer * MS, keep * MS, reserve);
+            print!("  {name} {:.0}%, {:.1}%;", waited * 100.0, idle * 100.0);
+        }
+        println!();
+    }
+}
+
 /// Prints all of it.
 pub fn measure() {
-    let (reading, resuming) = recovery(65_536);
+    let (reading, resuming) = recovery(100_000);
     println!(
-        "a restart with 65,536 seats held: log read in {reading:.0} ms, taken up again in {resuming:.0} ms"
+        "a restart with 100,000 seats held: log read in {reading:.0} ms, taken up again in {resuming:.0} ms"
     );
+    reserves();
     let (rate, bytes) = ledger_rate(200_000);
     println!(
         "leases, holder and ledger together, one operation a message: {rate:.0} grants a second, {bytes:.0} bytes a lease (both sides)"
--- a/crates/front/src/seats.rs
+++ b/crates/front/src/seats.rs
@@ -76,6 +76,7 @@
             keep: i.keep,
             settle: i.settle,
             most_leases: i.leases,
+            reserve: true,
             spread: 0.2,
         };
         if let Some(at) = state.damaged_at {
@@ -132,7 +133,9 @@
         let wait = seats.wait.min(wish.give_up_at.saturating_sub(now) / 2);
         seats.waiting.insert(id, (wish, now, wait));
         self.holder(|h, now, out| h.acquire(now, key, User(id.0), out));
-        self.timer(wait, Timer::SeatWait(id));
+        if self.seats.as_ref().is_some_and(|s| s.waiting.contains_key(&id)) {
+            self.timer(wait, Timer::SeatWait(id));
+        }
     }
 
     /// A request has waited for its seat for as long as it may.
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -11,7 +11,7 @@
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
 use micadyke_tokens::bearer::Checker;
 use micadyke_tokens::bound::SharedKey;
-use micadyke_tokens::store::{File, State};
+use micadyke_tokens::store::{File, Record, State};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -171,6 +171,13 @@
             core.handle(self.now(), input, &mut out);
             core.deadline()
         };
+        // Records go before all that follows them, so all of a turn can go first, with one write.
+        let is_record = |o: &mut Output| matches!(o, Output::Record(_));
+        let records: Vec<Record> = out
+            .extract_if(.., is_record)
+            .filter_map(|o| if let Output::Record(r) = o { Some(r) } else { None })
+            .collect();
+        self.write_down(&records);
         for output in out {
             self.carry_out(output);
         }
@@ -179,6 +186,18 @@
         }
     }
 
+    /// Appends to the log of seats.
+    fn write_down(&self, records: &[Record]) {
+        if records.is_empty() {
+            return;
+        }
+        let written = self.log.borrow_mut().as_mut().map(|l| l.append(records));
+        if let Some(Err(e)) = written {
+            warn!("the log of seats cannot be written: {e}");
+            records.iter().for_each(|r| self.core.borrow_mut().not_recorded(r));
+        }
+    }
+
     fn carry_out(self: &Rc<Self>, output: Output) {
         match output {
             Output::Respond { conn, response } => {
@@ -204,13 +223,7 @@
             Output::Unlisten { stream } => {
                 self.listens.borrow_mut().remove(&stream);
             }
-            Output::Record(record) => {
-                let written = self.log.borrow_mut().as_mut().map(|l| l.append(std::slice::from_ref(&record)));
-                if let Some(Err(e)) = written {
-                    warn!("the log of seats cannot be written: {e}");
-                    self.core.borrow_mut().not_recorded(&record);
-                }
-            }
+            Output::Record(record) => self.write_down(&[record]),
             // A watched list is always subscribed.
             Output::Subscribe => self.poll_list(),
         }
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -7,6 +7,7 @@
 use micadyke_http::fields::Link;
 use micadyke_http::{Method, Request, Response, sse};
 use micadyke_sdp::{Answerer, Offer, Use, answer};
+use micadyke_tokens::bound::{Guard, SharedKey, Told};
 use micadyke_tokens::message::{Op, Reply, Request as SeatRequest, Verdict};
 use micadyke_tokens::store::{Record, State};
 use proptest::prelude::*;
@@ -553,13 +554,19 @@
 
 /// The settings with seats for paid sessions by an issuer.
 fn seated(extra: &str) -> Bench {
+    seated_with(extra, "", None)
+}
+
+fn seated_with(extra: &str, bound: &str, key: Option<SharedKey>) -> Bench {
     let mut b = Bench::new();
     let text = SETTINGS.replace("(seats 3))", &format!("(tokens {extra}))"))
-        + "(issuer (address \"127.0.0.1:9900\") (state \"x\") (wait 500ms) (stop 2s) (retry 100ms) (keep 1s))";
+        + "(issuer (address \"127.0.0.1:9900\") (state \"x\") (wait 500ms) (stop 2s) (retry 100ms) (keep 1s) "
+        + bound
+        + ")";
     let config = Rc::new(read_config(&text, "s").unwrap_or_else(|e| panic!("{e:?}")));
     b.front = Front::new(config, [7; 32], START).expect("sound");
     let mut out = Vec::new();
-    b.front.with_seats(State::default(), None, 1, &mut out);
+    b.front.with_seats(State::default(), key, 1, &mut out);
     assert!(
         matches!(&out[..], [Output::Record(Record::Epoch(1))]),
         "its epoch is written, and nothing asked"
@@ -602,10 +609,161 @@
 
 #[test]
 fn a_class_without_tokens_asks_nothing() {
-    let mut b = seated("");
+    let mut b = bounded("");
     b.play(1);
     b.pass(10 * SECOND);
-    assert_eq!(b.issuer_calls(), 0);
+    assert_eq!((b.issuer_calls(), b.leases().len()), (0, 0));
+}
+
+fn secret() -> SharedKey {
+    SharedKey::new("k", &[1; 32]).expect("a secret")
+}
+
+/// The settings with seats whose boxes end sessions by themselves.
+fn bounded(extra: &str) -> Bench {
+    seated_with(extra, "(bound (key \"k\" (file \"f\")))", Some(secret()))
+}
+
+impl Bench {
+    /// Calls at boxes about the time that sessions may last.
+    fn leases(&self) -> Vec<CallId> {
+        self.find(|r| r.path() == "/leases")
+    }
+
+    /// Answers such a call as a box whose clock says `seconds`.
+    fn told(&mut self, call: CallId, seconds: f64, gone: &[&str]) {
+        let told =
+            Told { instance: "i".into(), now: seconds, gone: gone.iter().map(|g| (*g).into()).collect() };
+        let body = serde_json::to_vec(&told).expect("JSON");
+        self.reply(call, Ok(Response::new(200).content("application/json", body)));
+    }
+
+    /// A paid session that plays at a box whose clock is 1,000 s behind the bench's; its set-up's token.
+    fn start_bounded(&mut self, n: u64) -> (String, String) {
+        let conn = self.post("/paid/demo", offer_text(n));
+        if self.issuer_calls() > 0 {
+            self.issue(Verdict::Held);
+        }
+        for call in self.leases() {
+            let now = self.now as f64 / 1e9 - 1_000.0;
+            self.told(call, now, &[]);
+        }
+        let call = self.set_ups()[0];
+        let token = self.calls[&call].1.headers.get("authorization").expect("a token").to_owned();
+        self.take(call);
+        let layer = self.find(|r| r.path().ends_with("/layer"));
+        layer.into_iter().for_each(|l| self.reply(l, Ok(Response::new(200))));
+        let location = self.answer(conn).headers.get("location").expect("it plays").to_owned();
+        (location, token)
+    }
+}
+
+/// Until when a box whose clock is 1,000 s behind admits a token, by the bench's clock.
+fn ends(token: &str) -> Nanos {
+    let guard = Guard::new("i", vec![secret()]);
+    let token = token.strip_prefix("Bearer ").expect("a bearer token");
+    guard.admit(0, token, "demo").expect("it holds") * MS + 1_000 * SECOND
+}
+
+#[test]
+fn a_set_up_on_a_seat_carries_the_seats_end_by_its_boxs_clock() {
+    let mut b = bounded("");
+    let conn = b.post("/paid/demo", offer_text(1));
+    b.issue(Verdict::Held);
+    assert_eq!((b.leases().len(), b.set_ups().len()), (1, 0), "the box's clock comes first");
+    // Nobody is reached there: it never ran, and another box is asked.
+    let call = b.leases()[0];
+    b.reply(call, Err(CallError::NoConnection));
+    assert_eq!((b.leases().len(), b.set_ups().len()), (1, 0));
+    let (call, now) = (b.leases()[0], b.now as f64 / 1e9 - 1_000.0);
+    b.told(call, now, &[]);
+    let call = b.set_ups()[0];
+    let token = b.calls[&call].1.headers.get("authorization").expect("a token").to_owned();
+    // ttl 20 s, stop 2 s, drift 0.1%: no later than the front lets go of it by itself.
+    let end = ends(&token) - b.now;
+    assert!((17_800 * MS..=17_960 * MS).contains(&end), "{} ms", end / MS);
+    // A box that turns the token away has not run it.
+    b.reply(call, Ok(Response::new(401)));
+    assert!(!b.answered(conn));
+    assert_eq!(b.leases().len() + b.set_ups().len(), 1, "another box is asked");
+}
+
+#[test]
+fn a_front_stopped_between_grant_and_set_up_sends_none_on_a_seat_that_is_over() {
+    for (stood, sent) in [(2 * SECOND, true), (19 * SECOND, false)] {
+        let mut b = bounded("");
+        let conn = b.post("/paid/demo", offer_text(1));
+        b.issue(Verdict::Held);
+        // It stands still; the box's answer is the first that it reads.
+        b.now += stood;
+        let (call, now) = (b.leases()[0], b.now as f64 / 1e9 - 1_000.0);
+        b.told(call, now, &[]);
+        assert_eq!(b.set_ups().len(), usize::from(sent), "after {} s", stood / SECOND);
+        b.pass(5 * SECOND);
+        let made = b.set_ups();
+        made.into_iter().for_each(|c| b.reply(c, Err(CallError::Reset)));
+        assert!(b.answered(conn) || sent, "one answer in any case");
+    }
+}
+
+#[test]
+fn what_overdue_timers_do_first_after_a_long_stop() {
+    let mut b = bounded("(lost end)");
+    b.start_bounded(1);
+    // A minute: the lease is over. Whatever comes first, the seat is let go of before it is acted on.
+    b.now += 60 * SECOND;
+    let conn = b.post("/paid/demo", offer_text(2));
+    let ended = b.find(|r| r.method == Method::Delete && r.path() == "/s/1").len();
+    assert_eq!((ended, b.front.held()), (1, 1), "the old session has ended, the new one waits for a seat");
+    assert!(b.set_ups().is_empty() && !b.answered(conn) && b.issuer_calls() > 0);
+}
+
+#[test]
+fn renewals_of_the_lease_reach_the_box_and_a_session_that_it_lost_ends() {
+    let mut b = bounded("");
+    let (_, token) = b.start_bounded(1);
+    let first = ends(&token);
+    let mut told = 0;
+    for _ in 0..400 {
+        b.pass(100 * MS);
+        if b.issuer_calls() > 0 {
+            b.issue(Verdict::Held);
+        }
+        for call in b.leases() {
+            told += 1;
+            let now = b.now as f64 / 1e9 - 1_000.0;
+            let gone: &[&str] = if b.now > first + 10 * SECOND { &["/s/1"] } else { &[] };
+            b.told(call, now, gone);
+        }
+    }
+    assert!(b.now > first + 15 * SECOND && (1..=4).contains(&told), "{told} messages");
+    assert_eq!(b.front.held(), 0, "its box said that it is over");
+}
+
+#[test]
+fn a_seat_whose_end_no_box_confirms_is_free_when_its_token_is_over() {
+    let mut b = bounded("");
+    let (location, token) = b.start_bounded(1);
+    let end = b.request(Request::new(Method::Delete, &*location).with("authorization", "Bearer t1"));
+    assert_eq!(b.answer(end).status, 200);
+    let first = ends(&token);
+    while b.now < first + 4 * SECOND {
+        b.pass(100 * MS);
+        // Its box is out of reach; the issuer is not.
+        for call in b.find(|r| r.method == Method::Delete) {
+            b.reply(call, Err(CallError::NoConnection));
+        }
+        let given_back =
+            b.find(|r| r.path() == "/seats" && String::from_utf8_lossy(&r.body).contains("release"));
+        assert!(given_back.is_empty() || b.now >= first, "{} ms early", (first - b.now) / MS);
+        if b.issuer_calls() > 0 {
+            b.issue(Verdict::Held);
+        }
+        if !given_back.is_empty() {
+            return;
+        }
+    }
+    panic!("it is never given back");
 }
 
 #[test]
--- a/crates/tokens/src/holder.rs
+++ b/crates/tokens/src/holder.rs
@@ -2,7 +2,8 @@
 //! A state machine: calls and the time in, [`Output`]s out.
 
 use crate::Nanos;
-use crate::message::{Key, LeaseId, MAX_OPS, MAX_RESUME, Op, Refusal, Reply, Request, Verdict};
+use crate::message::{Key, LeaseId, MAX_OPS, Op, RESUME, Refusal, Reply, Request, Verdict};
+use crate::reserve::Reserve;
 use crate::store::Record;
 use crate::wheel::Wheel;
 use rand::rngs::StdRng;
@@ -34,6 +35,8 @@
     pub settle: Nanos,
     /// Leases at most; a session beyond finds it full.
     pub most_leases: usize,
+    /// Idle seats are kept by expected demand, beyond those that were given back of late: see [`crate::reserve`].
+    pub reserve: bool,
     /// Renewals and repeats are spread by this share, so that fronts do not come in step; 0: not at all.
     pub spread: f64,
 }
@@ -74,8 +77,8 @@
     user: Option<User>,
     /// Without a user: given back at this time.
     idle_until: Nanos,
-    /// Sessions of a former start may still use it.
-    settles_at: Nanos,
+    /// Resumed and not used since: it is not in the log.
+    unlogged: bool,
     /// A renewal waits to be sent, or is out.
     renewing: bool,
 }
@@ -85,6 +88,8 @@
     Renew(LeaseId),
     Expire(LeaseId),
     Idle(LeaseId),
+    /// Sessions of a former start can use it no more.
+    Settled(LeaseId),
     Resend(u64),
 }
 
@@ -106,9 +111,15 @@
     random: StdRng,
     leases: BTreeMap<LeaseId, Lease>,
     users: HashMap<User, LeaseId>,
+    /// Held, and ready for the next session.
     idle: BTreeMap<Key, BTreeSet<LeaseId>>,
+    /// Asked for ahead of any session.
+    spare: BTreeMap<Key, BTreeSet<LeaseId>>,
+    reserve: Reserve,
     queue: VecDeque<Op>,
-    resume: Vec<(LeaseId, Key)>,
+    /// Leases of a former start that are still to be resumed, and the titles that are wanted meanwhile.
+    resume: BTreeMap<Key, VecDeque<LeaseId>>,
+    hurry: VecDeque<Key>,
     out: Option<Out>,
     due: Wheel<Due>,
     now: Nanos,
@@ -133,6 +144,18 @@
 
 /// Part of a lease's time after which it is renewed, give or take the spread: what is left is for repeats.
 const RENEW: f64 = 0.50;
+/// Idle seats are looked at again no sooner than this.
+const IDLE_LEAST: Nanos = 50_000_000;
+
+/// Takes a lease out of those of its key; whether it was there.
+fn take(of: &mut BTreeMap<Key, BTreeSet<LeaseId>>, key: &Key, id: LeaseId) -> bool {
+    let Some(all) = of.get_mut(key) else { return false };
+    let there = all.remove(&id);
+    if all.is_empty() {
+        of.remove(key);
+    }
+    there
+}
 
 impl Holder {
     /// A holder after a start: `epoch` and leases as its store has them. The new epoch is to be recorded before
@@ -141,6 +164,11 @@
         terms: Terms, epoch: u64, held: Vec<(LeaseId, Key)>, seed: u64, now: Nanos, out: &mut Vec<Output>,
     ) -> Self {
         let epoch = epoch + 1;
+        let reserve = Reserve::new(terms.reserve);
+        let mut resume: BTreeMap<Key, VecDeque<LeaseId>> = BTreeMap::new();
+        for (id, key) in held {
+            resume.entry(key).or_default().push_back(id);
+        }
         let mut holder = Holder {
             terms,
             epoch,
@@ -150,8 +178,11 @@
             leases: BTreeMap::new(),
             users: HashMap::new(),
             idle: BTreeMap::new(),
+            spare: BTreeMap::new(),
+            reserve,
             queue: VecDeque::new(),
-            resume: held.into_iter().take(MAX_RESUME).collect(),
+            resume,
+            hurry: VecDeque::new(),
             out: None,
             due: Wheel::new(now),
             now,
@@ -209,9 +240,7 @@
     }
 
     fn usable(&self, id: LeaseId) -> bool {
-        self.leases
-            .get(&id)
-            .is_some_and(|l| l.state == State::Held && l.until > self.now && l.settles_at <= self.now)
+        self.leases.get(&id).is_some_and(|l| l.state == State::Held && l.until > self.now)
     }
 
     /// A session wants a seat. It is answered by [`Output::Granted`] or [`Output::Full`], now or when the issuer has
@@ -221,56 +250,120 @@
         if self.users.contains_key(&user) {
             return;
         }
+        self.reserve.asked(&key, now);
         let kept = self.idle.get(&key).and_then(|all| all.iter().copied().find(|l| self.usable(*l)));
         if let Some(id) = kept {
-            if let Some(all) = self.idle.get_mut(&key) {
-                all.remove(&id);
-            }
+            take(&mut self.idle, &key, id);
             if let Some(l) = self.leases.get_mut(&id) {
                 l.user = Some(user);
-                if std::mem::take(&mut l.settles_at) > 0 {
-                    out.push(Output::Record(Record::Held(id, key)));
+                if std::mem::take(&mut l.unlogged) {
+                    out.push(Output::Record(Record::Held(id, key.clone())));
                 }
             }
             self.users.insert(user, id);
-            return out.push(Output::Granted(user));
+            out.push(Output::Granted(user));
+            self.fill(&key, out);
+            return self.flush(out);
+        }
+        // One that is asked for ahead is this session's, when it comes.
+        if let Some(id) = self.spare.get(&key).and_then(|all| all.first().copied()) {
+            take(&mut self.spare, &key, id);
+            if let Some(l) = self.leases.get_mut(&id) {
+                l.user = Some(user);
+            }
+            self.users.insert(user, id);
+            self.fill(&key, out);
+            return self.flush(out);
+        }
+        if self.resume.contains_key(&key) && !self.hurry.contains(&key) {
+            self.hurry.push_back(key.clone());
         }
         if self.leases.len() >= self.terms.most_leases {
             return out.push(Output::Full(user));
         }
+        let id = self.ask(&key, Some(user), out);
+        self.users.insert(user, id);
+        self.fill(&key, out);
+        self.flush(out);
+    }
+
+    /// A new lease is asked for.
+    fn ask(&mut self, key: &Key, user: Option<User>, out: &mut Vec<Output>) -> LeaseId {
         self.next += 1;
         let id = LeaseId(self.next);
         let lease = Lease {
             key: key.clone(),
             state: State::Asking,
             until: 0,
-            user: Some(user),
+            user,
             idle_until: 0,
-            settles_at: 0,
+            unlogged: false,
             renewing: false,
         };
         self.leases.insert(id, lease);
-        self.users.insert(user, id);
         out.push(Output::Record(Record::Held(id, key.clone())));
-        self.queue.push_back(Op::Grant(id, key));
-        self.flush(out);
+        self.queue.push_back(Op::Grant(id, key.clone()));
+        id
+    }
+
+    /// Asks for as many seats ahead as are worth keeping idle, once half of them are gone: so they come in batches.
+    fn fill(&mut self, key: &Key, out: &mut Vec<Output>) {
+        let target = self.reserve.target(key, self.now);
+        let count = |all: &BTreeMap<Key, BTreeSet<LeaseId>>| all.get(key).map_or(0, BTreeSet::len);
+        let there = count(&self.idle) + count(&self.spare);
+        if there * 2 > target {
+            return;
+        }
+        for _ in there..target {
+            if self.leases.len() >= self.terms.most_leases {
+                return;
+            }
+            let id = self.ask(key, None, out);
+            self.spare.entry(key.clone()).or_default().insert(id);
+        }
+    }
+
+    /// A seat is ready for the next session; it is given back when it has not been used for a while, or at once where
+    /// none is kept.
+    fn rest(&mut self, id: LeaseId) {
+        let (keep, now) = (self.terms.keep, self.now);
+        let Some(l) = self.leases.get_mut(&id) else { return };
+        let key = l.key.clone();
+        l.idle_until = now + keep;
+        let target = if keep == 0 { self.reserve.target(&key, now) } else { usize::MAX };
+        let idle = self.idle.entry(key).or_default();
+        idle.insert(id);
+        if idle.len() > target {
+            return self.give_back(id);
+        }
+        self.due.insert(now + keep.max(IDLE_LEAST), Due::Idle(id));
+    }
+
+    /// A seat has been idle for as long as it is kept; longer, where demand wants that many.
+    fn rested(&mut self, id: LeaseId) {
+        let Some(l) = self.leases.get_mut(&id).filter(|l| l.user.is_none() && l.state == State::Held) else {
+            return;
+        };
+        if l.idle_until > self.now {
+            return;
+        }
+        let key = l.key.clone();
+        if self.idle.get(&key).map_or(0, BTreeSet::len) > self.reserve.target(&key, self.now) {
+            return self.give_back(id);
+        }
+        l.idle_until = self.now + self.terms.keep;
+        self.due.insert(self.now + self.terms.keep.max(IDLE_LEAST), Due::Idle(id));
     }
 
     /// A session is over, or its wish taken back.
     pub fn release(&mut self, now: Nanos, user: User, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         let Some(id) = self.users.remove(&user) else { return };
-        let keep = self.terms.keep;
         let Some(l) = self.leases.get_mut(&id) else { return };
         l.user = None;
         // One that is only asked for is given back when it is known to be held.
         if l.state == State::Held {
-            l.idle_until = now + keep;
-            self.idle.entry(l.key.clone()).or_default().insert(id);
-            self.due.insert(now + keep, Due::Idle(id));
-            if keep == 0 {
-                self.give_back(id);
-            }
+            self.rest(id);
         }
         self.flush(out);
     }
@@ -279,12 +372,7 @@
         let Some(l) = self.leases.get_mut(&id).filter(|l| l.state == State::Held) else { return };
         l.state = State::Leaving;
         let key = l.key.clone();
-        if let Some(all) = self.idle.get_mut(&key) {
-            all.remove(&id);
-            if all.is_empty() {
-                self.idle.remove(&key);
-            }
-        }
+        take(&mut self.idle, &key, id);
         self.queue.push_back(Op::Release(id));
     }
 
@@ -295,11 +383,12 @@
         }
         self.seq += 1;
         let n = self.queue.len().min(MAX_OPS);
+        let resume = self.next_resumed();
         let request = Request {
             holder: self.terms.name.clone(),
             epoch: self.epoch,
             seq: self.seq,
-            resume: std::mem::take(&mut self.resume),
+            resume,
             ops: self.queue.drain(..n).collect(),
         };
         self.counts.messages += 1;
@@ -309,6 +398,25 @@
         self.due.insert(self.now + self.terms.retry, Due::Resend(self.seq));
     }
 
+    /// Leases that the next message resumes: first those of titles that sessions wait for, then the oldest of each.
+    fn next_resumed(&mut self) -> Vec<(LeaseId, Key)> {
+        let mut all = Vec::new();
+        while all.len() < RESUME {
+            while self.hurry.front().is_some_and(|k| !self.resume.contains_key(k)) {
+                self.hurry.pop_front();
+            }
+            let key = self.hurry.front().or_else(|| self.resume.first_key_value().map(|r| r.0));
+            let Some(key) = key.cloned() else { break };
+            let Some(ids) = self.resume.get_mut(&key) else { break };
+            let n = ids.len().min(RESUME - all.len());
+            all.extend(ids.drain(..n).map(|id| (id, key.clone())));
+            if ids.is_empty() {
+                self.resume.remove(&key);
+            }
+        }
+        all
+    }
+
     /// One, give or take the spread.
     fn spread(&mut self) -> f64 {
         let s = self.terms.spread;
@@ -341,6 +449,7 @@
             Err(Refusal::Stale | Refusal::Bounds) => return self.fenced(self.epoch, out),
         };
         let Some(o) = self.out.take() else { return };
+        self.reserve.answered(self.now.saturating_sub(o.first));
         let span = reply.ttl as f64 * (1.0 - 2.0 * self.terms.drift) - self.terms.stop as f64;
         let until = o.first + span.max(0.0) as Nanos;
         let mut verdicts = verdicts.iter().copied();
@@ -351,21 +460,12 @@
             if verdicts.next() == Some(Verdict::Held) {
                 // A former process may still run, cut off, and use it until its own clock says stop.
                 let zombie = (reply.ttl as f64 * (1.0 + 2.0 * self.terms.drift)) as Nanos;
-                let settles_at = now + self.terms.settle.max(zombie);
-                let idle_until = settles_at + self.terms.keep;
+                let settled = now + self.terms.settle.max(zombie);
                 let state = State::Held;
-                let lease = Lease {
-                    key: key.clone(),
-                    state,
-                    until,
-                    user: None,
-                    idle_until,
-                    settles_at,
-                    renewing: false,
-                };
+                let lease =
+                    Lease { key, state, until, user: None, idle_until: 0, unlogged: true, renewing: false };
                 self.leases.insert(id, lease);
-                self.idle.entry(key).or_default().insert(id);
-                self.due.insert(idle_until, Due::Idle(id));
+                self.due.insert(settled, Due::Settled(id));
                 self.renew_later(id, o.first, reply.ttl);
             }
         }
@@ -387,9 +487,11 @@
         &mut self, id: LeaseId, v: Verdict, until: Nanos, first: Nanos, ttl: Nanos, out: &mut Vec<Output>,
     ) {
         let Some(l) = self.leases.get_mut(&id).filter(|l| l.state == State::Asking) else { return };
-        let user = l.user;
+        let (user, key) = (l.user, l.key.clone());
+        let ahead = take(&mut self.spare, &key, id);
         if v != Verdict::Held {
             self.leases.remove(&id);
+            self.reserve.refused(&key, self.now);
             out.push(Output::Record(Record::Gone(id)));
             if let Some(user) = user {
                 self.users.remove(&user);
@@ -410,6 +512,10 @@
                 out.push(Output::Granted(user));
                 self.renew_later(id, first, ttl);
             }
+            None if ahead && until > self.now => {
+                self.rest(id);
+                self.renew_later(id, first, ttl);
+            }
             None => self.give_back(id),
         }
     }
@@ -452,12 +558,7 @@
             // It is not given back: its session may take up to `stop` to end, and for that the issuer counts it on.
             let key = l.key.clone();
             self.leases.remove(&id);
-            if let Some(all) = self.idle.get_mut(&key) {
-                all.remove(&id);
-                if all.is_empty() {
-                    self.idle.remove(&key);
-                }
-            }
+            take(&mut self.idle, &key, id);
             out.push(Output::Record(Record::Gone(id)));
         }
     }
@@ -479,6 +580,8 @@
         }
         self.users.clear();
         self.idle.clear();
+        self.spare.clear();
+        self.hurry.clear();
         self.epoch = epoch.max(self.epoch) + 1;
         (self.seq, self.next) = (0, self.epoch << 32);
         out.push(Output::Record(Record::Epoch(self.epoch)));
@@ -503,10 +606,12 @@
                     Some(l) if l.state == State::Held && l.until <= now => self.lose(id, out),
                     _ => {}
                 },
-                Due::Idle(id) => match self.leases.get(&id) {
-                    Some(l) if l.user.is_none() && l.idle_until <= now => self.give_back(id),
-                    _ => {}
-                },
+                Due::Idle(id) => self.rested(id),
+                Due::Settled(id) => {
+                    if self.leases.get(&id).is_some_and(|l| l.user.is_none() && l.state == State::Held) {
+                        self.rest(id);
+                    }
+                }
                 Due::Resend(seq) => {
                     if self
                         .out
--- a/crates/tokens/src/lib.rs
+++ b/crates/tokens/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! An issuer counts seats for each title and class; fronts hold them as leases with an expiry. [`ledger`] is the
 //! issuer's side, [`holder`] the front's, [`policy`] what is done when a seat is lost or the issuer cannot be reached,
-//! [`store`] what a front keeps over a restart, [`bearer`] entitlements of viewers, [`bound`] the end of a seat at the box; [`wheel`] holds the expiries.
+//! [`reserve`] how many idle seats are
+//! kept for the next sessions, [`store`] what a front keeps over a restart, [`bearer`] entitlements of viewers, [`bound`] the end of a seat at the box; [`wheel`] holds the expiries.
 //! All of them are free of I/O and clock but for the file behind [`store::File`].
 //!
 //! # Why no seat is counted twice
@@ -26,6 +27,7 @@
 pub mod ledger;
 pub mod message;
 pub mod policy;
+pub mod reserve;
 pub mod store;
 pub mod wheel;
 
--- a/crates/tokens/src/message.rs
+++ b/crates/tokens/src/message.rs
@@ -38,7 +38,7 @@
     pub epoch: u64,
     /// Number of the message within the epoch, from 1, without gaps.
     pub seq: u64,
-    /// At the first message of an epoch: the leases of earlier epochs that it still has.
+    /// At the first messages of an epoch: the leases of earlier epochs that it still has.
     pub resume: Vec<(LeaseId, Key)>,
     /// What it asks for.
     pub ops: Vec<Op>,
@@ -88,5 +88,7 @@
 
 /// Operations of one message at most.
 pub const MAX_OPS: usize = 512;
-/// Leases resumed by one message at most; what is beyond runs out by itself.
+/// Leases resumed by one message at most, as an issuer takes them.
 pub const MAX_RESUME: usize = 65_536;
+/// Leases that a holder resumes with one message; what is beyond goes with the next.
+pub const RESUME: usize = 8_192;
--- /dev/null
+++ b/crates/tokens/src/reserve.rs
@@ -0,0 +1,146 @@
+//! How many idle seats a front keeps for the next sessions: a decision, free of I/O and clock.
+//!
+//! A session that finds an idle seat is set up at once; one that finds none waits for the issuer. An idle seat is one that
+//! other fronts cannot have. So for each title and class the front keeps as many as are likely to be asked for before
+//! the issuer could answer, and none where it has been told of late that all are taken.
+
+use crate::Nanos;
+use crate::message::Key;
+use std::collections::BTreeMap;
+
+/// Time over which demand is averaged: sessions of a crowd come for tens of seconds, and a seat held for a demand that has
+/// passed is given back within a few of these.
+const MEMORY: f64 = 5.0;
+/// A seat is kept idle if the chance that it is asked for before the issuer could answer is at least this: one wait in
+/// fifty is accepted, rather than a seat idle for each title that is asked for now and then.
+const CHANCE: f64 = 0.02;
+/// What is counted as the issuer's time to answer at least: its hiccups, and the turn that a message waits for the one
+/// before it.
+const ANSWER_LEAST: f64 = 0.02;
+/// ... and at most: with an issuer out of reach more idle seats do not help.
+const ANSWER_MOST: f64 = 0.5;
+/// After a seat was refused none is kept idle for so long: others want them.
+const SCARCE: Nanos = 2_000_000_000;
+/// Titles and classes whose demand is known at most; the least asked for is forgotten.
+const MOST: usize = 4_096;
+
+#[derive(Debug, Clone, PartialEq)]
+struct Demand {
+    /// Sessions a second, as of `at`.
+    rate: f64,
+    at: Nanos,
+    scarce_until: Nanos,
+}
+
+/// What is known of demand, and of the issuer's time to answer.
+#[derive(Debug, Clone)]
+pub struct Reserve {
+    answer: f64,
+    demands: BTreeMap<Key, Demand>,
+    kept: bool,
+}
+
+impl Reserve {
+    /// A reserve that knows nothing yet; one that is not `kept` wants no idle seats.
+    pub fn new(kept: bool) -> Self {
+        Reserve { answer: ANSWER_LEAST, demands: BTreeMap::new(), kept }
+    }
+
+    fn rate(d: &Demand, now: Nanos) -> f64 {
+        d.rate * (-(now.saturating_sub(d.at) as f64 / 1e9) / MEMORY).exp()
+    }
+
+    /// A session asks for a seat.
+    pub fn asked(&mut self, key: &Key, now: Nanos) {
+        if !self.kept {
+            return;
+        }
+        match self.demands.get_mut(key) {
+            Some(d) => (d.rate, d.at) = (Self::rate(d, now) + 1.0 / MEMORY, now),
+            None => {
+                if self.demands.len() >= MOST {
+                    let least = self
+                        .demands
+                        .iter()
+                        .min_by(|a, b| Self::rate(a.1, now).total_cmp(&Self::rate(b.1, now)))
+                        .map(|d| d.0.clone());
+                    least.map(|k| self.demands.remove(&k));
+                }
+                self.demands.insert(key.clone(), Demand { rate: 1.0 / MEMORY, at: now, scarce_until: 0 });
+            }
+        }
+    }
+
+    /// The issuer answered a message after so long.
+    pub fn answered(&mut self, took: Nanos) {
+        let took = (took as f64 / 1e9).clamp(ANSWER_LEAST, ANSWER_MOST);
+        self.answer += (took - self.answer) * if took > self.answer { 0.5 } else { 0.05 };
+    }
+
+    /// The issuer has no seat to give.
+    pub fn refused(&mut self, key: &Key, now: Nanos) {
+        if let Some(d) = self.demands.get_mut(key) {
+            d.scarce_until = now + SCARCE;
+        }
+    }
+
+    /// Idle seats that are worth keeping.
+    pub fn target(&self, key: &Key, now: Nanos) -> usize {
+        let Some(d) = self.demands.get(key).filter(|d| d.scarce_until <= now) else { return 0 };
+        likely(Self::rate(d, now) * self.answer, CHANCE)
+    }
+}
+
+/// The largest number that is reached with at least this chance, where so many come in the mean (Poisson).
+fn likely(mean: f64, chance: f64) -> usize {
+    if mean > 50.0 {
+        // Close enough to normal; 2.05 deviations leave one in fifty.
+        return (mean + 2.05 * mean.sqrt()).ceil() as usize;
+    }
+    let (mut term, mut below, mut n) = ((-mean).exp(), 0.0, 0);
+    loop {
+        below += term;
+        if 1.0 - below < chance {
+            return n;
+        }
+        n += 1;
+        term *= mean / n as f64;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reserves_by_demand() {
+        let key = |n: usize| Key { title: format!("t{n}").as_str().into(), class: "c".into() };
+        // (sessions a second, issuer's answer in ms, idle seats)
+        for (rate, answer, target) in [
+            (0.5, 2, 0..=0),
+            (3.0, 2, 1..=1),
+            (100.0, 2, 5..=6),
+            (100.0, 100, 14..=18),
+            (10_000.0, 2, 220..=240),
+        ] {
+            let mut r = Reserve::new(true);
+            (0..200).for_each(|_| r.answered(answer * 1_000_000));
+            let (mut now, gap) = (0, (1e9 / rate) as Nanos);
+            while now < 30_000_000_000 {
+                now += gap;
+                r.asked(&key(0), now);
+            }
+            assert!(target.contains(&r.target(&key(0), now)), "{rate}: {}", r.target(&key(0), now));
+            assert_eq!(r.target(&key(0), now + 120_000_000_000), 0, "a demand that has passed");
+            r.refused(&key(0), now);
+            assert_eq!((r.target(&key(0), now + 1), r.target(&key(1), now)), (0, 0));
+            assert!(r.target(&key(0), now + SCARCE) > 0 || rate < 20.0, "it is forgotten that none was free");
+        }
+        let mut r = Reserve::new(true);
+        (0..3 * MOST).for_each(|n| r.asked(&key(n), n as Nanos));
+        assert_eq!(r.demands.len(), MOST);
+        let mut none = Reserve::new(false);
+        (0..1_000).for_each(|_| none.asked(&key(0), 0));
+        assert_eq!(none.target(&key(0), 0), 0);
+    }
+}
--- a/crates/tokens/src/wheel.rs
+++ b/crates/tokens/src/wheel.rs
@@ -9,6 +9,8 @@
 const BITS: u32 = 6;
 const SLOTS: usize = 1 << BITS;
 const LEVELS: usize = 6;
+/// Entries that an empty slot keeps room for at most.
+const KEPT: usize = 1 << 14;
 
 /// A timer wheel.
 #[derive(Clone)]
@@ -20,6 +22,12 @@
     held: [u64; LEVELS],
     due: Vec<(u64, T)>,
     len: usize,
+    /// No step is due before this tick. A look that finds nothing, the most frequent one with few entries, is then one
+    /// comparison instead of a search through the levels.
+    soonest: u64,
+    /// A slot is emptied by swapping it with this, so that neither gives its memory back: with few entries in a slot
+    /// that cost more than all else.
+    emptied: Vec<(u64, T)>,
 }
 
 impl<T: std::fmt::Debug> std::fmt::Debug for Wheel<T> {
@@ -34,7 +42,15 @@
     /// An empty wheel at a time.
     pub fn new(now: Nanos) -> Self {
         let slots = (0..LEVELS * SLOTS).map(|_| Vec::new()).collect();
-        Wheel { now: now / TICK, slots, held: [0; LEVELS], due: Vec::new(), len: 0 }
+        Wheel {
+            now: now / TICK,
+            slots,
+            held: [0; LEVELS],
+            due: Vec::new(),
+            len: 0,
+            soonest: u64::MAX,
+            emptied: Vec::new(),
+        }
     }
 
     /// How many entries wait.
@@ -67,6 +83,7 @@
         };
         self.held[level] |= 1 << slot;
         self.slots[level * SLOTS + slot].push((at, entry));
+        self.soonest = self.soonest.min(self.step_at(level).unwrap_or(u64::MAX));
     }
 
     /// The earliest time at which something may come out; it may turn out to be a step of the wheel only.
@@ -88,27 +105,42 @@
     /// Moves to a time; all that is due by then is appended to `out`, in the order of its time.
     pub fn advance(&mut self, now: Nanos, out: &mut Vec<T>) {
         let to = now / TICK;
+        if self.soonest > to && self.due.is_empty() {
+            self.now = self.now.max(to);
+            return;
+        }
         let mut ready: Vec<(u64, T)> = std::mem::take(&mut self.due);
-        while let Some(next) = (0..LEVELS).filter_map(|l| self.step_at(l)).min().filter(|n| *n <= to) {
+        let step = |w: &Self| (0..LEVELS).filter_map(|l| w.step_at(l)).min().unwrap_or(u64::MAX);
+        loop {
+            let next = step(self);
+            if next > to {
+                self.soonest = next;
+                break;
+            }
             self.now = next;
             // From the top down: what falls out of a higher slot belongs into a lower one, or is due.
-            for level in (0..LEVELS).rev() {
+            let top = (next.trailing_zeros() / BITS).min(LEVELS as u32 - 1) as usize;
+            for level in (0..=top).rev() {
                 let shift = BITS * level as u32;
-                if next & ((1 << shift) - 1) != 0 {
-                    continue;
-                }
                 let slot = (next >> shift) as usize % SLOTS;
                 if self.held[level] & (1 << slot) != 0 {
                     self.held[level] &= !(1 << slot);
-                    for (at, entry) in std::mem::take(&mut self.slots[level * SLOTS + slot]) {
+                    let mut all = std::mem::take(&mut self.emptied);
+                    std::mem::swap(&mut all, &mut self.slots[level * SLOTS + slot]);
+                    for (at, entry) in all.drain(..) {
                         self.put(at, entry);
                     }
+                    // Memory of a crowd is not kept for good.
+                    all.shrink_to(KEPT);
+                    self.emptied = all;
                 }
             }
             ready.append(&mut self.due);
         }
         self.now = self.now.max(to);
-        ready.sort_by_key(|r| r.0);
+        if ready.len() > 1 {
+            ready.sort_by_key(|r| r.0);
+        }
         self.len -= ready.len();
         out.extend(ready.into_iter().map(|r| r.1));
     }
--- a/crates/tokens/tests/model.rs
+++ b/crates/tokens/tests/model.rs
@@ -109,6 +109,7 @@
             keep: 0,
             settle: 0,
             most_leases: 2,
+            reserve: false,
             spread: 0.0,
         }
     }
--- a/crates/tokens/tests/seats.rs
+++ b/crates/tokens/tests/seats.rs
@@ -40,6 +40,7 @@
         keep: SECOND,
         settle: 2 * SECOND,
         most_leases: 100,
+        reserve: false,
         spread: 0.2,
     }
 }
