--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -47,6 +47,15 @@
     },
     /// Timer wheel beside map and heap, grants a second, memory a lease; what a seat adds to a set-up.
     Seats,
+    /// Times of set-ups in the first second after a front with seats, stopped under load, is let go.
+    Wake {
+        /// How many stops.
+        #[arg(long, default_value_t = 9)]
+        stops: usize,
+        /// Seconds of each.
+        #[arg(long, default_value_t = 2)]
+        seconds: u64,
+    },
     /// A front alone, for the other measurements: boxes' addresses as arguments.
     #[command(hide = true)]
     Front {
@@ -75,6 +84,7 @@
         What::Setups { seconds, rounds } => setups(Duration::from_secs(seconds), rounds),
         What::Memory { sessions } => memory(sessions),
         What::Drains { drains } => drain_times(drains),
+        What::Wake { stops, seconds } => wake(stops, Duration::from_secs(seconds)),
         What::Seats => {
             seats::measure();
             seat_cost()
@@ -218,6 +228,53 @@
         + &format!("(issuer (address \"{addr}\") (state \"\") (wait 5s) (keep 0s) (leases 1000000) {bound})")
 }
 
+/// A front in a process of its own, by a folder; its process and address.
+fn front_process(dir: &Path) -> Result<(std::process::Child, SocketAddr), Failure> {
+    let mut child = Command::new(std::env::current_exe()?)
+        .args(["front", &dir.display().to_string()])
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().ok_or("no pipe")?).read_line(&mut line)?;
+    let addr = line.trim().parse()?;
+    std::thread::sleep(Duration::from_millis(300));
+    Ok((child, addr))
+}
+
+fn wake(stops: usize, length: Duration) -> Result<(), Failure> {
+    const RATE: f64 = 1_000.0;
+    let (dir, plain, issuer) = (folder("wake")?, lean_box(false), peers::issuer());
+    write_list(&dir, &rows(&[plain.addr]))?;
+    let bound = "(bound (key \"k\" (file \"-\")))";
+    std::fs::write(dir.join("settings.sexp"), with_issuer(issuer.addr, bound))?;
+    let (mut child, addr) = front_process(&dir)?;
+    let signal = |name: &str| Command::new("kill").args([name, &child.id().to_string()]).status();
+    let second = Duration::from_secs(1);
+    let (mut usual, mut after) = (Vec::new(), Vec::new());
+    for _ in 0..stops {
+        usual.push(open(addr, RATE, second)?);
+        // Load that piles up in the front's sockets while it is stopped; what it is answered is not looked at.
+        let piled = std::thread::spawn(move || drop(open(addr, RATE / 2.0, length)));
+        std::thread::sleep(Duration::from_millis(50));
+        signal("-STOP")?;
+        std::thread::sleep(length);
+        signal("-CONT")?;
+        after.push(open(addr, RATE, second)?);
+        let _ = piled.join();
+    }
+    let middle = |all: &[[f64; 3]], q: usize| {
+        let mut v: Vec<f64> = all.iter().map(|r| r[q]).collect();
+        v.sort_by(f64::total_cmp);
+        v[v.len() / 2]
+    };
+    for (name, all) in [("usually", &usual), ("the second after a wake", &after)] {
+        println!("  {name:<26} p50 {:.3} ms, p99 {:.3} ms", middle(all, 0), middle(all, 1));
+    }
+    println!("  the latter over the former at p99: {:.1}", middle(&after, 1) / middle(&usual, 1));
+    let _ = (child.kill(), std::fs::remove_dir_all(dir));
+    std::process::exit(0);
+}
+
 fn resident(pid: u32) -> Result<f64, Failure> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
     let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
@@ -228,14 +285,7 @@
     let dir = folder("memory")?;
     let full = lean_box(true);
     write_list(&dir, &rows(&[full.addr]))?;
-    let mut child = Command::new(std::env::current_exe()?)
-        .args(["front", &dir.display().to_string()])
-        .stdout(Stdio::piped())
-        .spawn()?;
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().ok_or("no pipe")?).read_line(&mut line)?;
-    let addr: SocketAddr = line.trim().parse()?;
-    std::thread::sleep(Duration::from_millis(300));
+    let (mut child, addr) = front_process(&dir)?;
     load::hold(addr, 200)?;
     let before = resident(child.id())?;
     let began = Instant::now();
--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -174,9 +174,10 @@
     })
 }
 
-/// The front, by the list in a folder.
+/// The front, by the list in a folder, and by the settings there if there are any.
 pub fn our_front(folder: &Path) -> Peer {
-    front_with(folder, SETTINGS)
+    let own = std::fs::read_to_string(folder.join("settings.sexp"));
+    front_with(folder, own.as_deref().unwrap_or(SETTINGS))
 }
 
 /// The front with settings, by the list in a folder; with an issuer its log of seats lies there too.
