The front's books become parts, and what passes between parts a module below them

core, endpoint, seats and session imported each other in a circle. Ids, inputs, outputs and what calls and timers are for stand in io.rs, which knows none of them; endpoint.rs is functions of settings and request. Sessions (with their names, streams and ended resources), calls, answers owed, publications and visitors are parts with private fields in books.rs. Behaviour unchanged: the core's tests pass as they stand.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -5,39 +5,26 @@
 //! again and whether at all are its choices. The core keeps what those choices must hold to on the wire: one
 //! answer to each request, one attempt of a session out at a time, nothing left behind at a box.
 
-use crate::endpoint::SDP;
+use crate::books::{Calls, Owed, Publications, Sessions, Visits};
+use crate::endpoint::{SDP, dress};
+use crate::io::{CallId, ConnId, Input, Output, Purpose, Timer};
 use crate::seats::{Permitted, Seats};
 use crate::session::{Phase, Session, SettingUp};
 use micadyke::decide::Controller;
 use micadyke::interface::{
     Action, Event, ListKind, Nanos, Outcome, ServerEntry, ServerId, ServerState, SessionId, SettingsError,
 };
-use micadyke_config::{BoxRow, Config, RouteKind, Title};
-use micadyke_http::client::CallError;
-use micadyke_http::{Method, Request, Response, sse};
+use micadyke_config::{BoxRow, Config, RouteKind};
+use micadyke_http::{Method, Request, Response};
 use micadyke_tokens::bearer::Checker;
-use micadyke_tokens::store::Record;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-/// A viewer's connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConnId(pub u64);
-
-/// A call to a box.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
-/// An event stream from a box.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct StreamId(pub u64);
-
 /// The decision module as the core sees it.
 pub trait Decide {
     /// Takes one event; what is to be done is appended to `out`.
@@ -50,141 +37,6 @@
     }
 }
 
-/// Something that happened outside.
-#[derive(Debug)]
-pub enum Input {
-    /// A whole request of a viewer. The connection brings no further one before its answer went out.
-    Request {
-        /// Its connection.
-        conn: ConnId,
-        /// The request.
-        request: Request,
-        /// It may have lain unread for so long: the front stood still.
-        waited: Nanos,
-    },
-    /// A connection closed whose request has no answer yet.
-    Gone {
-        /// The connection.
-        conn: ConnId,
-    },
-    /// The list of boxes, whole. `epoch` is the Unix time, in nanoseconds, at which the front's clock was zero.
-    List {
-        /// All boxes.
-        rows: Vec<BoxRow>,
-        /// Unix time of the front's time zero, in nanoseconds.
-        epoch: u64,
-    },
-    /// A call came to its end. Each [`Output::Call`] comes back as exactly one of this and [`Input::Closed`].
-    Reply {
-        /// Which call.
-        call: CallId,
-        /// The answer, or why there is none.
-        result: Result<Response, CallError>,
-    },
-    /// The connection of a call that was aborted is closed; no answer was read.
-    Closed {
-        /// Which call.
-        call: CallId,
-    },
-    /// An event of a stream.
-    Event {
-        /// Which stream.
-        stream: StreamId,
-        /// The event.
-        event: sse::Event,
-    },
-    /// A stream ended, or never came about.
-    StreamEnded {
-        /// Which stream.
-        stream: StreamId,
-        /// It was cut off, not ended in good order.
-        cut: bool,
-    },
-    /// A deadline of [`Front::deadline`] passed.
-    Tick,
-    /// No new sessions from now on; what is owed is still answered.
-    Stop,
-}
-
-/// Something to be done.
-#[derive(Debug)]
-pub enum Output {
-    /// Send a viewer its answer. Each [`Input::Request`] gets exactly one, unless its connection went.
-    Respond {
-        /// The connection.
-        conn: ConnId,
-        /// The answer.
-        response: Response,
-    },
-    /// Call a box.
-    Call {
-        /// Which call.
-        call: CallId,
-        /// The box's address.
-        to: SocketAddr,
-        /// The request.
-        request: Request,
-        /// Give up after this; `None`: when told to by [`Output::Abort`].
-        timeout: Option<Duration>,
-    },
-    /// Close a call's connection now.
-    Abort {
-        /// Which call.
-        call: CallId,
-    },
-    /// Open an event stream.
-    Listen {
-        /// Which stream.
-        stream: StreamId,
-        /// The box's address.
-        to: SocketAddr,
-        /// What is asked for.
-        request: Request,
-    },
-    /// Close an event stream.
-    Unlisten {
-        /// Which stream.
-        stream: StreamId,
-    },
-    /// Ask the source of the list for changes.
-    Subscribe,
-    /// Append this to the log of seats, before anything that follows is done.
-    Record(Record),
-}
-
-/// What a call is for.
-#[derive(Debug)]
-pub(crate) enum Purpose {
-    /// An attempt to set a session up. `orphan`: nobody waits for it any more; what it set up is withdrawn.
-    SetUp { session: SessionId, server: ServerId, addr: SocketAddr, aborted: bool, orphan: bool },
-    /// A change of layer.
-    Layer { session: SessionId, rung: usize },
-    /// The opening of an event stream.
-    Subscribe { session: SessionId },
-    /// A viewer's PATCH passed on.
-    Patch { session: SessionId, conn: ConnId },
-    /// A session withdrawn at its box.
-    Withdraw { session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8 },
-    /// A message to the issuer of seats.
-    Issuer,
-    /// A box asked for its clock, for the tokens that bound sessions there.
-    Clock { server: ServerId },
-    /// A renewal of sessions' time at a box.
-    Renew { server: ServerId },
-}
-
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Timer {
-    Module(u64),
-    Attempt(CallId),
-    Linger(CallId),
-    Resubscribe(SessionId),
-    Withdraw(SessionId, SocketAddr, Box<str>, u8),
-    SeatWait(SessionId),
-    /// A set-up that waits for its box's clock has waited for as long as it may.
-    Permit(SessionId),
-}
-
 /// A box as the list names it, and the sessions there.
 #[derive(Debug)]
 pub(crate) struct MediaBox {
@@ -223,20 +75,11 @@
     actions: Vec<Action>,
     timers: BinaryHeap<Reverse<(Nanos, u64, Timer)>>,
     pub(crate) boxes: BTreeMap<ServerId, MediaBox>,
-    pub(crate) sessions: HashMap<SessionId, Session>,
-    pub(crate) names: HashMap<u128, SessionId>,
-    pub(crate) streams: HashMap<StreamId, SessionId>,
-    pub(crate) calls: HashMap<CallId, Purpose>,
-    /// Sessions whose viewers wait for the answer, by connection.
-    pub(crate) owed: HashMap<ConnId, SessionId>,
-    /// Other requests that wait for an answer of a box.
-    pub(crate) owed_patches: BTreeSet<ConnId>,
-    /// Sessions that ended, by name with their route, oldest first.
-    ended: (HashMap<u128, usize>, VecDeque<u128>),
-    /// Published titles and their publishers; without a place while the set-up runs.
-    pub(crate) published: HashMap<Arc<str>, (SessionId, Option<Title>)>,
-    /// Who asked for a title of late.
-    seen: (HashMap<u64, Nanos>, VecDeque<(u64, Nanos)>),
+    pub(crate) sessions: Sessions,
+    pub(crate) calls: Calls,
+    pub(crate) owed: Owed,
+    pub(crate) publications: Publications,
+    pub(crate) visits: Visits,
     /// What checks signed tokens, and the Unix time of the front's time zero, in nanoseconds.
     pub(crate) entitlements: Option<(Checker, u64)>,
     /// Seats of the issuer, where the settings name one.
@@ -249,11 +92,6 @@
     deaf: bool,
 }
 
-/// A viewer that asks again within this time counts as come again.
-const AGAIN: Nanos = 60_000_000_000;
-/// Viewers remembered for that; the oldest is forgotten first and then counts as new.
-const AGAIN_MOST: usize = 65_536;
-
 impl std::fmt::Debug for Front {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "Front {{ sessions: {}, calls: {} }}", self.sessions.len(), self.calls.len())
@@ -304,15 +142,11 @@
             actions: Vec::new(),
             timers: BinaryHeap::new(),
             boxes: BTreeMap::new(),
-            sessions: HashMap::new(),
-            names: HashMap::new(),
-            streams: HashMap::new(),
-            calls: HashMap::new(),
-            owed: HashMap::new(),
-            owed_patches: BTreeSet::new(),
-            ended: Default::default(),
-            published: HashMap::new(),
-            seen: Default::default(),
+            sessions: Sessions::default(),
+            calls: Calls::default(),
+            owed: Owed::default(),
+            publications: Publications::default(),
+            visits: Visits::default(),
             entitlements: None,
             seats: None,
             counts: Counts::default(),
@@ -330,13 +164,12 @@
 
     /// Requests that still wait for their answer.
     pub fn owed(&self) -> usize {
-        self.owed.len() + self.owed_patches.len()
+        self.owed.len()
     }
 
     /// Calls that withdraw what nobody waits for, and attempts that may still need it.
     pub fn unsettled(&self) -> usize {
-        let open = |p: &Purpose| matches!(p, Purpose::Withdraw { .. } | Purpose::SetUp { .. });
-        self.calls.values().filter(|p| open(p)).count()
+        self.calls.unsettled()
     }
 
     /// Sessions held, set-ups included.
@@ -381,7 +214,7 @@
     }
 
     pub(crate) fn respond(&mut self, conn: ConnId, response: Response) {
-        let mut response = Self::dress(response);
+        let mut response = dress(response);
         response.keep_alive &= !self.stopping;
         self.out.push(Output::Respond { conn, response });
     }
@@ -426,7 +259,7 @@
                 Timer::Module(token) => self.tell(Event::Timer { token }),
                 Timer::Attempt(call) => self.overdue(call),
                 Timer::Linger(call) => {
-                    if self.calls.contains_key(&call) {
+                    if self.calls.is_out(call) {
                         self.out.push(Output::Abort { call });
                     }
                 }
@@ -480,52 +313,20 @@
 
     /// Ends a session's books; its name stays known, so that a repeated DELETE is answered alike.
     pub(crate) fn forget(&mut self, id: SessionId) -> Option<Session> {
-        let session = self.sessions.remove(&id)?;
+        let (session, stream) = self.sessions.close(id, self.config.bounds.ended)?;
         self.seat_of(id, &session);
-        self.names.remove(&session.name);
-        if let Phase::Playing(p) = &session.phase {
-            if let Some(b) = self.boxes.get_mut(&p.place.server) {
-                b.playing.remove(&id);
-            }
-            if let Some(stream) = p.stream {
-                self.streams.remove(&stream);
-                self.out.push(Output::Unlisten { stream });
-            }
-            let (names, order) = &mut self.ended;
-            names.insert(session.name, session.route);
-            order.push_back(session.name);
-            if order.len() > self.config.bounds.ended
-                && let Some(old) = order.pop_front()
-            {
-                names.remove(&old);
-            }
+        if let Phase::Playing(p) = &session.phase
+            && let Some(b) = self.boxes.get_mut(&p.place.server)
+        {
+            b.playing.remove(&id);
         }
-        if self.published.get(&session.title).is_some_and(|p| p.0 == id) {
-            self.published.remove(&session.title);
+        if let Some(stream) = stream {
+            self.out.push(Output::Unlisten { stream });
         }
+        self.publications.end(&session.title, id);
         Some(session)
     }
 
-    /// The route of a session that has ended.
-    pub(crate) fn ended_route(&self, name: u128) -> Option<usize> {
-        self.ended.0.get(&name).copied()
-    }
-
-    /// Whether a viewer asked for a title before, of late; it is remembered now.
-    pub(crate) fn came_before(&mut self, key: u64) -> bool {
-        let now = self.now;
-        let (last, order) = &mut self.seen;
-        while order.front().is_some_and(|o| o.1 + AGAIN < now || order.len() > AGAIN_MOST) {
-            if let Some((key, at)) = order.pop_front()
-                && last.get(&key) == Some(&at)
-            {
-                last.remove(&key);
-            }
-        }
-        order.push_back((key, now));
-        last.insert(key, now).is_some_and(|at| at + AGAIN >= now)
-    }
-
     /// Whether nothing forbids this box a new set-up by what the list says now.
     pub(crate) fn may_take(&self, server: ServerId) -> Option<SocketAddr> {
         let b = self.boxes.get(&server)?;
@@ -537,7 +338,7 @@
     fn send(&mut self, id: SessionId, server: ServerId, timeout: Nanos) {
         let overlap = self.overlap;
         let due = self.now.saturating_add(timeout);
-        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else {
+        let Some(s) = self.sessions.setting_up(id) else {
             return self.tell(Event::Ended {
                 session: id,
                 server,
@@ -547,9 +348,7 @@
         };
         if let Some(old) = s.out.take().filter(|_| !overlap) {
             s.closing = Some(old);
-            if let Some(Purpose::SetUp { aborted, orphan, .. }) = self.calls.get_mut(&old) {
-                (*aborted, *orphan) = (true, true);
-            }
+            self.calls.give_up(old);
             self.out.push(Output::Abort { call: old });
         }
         s.next = Some((server, due));
@@ -560,7 +359,7 @@
 
     /// Sends the attempt that waited for the one before it to close.
     pub(crate) fn attempt(&mut self, id: SessionId) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         let target = match session.kind {
             RouteKind::Play => format!("/whep/{}", session.title),
             RouteKind::Publish => format!("/whip/{}", session.title),
@@ -596,7 +395,7 @@
         let (aborted, orphan) = (false, false);
         let purpose = Purpose::SetUp { session: id, server, addr, aborted, orphan };
         let call = self.call(purpose, addr, request, None);
-        if let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) {
+        if let Some(s) = self.sessions.setting_up(id) {
             s.out = Some(call);
         }
         self.counts.attempts += 1;
@@ -613,7 +412,7 @@
         &mut self, purpose: Purpose, to: SocketAddr, request: Request, timeout: Option<Nanos>,
     ) -> CallId {
         let call = CallId(self.id());
-        self.calls.insert(call, purpose);
+        self.calls.begin(call, purpose);
         let timeout = timeout.map(Duration::from_nanos);
         self.out.push(Output::Call { call, to, request, timeout });
         call
@@ -626,16 +425,12 @@
 
     /// An attempt has had its time.
     fn overdue(&mut self, call: CallId) {
-        let Some(Purpose::SetUp { session, server, orphan, .. }) = self.calls.get_mut(&call) else { return };
-        if std::mem::replace(orphan, true) {
-            return;
-        }
-        let (session, server) = (*session, *server);
+        let Some((session, server)) = self.calls.overdue(call) else { return };
         // Its connection stays open for a while: what comes late is withdrawn. If the module sends another
         // attempt, this one is closed first.
         self.timer(self.config.bounds.linger, Timer::Linger(call));
         let finished = self.left(session);
-        if let Some(s) = self.sessions.get_mut(&session).and_then(Session::setting_up) {
+        if let Some(s) = self.sessions.setting_up(session) {
             s.last = Some(Outcome::TimedOut);
         }
         self.ended(session, server, Outcome::TimedOut, finished);
@@ -643,10 +438,7 @@
 
     /// Whether nobody waits for a session's answer any more.
     pub(crate) fn left(&mut self, id: SessionId) -> bool {
-        self.sessions
-            .get_mut(&id)
-            .and_then(Session::setting_up)
-            .is_none_or(|s: &mut SettingUp| s.conn.is_none())
+        self.sessions.setting_up(id).is_none_or(|s: &mut SettingUp| s.conn.is_none())
     }
 
     /// Tells the module how an attempt ended; a session that nobody waits for is forgotten.
@@ -659,14 +451,14 @@
 
     fn closed(&mut self, call: CallId) {
         // Set-ups alone are ever aborted.
-        if let Some(Purpose::SetUp { session, .. }) = self.calls.remove(&call) {
+        if let Some(Purpose::SetUp { session, .. }) = self.calls.end(call) {
             self.after_close(session, call);
         }
     }
 
     /// An attempt that was given up is closed, or its answer read: the next one may go out.
     pub(crate) fn after_close(&mut self, session: SessionId, call: CallId) {
-        if let Some(s) = self.sessions.get_mut(&session).and_then(Session::setting_up)
+        if let Some(s) = self.sessions.setting_up(session)
             && s.closing == Some(call)
         {
             s.closing = None;
--- a/crates/front/src/endpoint.rs
+++ b/crates/front/src/endpoint.rs
@@ -1,9 +1,8 @@
 //! The answers of the front's own endpoints: what RFC 9725 and the WHEP draft ask of them.
 
-use crate::core::Front;
-use micadyke_config::Route;
+use micadyke_config::{Config, Route};
 use micadyke_http::{Request, Response};
-use micadyke_tokens::bearer::Denied;
+use micadyke_tokens::bearer::{Checker, Denied};
 
 /// Media type of descriptions (RFC 8866).
 pub(crate) const SDP: &str = "application/sdp";
@@ -25,92 +24,85 @@
     Unknown,
 }
 
-impl Front {
-    pub(crate) fn target<'a>(&self, request: &'a Request) -> Target<'a> {
-        let path = request.path();
-        if let Some(name) = path.strip_prefix(SESSION) {
-            let hex =
-                name.len() == 32 && name.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
-            return u128::from_str_radix(name, 16)
-                .ok()
-                .filter(|_| hex)
-                .map_or(Target::Unknown, Target::Session);
-        }
-        let found = self.config.routes.iter().enumerate().find_map(|(route, r)| {
-            let title = path.strip_prefix(r.prefix.as_str())?;
-            (!title.is_empty() && !title.contains('/')).then_some(Target::Endpoint { route, title })
-        });
-        found.unwrap_or(Target::Unknown)
-    }
-
-    /// Whether a request may use a route; the refusal where it may not (RFC 6750 section 3).
-    pub(crate) fn authorise(
-        &self, route: usize, title: Option<&str>, request: &Request,
-    ) -> Result<(), Response> {
-        let route = &self.config.routes[route];
-        if route.entitled {
-            return self.entitled(route, title, request);
-        }
-        if route.bearers.is_empty() {
-            return Ok(());
-        }
-        let token = bearer(request);
-        if token.is_some_and(|t| knows(route, t)) {
-            return Ok(());
-        }
-        let elsewhere = token.is_some_and(|t| self.config.routes.iter().any(|r| knows(r, t)));
-        Err(match token {
-            None => denied(401, "", "a bearer token is due"),
-            Some(_) if elsewhere => denied(403, SCOPE, "the token is not for this route"),
-            Some(_) => denied(401, INVALID, "the token is not known"),
-        })
+pub(crate) fn target<'a>(config: &Config, request: &'a Request) -> Target<'a> {
+    let path = request.path();
+    if let Some(name) = path.strip_prefix(SESSION) {
+        let hex = name.len() == 32 && name.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+        return u128::from_str_radix(name, 16).ok().filter(|_| hex).map_or(Target::Unknown, Target::Session);
     }
+    let found = config.routes.iter().enumerate().find_map(|(route, r)| {
+        let title = path.strip_prefix(r.prefix.as_str())?;
+        (!title.is_empty() && !title.contains('/')).then_some(Target::Endpoint { route, title })
+    });
+    found.unwrap_or(Target::Unknown)
+}
 
-    /// Whether a request's signed token entitles it to a title on a route; a session that has ended has no title,
-    /// and its random name is enough to hear so.
-    fn entitled(&self, route: &Route, title: Option<&str>, request: &Request) -> Result<(), Response> {
-        let Some(title) = title else { return Ok(()) };
-        let token = bearer(request).ok_or_else(|| denied(401, "", "a bearer token is due"))?;
-        let keys = self.entitlements.as_ref();
-        let (checker, zero) = keys.ok_or_else(|| denied(401, "", "no keys are in force"))?;
-        let unix = (zero + self.now) / 1_000_000_000;
-        let class = self.config.classes[route.class].name.as_str();
-        checker.check(token, unix, title, class).map(drop).map_err(|why| {
-            tracing::debug!(?why, "a token is refused");
-            match why {
-                Denied::Entitlement => {
-                    denied(403, SCOPE, "the token does not entitle to this title and class")
-                }
-                _ => denied(401, INVALID, "the token does not hold"),
-            }
-        })
+/// Whether a request may use a route; the refusal where it may not (RFC 6750 section 3).
+/// `keys`: what checks signed tokens, and the Unix time now, in seconds.
+pub(crate) fn authorise(
+    config: &Config, keys: Option<(&Checker, u64)>, route: usize, title: Option<&str>, request: &Request,
+) -> Result<(), Response> {
+    let route = &config.routes[route];
+    if route.entitled {
+        return entitled(config, keys, route, title, request);
     }
-
-    /// The answer to OPTIONS (RFC 9725 section 4.2, CORS of the Fetch standard).
-    pub(crate) fn options(&self, session: bool) -> Response {
-        let allow = if session { SESSION_ALLOW } else { ENDPOINT_ALLOW };
-        let response = Response::new(200)
-            .with("allow", allow)
-            .with("access-control-allow-methods", allow)
-            .with("access-control-allow-headers", "authorization, content-type, if-match, prefer")
-            .with("access-control-max-age", "600");
-        if session { response.with("accept-patch", FRAGMENT) } else { response.with("accept-post", SDP) }
+    if route.bearers.is_empty() {
+        return Ok(());
     }
-
-    /// Header fields that all answers carry.
-    pub(crate) fn dress(response: Response) -> Response {
-        response
-            .with("access-control-allow-origin", "*")
-            .with("access-control-expose-headers", "accept-post, etag, link, location, retry-after")
+    let token = bearer(request);
+    if token.is_some_and(|t| knows(route, t)) {
+        return Ok(());
     }
+    let elsewhere = token.is_some_and(|t| config.routes.iter().any(|r| knows(r, t)));
+    Err(match token {
+        None => denied(401, "", "a bearer token is due"),
+        Some(_) if elsewhere => denied(403, SCOPE, "the token is not for this route"),
+        Some(_) => denied(401, INVALID, "the token is not known"),
+    })
+}
 
-    /// The `Link` fields that tell of ICE servers (RFC 9725 section 4.6).
-    pub(crate) fn ice_links(&self, mut response: Response) -> Response {
-        for server in &self.config.ice_servers {
-            response = response.with("link", micadyke_http::fields::Link::new(server, "ice-server").encode());
+/// Whether a request's signed token entitles it to a title on a route; a session that has ended has no title,
+/// and its random name is enough to hear so.
+fn entitled(
+    config: &Config, keys: Option<(&Checker, u64)>, route: &Route, title: Option<&str>, request: &Request,
+) -> Result<(), Response> {
+    let Some(title) = title else { return Ok(()) };
+    let token = bearer(request).ok_or_else(|| denied(401, "", "a bearer token is due"))?;
+    let (checker, unix) = keys.ok_or_else(|| denied(401, "", "no keys are in force"))?;
+    let class = config.classes[route.class].name.as_str();
+    checker.check(token, unix, title, class).map(drop).map_err(|why| {
+        tracing::debug!(?why, "a token is refused");
+        match why {
+            Denied::Entitlement => denied(403, SCOPE, "the token does not entitle to this title and class"),
+            _ => denied(401, INVALID, "the token does not hold"),
         }
-        response
+    })
+}
+
+/// The answer to OPTIONS (RFC 9725 section 4.2, CORS of the Fetch standard).
+pub(crate) fn options(session: bool) -> Response {
+    let allow = if session { SESSION_ALLOW } else { ENDPOINT_ALLOW };
+    let response = Response::new(200)
+        .with("allow", allow)
+        .with("access-control-allow-methods", allow)
+        .with("access-control-allow-headers", "authorization, content-type, if-match, prefer")
+        .with("access-control-max-age", "600");
+    if session { response.with("accept-patch", FRAGMENT) } else { response.with("accept-post", SDP) }
+}
+
+/// Header fields that all answers carry.
+pub(crate) fn dress(response: Response) -> Response {
+    response
+        .with("access-control-allow-origin", "*")
+        .with("access-control-expose-headers", "accept-post, etag, link, location, retry-after")
+}
+
+/// The `Link` fields that tell of ICE servers (RFC 9725 section 4.6).
+pub(crate) fn ice_links(config: &Config, mut response: Response) -> Response {
+    for server in &config.ice_servers {
+        response = response.with("link", micadyke_http::fields::Link::new(server, "ice-server").encode());
     }
+    response
 }
 
 /// Errors of a challenge (RFC 6750 section 3.1).
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,8 +5,10 @@
 //! layer around it: one current-thread runtime, tasks on a `LocalSet`, no locks. [`list`] brings the list of boxes.
 #![warn(missing_docs)]
 
+mod books;
 pub mod core;
 mod endpoint;
+pub mod io;
 pub mod list;
 mod notes;
 mod seats;
@@ -14,4 +16,5 @@
 pub mod shell;
 mod signalling;
 
-pub use crate::core::{CallId, ConnId, Counts, Decide, Front, Input, Output, StreamId};
+pub use crate::core::{Counts, Decide, Front};
+pub use crate::io::{CallId, ConnId, Input, Output, StreamId};
--- a/crates/front/src/seats.rs
+++ b/crates/front/src/seats.rs
@@ -2,7 +2,8 @@
 //!
 //! A class without tokens passes through here without a call, a state or a wait.
 
-use crate::core::{ConnId, Front, Output, Purpose, Timer};
+use crate::core::Front;
+use crate::io::{ConnId, Output, Purpose, Timer};
 use crate::session::{Phase, Session};
 use micadyke::interface::{Event, Nanos, Outcome, ServerId, SessionId, SessionRequest};
 use micadyke_http::client::CallError;
@@ -215,7 +216,7 @@
     pub(crate) fn permit(
         &mut self, id: SessionId, server: ServerId, to: SocketAddr, due: Nanos,
     ) -> Permitted {
-        let Some(session) = self.sessions.get(&id).filter(|s| self.seated(s.class)) else {
+        let Some(session) = self.sessions.get(id).filter(|s| self.seated(s.class)) else {
             return Permitted::Freely;
         };
         let class = &self.config.classes[session.class];
@@ -240,7 +241,7 @@
             }
         };
         if permitted == Permitted::Later {
-            if let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) {
+            if let Some(s) = self.sessions.setting_up(id) {
                 s.next = Some((server, due));
             }
             self.timer(due.saturating_sub(now), Timer::Permit(id));
@@ -263,7 +264,7 @@
     }
 
     fn not_permitted(&mut self, id: SessionId, server: ServerId, outcome: Outcome) {
-        let next = self.sessions.get_mut(&id).and_then(Session::setting_up).and_then(|s| s.next.take());
+        let next = self.sessions.setting_up(id).and_then(|s| s.next.take());
         if next.is_some() {
             self.tell(Event::Ended { session: id, server, outcome, finished: false });
         }
@@ -306,7 +307,7 @@
 
     /// Whether a box's refusal is of the token, so that the set-up never ran.
     pub(crate) fn token_refused(&mut self, id: SessionId, server: ServerId, status: u16) -> bool {
-        let seated = self.sessions.get(&id).is_some_and(|s| self.seated(s.class));
+        let seated = self.sessions.get(id).is_some_and(|s| self.seated(s.class));
         let keeper = self.seats.as_mut().and_then(|s| s.keeper.as_mut());
         match keeper.filter(|_| seated && matches!(status, 401 | 403)) {
             Some(keeper) => {
@@ -420,7 +421,7 @@
                 holder::Output::Granted(user) => {
                     let id = SessionId(user.0);
                     let wish = self.seats.as_mut().and_then(|s| s.waiting.remove(&id));
-                    match wish.filter(|_| self.sessions.contains_key(&id)) {
+                    match wish.filter(|_| self.sessions.get(id).is_some()) {
                         Some((wish, ..)) => self.tell(Event::Request(wish)),
                         None => self.free_seat(id),
                     }
@@ -442,7 +443,7 @@
 
     /// A session's seat cannot be counted on any more.
     fn seat_lost(&mut self, id: SessionId) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         let class = session.class;
         let ends = self.seats.as_ref().and_then(|s| s.policies[class]).unwrap_or_default().ends_on_loss();
         warn!(session = id.0, ends, "its seat is lost");
@@ -453,7 +454,7 @@
         match conn {
             // Its set-up goes on for nobody, and is withdrawn.
             Some(conn) => {
-                self.owed.remove(&conn);
+                self.owed.settled(conn);
                 self.respond(conn, Response::problem(502, "the session's seat was lost"));
                 self.tell(Event::Left { session: id });
                 self.abandon(id);
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -1,6 +1,6 @@
 //! What the front keeps of a session, and the books of who is owed what.
 
-use crate::core::{CallId, ConnId, StreamId};
+use crate::io::{CallId, ConnId, StreamId};
 use micadyke::interface::{Nanos, Outcome, Rung, ServerId};
 use micadyke_config::RouteKind;
 use micadyke_sdp::Shape;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -3,7 +3,8 @@
 //! Everything runs on one thread, as tasks of a `LocalSet`. A task that brings an input calls [`Shell::feed`],
 //! which hands it to the core with one reading of the clock and carries the outputs out before it returns.
 
-use crate::core::{CallId, ConnId, Counts, Front, Input, Output, StreamId};
+use crate::core::{Counts, Front};
+use crate::io::{CallId, ConnId, Input, Output, StreamId};
 use crate::list::{News, Source};
 use micadyke::interface::Nanos;
 use micadyke_config::Config;
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -1,8 +1,11 @@
 //! What requests, answers and events do: the WHIP and WHEP resource towards viewers (RFC 9725, the WHEP draft),
 //! and the client of the boxes' resources.
 
-use crate::core::{CallId, ConnId, Front, Output, Purpose, StreamId, Timer};
-use crate::endpoint::{ENDPOINT_ALLOW, FRAGMENT, SDP, SESSION, SESSION_ALLOW, Target, bearer, not_allowed};
+use crate::core::Front;
+use crate::endpoint::{
+    self, ENDPOINT_ALLOW, FRAGMENT, SDP, SESSION, SESSION_ALLOW, Target, bearer, not_allowed,
+};
+use crate::io::{CallId, ConnId, Output, Purpose, StreamId, Timer};
 use crate::notes;
 use crate::session::{Patch, Phase, Place, Playing, Reports, Session, SettingUp};
 use micadyke::interface::{
@@ -35,7 +38,7 @@
     // ----- requests of viewers
 
     pub(crate) fn request(&mut self, conn: ConnId, request: Request, waited: Nanos) {
-        match self.target(&request) {
+        match endpoint::target(&self.config, &request) {
             Target::Unknown => {
                 let response = Response::problem(404, "there is no such resource");
                 self.respond(conn, response);
@@ -51,7 +54,7 @@
     fn endpoint(&mut self, conn: ConnId, route: usize, title: &str, request: Request, waited: Nanos) {
         match request.method {
             Method::Options => {
-                let response = self.options(false);
+                let response = endpoint::options(false);
                 return self.respond(conn, response);
             }
             Method::Post => {}
@@ -71,6 +74,11 @@
         }
     }
 
+    fn authorise(&self, route: usize, title: Option<&str>, request: &Request) -> Result<(), Response> {
+        let keys = self.entitlements.as_ref().map(|(checker, zero)| (checker, (zero + self.now) / SECOND));
+        endpoint::authorise(&self.config, keys, route, title, request)
+    }
+
     /// Takes an offer: from here on its viewer is owed one answer.
     fn offer(
         &mut self, conn: ConnId, route: usize, title: &str, request: &Request, waited: Nanos,
@@ -108,7 +116,7 @@
             offer.description.media.iter().find(|m| m.kind == "video").or(offer.description.media.first());
         let media = section.and_then(|m| m.attribute("mid")).unwrap_or("0").into();
 
-        let again = self.came_before(key.finish());
+        let again = self.visits.again(key.finish(), self.now);
         let id = SessionId(self.id());
         let name = self.name();
         let title: Arc<str> = title.into();
@@ -127,10 +135,10 @@
         let rung = self.config.settings.classes[class].floor;
         let session =
             Session { kind, route, class, title: title.clone(), name, media, rung, in_force: None, phase };
-        self.sessions.insert(id, session);
-        self.owed.insert(conn, id);
+        self.sessions.open(id, session);
+        self.owed.offer(conn, id);
         if kind == RouteKind::Publish {
-            self.published.insert(title.clone(), (id, None));
+            self.publications.announce(title.clone(), id);
         }
         self.counts.taken += 1;
         debug!(session = id.0, title = &*title, again, "offer taken");
@@ -154,12 +162,12 @@
 
     /// Where a title lies, or may be published.
     fn title(&self, kind: RouteKind, title: &str) -> Result<Title, Response> {
-        let (fixed, live) = (self.config.titles.get(title), self.published.get(title));
+        let (fixed, live) = (self.config.titles.get(title), self.publications.find(title));
         match kind {
             RouteKind::Play => match (fixed, live) {
                 (Some(t), _) => Ok(*t),
-                (None, Some((_, Some(t)))) => Ok(*t),
-                (None, Some((_, None))) => {
+                (None, Some(Some(t))) => Ok(t),
+                (None, Some(None)) => {
                     Err(Response::problem(404, "the title is about to be published").with("retry-after", "1"))
                 }
                 (None, None) => Err(Response::problem(404, "there is no such title")),
@@ -176,16 +184,15 @@
 
     fn resource(&mut self, conn: ConnId, name: u128, request: Request) {
         if request.method == Method::Options {
-            let response = self.options(true);
+            let response = endpoint::options(true);
             return self.respond(conn, response);
         }
-        let id = self.names.get(&name).copied();
-        let route =
-            id.and_then(|id| self.sessions.get(&id)).map(|s| s.route).or_else(|| self.ended_route(name));
+        let id = self.sessions.by_name(name);
+        let route = self.sessions.route(name);
         let Some(route) = route else {
             return self.respond(conn, Response::problem(404, "there is no such session"));
         };
-        let title = id.and_then(|id| self.sessions.get(&id)).map(|s| s.title.clone());
+        let title = id.and_then(|id| self.sessions.get(id)).map(|s| s.title.clone());
         if let Err(response) = self.authorise(route, title.as_deref(), &request) {
             return self.respond(conn, response);
         }
@@ -215,7 +222,7 @@
         let mut session = self.forget(id)?;
         if let Phase::Playing(p) = &mut session.phase {
             for patch in std::mem::take(&mut p.patches) {
-                self.owed_patches.remove(&patch.conn);
+                self.owed.settled(patch.conn);
                 self.respond(patch.conn, Response::problem(404, "the session has ended"));
             }
             let (server, watched) = (p.place.server, p.watches);
@@ -227,7 +234,7 @@
     }
 
     fn patch(&mut self, conn: ConnId, id: Option<SessionId>, request: Request) {
-        let Some(p) = id.and_then(|id| self.sessions.get_mut(&id)).and_then(Session::playing) else {
+        let Some(p) = id.and_then(|id| self.sessions.get_mut(id)).and_then(Session::playing) else {
             return self.respond(conn, Response::problem(404, "the session has ended"));
         };
         if p.place.etag.is_empty() {
@@ -255,7 +262,7 @@
             return self.respond(conn, response);
         }
         p.patches.push_back(Patch { conn, if_match, body: request.body });
-        self.owed_patches.insert(conn);
+        self.owed.patch(conn);
         if let Some(id) = id {
             self.next_patch(id);
         }
@@ -264,13 +271,12 @@
     /// Passes the next PATCH on; they go to the box one at a time, in their order.
     fn next_patch(&mut self, id: SessionId) {
         loop {
-            let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing).filter(|p| !p.patching)
-            else {
+            let Some(p) = self.sessions.get_mut(id).and_then(Session::playing).filter(|p| !p.patching) else {
                 return;
             };
             let Some(patch) = p.patches.pop_front() else { return };
             if !patch.if_match.holds(&p.place.etag) {
-                self.owed_patches.remove(&patch.conn);
+                self.owed.settled(patch.conn);
                 self.respond(patch.conn, Response::problem(412, "the entity tag is not the session's"));
                 continue;
             }
@@ -283,7 +289,7 @@
     }
 
     fn patched(&mut self, id: SessionId, conn: ConnId, result: Result<Response, CallError>) {
-        self.owed_patches.remove(&conn);
+        self.owed.settled(conn);
         let mut response = match result {
             Ok(r) if r.status == 204 => Response::new(204),
             Ok(r) if r.status == 200 && r.headers.get("etag").is_some() => {
@@ -297,7 +303,7 @@
             Err(CallError::NoConnection) => Response::problem(502, "the media box cannot be reached"),
             Err(_) => Response::problem(504, "the media box did not answer"),
         };
-        if let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) {
+        if let Some(p) = self.sessions.get_mut(id).and_then(Session::playing) {
             p.patching = false;
             if let Some(tag) = response.headers.get("etag") {
                 p.place.etag = tag.into();
@@ -312,10 +318,9 @@
 
     /// A viewer's connection closed before its answer.
     pub(crate) fn gone(&mut self, conn: ConnId) {
-        self.owed_patches.remove(&conn);
-        let Some(id) = self.owed.remove(&conn) else { return };
+        let Some(id) = self.owed.settled(conn) else { return };
         self.counts.left += 1;
-        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else { return };
+        let Some(s) = self.sessions.setting_up(id) else { return };
         s.conn = None;
         if self.stop_waiting(id) {
             // The module has not heard of it.
@@ -323,7 +328,7 @@
             return;
         }
         self.tell(Event::Left { session: id });
-        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else { return };
+        let Some(s) = self.sessions.setting_up(id) else { return };
         // Its attempt goes on: what it sets up is withdrawn when the answer names it.
         if s.stands.is_some() {
             self.abandon(id);
@@ -337,7 +342,7 @@
     // ----- answers of the module
 
     pub(crate) fn set_rung(&mut self, id: SessionId, rung: Rung) {
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(s) = self.sessions.get_mut(id) else { return };
         s.rung = rung;
         self.change_layer(id);
     }
@@ -347,15 +352,14 @@
         let Some(mut session) = self.forget(id) else { return };
         let Some(s) = session.setting_up() else { return };
         if let Some(conn) = s.conn {
-            self.owed.remove(&conn);
+            self.owed.settled(conn);
             self.respond(conn, response);
         }
     }
 
     pub(crate) fn refuse(&mut self, id: SessionId, come_back: Nanos) {
         self.counts.refused += 1;
-        let fault =
-            self.sessions.get_mut(&id).and_then(Session::setting_up).is_some_and(|s| s.offer_at_fault);
+        let fault = self.sessions.setting_up(id).is_some_and(|s| s.offer_at_fault);
         let response = if fault {
             Response::problem(422, "the media box cannot answer the offer")
         } else {
@@ -369,8 +373,7 @@
 
     pub(crate) fn fail(&mut self, id: SessionId) {
         self.counts.failed += 1;
-        let last =
-            self.sessions.get_mut(&id).and_then(Session::setting_up).map(|s| (s.last, s.offer_at_fault));
+        let last = self.sessions.setting_up(id).map(|s| (s.last, s.offer_at_fault));
         let response = match last {
             Some((_, true)) => Response::problem(422, "the media box cannot answer the offer"),
             Some((Some(Outcome::TimedOut), _)) => Response::problem(504, "no media box answered in time"),
@@ -383,7 +386,7 @@
     // ----- answers of boxes
 
     pub(crate) fn reply(&mut self, call: CallId, result: Result<Response, CallError>) {
-        match self.calls.remove(&call) {
+        match self.calls.end(call) {
             None => {}
             Some(Purpose::SetUp { session, server, addr, aborted, orphan }) => {
                 self.set_up(session, server, addr, aborted || orphan, result);
@@ -439,7 +442,7 @@
         }
         let left = self.left(id);
         let refused = result.as_ref().is_ok_and(|r| self.token_refused(id, server, r.status));
-        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else {
+        let Some(s) = self.sessions.setting_up(id) else {
             if let Some(Some(place)) = created {
                 self.withdraw(id, addr, place.resource, 0);
             }
@@ -475,7 +478,7 @@
                 Outcome::Error
             }
         };
-        if let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) {
+        if let Some(s) = self.sessions.setting_up(id) {
             s.last = Some(outcome);
         }
         debug!(session = id.0, server = server.0, ?outcome, "attempt ended");
@@ -486,7 +489,7 @@
     /// lowest rung, at which boxes begin, is not the session's to play at.
     fn stands(&mut self, id: SessionId, place: Place, answer: Arc<str>, reports: Reports) {
         self.bounded(id, place.server, &place.resource);
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         let floor = self.config.settings.classes[session.class].floor;
         let wait = floor > 0 && session.kind == RouteKind::Play && !place.layer.is_empty();
         let layer = place.layer.clone();
@@ -504,7 +507,7 @@
 
     /// The session plays: its viewer is answered, the module told.
     fn start(&mut self, id: SessionId) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         let name = session.name;
         let Phase::SettingUp(s) = &mut session.phase else { return };
         let (Some(conn), Some(stands)) = (s.conn, s.stands.take()) else { return };
@@ -530,17 +533,17 @@
             cut: false,
             watches: false,
         });
-        self.names.insert(name, id);
-        self.owed.remove(&conn);
+        self.sessions.published_name(id);
+        self.owed.settled(conn);
         self.counts.played += 1;
-        let response = self.ice_links(response);
+        let response = endpoint::ice_links(&self.config, response);
         self.respond(conn, response);
         info!(session = id.0, server = server.0, title = &*title, "plays");
         if let Some(b) = self.boxes.get_mut(&server) {
             b.playing.insert(id);
             if publishes {
                 let place = Title { base: b.row.cell, spread: 1 };
-                self.published.insert(title, (id, Some(place)));
+                self.publications.publish(title, id, place);
             }
         }
         self.tell(Event::Started { session: id });
@@ -556,7 +559,7 @@
 
     /// The viewer left after the set-up stood: it is withdrawn.
     pub(crate) fn abandon(&mut self, id: SessionId) {
-        let Some(s) = self.sessions.get_mut(&id).and_then(Session::setting_up) else { return };
+        let Some(s) = self.sessions.setting_up(id) else { return };
         let Some(stands) = s.stands.take() else { return };
         let place = stands.0;
         self.take_back(id, &place);
@@ -566,14 +569,14 @@
     // ----- rungs
 
     fn layer_request(&self, id: SessionId, path: &str, rung: Rung) -> Option<Request> {
-        let session = self.sessions.get(&id)?;
+        let session = self.sessions.get(id)?;
         let body = serde_json::json!({ "mediaId": &*session.media, "encodingId": rung.to_string() });
         Some(self.to_box(Method::Post, path).content("application/json", body.to_string()))
     }
 
     /// Brings the box's layer to the rung that the module wants, one call at a time.
     fn change_layer(&mut self, id: SessionId) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         let (rung, kind, in_force) = (session.rung, session.kind, session.in_force);
         let Some(p) = session.playing() else { return };
         if kind == RouteKind::Publish || p.changing || in_force == Some(rung) || p.place.layer.is_empty() {
@@ -586,7 +589,7 @@
     }
 
     fn layered(&mut self, id: SessionId, rung: Rung, done: bool) {
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         if done {
             session.in_force = Some(rung);
         }
@@ -621,7 +624,7 @@
 
     /// Opens a session's event stream. One session at each box hears of the box's load too.
     pub(crate) fn subscribe(&mut self, id: SessionId) {
-        let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
+        let Some(p) = self.sessions.get_mut(id).and_then(Session::playing) else { return };
         if p.place.events.is_empty() || p.subscribing {
             return;
         }
@@ -642,10 +645,10 @@
     fn watch_another(&mut self, server: ServerId) {
         let next = self.boxes.get(&server).and_then(|b| b.playing.first().copied());
         let Some(id) = next else { return };
-        let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
+        let Some(p) = self.sessions.get_mut(id).and_then(Session::playing) else { return };
         p.watches = true;
         if let Some(stream) = p.stream.take() {
-            self.streams.remove(&stream);
+            self.sessions.unlisten(stream);
             self.out.push(Output::Unlisten { stream });
         }
         self.subscribe(id);
@@ -653,7 +656,7 @@
 
     fn subscribed(&mut self, id: SessionId, result: Result<Response, CallError>) {
         let stream = StreamId(self.id());
-        let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
+        let Some(p) = self.sessions.get_mut(id).and_then(Session::playing) else { return };
         p.subscribing = false;
         let (addr, server, cut) = (p.place.addr, p.place.server, p.cut);
         let target = match &result {
@@ -671,7 +674,7 @@
         match target {
             Some(path) => {
                 p.stream = Some(stream);
-                self.streams.insert(stream, id);
+                self.sessions.listen(stream, id);
                 let request = self.to_box(Method::Get, path).with("accept", "text/event-stream");
                 self.out.push(Output::Listen { stream, to: addr, request });
             }
@@ -682,7 +685,7 @@
     /// A session's event stream is not there: it is opened again after a pause, the first time at once where one
     /// had been open.
     fn lost_stream(&mut self, id: SessionId, was_open: bool) {
-        let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
+        let Some(p) = self.sessions.get_mut(id).and_then(Session::playing) else { return };
         p.lost = p.lost.saturating_add(1);
         if p.lost > LOST_MOST {
             return self.ended_at_box(id, Outcome::Reset, false);
@@ -709,9 +712,9 @@
     }
 
     pub(crate) fn event(&mut self, stream: StreamId, event: &sse::Event) {
-        let Some(id) = self.streams.get(&stream).copied() else { return };
+        let Some(id) = self.sessions.by_stream(stream) else { return };
         let notes = notes::read(event);
-        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Some(session) = self.sessions.get_mut(id) else { return };
         let (rung, top) = (session.rung, self.config.settings.ladder.len());
         let Some(p) = session.playing() else { return };
         (p.lost, p.cut) = (0, false);
@@ -723,7 +726,7 @@
                 if changing || told >= top {
                     continue;
                 }
-                if let Some(s) = self.sessions.get_mut(&id) {
+                if let Some(s) = self.sessions.get_mut(id) {
                     s.in_force = Some(told);
                     s.rung = told;
                 }
@@ -736,8 +739,8 @@
     }
 
     pub(crate) fn stream_ended(&mut self, stream: StreamId, cut: bool) {
-        let Some(id) = self.streams.remove(&stream) else { return };
-        let Some(p) = self.sessions.get_mut(&id).and_then(Session::playing) else { return };
+        let Some(id) = self.sessions.unlisten(stream) else { return };
+        let Some(p) = self.sessions.get_mut(id).and_then(Session::playing) else { return };
         if p.stream == Some(stream) {
             p.stream = None;
         }
