Seats are a part that asks the front for deeds; the front's clock counts a machine's sleep

seats.rs no longer reaches into the front: calls and the time in, deeds out, carried out in order by seating.rs. The shell's clock is CLOCK_BOOTTIME, so that a lease does not wait for a machine that slept.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -159,7 +159,8 @@
     /// When [`Input::Tick`] is due.
     pub fn deadline(&self) -> Option<Nanos> {
         let timer = self.timers.peek().map(|Reverse((at, ..))| *at);
-        timer.into_iter().chain(self.seat_deadline()).min()
+        let seats = self.seats.as_ref().and_then(|s| s.deadline());
+        timer.into_iter().chain(seats).min()
     }
 
     /// Requests that still wait for their answer.
@@ -186,7 +187,7 @@
     pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         // A front that stood still finds all overdue at once: first it lets go of the seats whose time is over.
-        self.seat_tick();
+        self.seats(|s, now| s.tick(now));
         match input {
             Input::Request { conn, request, waited } => self.request(conn, request, waited),
             Input::Gone { conn } => self.gone(conn),
@@ -265,8 +266,8 @@
                 }
                 Timer::Resubscribe(session) => self.subscribe(session),
                 Timer::Withdraw(session, addr, path, tries) => self.withdraw(session, addr, path, tries),
-                Timer::SeatWait(session) => self.seat_overdue(session),
-                Timer::Permit(session) => self.permit_overdue(session),
+                Timer::SeatWait(session) => drop(self.seats(|s, now| s.overdue(now, session))),
+                Timer::Permit(session) => drop(self.seats(|s, _| s.permit_overdue(session))),
             }
             self.settle();
         }
@@ -304,7 +305,7 @@
         let left: Vec<ServerId> = self.boxes.iter().filter(|(_, b)| gone(b)).map(|(s, _)| *s).collect();
         for server in left {
             self.boxes.remove(&server);
-            self.forget_clock(server);
+            self.seats(|s, _| s.forget_box(server));
         }
         self.tell(Event::List { kind: ListKind::Full, entries });
     }
@@ -314,7 +315,7 @@
     /// Ends a session's books; its name stays known, so that a repeated DELETE is answered alike.
     pub(crate) fn forget(&mut self, id: SessionId) -> Option<Session> {
         let (session, stream) = self.sessions.close(id, self.config.bounds.ended)?;
-        self.seat_of(id, &session);
+        self.seats(|s, now| s.closed(now, id, &session));
         if let Phase::Playing(p) = &session.phase
             && let Some(b) = self.boxes.get_mut(&p.place.server)
         {
@@ -379,7 +380,7 @@
             });
         };
         let mut request = self.to_box(Method::Post, target).with("accept", SDP).content(SDP, offer);
-        match self.permit(id, server, addr, due) {
+        match self.permit(id, server, due) {
             Permitted::Freely => {}
             Permitted::With(token) => request = request.with("authorization", format!("Bearer {token}")),
             Permitted::Later => return,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod io;
 pub mod list;
 mod notes;
+mod seating;
 mod seats;
 mod session;
 pub mod shell;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -52,11 +52,19 @@
     pub entitlements: Option<Checker>,
 }
 
+/// Nanoseconds since the machine was started, those included that it slept: a lease does not wait for a machine that
+/// wakes up.
+fn awake() -> Nanos {
+    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    t.tv_sec.max(0) as Nanos * 1_000_000_000 + t.tv_nsec.max(0) as Nanos
+}
+
 /// A running front.
 pub struct Shell {
     core: RefCell<Front>,
     config: Rc<Config>,
-    start: Instant,
+    /// [`awake`] at its start.
+    start: Nanos,
     /// Unix time of the front's time zero.
     epoch: u64,
     source: RefCell<Box<dyn Source>>,
@@ -86,7 +94,7 @@
     let shell = Rc::new(Shell {
         core: RefCell::new(front(ZERO)),
         config,
-        start,
+        start: awake(),
         epoch: unix.saturating_sub(ZERO),
         source: RefCell::new(source),
         log: RefCell::new(None),
@@ -144,7 +152,7 @@
 
 impl Shell {
     fn now(&self) -> Nanos {
-        ZERO + self.start.elapsed().as_nanos() as u64
+        ZERO + awake().saturating_sub(self.start)
     }
 
     fn id(&self) -> u64 {
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -153,7 +153,7 @@
             again,
         };
         if self.seated(class) {
-            self.wait_for_seat(wish);
+            self.seats(|s, now| s.acquire(now, wish));
         } else {
             self.tell(Event::Request(wish));
         }
@@ -322,7 +322,7 @@
         self.counts.left += 1;
         let Some(s) = self.sessions.setting_up(id) else { return };
         s.conn = None;
-        if self.stop_waiting(id) {
+        if self.seats(|s, _| s.stop_waiting(id)) == Some(true) {
             // The module has not heard of it.
             self.forget(id);
             return;
@@ -399,9 +399,13 @@
             }
             Some(Purpose::Subscribe { session }) => self.subscribed(session, result),
             Some(Purpose::Patch { session, conn }) => self.patched(session, conn, result),
-            Some(Purpose::Issuer) => self.issuer_replied(result),
-            Some(Purpose::Clock { server }) => self.bound_replied(server, false, result),
-            Some(Purpose::Renew { server }) => self.bound_replied(server, true, result),
+            Some(Purpose::Issuer) => drop(self.seats(|s, now| s.issuer_replied(now, result))),
+            Some(Purpose::Clock { server }) => {
+                self.seats(|s, now| s.box_replied(now, server, false, result));
+            }
+            Some(Purpose::Renew { server }) => {
+                self.seats(|s, now| s.box_replied(now, server, true, result));
+            }
             Some(Purpose::Withdraw { session, addr, path, tries }) => {
                 // 404 and 410: it is gone already.
                 let done = result.is_ok_and(|r| r.status < 300 || r.status == 404 || r.status == 410);
@@ -488,7 +492,7 @@
     /// The set-up stands. Where the class has a floor, the viewer is answered once its rung is in force: the
     /// lowest rung, at which boxes begin, is not the session's to play at.
     fn stands(&mut self, id: SessionId, place: Place, answer: Arc<str>, reports: Reports) {
-        self.bounded(id, place.server, &place.resource);
+        self.seats(|s, now| s.stands(now, id, place.server, &place.resource));
         let Some(session) = self.sessions.get_mut(id) else { return };
         let floor = self.config.settings.classes[session.class].floor;
         let wait = floor > 0 && session.kind == RouteKind::Play && !place.layer.is_empty();
