Tests: a restart takes up 100,000 seats, the wanted title first; settings of the bound

What was left without a test of its own: several resuming messages and their order, and the faults and notes that the checker gives about the bound of seats at boxes.

--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -154,3 +154,40 @@
         let _ = read_config(&broken, "f");
     }
 }
+
+#[test]
+fn the_bound_of_seats_at_boxes() {
+    let with = |bound: &str, effect: &str| {
+        format!(
+            "(front (name \"f\") (listen \"127.0.0.1:0\"))\n\
+             (ladder (rung (rate 1kB/s) (worth 1)))\n\
+             (class spot (aim 800ms) (patience 3s) (effect {effect}) (tokens))\n\
+             (kind box (streams 5))\n(fleet (cells 1)) (route \"/spot/\" (kind whep) (class spot))\n\
+             (issuer (address \"127.0.0.1:1\") (state \"s\") {bound})\n"
+        )
+    };
+    // (bound, the fault)
+    let refused = [
+        ("(bound)", "'bound' lacks its 'key'"),
+        ("(bound (key (file \"f\")))", "a key takes one id of its own"),
+        ("(bound (key \"k\"))", "lacks its 'file'"),
+        ("(bound (path \"leases\") (key \"k\" (file \"f\")))", "'leases' is no path at a box"),
+        ("(bound (pth \"/l\") (key \"k\" (file \"f\")))", "pth"),
+    ];
+    for (bound, fault) in refused {
+        let faults = read_config(&with(bound, "at-most-once"), "s").expect_err(bound);
+        assert!(faults.iter().any(|f| f.to_string().contains(fault)), "{bound}: {faults:?}");
+    }
+    let sound = "(bound (path \"/l\") (key \"k\" (file \"f\")))";
+    // (bound, effect, what is not promised)
+    for (bound, effect, notes) in [
+        (sound, "at-most-once", &[][..]),
+        ("", "at-most-once", &["boxes are told no end of a seat"][..]),
+        (sound, "idempotent", &["may be set up again"][..]),
+    ] {
+        let config = read_config(&with(bound, effect), "s").unwrap_or_else(|e| panic!("{e:?}"));
+        let said = config.not_promised();
+        assert_eq!(said.len(), notes.len(), "{said:?}");
+        assert!(said.iter().zip(notes).all(|(s, n)| s.contains(n)), "{said:?}");
+    }
+}
--- a/crates/tokens/tests/seats.rs
+++ b/crates/tokens/tests/seats.rs
@@ -478,3 +478,38 @@
         prop_assert!(read.damaged_at.is_some() && read.held.is_empty() && read.epoch > 4);
     }
 }
+
+#[test]
+fn a_restart_takes_up_all_that_it_held_the_wanted_first() {
+    let held: Vec<(LeaseId, Key)> =
+        (0..100_000u64).map(|n| (LeaseId(n), key(&format!("t{}", n % 10)))).collect();
+    let terms = LedgerTerms {
+        seats: HashMap::from([("spot".into(), 20_000)]),
+        most_leases: 200_000,
+        ..ledger_terms()
+    };
+    let mut ledger = Ledger::recovering(terms, 0, DRIFT);
+    let mut out = Vec::new();
+    let terms = HolderTerms { most_leases: 200_000, ..holder_terms("f") };
+    let mut holder = Holder::new(terms, 7, held, 1, 0, &mut out);
+    let (mut sizes, mut titles): (Vec<usize>, Vec<String>) = Default::default();
+    // While the first message is out, a session wants one of the last titles.
+    holder.acquire(0, key("t8"), User(1), &mut out);
+    while let Some(at) = out.iter().position(|o| matches!(o, Output::Send(_))) {
+        let Output::Send(request) = out.swap_remove(at) else { break };
+        sizes.push(request.resume.len());
+        titles.extend(request.resume.first().map(|r| r.1.title.to_string()));
+        let reply = ledger.handle(0, &request);
+        out.clear();
+        holder.reply(0, &reply, &mut out);
+    }
+    assert_eq!((sizes.iter().sum::<usize>(), ledger.leases()), (100_000, 100_000));
+    assert!(sizes.len() > 10 && sizes.iter().all(|n| *n <= 8_192), "{sizes:?}");
+    assert_eq!(titles[..2], ["t0", "t8"], "the title that a session waits for goes before the others");
+    assert_eq!(holder.held(0).filter(|h| h.1.is_none()).count(), 100_000);
+    // All rest until nobody of the former start can use them.
+    assert!(!holder.has_idle(&key("t1")));
+    out.clear();
+    holder.tick(3 * SECOND, &mut out);
+    assert!(!holder.has_idle(&key("t1")));
+}
