A box ends what is over before it tells a front so

A renewal's answer named a session as over up to one look (50 ms) before the stand-in box ended it; its front counts the seat as free from that answer on. The box now looks first, and the guard's page says that it must.

--- a/crates/standin/src/media_box.rs
+++ b/crates/standin/src/media_box.rs
@@ -544,6 +544,8 @@
 
     /// A box's clock, and renewals of the time that sessions may last.
     fn leases(&self, id: u32, request: &Request) -> Response {
+        // What is over is ended before anybody is told that it is.
+        self.reap(id);
         let now = self.clock(id);
         let mut running = self.0.running.borrow_mut();
         let Some(guard) = running.get_mut(&id).and_then(|r| r.guard.as_mut()) else {
--- a/crates/tokens/src/bound.rs
+++ b/crates/tokens/src/bound.rs
@@ -509,7 +509,8 @@
         }
     }
 
-    /// Takes a renewal; the answer names the sessions that are not known. A session that is over stays over.
+    /// Takes a renewal; the answer names the sessions that are not known. A session that is over stays over: the box ends
+    /// what [`Guard::expired`] names before it answers, since its front then counts the seat as free.
     pub fn renew(&mut self, now: BoxMillis, renewal: &str) -> Result<Told, Denied> {
         let claims: Renewal = self.open(renewal, RENEWAL)?;
         if claims.aud != self.instance {
