An idle seat has one expiry, not one for each session that used it

Profiled: the holder's tick led what a seat costs, popping an entry for each session that had given the seat back. A seat that comes and goes now has one.

--- a/crates/tokens/src/holder.rs
+++ b/crates/tokens/src/holder.rs
@@ -77,6 +77,8 @@
     user: Option<User>,
     /// Without a user: given back at this time.
     idle_until: Nanos,
+    /// It will be looked at for that; a seat that comes and goes has one such entry, not one for each session.
+    looked_at: bool,
     /// Resumed and not used since: it is not in the log.
     unlogged: bool,
     /// A renewal waits to be sent, or is out.
@@ -145,7 +147,7 @@
 /// Part of a lease's time after which it is renewed, give or take the spread: what is left is for repeats.
 const RENEW: f64 = 0.50;
 /// Idle seats are looked at again no sooner than this.
-const IDLE_LEAST: Nanos = 50_000_000;
+const IDLE_LEAST: Nanos = 250_000_000;
 
 /// Takes a lease out of those of its key; whether it was there.
 fn take(of: &mut BTreeMap<Key, BTreeSet<LeaseId>>, key: &Key, id: LeaseId) -> bool {
@@ -297,6 +299,7 @@
             until: 0,
             user,
             idle_until: 0,
+            looked_at: false,
             unlogged: false,
             renewing: false,
         };
@@ -336,23 +339,33 @@
         if idle.len() > target {
             return self.give_back(id);
         }
-        self.due.insert(now + keep.max(IDLE_LEAST), Due::Idle(id));
+        self.look_later(id);
+    }
+
+    /// An idle seat is looked at when its time is over, if that is not to come already.
+    fn look_later(&mut self, id: LeaseId) {
+        let Some(l) = self.leases.get_mut(&id) else { return };
+        if !std::mem::replace(&mut l.looked_at, true) {
+            self.due.insert(l.idle_until.max(self.now + IDLE_LEAST), Due::Idle(id));
+        }
     }
 
     /// A seat has been idle for as long as it is kept; longer, where demand wants that many.
     fn rested(&mut self, id: LeaseId) {
-        let Some(l) = self.leases.get_mut(&id).filter(|l| l.user.is_none() && l.state == State::Held) else {
+        let Some(l) = self.leases.get_mut(&id) else { return };
+        l.looked_at = false;
+        if l.user.is_some() || l.state != State::Held {
             return;
-        };
+        }
         if l.idle_until > self.now {
-            return;
+            return self.look_later(id);
         }
         let key = l.key.clone();
         if self.idle.get(&key).map_or(0, BTreeSet::len) > self.reserve.target(&key, self.now) {
             return self.give_back(id);
         }
         l.idle_until = self.now + self.terms.keep;
-        self.due.insert(self.now + self.terms.keep.max(IDLE_LEAST), Due::Idle(id));
+        self.look_later(id);
     }
 
     /// A session is over, or its wish taken back.
@@ -462,8 +475,16 @@
                 let zombie = (reply.ttl as f64 * (1.0 + 2.0 * self.terms.drift)) as Nanos;
                 let settled = now + self.terms.settle.max(zombie);
                 let state = State::Held;
-                let lease =
-                    Lease { key, state, until, user: None, idle_until: 0, unlogged: true, renewing: false };
+                let lease = Lease {
+                    key,
+                    state,
+                    until,
+                    user: None,
+                    idle_until: 0,
+                    looked_at: false,
+                    unlogged: true,
+                    renewing: false,
+                };
                 self.leases.insert(id, lease);
                 self.due.insert(settled, Due::Settled(id));
                 self.renew_later(id, o.first, reply.ttl);
