--- a/crates/cli/tests/kills.rs
+++ b/crates/cli/tests/kills.rs
@@ -51,11 +51,27 @@
     )
 }
 
-fn start(config: &str, at: SocketAddr) -> Child {
+/// A front's process; a test that fails leaves none behind.
+struct Process(Child);
+
+impl Process {
+    fn end(&mut self) {
+        self.0.kill().expect("killed");
+        self.0.wait().expect("it ended");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
+
+fn start(config: &str, at: SocketAddr) -> Process {
     let at = at.to_string();
     let mut command = Command::new(env!("CARGO_BIN_EXE_micadyke"));
     command.args(["front", "--config", config, "--listen", &at, "--log-level", "error"]);
-    command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts")
+    Process(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts"))
 }
 
 /// A whole number of the environment, or the short form's.
@@ -76,7 +92,7 @@
 async fn troubles(
     n: usize, path: String, at: SocketAddr, mut all: Vec<bool>, (pause, longest): (u64, u64),
     record: Rc<Record>,
-) -> Child {
+) -> Process {
     let mut random = StdRng::seed_from_u64(n as u64 + 77);
     let mut child = start(&path, at);
     all.shuffle(&mut random);
@@ -84,8 +100,7 @@
         sleep(Duration::from_millis(random.random_range(30..pause))).await;
         if kill {
             record.deed(Deed::Killed { front: n as u32 });
-            child.kill().expect("killed");
-            child.wait().expect("it ended");
+            child.end();
             child = start(&path, at);
         } else {
             let length = random.random_range(100..longest);
@@ -98,8 +113,8 @@
     child
 }
 
-fn signal(child: &Child, name: &str) {
-    let status = Command::new("kill").args([name, &child.id().to_string()]).status();
+fn signal(child: &Process, name: &str) {
+    let status = Command::new("kill").args([name, &child.0.id().to_string()]).status();
     assert!(status.expect("kill runs").success());
 }
 
@@ -173,8 +188,7 @@
         sleep(Duration::from_millis(50)).await;
     }
     for mut child in children {
-        child.kill().expect("killed");
-        child.wait().expect("it ended");
+        child.end();
     }
     let places = BTreeMap::from([(1, 500), (2, 500)]);
     let terms = Terms { config: &config, places: &places, seats: Some(SEATS) };
