--- a/crates/front/src/seating.rs
+++ b/crates/front/src/seating.rs
@@ -54,6 +54,8 @@
             Deed::Lost(session) => self.seat_lost(session),
             Deed::Attempt(session) => self.attempt(session),
             Deed::NotSent { session, server, outcome } => self.not_permitted(session, server, outcome),
+            // One whose answer is still owed gets it when the call that it waits for has failed.
+            Deed::Gone(session) if self.sessions.setting_up(session).is_some() => {}
             Deed::Gone(session) => {
                 debug!(session = session.0, "its box knows it no more");
                 self.ended_at_box(session, Outcome::Served, true);
