A test of a box that forgets a session whose answer is owed

Seen to fail with the fix taken out (its books were closed and its viewer got no answer); kept for a refused and for a reset rung.

--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -740,6 +740,40 @@
     assert_eq!(b.front.held(), 0, "its box said that it is over");
 }
 
+#[test]
+fn a_box_that_forgot_a_session_between_its_set_up_and_its_rung_leaves_no_answer_owed() {
+    for layer in [Ok(Response::new(404)), Err(CallError::Reset)] {
+        let mut b = bounded("");
+        b.list(vec![row(1, ServerState::Ready)]);
+        b.start_bounded(1);
+        while b.leases().is_empty() {
+            b.pass(100 * MS);
+            if b.issuer_calls() > 0 {
+                b.issue(Verdict::Held);
+            }
+        }
+        // A renewal is at the box; another session is set up there, and waits for its floor to be in force.
+        let conn = b.post("/paid/demo", offer_text(2));
+        if b.issuer_calls() > 0 {
+            b.issue(Verdict::Held);
+        }
+        let call = b.set_ups()[0];
+        b.take(call);
+        let rung = b.find(|r| r.path() == "/s/2/layer")[0];
+        // The box was started anew in between: it knows neither.
+        let told = Told { instance: "j".into(), now: 5.0, gone: Vec::new() };
+        let body = serde_json::to_vec(&told).expect("JSON");
+        let lease = b.leases()[0];
+        b.reply(lease, Ok(Response::new(200).content("application/json", body)));
+        assert_eq!((b.answered(conn), b.front.held()), (false, 1), "the playing one is over, the other owed");
+        b.reply(rung, layer);
+        b.pass(5 * SECOND);
+        let status = b.answer(conn).status;
+        assert!((500..600).contains(&status), "{status}");
+        assert_eq!(b.front.held(), 0);
+    }
+}
+
 #[test]
 fn a_seat_whose_end_no_box_confirms_is_free_when_its_token_is_over() {
     let mut b = bounded("");
