A second front: plays over HTTP by HLS and DASH, with CMCD in and CMSD out

Ward tools and the owner portal share neither language nor protocol; both must get the same answers on the same core.

Routes of kind media take manifest requests as set-ups, placed by the module like offers. A play is a session in the same books; it outlasts its session, which is bound to a box. Manifests come rewritten through the front (or by redirect), segments by redirect, the rung as mb and by the renditions offered; sid joins requests, from another address it takes the play over. At boxes an attempt has a number (sn) that its end is reported with. What hints are taken for is a module of its own (hints.rs). Property over any history: one answer each, no two attempts of a play out, nothing left behind; it found an attempt still being closed when a play's id came back, and a look each millisecond at a silent play.

--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -14,6 +14,20 @@
     Play,
     /// Publishers (WHIP).
     Publish,
+    /// Players over HTTP (HLS and DASH, with CMCD).
+    Media,
+}
+
+/// What a route of players over HTTP does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MediaRoute {
+    /// Manifests are answered by a redirect to the box, and what follows goes there too; else they come through the
+    /// front, rewritten, and each request comes to it.
+    pub redirect: bool,
+    /// A play of which nothing was heard for so long is over, in nanoseconds.
+    pub silence: u64,
+    /// Manifests offer all that the viewer can use, and the rung is told as `mb` alone; else only up to the rung.
+    pub all_renditions: bool,
 }
 
 /// A route: titles under a path, and the class that they are asked as.
@@ -29,6 +43,8 @@
     pub bearers: Vec<String>,
     /// It asks for a signed token that entitles to the title and class.
     pub entitled: bool,
+    /// What is particular to players over HTTP; `Some` where `kind` is [`RouteKind::Media`].
+    pub media: Option<MediaRoute>,
 }
 
 /// Where a title lies.
@@ -133,6 +149,8 @@
     pub head: usize,
     /// Bytes of a request's content; beyond: 413.
     pub body: usize,
+    /// Bytes of a box's manifest; a longer one counts as malformed.
+    pub manifest: usize,
     /// A connection without a request is closed after this, in nanoseconds.
     pub idle: u64,
     /// A request that has begun must be complete within this, in nanoseconds; else 408.
@@ -368,7 +386,7 @@
     // Routes and titles.
     let mut routes: Vec<Route> = Vec::new();
     for r in all("route") {
-        r.allow(&["kind", "class", "bearer", "entitled"], &[]);
+        r.allow(&["kind", "class", "bearer", "entitled", "manifests", "silence", "renditions"], &[]);
         let entitled = r.choice("entitled", &["no", "yes"], Some(0)) == 1;
         if entitled && one("entitlements").is_none() {
             r.fault("the route wants entitlements, and no 'entitlements' are named");
@@ -386,8 +404,20 @@
         if routes.iter().any(|o| o.prefix == prefix) {
             r.fault(format!("route '{prefix}' is given twice"));
         }
-        let kind =
-            if r.choice("kind", &["whep", "whip"], None) == 0 { RouteKind::Play } else { RouteKind::Publish };
+        let kind = [RouteKind::Play, RouteKind::Publish, RouteKind::Media]
+            [r.choice("kind", &["whep", "whip", "media"], None)];
+        let media = MediaRoute {
+            redirect: r.choice("manifests", &["rewrite", "redirect"], Some(0)) == 1,
+            silence: r.get("silence", Unit::Time, (1e9, HOUR), Some(60e9)) as u64,
+            all_renditions: r.choice("renditions", &["rung", "all"], Some(0)) == 1,
+        };
+        if kind != RouteKind::Media {
+            for word in ["manifests", "silence", "renditions"] {
+                if let Some(part) = r.part(word) {
+                    part.fault(format!("'{word}' is for routes of kind media"));
+                }
+            }
+        }
         let names: Vec<&str> = named.iter().map(|c| c.name.as_str()).collect();
         routes.push(Route {
             prefix,
@@ -395,6 +425,7 @@
             class: r.choice("class", &names, None),
             bearers: strings(r.part("bearer")),
             entitled,
+            media: (kind == RouteKind::Media).then_some(media),
         });
     }
     if routes.is_empty() {
@@ -456,6 +487,7 @@
                 "sessions",
                 "head",
                 "body",
+                "manifest",
                 "idle",
                 "read",
                 "patches",
@@ -479,6 +511,7 @@
         sessions: count("sessions", 10_000_000, 100_000),
         head: size("head", 16.0 * 1024.0),
         body: size("body", 64.0 * 1024.0),
+        manifest: size("manifest", 1024.0 * 1024.0),
         idle: time("idle", 60e9),
         read: time("read", 10e9),
         patches: count("patches", 1024, 8),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,6 @@
 pub use boxes::{BoxRow, read_boxes, write_boxes};
 pub use form::{Diagnostic, Faults, Form, read_file};
 pub use front::{
-    BoundConfig, Bounds, ClassConfig, Config, Entitlements, IssuerConfig, KeyConfig, Route, RouteKind,
-    SeatPolicy, Title, read_config,
+    BoundConfig, Bounds, ClassConfig, Config, Entitlements, IssuerConfig, KeyConfig, MediaRoute, Route,
+    RouteKind, SeatPolicy, Title, read_config,
 };
--- a/crates/front/src/books.rs
+++ b/crates/front/src/books.rs
@@ -1,11 +1,13 @@
 //! The books of who is owed what: sessions, calls to boxes, answers owed, publications, visitors. Each keeps its own
 //! indexes in step; nothing here decides anything.
 
+use crate::hints::Hints;
 use crate::io::{CallId, ConnId, Purpose, StreamId};
 use crate::session::{Phase, Session, SettingUp};
 use micadyke::interface::{Nanos, SessionId};
 use micadyke_config::Title;
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::net::IpAddr;
 use std::sync::Arc;
 
 /// Sessions, by number, by the name of their resource and by the event stream that tells of them.
@@ -159,6 +161,11 @@
         self.patches.insert(conn);
     }
 
+    /// Whether a change of a session, or a manifest, is still waited for.
+    pub(crate) fn waits(&self, conn: ConnId) -> bool {
+        self.patches.contains(&conn)
+    }
+
     /// A request is answered, or nobody waits for it any more; the session whose offer it was.
     pub(crate) fn settled(&mut self, conn: ConnId) -> Option<SessionId> {
         self.patches.remove(&conn);
@@ -220,3 +227,113 @@
         self.last.insert(key, now).is_some_and(|at| at + AGAIN >= now)
     }
 }
+
+/// What a request of a play is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Want {
+    /// A manifest, by its path under the title.
+    Manifest(Box<str>),
+    /// Anything else that its manifests name.
+    Part(Box<str>),
+}
+
+/// A viewer's play over HTTP. It outlasts its session, which is bound to a box: a play whose box went is placed again.
+#[derive(Debug)]
+pub(crate) struct Play {
+    pub route: usize,
+    pub title: Arc<str>,
+    /// The player's own id for it (CMCD `sid`), where it tells one.
+    pub sid: Option<Box<str>>,
+    /// Where its requests came from last.
+    pub peer: IpAddr,
+    /// The manifest that it began with.
+    pub entry: Box<str>,
+    /// Its session; `None`: it has no place now.
+    pub session: Option<SessionId>,
+    /// Attempts to set it up that are not closed yet: until then no other goes out.
+    pub out: u32,
+    /// It had a place; one that has lost it is placed anew when it asks.
+    pub stood: bool,
+    /// Requests that wait for its place.
+    pub waiting: Vec<(ConnId, Want)>,
+    /// When it was last heard of.
+    pub heard: Nanos,
+    /// The highest rung that its viewer can use.
+    pub top: usize,
+    /// What its player tells of itself.
+    pub hints: Hints,
+}
+
+/// Plays, by the random name that their references carry, and by their player's id.
+#[derive(Debug, Default)]
+pub(crate) struct Plays {
+    all: HashMap<u128, Play>,
+    /// Under which route, and by what name, a title is played by a player's id.
+    ids: HashMap<(Arc<str>, Box<str>), (usize, u128)>,
+    /// Attempts that are out, and whose they are.
+    attempts: HashMap<CallId, u128>,
+}
+
+impl Plays {
+    pub(crate) fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub(crate) fn open(&mut self, name: u128, play: Play) {
+        if let Some(sid) = &play.sid {
+            self.ids.insert((play.title.clone(), sid.clone()), (play.route, name));
+        }
+        self.all.insert(name, play);
+    }
+
+    pub(crate) fn get_mut(&mut self, name: u128) -> Option<&mut Play> {
+        self.all.get_mut(&name)
+    }
+
+    pub(crate) fn get(&self, name: u128) -> Option<&Play> {
+        self.all.get(&name)
+    }
+
+    /// The play of a title that a player calls so.
+    pub(crate) fn by_id(&self, route: usize, title: &Arc<str>, sid: &str) -> Option<u128> {
+        self.ids.get(&(title.clone(), sid.into())).filter(|p| p.0 == route).map(|p| p.1)
+    }
+
+    /// Whether a title is played by an id, under whatever route.
+    pub(crate) fn taken(&self, title: &Arc<str>, sid: &str) -> bool {
+        self.ids.contains_key(&(title.clone(), sid.into()))
+    }
+
+    /// Closes a play; the one that it was.
+    pub(crate) fn close(&mut self, name: u128) -> Option<Play> {
+        let play = self.all.remove(&name)?;
+        if let Some(sid) = &play.sid {
+            self.ids.remove(&(play.title.clone(), sid.clone()));
+        }
+        Some(play)
+    }
+
+    /// A play goes on under another name: references that carry the old one lead nowhere.
+    pub(crate) fn rename(&mut self, from: u128, to: u128) {
+        if let Some(play) = self.close(from) {
+            self.open(to, play);
+            self.attempts.values_mut().filter(|n| **n == from).for_each(|n| *n = to);
+        }
+    }
+
+    /// An attempt to set a play up goes out.
+    pub(crate) fn sent(&mut self, call: CallId, name: u128) {
+        if let Some(play) = self.all.get_mut(&name) {
+            play.out += 1;
+            self.attempts.insert(call, name);
+        }
+    }
+
+    /// An attempt is closed; the play whose last one it was.
+    pub(crate) fn settled(&mut self, call: CallId) -> Option<u128> {
+        let name = self.attempts.remove(&call)?;
+        let play = self.all.get_mut(&name)?;
+        play.out = play.out.saturating_sub(1);
+        (play.out == 0).then_some(name)
+    }
+}
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -5,11 +5,12 @@
 //! again and whether at all are its choices. The core keeps what those choices must hold to on the wire: one
 //! answer to each request, one attempt of a session out at a time, nothing left behind at a box.
 
-use crate::books::{Calls, Owed, Publications, Sessions, Visits};
+use crate::books::{Calls, Owed, Plays, Publications, Sessions, Visits};
 use crate::endpoint::{SDP, dress};
 use crate::io::{CallId, ConnId, Input, Output, Purpose, Timer};
+use crate::media;
 use crate::seats::{Permitted, Seats};
-use crate::session::{Phase, Session, SettingUp};
+use crate::session::{Asked, Phase, Session, SettingUp};
 use micadyke::decide::Controller;
 use micadyke::interface::{
     Action, Event, ListKind, Nanos, Outcome, ServerEntry, ServerId, ServerState, SessionId, SettingsError,
@@ -41,7 +42,10 @@
 #[derive(Debug)]
 pub(crate) struct MediaBox {
     pub row: BoxRow,
+    /// Sessions of WHIP and WHEP.
     pub playing: BTreeSet<SessionId>,
+    /// Plays over HTTP.
+    pub plays: BTreeSet<SessionId>,
 }
 
 /// Counts of what the front did, since its start.
@@ -80,6 +84,7 @@
     pub(crate) owed: Owed,
     pub(crate) publications: Publications,
     pub(crate) visits: Visits,
+    pub(crate) plays: Plays,
     /// What checks signed tokens, and the Unix time of the front's time zero, in nanoseconds.
     pub(crate) entitlements: Option<(Checker, u64)>,
     /// Seats of the issuer, where the settings name one.
@@ -147,6 +152,7 @@
             owed: Owed::default(),
             publications: Publications::default(),
             visits: Visits::default(),
+            plays: Plays::default(),
             entitlements: None,
             seats: None,
             counts: Counts::default(),
@@ -178,6 +184,11 @@
         self.sessions.len()
     }
 
+    /// Plays over HTTP, with and without a place.
+    pub fn plays(&self) -> usize {
+        self.plays.len()
+    }
+
     /// Counts since the start.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -189,7 +200,7 @@
         // A front that stood still finds all overdue at once: first it lets go of the seats whose time is over.
         self.seats(|s, now| s.tick(now));
         match input {
-            Input::Request { conn, request, waited } => self.request(conn, request, waited),
+            Input::Request { conn, request, peer, waited } => self.request(conn, request, peer, waited),
             Input::Gone { conn } => self.gone(conn),
             Input::List { rows, epoch } => self.list(rows, epoch),
             Input::Reply { call, result } => self.reply(call, result),
@@ -268,6 +279,7 @@
                 Timer::Withdraw(session, addr, path, tries) => self.withdraw(session, addr, path, tries),
                 Timer::SeatWait(session) => drop(self.seats(|s, now| s.overdue(now, session))),
                 Timer::Permit(session) => drop(self.seats(|s, _| s.permit_overdue(session))),
+                Timer::Silence(play) => self.silent(play),
             }
             self.settle();
         }
@@ -278,8 +290,12 @@
     fn list(&mut self, rows: Vec<BoxRow>, epoch: u64) {
         let mut entries = Vec::with_capacity(rows.len());
         let mut named = BTreeSet::new();
+        let mut restarted = Vec::new();
         for row in rows {
             let server = ServerId(row.id);
+            if self.boxes.get(&server).is_some_and(|b| b.row.started_at < row.started_at) {
+                restarted.push(server);
+            }
             // A start before the front's own time zero is as old as time zero; 0: long ago.
             let since_zero = row.started_at.saturating_sub(epoch).max(1);
             let started_at = if row.started_at == 0 { 0 } else { since_zero };
@@ -293,15 +309,22 @@
                 zone: row.zone,
                 started_at,
             });
-            let playing = self.boxes.remove(&server).map(|b| b.playing).unwrap_or_default();
-            self.boxes.insert(server, MediaBox { row, playing });
+            let (playing, plays) =
+                self.boxes.remove(&server).map(|b| (b.playing, b.plays)).unwrap_or_default();
+            self.boxes.insert(server, MediaBox { row, playing, plays });
         }
         for (server, b) in &mut self.boxes {
             if !named.contains(server) {
                 b.row.state = ServerState::Gone;
             }
+            if b.row.state == ServerState::Gone {
+                restarted.push(*server);
+            }
         }
-        let gone = |b: &MediaBox| b.row.state == ServerState::Gone && b.playing.is_empty();
+        // Nothing else tells the front so: plays hold no connection to their box.
+        restarted.into_iter().for_each(|server| self.displace_all(server));
+        let empty = |b: &MediaBox| b.playing.is_empty() && b.plays.is_empty();
+        let gone = |b: &MediaBox| b.row.state == ServerState::Gone && empty(b);
         let left: Vec<ServerId> = self.boxes.iter().filter(|(_, b)| gone(b)).map(|(s, _)| *s).collect();
         for server in left {
             self.boxes.remove(&server);
@@ -320,11 +343,13 @@
             && let Some(b) = self.boxes.get_mut(&p.place.server)
         {
             b.playing.remove(&id);
+            b.plays.remove(&id);
         }
         if let Some(stream) = stream {
             self.out.push(Output::Unlisten { stream });
         }
         self.publications.end(&session.title, id);
+        self.unplaced(id, &session);
         Some(session)
     }
 
@@ -360,15 +385,24 @@
 
     /// Sends the attempt that waited for the one before it to close.
     pub(crate) fn attempt(&mut self, id: SessionId) {
+        let number = self.id();
         let Some(session) = self.sessions.get_mut(id) else { return };
-        let target = match session.kind {
-            RouteKind::Play => format!("/whep/{}", session.title),
-            RouteKind::Publish => format!("/whip/{}", session.title),
-        };
+        let (kind, title) = (session.kind, session.title.clone());
         let Some(s) = session.setting_up() else { return };
         let Some((server, due)) = s.next.take() else { return };
         s.closing = None;
-        let offer = s.offer.as_bytes().to_vec();
+        let mut play = String::new();
+        let asked = match &s.asked {
+            Asked::Manifest { file, sid } => {
+                play = media::resource(number, &title, sid);
+                media::set_up(&title, file, sid, number)
+            }
+            Asked::Offer { text, .. } => {
+                let way = if kind == RouteKind::Publish { "whip" } else { "whep" };
+                let request = Request::new(Method::Post, format!("/{way}/{title}")).with("accept", SDP);
+                request.content(SDP, text.as_bytes())
+            }
+        };
         let late = due <= self.now;
         let Some(addr) = self.may_take(server).filter(|_| !late) else {
             // The list changed, or time ran out, while the last attempt closed: this one never ran.
@@ -379,7 +413,7 @@
                 finished: false,
             });
         };
-        let mut request = self.to_box(Method::Post, target).with("accept", SDP).content(SDP, offer);
+        let mut request = asked.with("via", format!("1.1 {}", self.config.name));
         match self.permit(id, server, due) {
             Permitted::Freely => {}
             Permitted::With(token) => request = request.with("authorization", format!("Bearer {token}")),
@@ -394,8 +428,11 @@
             }
         }
         let (aborted, orphan) = (false, false);
-        let purpose = Purpose::SetUp { session: id, server, addr, aborted, orphan };
+        let purpose = Purpose::SetUp { session: id, server, addr, play: play.into(), aborted, orphan };
         let call = self.call(purpose, addr, request, None);
+        if let Some(session) = self.sessions.get(id).filter(|s| s.kind == RouteKind::Media) {
+            self.plays.sent(call, session.name);
+        }
         if let Some(s) = self.sessions.setting_up(id) {
             s.out = Some(call);
         }
@@ -428,8 +465,13 @@
     fn overdue(&mut self, call: CallId) {
         let Some((session, server)) = self.calls.overdue(call) else { return };
         // Its connection stays open for a while: what comes late is withdrawn. If the module sends another
-        // attempt, this one is closed first.
-        self.timer(self.config.bounds.linger, Timer::Linger(call));
+        // attempt, this one is closed first. A play can be ended without its answer.
+        let play = self.sessions.get(session).is_some_and(|s| s.kind == RouteKind::Media);
+        if play {
+            self.out.push(Output::Abort { call });
+        } else {
+            self.timer(self.config.bounds.linger, Timer::Linger(call));
+        }
         let finished = self.left(session);
         if let Some(s) = self.sessions.setting_up(session) {
             s.last = Some(Outcome::TimedOut);
@@ -452,16 +494,19 @@
 
     fn closed(&mut self, call: CallId) {
         // Set-ups alone are ever aborted.
-        if let Some(Purpose::SetUp { session, .. }) = self.calls.end(call) {
+        if let Some(Purpose::SetUp { session, addr, play, .. }) = self.calls.end(call) {
+            self.not_read(session, addr, play);
             self.after_close(session, call);
+            self.attempt_settled(call);
         }
     }
 
     /// An attempt that was given up is closed, or its answer read: the next one may go out.
     pub(crate) fn after_close(&mut self, session: SessionId, call: CallId) {
-        if let Some(s) = self.sessions.setting_up(session)
-            && s.closing == Some(call)
-        {
+        let Some(s) = self.sessions.setting_up(session) else { return };
+        // The module may send the next one later: it has nothing to wait for then.
+        s.out = s.out.filter(|out| *out != call);
+        if s.closing == Some(call) {
             s.closing = None;
             self.attempt(session);
         }
--- a/crates/front/src/endpoint.rs
+++ b/crates/front/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! The answers of the front's own endpoints: what RFC 9725 and the WHEP draft ask of them.
 
-use micadyke_config::{Config, Route};
+use micadyke_config::{Config, Route, RouteKind};
 use micadyke_http::{Request, Response};
 use micadyke_tokens::bearer::{Checker, Denied};
 
@@ -18,20 +18,34 @@
 pub(crate) enum Target<'a> {
     /// A title under a route.
     Endpoint { route: usize, title: &'a str },
+    /// A file of a title under a route of players over HTTP; the file may be empty.
+    Media { route: usize, title: &'a str, file: &'a str },
     /// A session, by its name.
     Session(u128),
+    /// A file of a play, by the play's name.
+    Part(u128, &'a str),
     /// Nothing.
     Unknown,
 }
 
 pub(crate) fn target<'a>(config: &Config, request: &'a Request) -> Target<'a> {
     let path = request.path();
-    if let Some(name) = path.strip_prefix(SESSION) {
+    if let Some(rest) = path.strip_prefix(SESSION) {
+        let (name, file) = rest.split_once('/').map_or((rest, None), |(name, file)| (name, Some(file)));
         let hex = name.len() == 32 && name.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
-        return u128::from_str_radix(name, 16).ok().filter(|_| hex).map_or(Target::Unknown, Target::Session);
+        let named = u128::from_str_radix(name, 16).ok().filter(|_| hex);
+        return match (named, file) {
+            (None, _) => Target::Unknown,
+            (Some(name), None) => Target::Session(name),
+            (Some(name), Some(file)) => Target::Part(name, file),
+        };
     }
     let found = config.routes.iter().enumerate().find_map(|(route, r)| {
         let title = path.strip_prefix(r.prefix.as_str())?;
+        if r.kind == RouteKind::Media {
+            let (title, file) = title.split_once('/').unwrap_or((title, ""));
+            return (!title.is_empty()).then_some(Target::Media { route, title, file });
+        }
         (!title.is_empty() && !title.contains('/')).then_some(Target::Endpoint { route, title })
     });
     found.unwrap_or(Target::Unknown)
@@ -90,11 +104,12 @@
     if session { response.with("accept-patch", FRAGMENT) } else { response.with("accept-post", SDP) }
 }
 
+/// Fields that scripts of other origins may read.
+const EXPOSED: &str = "accept-post, cmsd-dynamic, cmsd-static, etag, link, location, retry-after";
+
 /// Header fields that all answers carry.
 pub(crate) fn dress(response: Response) -> Response {
-    response
-        .with("access-control-allow-origin", "*")
-        .with("access-control-expose-headers", "accept-post, etag, link, location, retry-after")
+    response.with("access-control-allow-origin", "*").with("access-control-expose-headers", EXPOSED)
 }
 
 /// The `Link` fields that tell of ICE servers (RFC 9725 section 4.6).
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -6,7 +6,7 @@
 use micadyke_http::client::CallError;
 use micadyke_http::{Request, Response, sse};
 use micadyke_tokens::store::Record;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// A viewer's connection.
@@ -30,6 +30,8 @@
         conn: ConnId,
         /// The request.
         request: Request,
+        /// The viewer's address.
+        peer: IpAddr,
         /// It may have lain unread for so long: the front stood still.
         waited: Nanos,
     },
@@ -127,7 +129,16 @@
 #[derive(Debug)]
 pub(crate) enum Purpose {
     /// An attempt to set a session up. `orphan`: nobody waits for it any more; what it set up is withdrawn.
-    SetUp { session: SessionId, server: ServerId, addr: SocketAddr, aborted: bool, orphan: bool },
+    /// `play`: what ends it at its box whether or not it answered (see [`crate::media::resource`]); empty: only the answer
+    /// names that.
+    SetUp {
+        session: SessionId,
+        server: ServerId,
+        addr: SocketAddr,
+        play: Box<str>,
+        aborted: bool,
+        orphan: bool,
+    },
     /// A change of layer.
     Layer { session: SessionId, rung: usize },
     /// The opening of an event stream.
@@ -142,6 +153,8 @@
     Clock { server: ServerId },
     /// A renewal of sessions' time at a box.
     Renew { server: ServerId },
+    /// A manifest of a play, asked for at its box.
+    Manifest { play: u128, session: SessionId, conn: ConnId, path: Box<str> },
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -154,4 +167,6 @@
     SeatWait(SessionId),
     /// A set-up that waits for its box's clock has waited for as long as it may.
     Permit(SessionId),
+    /// A play may have fallen silent.
+    Silence(u128),
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,5 +1,5 @@
-//! The session front: WHIP (RFC 9725) and WHEP towards viewers, a WHIP and WHEP client towards media boxes, and
-//! the decision module between them.
+//! The session front: WHIP (RFC 9725) and WHEP towards viewers, HLS and DASH with CMCD and CMSD towards players over
+//! HTTP, a client of both towards media boxes, and the decision module between them.
 //!
 //! [`core`] is a state machine without I/O or clock: inputs and the time in, outputs out. [`shell`] is the tokio
 //! layer around it: one current-thread runtime, tasks on a `LocalSet`, no locks. [`list`] brings the list of boxes.
@@ -8,8 +8,10 @@
 mod books;
 pub mod core;
 mod endpoint;
+mod hints;
 pub mod io;
 pub mod list;
+mod media;
 mod notes;
 mod seating;
 mod seats;
--- a/crates/front/src/seating.rs
+++ b/crates/front/src/seating.rs
@@ -143,15 +143,15 @@
         if !ends {
             return;
         }
-        match session.setting_up().and_then(|s| s.conn.take()) {
-            // Its set-up goes on for nobody, and is withdrawn.
-            Some(conn) => {
-                self.owed.settled(conn);
-                self.respond(conn, Response::problem(502, "the session's seat was lost"));
-                self.tell(Event::Left { session: id });
-                self.abandon(id);
-            }
-            None => self.delete(id),
+        if session.setting_up().is_none_or(|s| s.conn.is_none()) {
+            return self.delete(id);
+        }
+        // Its set-up goes on for nobody, and is withdrawn.
+        for conn in self.waiters(id) {
+            self.owed.settled(conn);
+            self.respond(conn, Response::problem(502, "the session's seat was lost"));
         }
+        self.tell(Event::Left { session: id });
+        self.abandon(id);
     }
 }
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -13,7 +13,7 @@
 pub(crate) struct Place {
     pub server: ServerId,
     pub addr: SocketAddr,
-    /// Path of the session at the box.
+    /// Path of the session at the box; of a play: see [`crate::media::resource`].
     pub resource: Box<str>,
     /// Entity tag of its ICE session; empty: the box takes no PATCH.
     pub etag: Box<str>,
@@ -40,13 +40,20 @@
     Playing(Playing),
 }
 
+/// What boxes are asked for.
+#[derive(Debug)]
+pub(crate) enum Asked {
+    /// An offer, and what a box's answer must fit.
+    Offer { text: Box<str>, shape: Shape },
+    /// A manifest: its path under the title, and the play's id as the box is told of it (CMCD `sid`).
+    Manifest { file: Box<str>, sid: Box<str> },
+}
+
 #[derive(Debug)]
 pub(crate) struct SettingUp {
     /// Who waits for the answer; `None`: the viewer left.
     pub conn: Option<ConnId>,
-    pub offer: Box<str>,
-    /// What a box's answer must fit.
-    pub shape: Shape,
+    pub asked: Asked,
     /// The viewer is answered by then.
     pub give_up_at: Nanos,
     /// The attempt that is out.
@@ -105,6 +112,23 @@
     pub phase: Phase,
 }
 
+impl Playing {
+    /// A session that has just come to play.
+    pub(crate) fn new(place: Place) -> Self {
+        Playing {
+            place,
+            patching: false,
+            patches: VecDeque::new(),
+            changing: false,
+            stream: None,
+            subscribing: false,
+            lost: 0,
+            cut: false,
+            watches: false,
+        }
+    }
+}
+
 impl Session {
     pub(crate) fn playing(&mut self) -> Option<&mut Playing> {
         match &mut self.phase {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -7,7 +7,7 @@
 use crate::io::{CallId, ConnId, Input, Output, StreamId};
 use crate::list::{News, Source};
 use micadyke::interface::Nanos;
-use micadyke_config::Config;
+use micadyke_config::{Config, RouteKind};
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
 use micadyke_tokens::bearer::Checker;
@@ -15,7 +15,7 @@
 use micadyke_tokens::store::{File, Record, State};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::AsyncWriteExt;
@@ -292,11 +292,11 @@
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.connections.get() < self.config.bounds.connections => {
+                Ok((stream, peer)) if self.connections.get() < self.config.bounds.connections => {
                     self.connections.set(self.connections.get() + 1);
                     let shell = self.clone();
                     spawn_local(async move {
-                        shell.clone().connection(stream).await;
+                        shell.clone().connection(stream, peer.ip()).await;
                         shell.connections.set(shell.connections.get() - 1);
                     });
                 }
@@ -309,7 +309,7 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, mut stream: TcpStream) {
+    async fn connection(self: Rc<Self>, mut stream: TcpStream, peer: IpAddr) {
         let _ = stream.set_nodelay(true);
         let b = &self.config.bounds;
         let limits = Limits { head: b.head, body: b.body, ..Limits::default() };
@@ -325,7 +325,7 @@
             let conn = ConnId(self.id());
             let (sender, mut answer) = oneshot::channel();
             self.answers.borrow_mut().insert(conn, sender);
-            self.feed(Input::Request { conn, request, waited });
+            self.feed(Input::Request { conn, request, peer, waited });
             let mut response = loop {
                 let room = parser.pending() < b.head + b.body;
                 tokio::select! {
@@ -457,7 +457,10 @@
     }
 
     fn limits(&self) -> Limits {
-        Limits { head: self.config.bounds.head, body: self.config.bounds.body, ..Limits::default() }
+        // What boxes send is a manifest at most.
+        let media = self.config.routes.iter().any(|r| r.kind == RouteKind::Media);
+        let body = if media { self.config.bounds.manifest } else { self.config.bounds.body };
+        Limits { head: self.config.bounds.head, body, ..Limits::default() }
     }
 
     async fn listen(
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -6,8 +6,9 @@
     self, ENDPOINT_ALLOW, FRAGMENT, SDP, SESSION, SESSION_ALLOW, Target, bearer, not_allowed,
 };
 use crate::io::{CallId, ConnId, Output, Purpose, StreamId, Timer};
+use crate::media;
 use crate::notes;
-use crate::session::{Patch, Phase, Place, Playing, Reports, Session, SettingUp};
+use crate::session::{Asked, Patch, Phase, Place, Playing, Reports, Session, SettingUp};
 use micadyke::interface::{
     ClassId, Event, Nanos, NoteKind, Outcome, Rung, ServerId, SessionId, SessionRequest, TitleId,
 };
@@ -15,10 +16,9 @@
 use micadyke_http::client::CallError;
 use micadyke_http::fields::{IfMatch, Link, LoadReport, prefer_wait};
 use micadyke_http::{Method, Request, Response, sse};
-use micadyke_sdp::{Fragment, Offer, OfferError, Shape, Use};
-use std::collections::VecDeque;
+use micadyke_sdp::{Fragment, Offer, OfferError, Use};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use tracing::{debug, info, warn};
 
@@ -34,10 +34,28 @@
 const WITHDRAWALS: u8 = 3;
 const SECOND: Nanos = 1_000_000_000;
 
+/// A session that a viewer wants, checked and ready to be placed.
+pub(crate) struct Wanted {
+    pub route: usize,
+    pub title: Arc<str>,
+    /// Media section whose layers are chosen.
+    pub media: Box<str>,
+    /// The highest rung that the viewer can use.
+    pub top: Rung,
+    /// It waits so long for its answer.
+    pub patience: Nanos,
+    /// Equal for equal viewers of equal titles.
+    pub visitor: u64,
+    pub place: Title,
+    /// Random name of its resource.
+    pub name: u128,
+    pub asked: Asked,
+}
+
 impl Front {
     // ----- requests of viewers
 
-    pub(crate) fn request(&mut self, conn: ConnId, request: Request, waited: Nanos) {
+    pub(crate) fn request(&mut self, conn: ConnId, request: Request, peer: IpAddr, waited: Nanos) {
         match endpoint::target(&self.config, &request) {
             Target::Unknown => {
                 let response = Response::problem(404, "there is no such resource");
@@ -47,6 +65,11 @@
                 let title = title.to_owned();
                 self.endpoint(conn, route, &title, request, waited);
             }
+            Target::Media { route, title, file } => {
+                self.media(conn, route, title, file, &request, (peer, waited));
+            }
+            Target::Part(name, file) => self.part(conn, name, file, &request, waited),
+            Target::Session(name) if self.play_resource(conn, name, &request) => {}
             Target::Session(name) => self.resource(conn, name, request),
         }
     }
@@ -74,7 +97,9 @@
         }
     }
 
-    fn authorise(&self, route: usize, title: Option<&str>, request: &Request) -> Result<(), Response> {
+    pub(crate) fn authorise(
+        &self, route: usize, title: Option<&str>, request: &Request,
+    ) -> Result<(), Response> {
         let keys = self.entitlements.as_ref().map(|(checker, zero)| (checker, (zero + self.now) / SECOND));
         endpoint::authorise(&self.config, keys, route, title, request)
     }
@@ -92,6 +117,32 @@
             OfferError::Unanswerable(_) => Response::problem(422, &e.to_string()),
         })?;
         let place = self.title(kind, title)?;
+        self.room()?;
+        let settings = &self.config.settings;
+        let scale = settings.classes[class].scale;
+        let fits = |rate: f64| settings.ladder.iter().rposition(|s| s.rate * scale <= rate).unwrap_or(0);
+        let top = offer.bandwidth_kb().map_or(settings.ladder.len() - 1, fits);
+        let mut key = DefaultHasher::new();
+        (bearer(request).unwrap_or(offer.fingerprint), title).hash(&mut key);
+        let section =
+            offer.description.media.iter().find(|m| m.kind == "video").or(offer.description.media.first());
+        let wanted = Wanted {
+            route,
+            title: title.into(),
+            media: section.and_then(|m| m.attribute("mid")).unwrap_or("0").into(),
+            top,
+            patience: self.patience(route, request, waited),
+            visitor: key.finish(),
+            place,
+            name: self.name(),
+            asked: Asked::Offer { text: text.into(), shape: offer.shape() },
+        };
+        self.take(conn, wanted, |_, _| ());
+        Ok(())
+    }
+
+    /// Whether one more session may be taken.
+    pub(crate) fn room(&self) -> Result<(), Response> {
         let busy = |what: &str| Response::problem(503, what).with("retry-after", "1");
         if self.stopping {
             return Err(busy("the front is stopping"));
@@ -99,31 +150,31 @@
         if self.sessions.len() >= self.config.bounds.sessions {
             return Err(busy("the front holds as many sessions as it may"));
         }
-        let settings = &self.config.settings;
-        let scale = settings.classes[class].scale;
-        let fits = |rate: f64| settings.ladder.iter().rposition(|s| s.rate * scale <= rate).unwrap_or(0);
-        let top = offer.bandwidth_kb().map_or(settings.ladder.len() - 1, fits);
-        let patience = self.config.classes[class].patience;
+        Ok(())
+    }
+
+    /// How long the viewer of a request still waits for its answer.
+    pub(crate) fn patience(&self, route: usize, request: &Request, waited: Nanos) -> Nanos {
+        let patience = self.config.classes[self.config.routes[route].class].patience;
         let asked = request.headers.all("prefer").find_map(prefer_wait);
         let patience = asked.map_or(patience, |s| patience.min(s.saturating_mul(SECOND)));
         // A viewer in a hurry still gets half of its wait used.
         let patience = patience.saturating_sub(self.config.answer_margin).max(patience / 2);
         // What lay unread while the front stood still has waited for up to so long already.
-        let patience = patience.saturating_sub(waited);
-        let mut key = DefaultHasher::new();
-        (bearer(request).unwrap_or(offer.fingerprint), title).hash(&mut key);
-        let section =
-            offer.description.media.iter().find(|m| m.kind == "video").or(offer.description.media.first());
-        let media = section.and_then(|m| m.attribute("mid")).unwrap_or("0").into();
+        patience.saturating_sub(waited)
+    }
 
-        let again = self.visits.again(key.finish(), self.now);
+    /// Takes a request for a session, in the books and to the module; `opened` is called in between.
+    pub(crate) fn take(
+        &mut self, conn: ConnId, wanted: Wanted, opened: impl FnOnce(&mut Self, SessionId),
+    ) -> SessionId {
+        let Wanted { route, title, media, top, patience, visitor, place, name, asked } = wanted;
+        let (kind, class) = (self.config.routes[route].kind, self.config.routes[route].class);
+        let again = self.visits.again(visitor, self.now);
         let id = SessionId(self.id());
-        let name = self.name();
-        let title: Arc<str> = title.into();
         let phase = Phase::SettingUp(SettingUp {
             conn: Some(conn),
-            offer: text.into(),
-            shape: offer.shape(),
+            asked,
             give_up_at: self.now.saturating_add(patience),
             out: None,
             closing: None,
@@ -141,7 +192,8 @@
             self.publications.announce(title.clone(), id);
         }
         self.counts.taken += 1;
-        debug!(session = id.0, title = &*title, again, "offer taken");
+        debug!(session = id.0, title = &*title, again, "taken");
+        opened(self, id);
         let wish = SessionRequest {
             session: id,
             class: ClassId(class),
@@ -157,14 +209,14 @@
         } else {
             self.tell(Event::Request(wish));
         }
-        Ok(())
+        id
     }
 
     /// Where a title lies, or may be published.
-    fn title(&self, kind: RouteKind, title: &str) -> Result<Title, Response> {
+    pub(crate) fn title(&self, kind: RouteKind, title: &str) -> Result<Title, Response> {
         let (fixed, live) = (self.config.titles.get(title), self.publications.find(title));
         match kind {
-            RouteKind::Play => match (fixed, live) {
+            RouteKind::Play | RouteKind::Media => match (fixed, live) {
                 (Some(t), _) => Ok(*t),
                 (None, Some(Some(t))) => Ok(t),
                 (None, Some(None)) => {
@@ -319,6 +371,9 @@
     /// A viewer's connection closed before its answer.
     pub(crate) fn gone(&mut self, conn: ConnId) {
         let Some(id) = self.owed.settled(conn) else { return };
+        if self.others_wait(conn, id) {
+            return;
+        }
         self.counts.left += 1;
         let Some(s) = self.sessions.setting_up(id) else { return };
         s.conn = None;
@@ -349,11 +404,11 @@
 
     /// The answer to a viewer whose session will not play.
     pub(crate) fn answer(&mut self, id: SessionId, response: Response) {
-        let Some(mut session) = self.forget(id) else { return };
-        let Some(s) = session.setting_up() else { return };
-        if let Some(conn) = s.conn {
+        let waiting = self.waiters(id);
+        self.forget(id);
+        for conn in waiting {
             self.owed.settled(conn);
-            self.respond(conn, response);
+            self.respond(conn, response.clone());
         }
     }
 
@@ -388,11 +443,20 @@
     pub(crate) fn reply(&mut self, call: CallId, result: Result<Response, CallError>) {
         match self.calls.end(call) {
             None => {}
-            Some(Purpose::SetUp { session, server, addr, aborted, orphan }) => {
-                self.set_up(session, server, addr, aborted || orphan, result);
+            Some(Purpose::SetUp { session, server, addr, play, aborted, orphan }) => {
+                let orphan = aborted || orphan;
+                if let Some(s) = self.sessions.setting_up(session).filter(|s| orphan && s.out == Some(call)) {
+                    s.out = None;
+                }
+                if play.is_empty() {
+                    self.set_up(session, server, addr, orphan, result);
+                } else if let Some(result) = self.set_up_play(session, server, addr, play, orphan, result) {
+                    self.set_up(session, server, addr, orphan, result);
+                }
                 if aborted {
                     self.after_close(session, call);
                 }
+                self.attempt_settled(call);
             }
             Some(Purpose::Layer { session, rung }) => {
                 self.layered(session, rung, result.is_ok_and(|r| r.status < 300))
@@ -406,11 +470,16 @@
             Some(Purpose::Renew { server }) => {
                 self.seats(|s, now| s.box_replied(now, server, true, result));
             }
+            Some(Purpose::Manifest { play, session, conn, path }) => {
+                self.fetched(play, session, conn, &path, result);
+            }
             Some(Purpose::Withdraw { session, addr, path, tries }) => {
                 // 404 and 410: it is gone already.
                 let done = result.is_ok_and(|r| r.status < 300 || r.status == 404 || r.status == 410);
-                if done {
+                if done && self.sessions.get(session).is_none() {
                     self.free_seat(session);
+                } else if done {
+                    // What is over is an earlier attempt; the session goes on elsewhere, on its seat.
                 } else if tries + 1 < WITHDRAWALS {
                     self.timer(SECOND, Timer::Withdraw(session, addr, path, tries + 1));
                 } else {
@@ -422,7 +491,10 @@
 
     /// Ends a session at its box.
     pub(crate) fn withdraw(&mut self, session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8) {
-        let request = self.to_box(Method::Delete, &*path);
+        let request = match media::ended(&path) {
+            Some(report) => report.with("via", format!("1.1 {}", self.config.name)),
+            None => self.to_box(Method::Delete, &*path),
+        };
         self.call_soon(Purpose::Withdraw { session, addr, path, tries }, addr, request);
     }
 
@@ -459,7 +531,7 @@
                 self.take_back(id, &place);
                 return self.ended(id, server, Outcome::Cancelled, true);
             }
-            (Ok(r), Some(Some(place))) => match answer_text(&s.shape, &r) {
+            (Ok(r), Some(Some(place))) => match answer_text(&s.asked, &r) {
                 Some(answer) => {
                     let reports = notes::reports(r.headers.get(LoadReport::FIELD));
                     return self.stands(id, place, answer, reports);
@@ -526,17 +598,7 @@
         }
         let publishes = session.kind == RouteKind::Publish;
         let title = session.title.clone();
-        session.phase = Phase::Playing(Playing {
-            place,
-            patching: false,
-            patches: VecDeque::new(),
-            changing: false,
-            stream: None,
-            subscribing: false,
-            lost: 0,
-            cut: false,
-            watches: false,
-        });
+        session.phase = Phase::Playing(Playing::new(place));
         self.sessions.published_name(id);
         self.owed.settled(conn);
         self.counts.played += 1;
@@ -783,7 +845,8 @@
 }
 
 /// A box's answer, if it is one that fits the offer.
-fn answer_text(offered: &Shape, r: &Response) -> Option<Arc<str>> {
+fn answer_text(asked: &Asked, r: &Response) -> Option<Arc<str>> {
+    let Asked::Offer { shape: offered, .. } = asked else { return None };
     if r.media_type().as_deref() != Some(SDP) {
         return None;
     }
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -1,222 +1,20 @@
 //! The core alone, in made-up time: hard cases of the path, and any order of events.
 
+mod bench;
+
+use bench::{Bench, MS, SECOND, SETTINGS, START, is_set_up, offer_text, patch, publish_text, row};
 use micadyke::interface::{Nanos, ServerState};
-use micadyke_config::{BoxRow, Config, read_config};
+use micadyke_config::read_config;
 use micadyke_front::{CallId, ConnId, Front, Input, Output, StreamId};
 use micadyke_http::client::CallError;
-use micadyke_http::fields::Link;
 use micadyke_http::{Method, Request, Response, sse};
-use micadyke_sdp::{Answerer, Offer, Use, answer};
 use micadyke_tokens::bound::{Guard, SharedKey, Told};
 use micadyke_tokens::message::{Op, Reply, Request as SeatRequest, Verdict};
 use micadyke_tokens::store::{Record, State};
 use proptest::prelude::*;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
-const MS: Nanos = 1_000_000;
-const SECOND: Nanos = 1_000 * MS;
-const START: Nanos = 3_600 * SECOND;
-
-const SETTINGS: &str = r#"
-(front (name "f") (listen "127.0.0.1:0") (ice-servers "stun:stun.example:3478"))
-(ladder (rung (rate 100kB/s) (worth 0.3)) (rung (rate 300kB/s) (worth 0.6)) (rung (rate 900kB/s) (worth 1)))
-(class play (aim 800ms) (patience 4s) (effect idempotent))
-(class paid (aim 800ms) (patience 4s) (effect at-most-once) (floor 1) (seats 3))
-(kind box (streams 50))
-(fleet (cells 4) (racks 2) (link-per-weight 20MB/s) (uplink 40MB/s) (note-delay 100ms) (note-period 1s))
-(attempts (most 3))
-(come-back (most 2s))
-(bounds (sessions 40) (patches 2))
-(route "/whep/" (kind whep) (class play))
-(route "/paid/" (kind whep) (class paid) (bearer "t1" "t2"))
-(route "/whip/" (kind whip) (class play))
-(title demo (from-cell 0) (cells 4))
-"#;
-
-fn row(id: u32, state: ServerState) -> BoxRow {
-    let address = SocketAddr::from(([127, 0, 0, 1], 9000 + id as u16));
-    BoxRow { id, address, state, kind: 0, weight: 1.0, cell: id - 1, zone: 0, started_at: 0 }
-}
-
-fn offer_text(n: u64) -> String {
-    include_str!("../../../fixtures/offers/chromium-play.sdp").replace("x7Kq", &format!("u{n:06}"))
-}
-
-fn publish_text(n: u64) -> String {
-    include_str!("../../../fixtures/offers/chromium-publish.sdp").replace("x7Kq", &format!("u{n:06}"))
-}
-
-/// A core, the time, and what it has asked for.
-struct Bench {
-    front: Front,
-    now: Nanos,
-    calls: BTreeMap<CallId, (SocketAddr, Request)>,
-    aborted: BTreeSet<CallId>,
-    streams: BTreeMap<StreamId, SocketAddr>,
-    answers: HashMap<ConnId, Vec<Response>>,
-    conns: u64,
-    session: u64,
-}
-
-impl Bench {
-    fn new() -> Self {
-        let config: Rc<Config> = Rc::new(read_config(SETTINGS, "s").unwrap_or_else(|e| panic!("{e:?}")));
-        let front = Front::new(config, [7; 32], START).expect("sound settings");
-        let mut bench = Bench {
-            front,
-            now: START,
-            calls: BTreeMap::new(),
-            aborted: BTreeSet::new(),
-            streams: BTreeMap::new(),
-            answers: HashMap::new(),
-            conns: 0,
-            session: 0,
-        };
-        bench.list((1..=4).map(|id| row(id, ServerState::Ready)).collect());
-        bench
-    }
-
-    fn feed(&mut self, input: Input) {
-        let mut out = Vec::new();
-        self.front.handle(self.now, input, &mut out);
-        for o in out {
-            match o {
-                Output::Respond { conn, response } => self.answers.entry(conn).or_default().push(response),
-                Output::Call { call, to, request, .. } => {
-                    self.calls.insert(call, (to, request));
-                }
-                Output::Abort { call } => {
-                    self.aborted.insert(call);
-                }
-                Output::Listen { stream, to, .. } => {
-                    self.streams.insert(stream, to);
-                }
-                Output::Unlisten { stream } => {
-                    self.streams.remove(&stream);
-                }
-                Output::Subscribe | Output::Record(_) => {}
-            }
-        }
-        self.one_attempt_at_a_time();
-    }
-
-    /// No two set-ups of one offer are out, but for one whose connection is being closed.
-    fn one_attempt_at_a_time(&self) {
-        let mut offers = BTreeSet::new();
-        for (call, (_, request)) in &self.calls {
-            if is_set_up(request) {
-                assert!(offers.insert(&request.body), "two attempts of a session are out: {call:?}");
-            }
-        }
-    }
-
-    fn list(&mut self, rows: Vec<BoxRow>) {
-        self.feed(Input::List { rows, epoch: 1_000 });
-    }
-
-    fn request(&mut self, request: Request) -> ConnId {
-        self.conns += 1;
-        let conn = ConnId(self.conns);
-        self.feed(Input::Request { conn, request, waited: 0 });
-        conn
-    }
-
-    fn post(&mut self, path: &str, offer: String) -> ConnId {
-        let request = Request::new(Method::Post, path).content("application/sdp", offer);
-        self.request(request.with("authorization", "Bearer t1"))
-    }
-
-    fn reply(&mut self, call: CallId, result: Result<Response, CallError>) {
-        self.calls.remove(&call).expect("a call that is out");
-        self.aborted.remove(&call);
-        self.feed(Input::Reply { call, result });
-    }
-
-    fn close(&mut self, call: CallId) {
-        self.calls.remove(&call).expect("a call that is out");
-        self.aborted.remove(&call);
-        self.feed(Input::Closed { call });
-    }
-
-    fn pass(&mut self, time: Nanos) {
-        let until = self.now + time;
-        while let Some(at) = self.front.deadline().filter(|at| *at <= until) {
-            self.now = self.now.max(at);
-            self.feed(Input::Tick);
-        }
-        self.now = until;
-    }
-
-    fn find(&self, fits: impl Fn(&Request) -> bool) -> Vec<CallId> {
-        self.calls.iter().filter(|(_, (_, r))| fits(r)).map(|(c, _)| *c).collect()
-    }
-
-    fn set_ups(&self) -> Vec<CallId> {
-        self.find(is_set_up)
-    }
-
-    fn created(&mut self, call: CallId) -> Response {
-        self.session += 1;
-        let n = self.session;
-        let (_, request) = &self.calls[&call];
-        let text = String::from_utf8_lossy(&request.body).into_owned();
-        let used = if request.path().starts_with("/whip/") { Use::Publish } else { Use::Play };
-        let by = Answerer {
-            ufrag: "boxu".into(),
-            password: format!("{n:024}"),
-            fingerprint: format!("sha-256 {}", ["0A"; 32].join(":")),
-            media: SocketAddr::from(([127, 0, 0, 1], 5004)),
-            session: n,
-        };
-        let offer = Offer::parse(&text, used).expect("the offer is passed on unchanged");
-        let layer = Link::new(format!("/s/{n}/layer"), "urn:ietf:params:whep:ext:core:layer");
-        let events = Link::new(format!("/s/{n}/events"), "urn:ietf:params:whep:ext:core:server-sent-events");
-        Response::new(201)
-            .with("location", format!("/s/{n}"))
-            .with("etag", "\"ice-1\"")
-            .with("link", layer.encode())
-            .with("link", events.encode())
-            .with("endpoint-load-metrics", "TEXT application_utilization=0.4, utilization.uplink=0.3")
-            .content("application/sdp", answer(&offer, used, &by))
-    }
-
-    fn take(&mut self, call: CallId) {
-        let response = self.created(call);
-        self.reply(call, Ok(response));
-    }
-
-    fn answer(&self, conn: ConnId) -> &Response {
-        let all = self.answers.get(&conn).map_or(&[][..], Vec::as_slice);
-        assert_eq!(all.len(), 1, "one answer and only one");
-        &all[0]
-    }
-
-    fn answered(&self, conn: ConnId) -> bool {
-        self.answers.contains_key(&conn)
-    }
-
-    /// A session that plays: its resource.
-    fn play(&mut self, n: u64) -> String {
-        let conn = self.post("/whep/demo", offer_text(n));
-        let call = self.set_ups()[0];
-        self.take(call);
-        self.answer(conn).headers.get("location").expect("a resource").to_owned()
-    }
-}
-
-fn is_set_up(r: &Request) -> bool {
-    r.method == Method::Post && (r.path().starts_with("/whep/") || r.path().starts_with("/whip/"))
-}
-
-fn patch(path: &str, tag: &str) -> Request {
-    let body = "a=ice-ufrag:EsAw\r\na=ice-pwd:P2uYro0UCOQ4zxjKXaWCBui1\r\nm=audio 9 RTP/AVP 0\r\na=mid:0\r\n\
-                a=candidate:1 1 udp 2122260223 192.0.2.1 61764 typ host\r\n";
-    let request = Request::new(Method::Patch, path).content("application/trickle-ice-sdpfrag", body);
-    if tag.is_empty() { request } else { request.with("if-match", tag) }
-}
-
 #[test]
 fn an_offer_is_placed_answered_shaped_and_ended() {
     let mut b = Bench::new();
@@ -290,7 +88,7 @@
 #[test]
 fn a_token_of_another_route_is_forbidden() {
     let mut b = Bench::new();
-    let text = SETTINGS.replace("(class play))\n(title", "(class play) (bearer \"w\"))\n(title");
+    let text = SETTINGS.replace("(kind whip) (class play)", "(kind whip) (class play) (bearer \"w\")");
     let config = Rc::new(read_config(&text, "s").expect("sound"));
     b.front = Front::new(config, [1; 32], START).expect("sound");
     let request = Request::new(Method::Post, "/whip/x").content("application/sdp", publish_text(1));
@@ -533,7 +331,8 @@
     b.conns += 1;
     let conn = ConnId(b.conns);
     let request = Request::new(Method::Post, "/whep/demo").content("application/sdp", offer_text(1));
-    b.feed(Input::Request { conn, request, waited: 3 * SECOND });
+    let peer = b.peer;
+    b.feed(Input::Request { conn, request, peer, waited: 3 * SECOND });
     for _ in 0..10 {
         b.pass(100 * MS);
         if let Some(call) = b.aborted.first().copied() {
@@ -558,8 +357,12 @@
 }
 
 fn seated_with(extra: &str, bound: &str, key: Option<SharedKey>) -> Bench {
+    seated_by(SETTINGS, extra, bound, key)
+}
+
+fn seated_by(settings: &str, extra: &str, bound: &str, key: Option<SharedKey>) -> Bench {
     let mut b = Bench::new();
-    let text = SETTINGS.replace("(seats 3))", &format!("(tokens {extra}))"))
+    let text = settings.replace("(seats 3))", &format!("(tokens {extra}))"))
         + "(issuer (address \"127.0.0.1:9900\") (state \"x\") (wait 500ms) (stop 2s) (retry 100ms) (keep 1s) "
         + bound
         + ")";
@@ -820,6 +623,25 @@
     assert_eq!((b.issuer_calls(), b.set_ups().len()), (0, 1), "the seat that was kept is used");
 }
 
+#[test]
+fn the_end_of_an_attempt_that_was_given_up_leaves_the_seat_to_the_one_that_plays() {
+    let again = SETTINGS.replace("(effect at-most-once) (floor 1)", "(effect idempotent)");
+    let mut b = seated_by(&again, "", "", None);
+    let conn = b.post("/paid/demo", offer_text(1));
+    b.issue(Verdict::Held);
+    let first = b.set_ups()[0];
+    b.pass(SECOND);
+    // Its answer comes while it is given up: it is withdrawn, and another attempt plays.
+    b.take(first);
+    let second = b.set_ups()[0];
+    b.take(second);
+    assert_eq!(b.answer(conn).status, 201);
+    let withdrawn = b.find(|r| r.method == Method::Delete);
+    b.reply(withdrawn[0], Ok(Response::new(200)));
+    b.post("/paid/demo", offer_text(2));
+    assert_eq!((b.issuer_calls(), b.set_ups().len()), (1, 0), "its seat is not free: another is asked for");
+}
+
 #[test]
 fn without_its_epoch_written_a_front_asks_for_no_seat() {
     let mut b = seated("");
