Rehearsals with both protocols: boxes that serve lists and segments, players, rules judged

Need: the second front under the same rules, judged from traffic.

Stand-in boxes serve made-up HLS and DASH and count plays by sid, cid and sn; players follow redirects, hold to mb and tell their end. The judge joins a play's requests and attempts by sid, counts its segments against the floor, and owes each request of a play its answer.

--- a/crates/rehearse/src/sabotage.rs
+++ b/crates/rehearse/src/sabotage.rs
@@ -104,6 +104,10 @@
         Rc::make_mut(&mut config).classes.iter_mut().for_each(|c| c.tokens = None);
     }
     let mut s: Settings = config.settings.clone();
+    if how == Break::Floors {
+        // Nor does it know the floor when it writes manifests.
+        Rc::make_mut(&mut config).settings.classes.iter_mut().for_each(|c| c.floor = 0);
+    }
     match how {
         Break::Twice => s.classes.iter_mut().for_each(|c| c.effect = Effect::Idempotent),
         Break::Seats => s.classes.iter_mut().for_each(|c| c.seats = 0),
--- a/crates/rehearse/src/traffic.rs
+++ b/crates/rehearse/src/traffic.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct Conversation {
     pub end: End,
+    /// When it was opened.
+    pub opened: u64,
     pub requests: Vec<Message>,
     pub responses: Vec<Message>,
     /// When this end closed it.
@@ -111,6 +113,7 @@
 pub(crate) fn conversations(entries: &[Entry]) -> Vec<Conversation> {
     struct Open {
         end: End,
+        opened: u64,
         read: Flow,
         wrote: Flow,
         closed: Option<u64>,
@@ -120,6 +123,7 @@
     for e in entries {
         let c = open.entry(e.conn).or_insert_with(|| Open {
             end: e.end,
+            opened: e.at,
             read: Flow::default(),
             wrote: Flow::default(),
             closed: None,
@@ -138,7 +142,14 @@
             End::Viewer(_) => (c.wrote.messages(true), c.read.messages(false)),
             End::Box(_) => (c.read.messages(true), c.wrote.messages(false)),
         };
-        Conversation { end: c.end, requests, responses, closed: c.closed, peer_closed: c.peer_closed }
+        Conversation {
+            end: c.end,
+            opened: c.opened,
+            requests,
+            responses,
+            closed: c.closed,
+            peer_closed: c.peer_closed,
+        }
     };
     open.into_values().map(read).collect()
 }
--- a/crates/rehearse/tests/rules.rs
+++ b/crates/rehearse/tests/rules.rs
@@ -77,6 +77,34 @@
     caught("rule-6-budget.sexp", Break::Budget);
 }
 
+#[test]
+fn rule_2_players_set_up_twice() {
+    caught("media-limits.sexp", Break::Twice);
+}
+
+#[test]
+fn rule_5_players_under_the_floor() {
+    caught("media-limits.sexp", Break::Floors);
+}
+
+#[test]
+fn rule_5_players_more_than_the_seats() {
+    caught("media-limits.sexp", Break::Seats);
+}
+
+#[test]
+fn rule_6_players_beyond_the_budget() {
+    caught("media-budget.sexp", Break::Budget);
+}
+
+#[test]
+fn both_protocols_at_once_keep_all_rules() {
+    let ran = run("media.sexp", None);
+    assert!(ran.verdict.kept(), "{}", ran.verdict);
+    assert_eq!(ran.verdict.missing(&load("media.sexp").0.must_try), [0usize; 0], "{}", ran.verdict);
+    assert!(ran.tally.played > 100, "{:?}", ran.tally);
+}
+
 #[test]
 fn the_bad_day_keeps_all_rules() {
     let ran = run("bad-day.sexp", None);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,15 +1,18 @@
 //! Stand-ins: media boxes that speak WHIP and WHEP with the extensions the front uses, and viewers.
 //!
 //! [`model`] is the boxes' side without I/O: links, racks, streams, warm-up, falling over. [`media_box`] serves it
-//! over sockets, with troubles on demand. [`viewer`] asks for sessions and ends them. Whatever passes a socket of
+//! over sockets, with troubles on demand, and [`media`] its lists and segments over HTTP. [`viewer`] asks for sessions
+//! and ends them, [`player`] plays over HTTP. Whatever passes a socket of
 //! either is noted in a [`record::Record`], from which verdicts are computed.
 #![warn(missing_docs)]
 
 pub mod issuer;
 pub mod link;
+pub mod media;
 pub mod media_box;
 pub mod model;
 pub mod offers;
+pub mod player;
 pub mod record;
 pub mod server;
 pub mod viewer;
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -43,8 +43,23 @@
     pub ufrag: String,
     /// Open event streams.
     pub streams: u32,
-    /// Since when none is open.
+    /// Since when none is open, or since when nothing of a play was asked for.
     pub alone_since: Nanos,
+    /// It is a play over HTTP.
+    pub play: Option<HttpPlay>,
+}
+
+/// A play over HTTP: who set it up, and what it goes by.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpPlay {
+    /// The front, as its requests' `Via` names it.
+    pub via: String,
+    /// The player's id (CMCD `sid`).
+    pub sid: String,
+    /// Number of the attempt that set it up (CMCD `sn`).
+    pub number: u64,
+    /// It is over when nothing was asked for so much longer than a session of WHEP may be alone.
+    pub silence: Nanos,
 }
 
 /// One box.
@@ -210,6 +225,7 @@
             ufrag: String::new(),
             streams: 0,
             alone_since: now,
+            play: None,
         };
         m.held.insert(self.next, held);
         if publishes {
