--- a/crates/cli/src/demo.sexp
+++ b/crates/cli/src/demo.sexp
@@ -21,4 +21,5 @@
 
 (route "/whep/" (kind whep) (class recorded-play))
 (route "/whip/" (kind whip) (class publish))
+(route "/watch/" (kind media) (class recorded-play) (silence 30s))
 (title demo (from-cell 0) (cells 4))
--- a/crates/front/src/media.rs
+++ b/crates/front/src/media.rs
@@ -622,10 +622,18 @@
     }
 
     /// With what the front adds to the way: the rung that the module wants (CTA-5006, `mb`).
-    fn with_rung(&self, id: SessionId, response: Response, from: Option<&Response>) -> Response {
+    pub(crate) fn with_rung(&self, id: SessionId, response: Response, from: Option<&Response>) -> Response {
         let Some(session) = self.sessions.get(id) else { return response };
         let mut told = from.map(|r| Cmsd::of(&r.headers)).unwrap_or_default();
         let rate = self.rates(session.class).rate(session.rung) / 1_000;
+        let at = match &session.phase {
+            Phase::Playing(p) => format!("box-{}", p.place.server.0),
+            Phase::SettingUp(_) => return response,
+        };
+        // The box goes before the front, which it may have done itself.
+        if told.hops.last().is_none_or(|h| h.name != at) {
+            told.hops.push(Hop { name: at, ..Hop::default() });
+        }
         told.hops.push(Hop { name: self.config.name.clone(), max_bitrate: Some(rate), ..Hop::default() });
         told.fields().into_iter().fold(response, |r, (name, value)| r.with(name, value))
     }
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -603,6 +603,7 @@
         self.owed.settled(conn);
         self.counts.played += 1;
         let response = endpoint::ice_links(&self.config, response);
+        let response = if publishes { response } else { self.with_rung(id, response, None) };
         self.respond(conn, response);
         info!(session = id.0, server = server.0, title = &*title, "plays");
         if let Some(b) = self.boxes.get_mut(&server) {
