--- a/crates/client/src/net.rs
+++ b/crates/client/src/net.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
@@ -17,6 +18,9 @@
 /// A session's end is waited for this long.
 const END: Duration = Duration::from_secs(5);
 
+/// An attempt that is out.
+type Attempt<'a> = Pin<Box<dyn Future<Output = Result<Response, CallError>> + 'a>>;
+
 /// A client of one front.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -64,8 +68,7 @@
             Asking::begin(self.rule, question.repeatable, question.patience_ms, stay, 0, &mut out);
         let mut cancel = std::pin::pin!(cancel);
         let mut cancelled = false;
-        let mut attempt: Option<std::pin::Pin<Box<dyn Future<Output = Result<Response, CallError>> + '_>>> =
-            None;
+        let mut attempt: Option<Attempt<'_>> = None;
         let mut wake = None;
         loop {
             for o in std::mem::take(&mut out) {
