--- a/clients/typescript/src/replay.ts
+++ b/clients/typescript/src/replay.ts
@@ -13,7 +13,12 @@
 }
 const routes = Object.fromEntries(pairs.map((p) => [p.slice(0, p.indexOf('=')), p.slice(p.indexOf('=') + 1)]));
 // What is replayed is one question each: asking again is the list's matter.
-const client = new Client({ front, routes, rule: { most: 1, pause_ms: 0, pause_most_ms: 0 } });
+const client = new Client({
+  front,
+  routes,
+  rule: { most: 1, pause_ms: 0, pause_most_ms: 0 },
+  ...(process.env['MICADYKE_BEARER'] === undefined ? {} : { bearer: process.env['MICADYKE_BEARER'] }),
+});
 for await (const line of createInterface({ input: process.stdin })) {
   if (line.trim() === '') continue;
   const question = JSON.parse(line) as Question;
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,11 +1,14 @@
 //! What each command does.
 
 use micadyke::interface::ServerState;
+use micadyke_client::net::Client;
+use micadyke_client::retry::Rule;
 use micadyke_config::units::{Unit, quantity};
 use micadyke_config::{BoundConfig, BoxRow, Config, Diagnostic, Entitlements, read_boxes, read_config};
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
 use micadyke_front::shell::{Extras, serve};
+use micadyke_rehearse::replay::{self, Line, Via};
 use micadyke_rehearse::run::{Post, Program, play_with};
 use micadyke_rehearse::sabotage::Break;
 use micadyke_rehearse::scenario::read_scenario;
@@ -309,3 +312,79 @@
     run(micadyke_rehearse::run::front(&scenario, config, post, async { signalled().await.unwrap_or(()) }))??;
     Ok(ExitCode::SUCCESS)
 }
+
+fn read_list(file: &Path) -> Result<Vec<Line>, Failure> {
+    let text = std::fs::read_to_string(file).map_err(at(file))?;
+    Ok(replay::read_list(&text).map_err(|(line, what)| format!("{}:{line}: {what}", file.display()))?)
+}
+
+/// Prints a list of questions.
+pub fn make_list(questions: usize, seed: u64) -> Result<ExitCode, Failure> {
+    let mut out = std::io::stdout().lock();
+    for line in replay::make_list(questions, seed) {
+        writeln!(out, "{}", serde_json::to_string(&line)?)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Asks a list of a front that runs, over WHEP.
+pub fn replay_at(list: &Path, front: SocketAddr, routes: &[String]) -> Result<ExitCode, Failure> {
+    let lines = read_list(list)?;
+    let mut client = Client { rule: Rule { most: 1, ..Rule::default() }, ..Client::new(front) };
+    for r in routes {
+        let (class, path) = r.split_once('=').ok_or_else(|| format!("'{r}' is not CLASS=PATH"))?;
+        client = client.route(class, path);
+    }
+    run(async {
+        for (n, line) in lines.iter().enumerate() {
+            let Line::Ask(question) = line else { continue };
+            let offer = micadyke_standin::offers::offer(false, n as u64, rand::random::<u32>().into(), None);
+            let (outcome, session) = client.ask(question, &offer, std::future::pending()).await;
+            if let Some(session) = session {
+                client.end(&session).await;
+            }
+            println!("{}", serde_json::to_string(&outcome)?);
+        }
+        Ok(ExitCode::SUCCESS)
+    })?
+}
+
+/// Asks a list through both clients, of one front each, alike.
+pub fn replay_both(
+    list: &Path, client: &str, config: Option<&Path>, seed: u64, how: Option<&str>,
+) -> Result<ExitCode, Failure> {
+    let lines = read_list(list)?;
+    let name = config.map_or_else(|| "replay.sexp".into(), |p| p.display().to_string());
+    let config = read_config(&replay::settings(config)?, &name).map_err(told)?;
+    let how = how.map(breakage).transpose()?;
+    let cmcd = Via::Cmcd(client.split_whitespace().map(str::to_owned).collect());
+    run(async {
+        let a = replay::pass(&lines, &config, &Via::Whep, seed, None).await?;
+        let b = replay::pass(&lines, &config, &cmcd, seed, how).await?;
+        let c = replay::compare(&a.outcomes, &b.outcomes);
+        let kinds: Vec<String> = c.kinds.iter().map(|(k, n)| format!("{k} {n}")).collect();
+        println!("questions {}: {}", c.asked, kinds.join(", "));
+        for (over, pass) in [("WHEP", &a), ("CMCD", &b)] {
+            let (asked, answered) = pass.passed;
+            println!(
+                "over {over}: {asked} requests, {answered} answers, {} not answered once",
+                pass.not_once
+            );
+            if !pass.verdict.kept() {
+                println!("{}", pass.verdict);
+            }
+        }
+        for (n, x, y) in c.differ.iter().take(10) {
+            println!("question {n}: {x:?} over WHEP, {y:?} over CMCD");
+        }
+        println!(
+            "outcomes differ {}; of those that do not: box or rung {}, advice {}",
+            c.differ.len(),
+            c.places_differ,
+            c.advice_differs
+        );
+        let kept = a.verdict.kept() && b.verdict.kept() && a.not_once + b.not_once == 0;
+        println!("{}", if kept && c.differ.is_empty() { "the same answers" } else { "NOT the same answers" });
+        Ok(ExitCode::from(u8::from(!kept || !c.differ.is_empty())))
+    })?
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -84,6 +84,34 @@
         #[arg(long, value_name = "RULES", value_delimiter = ',', value_parser = clap::value_parser!(u8).range(1..=6))]
         require: Vec<u8>,
     },
+    /// Ask a list of questions through the clients: of a front that runs, or of one of its own with both clients, whose
+    /// outcomes must be the same (exit 1 where they are not).
+    Replay {
+        /// The list: JSON lines of questions and troubles.
+        #[arg(required_unless_present = "make")]
+        list: Option<PathBuf>,
+        /// Print a list of so many questions instead, with troubles.
+        #[arg(long, value_name = "QUESTIONS", conflicts_with_all = ["list", "front", "client"])]
+        make: Option<usize>,
+        /// Ask the front that runs here over WHEP, and print the outcomes; troubles in the list are passed over.
+        #[arg(long)]
+        front: Option<SocketAddr>,
+        /// Routes of that front, as CLASS=PATH.
+        #[arg(long, value_name = "CLASS=PATH", requires = "front")]
+        route: Vec<String>,
+        /// The program that asks over CMCD, with its arguments; it is told the front and its routes.
+        #[arg(long, value_name = "COMMAND", default_value = "node clients/typescript/dist/replay.js")]
+        client: String,
+        /// Settings of the front of its own, where they are not the usual ones.
+        #[arg(long)]
+        config: Option<PathBuf>,
+        /// Seed of the list that is made, and of the front.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The front that is asked over CMCD is broken on purpose; see `rehearse`.
+        #[arg(long = "break", value_name = "HOW")]
+        how: Option<String>,
+    },
     /// One front of a rehearsal, in a process of its own; started by `rehearse`.
     #[command(hide = true)]
     RehearsedFront {
@@ -118,7 +146,8 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let quiet = matches!(cli.command, Command::Demo { .. } | Command::Rehearse { .. });
+    let quiet =
+        matches!(cli.command, Command::Demo { .. } | Command::Rehearse { .. } | Command::Replay { .. });
     let level = cli.log.log_level.as_deref().unwrap_or(if quiet { "warn" } else { "info" });
     let Ok(filter) = tracing_subscriber::EnvFilter::try_new(level) else {
         eprintln!("micadyke: '{level}' says not what is to be logged");
@@ -139,6 +168,16 @@
             let required: Vec<usize> = require.into_iter().map(usize::from).collect();
             commands::rehearse(&scenarios, how.as_deref(), &required)
         }
+        Command::Replay { list, make, front, route, client, config, seed, how } => {
+            match (make, list, front) {
+                (Some(questions), ..) => commands::make_list(questions, seed),
+                (None, Some(list), Some(front)) => commands::replay_at(&list, front, &route),
+                (None, Some(list), None) => {
+                    commands::replay_both(&list, &client, config.as_deref(), seed, how.as_deref())
+                }
+                (None, None, _) => Err("a list is due".into()),
+            }
+        }
         Command::RehearsedFront { scenario, front, listen, dir, issuer, how } => {
             let post = Post { front, listen, issuer, dir, how: None };
             commands::rehearsed_front(&scenario, post, how.as_deref())
--- a/crates/rehearse/src/run.rs
+++ b/crates/rehearse/src/run.rs
@@ -81,14 +81,14 @@
     pub deeds: Vec<(u64, Deed)>,
 }
 
-enum Command {
+pub(crate) enum Command {
     Kill,
     Stop,
     Stall(Duration),
 }
 
 /// A front: a thread of this process, or a process of its own.
-enum RunningFront {
+pub(crate) enum RunningFront {
     Thread(mpsc::UnboundedSender<Command>, std::thread::JoinHandle<()>),
     Process(Child),
 }
@@ -120,7 +120,7 @@
     }
 
     /// Ends it, and waits for that.
-    fn end(mut self) -> Result<(), CannotRun> {
+    pub(crate) fn end(mut self) -> Result<(), CannotRun> {
         self.send(Command::Kill);
         match self {
             RunningFront::Thread(_, thread) => {
@@ -196,7 +196,7 @@
     config.settings.zone = n % config.zones.len() as u32;
 }
 
-fn list_file(dir: &Path, n: u32) -> PathBuf {
+pub(crate) fn list_file(dir: &Path, n: u32) -> PathBuf {
     dir.join(format!("boxes-{n}.sexp"))
 }
 
@@ -239,7 +239,7 @@
 }
 
 /// Starts a front on a thread of its own.
-fn start(
+pub(crate) fn start(
     n: u32, listener: TcpListener, config: Config, dir: PathBuf, how: Option<Break>, seed: u64,
 ) -> Result<RunningFront, CannotRun> {
     let (commands, mut taken) = mpsc::unbounded_channel();
@@ -302,7 +302,7 @@
     worth: Cell<(f64, f64)>,
 }
 
-fn unix() -> u64 {
+pub(crate) fn unix() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64
 }
 
@@ -326,7 +326,7 @@
 }
 
 /// A folder of its own for the lists, removed when the run is over.
-struct Folder(PathBuf);
+pub(crate) struct Folder(pub(crate) PathBuf);
 
 impl Drop for Folder {
     fn drop(&mut self) {
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -1,6 +1,8 @@
-//! The way between a front and a box: a relay on loopback that can go half-open. Both ends then keep their connections,
-//! and nothing passes; when it is over the relay has forgotten them, as a middlebox does, and closes both ends.
+//! The way between two programs: a relay on loopback that can go half-open. Both ends then keep their connections, and
+//! nothing passes; when it is over the relay has forgotten them, as a middlebox does, and closes both ends. It can also
+//! record what passes, as the end that connects sees it: for viewers that are programs of their own.
 
+use crate::record::{End, Record, What};
 use crate::server::bind;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -23,6 +25,7 @@
     restored: Cell<u64>,
     changed: Notify,
     accepting: Cell<Option<AbortHandle>>,
+    record: Option<(Rc<Record>, End)>,
 }
 
 impl Drop for Inner {
@@ -36,6 +39,15 @@
 impl Link {
     /// Opens a relay to an address.
     pub async fn open(to: SocketAddr) -> std::io::Result<Self> {
+        Self::make(to, None).await
+    }
+
+    /// Opens a relay that records what passes, as that of an end that connects.
+    pub async fn recorded(to: SocketAddr, record: Rc<Record>, end: End) -> std::io::Result<Self> {
+        Self::make(to, Some((record, end))).await
+    }
+
+    async fn make(to: SocketAddr, record: Option<(Rc<Record>, End)>) -> std::io::Result<Self> {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let link = Link(Rc::new(Inner {
             addr: listener.local_addr()?,
@@ -44,6 +56,7 @@
             restored: Cell::new(0),
             changed: Notify::new(),
             accepting: Cell::new(None),
+            record,
         }));
         let task = spawn_local(Self::accept(Rc::downgrade(&link.0), listener));
         link.0.accepting.set(Some(task.abort_handle()));
@@ -81,12 +94,14 @@
             self.forgotten(began).await;
             return Ok(());
         }
+        let conn = self.0.record.as_ref().map(|(record, end)| record.open(*end));
+        let _closed = conn.map(|conn| Closing(self, conn));
         let beyond = TcpStream::connect(self.0.to.get()).await?;
         let _ = beyond.set_nodelay(true);
         let (from, back) = stream.into_split();
         let (there, to) = beyond.into_split();
         tokio::select! {
-            () = async { tokio::join!(self.carry(from, to), self.carry(there, back)); } => {}
+            () = async { tokio::join!(self.carry(from, to, conn, true), self.carry(there, back, conn, false)); } => {}
             () = self.forgotten(began) => {}
         }
         Ok(())
@@ -103,7 +118,14 @@
         }
     }
 
-    async fn carry(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    fn note(&self, conn: Option<u64>, what: What) {
+        if let (Some((record, end)), Some(conn)) = (&self.0.record, conn) {
+            record.note(conn, *end, what);
+        }
+    }
+
+    /// Carries bytes one way; `out`: from the end that connected.
+    async fn carry(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, conn: Option<u64>, out: bool) {
         let mut bytes = vec![0; 16 << 10];
         loop {
             let read = from.read(&mut bytes).await;
@@ -113,11 +135,14 @@
             }
             match read {
                 Ok(n) if n > 0 => {
+                    let passed = bytes[..n].to_vec();
+                    self.note(conn, if out { What::Wrote(passed) } else { What::Read(passed) });
                     if to.write_all(&bytes[..n]).await.is_err() {
                         return;
                     }
                 }
                 _ => {
+                    self.note(conn, if out { What::Closed } else { What::PeerClosed });
                     let _ = to.shutdown().await;
                     return;
                 }
@@ -125,3 +150,12 @@
         }
     }
 }
+
+/// Notes a connection's end, however it comes.
+struct Closing<'a>(&'a Link, u64);
+
+impl Drop for Closing<'_> {
+    fn drop(&mut self) {
+        self.0.note(Some(self.1), What::Closed);
+    }
+}
