--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -16,16 +16,29 @@
 
 type Failure = Box<dyn std::error::Error>;
 
+/// What is asked over and over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// An offer, and the session's end.
+    Session,
+    /// A play's first manifest, and its end.
+    Play,
+    /// A segment of a play.
+    Segment,
+}
+
 struct Client {
     stream: TcpStream,
     parser: ResponseParser,
+    /// Path of the play whose segments it asks for.
+    play: Option<String>,
 }
 
 impl Client {
     async fn open(addr: SocketAddr) -> std::io::Result<Self> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        Ok(Client { stream, parser: ResponseParser::new(Limits::default()) })
+        Ok(Client { stream, parser: ResponseParser::new(Limits::default()), play: None })
     }
 
     async fn call(&mut self, bytes: &[u8]) -> std::io::Result<Response> {
@@ -41,6 +54,48 @@
         }
     }
 
+    /// One piece of work; the time of its answer.
+    async fn work(&mut self, work: Work, n: u64) -> std::io::Result<Instant> {
+        match work {
+            Work::Session => self.session(n).await,
+            Work::Play => {
+                let (base, at) = self.manifest(n).await?;
+                self.call(&Request::new(Method::Delete, base).encode("h")).await?;
+                Ok(at)
+            }
+            Work::Segment => {
+                let base = match self.play.take() {
+                    Some(base) => base,
+                    None => self.manifest(n).await?.0,
+                };
+                let request = Request::new(Method::Get, format!("{base}/0/{}.m4s", n % 600))
+                    .with("cmcd-object", "br=8,d=4000,ot=v,tb=16")
+                    .with("cmcd-request", "bl=12000,mtp=48000")
+                    .with("cmcd-session", format!("sid=\"s{n}\",v=2"));
+                let led = self.call(&request.encode("h")).await?;
+                if led.status != 307 {
+                    return Err(std::io::Error::other(format!("answered {}", led.status)));
+                }
+                self.play = Some(base);
+                Ok(Instant::now())
+            }
+        }
+    }
+
+    /// A play's first manifest: the play's path, and the time of the answer.
+    async fn manifest(&mut self, n: u64) -> std::io::Result<(String, Instant)> {
+        let request = Request::new(Method::Get, "/watch/demo/index.m3u8")
+            .with("cmcd-object", "ot=m,tb=16")
+            .with("cmcd-request", "su")
+            .with("cmcd-session", format!("sid=\"s{n}\",v=2"));
+        let answer = self.call(&request.encode("h")).await?;
+        let at = Instant::now();
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let base = text.find("/session/").and_then(|i| text.get(i..i + 41));
+        let bad = || std::io::Error::other(format!("answered {}", answer.status));
+        Ok((base.ok_or_else(bad)?.to_owned(), at))
+    }
+
     /// A set-up and its end; the time of the set-up's answer.
     async fn session(&mut self, n: u64) -> std::io::Result<Instant> {
         let created = self.call(&request(n)).await?;
@@ -62,6 +117,11 @@
 
 /// Set-ups a second that `connections` closed loops reach, each ending its session before the next.
 pub fn closed(addr: SocketAddr, connections: usize, time: Duration) -> Result<f64, Failure> {
+    closed_of(Work::Session, addr, connections, time)
+}
+
+/// Pieces of work a second that `connections` closed loops reach.
+pub fn closed_of(work: Work, addr: SocketAddr, connections: usize, time: Duration) -> Result<f64, Failure> {
     let half = |from: usize, n: usize| {
         run(async move {
             let (done, until) = (Rc::new(Cell::new(0u64)), Instant::now() + time);
@@ -73,7 +133,7 @@
                     let mut k = c as u64 * 10_000_000;
                     while Instant::now() < until {
                         k += 1;
-                        client.session(k).await?;
+                        client.work(work, k).await?;
                         done.set(done.get() + 1);
                     }
                     Ok::<_, std::io::Error>(())
@@ -97,6 +157,11 @@
 
 /// Times of set-ups, in ms, at p50, p99 and p99.9, from the intended send, at a fixed rate of arrivals.
 pub fn open(addr: SocketAddr, rate: f64, time: Duration) -> Result<[f64; 3], Failure> {
+    open_of(Work::Session, addr, rate, time)
+}
+
+/// The same of another piece of work.
+pub fn open_of(work: Work, addr: SocketAddr, rate: f64, time: Duration) -> Result<[f64; 3], Failure> {
     run(async move {
         let times = Rc::new(RefCell::new(Histogram::<u64>::new_with_bounds(1, 60_000_000, 3)?));
         let idle: Rc<RefCell<VecDeque<Client>>> = Rc::default();
@@ -125,7 +190,7 @@
                     None => Client::open(addr).await,
                 };
                 let Ok(mut client) = client else { return failed.set(failed.get() + 1) };
-                match client.session(n).await {
+                match client.work(work, n).await {
                     Ok(at) => {
                         let _ = times.borrow_mut().record(at.duration_since(due).as_nanos() as u64 / 1000);
                         idle.borrow_mut().push_back(client);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,7 +6,7 @@
 mod seats;
 
 use clap::{Parser, Subcommand};
-use load::{closed, open};
+use load::{Work, closed, closed_of, open, open_of};
 use micadyke_config::{BoxRow, read_config, write_boxes};
 use peers::{Peer, lean_box, our_front, plain_hyper};
 use std::io::{BufRead, BufReader, Write};
@@ -33,6 +33,15 @@
         #[arg(long, default_value_t = 3)]
         rounds: usize,
     },
+    /// Plays over HTTP: manifests set up and segments led on a second on one core, and time added at half of that rate.
+    Media {
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 4)]
+        seconds: u64,
+        /// Times that all are measured in turn; the middle one counts.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+    },
     /// Memory of the front for each playing session.
     Memory {
         /// Sessions.
@@ -76,12 +85,14 @@
 (attempts (most 3))
 (bounds (sessions 1000000) (connections 19000) (idle-per-box 256) (ended 1000))
 (route "/whep/" (kind whep) (class play))
+(route "/watch/" (kind media) (class play))
 (title demo (from-cell 0) (cells 2))
 "#;
 
 fn main() -> Result<(), Failure> {
     match Cli::parse().command {
         What::Setups { seconds, rounds } => setups(Duration::from_secs(seconds), rounds),
+        What::Media { seconds, rounds } => media(Duration::from_secs(seconds), rounds),
         What::Memory { sessions } => memory(sessions),
         What::Drains { drains } => drain_times(drains),
         What::Wake { stops, seconds } => wake(stops, Duration::from_secs(seconds)),
@@ -174,6 +185,51 @@
 }
 
 /// What a seat adds to a set-up: the same front and box, with an issuer asked before each set-up and without.
+fn media(time: Duration, rounds: usize) -> Result<(), Failure> {
+    let dir = folder("media")?;
+    let lean = lean_box(false);
+    write_list(&dir, &rows(&[lean.addr]))?;
+    let (ours, theirs) = (our_front(&dir), plain_hyper(lean.addr));
+    std::thread::sleep(Duration::from_millis(300));
+    for (work, name) in
+        [(Work::Play, "manifest, then DELETE; plays"), (Work::Segment, "segments led to their box; requests")]
+    {
+        let peers = [("plain hyper proxy", &theirs), ("micadyke front", &ours)];
+        let mut rates = [Vec::new(), Vec::new()];
+        for _ in 0..rounds {
+            for (i, (_, peer)) in peers.iter().enumerate() {
+                let before = peer.ran();
+                let rate = closed_of(work, peer.addr, 32, time)?;
+                rates[i].push((rate, rate * time.as_secs_f64() / (peer.ran() - before).max(1e-9)));
+            }
+        }
+        println!("closed loop, 32 connections, {name} a second, and for each second on a core:");
+        let middle = |v: &mut Vec<(f64, f64)>| {
+            v.sort_by(|a, b| a.0.total_cmp(&b.0));
+            v[v.len() / 2]
+        };
+        let middles = rates.each_mut().map(middle);
+        for ((name, _), (rate, core)) in peers.iter().zip(middles) {
+            let (of, of_core) = (rate / middles[0].0, core / middles[0].1);
+            println!(
+                "  {name:<20} {rate:>9.0}  {of:.2} of hyper; {core:>9.0} a core second, {of_core:.2} of hyper"
+            );
+        }
+        let rate = middles[0].0.min(middles[1].0) / 2.0;
+        println!("open loop at {rate:.0} a second, from the intended send; ms at p50, p99, p99.9:");
+        for (name, peer) in peers {
+            let mut all = Vec::new();
+            for _ in 0..rounds {
+                all.push(open_of(work, peer.addr, rate, time)?);
+            }
+            all.sort_by(|a, b| a[1].total_cmp(&b[1]));
+            let [p50, p99, p999] = all[all.len() / 2];
+            println!("  {name:<20} {p50:.3} {p99:.3} {p999:.3}");
+        }
+    }
+    Ok(())
+}
+
 fn seat_cost() -> Result<(), Failure> {
     const TIME: Duration = Duration::from_secs(1);
     let plain = lean_box(false);
--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -101,6 +101,10 @@
     answer.replace("a=rtcp-mux\r\n", "a=rtcp-mux\r\na=sendonly\r\na=setup:passive\r\n").into()
 }
 
+/// A list as boxes have it.
+const LIST: &str = "#EXTM3U\n#EXT-X-VERSION:7\n#EXT-X-STREAM-INF:BANDWIDTH=8000\n0/index.m3u8\n\
+    #EXT-X-STREAM-INF:BANDWIDTH=16000\n1/index.m3u8\n";
+
 async fn lean(
     mut stream: TcpStream, answer: &str, next: &Cell<u64>, last: &Mutex<Option<Instant>>,
     (start, guard): &(Instant, RefCell<Guard>), extensions: bool,
@@ -118,6 +122,11 @@
             panic!("a token is turned away: {why:?}");
         }
         let response = match r.method {
+            Method::Get if path.ends_with(".m3u8") => {
+                Response::new(200).content("application/vnd.apple.mpegurl", LIST)
+            }
+            Method::Get if path.ends_with(".m4s") => Response::new(307).with("location", "http://h/x"),
+            Method::Post if path == "/cmcd" => Response::new(204),
             Method::Get if path == "/leases" => json(guard.borrow().tell(now, Vec::new())),
             Method::Post if path == "/leases" => {
                 let renewed = guard.borrow_mut().renew(now, &String::from_utf8_lossy(&r.body));
@@ -251,14 +260,17 @@
             self.sessions.borrow_mut().insert(n, location);
             let mut out = hyper::Response::builder()
                 .status(answer.status())
-                .header("location", format!("/session/{n}"))
+                .header("location", format!("/session/{n:032x}"))
                 .header("content-type", "application/sdp");
             if let Some(tag) = etag {
                 out = out.header("etag", tag);
             }
             return out.body(Full::new(answer.into_body())).expect("a response");
         }
-        let n = parts.uri.path().rsplit('/').next().and_then(|n| n.parse().ok());
+        if parts.method == hyper::Method::GET {
+            return self.media(parts.uri.path(), &host).await;
+        }
+        let n = parts.uri.path().rsplit('/').next().and_then(|n| u64::from_str_radix(n, 16).ok());
         let Some(path) = n.and_then(|n: u64| self.sessions.borrow_mut().remove(&n)) else { return bad(404) };
         let out = hyper::Request::delete(path).header("host", host).body(Full::default());
         spawn_local(async move {
@@ -268,6 +280,37 @@
     }
 }
 
+impl Proxy {
+    /// A list, with its references led back by replacing text, or the way to a segment.
+    async fn media(&self, path: &str, host: &str) -> hyper::Response<Full<Bytes>> {
+        let out = hyper::Response::builder().header("cache-control", "no-store");
+        if let Some(file) = path.strip_prefix("/watch/demo/") {
+            let asked = hyper::Request::get(format!("/media/demo/{file}")).header("host", host);
+            let asked = asked.header("via", "1.1 hyper").body(Full::default()).expect("a request");
+            let Some(answer) = self.call(asked).await else {
+                return out.status(502).body(Full::default()).expect("a response");
+            };
+            self.next.set(self.next.get() + 1);
+            let n = self.next.get();
+            self.sessions.borrow_mut().insert(n, "/cmcd".into());
+            let text = String::from_utf8_lossy(answer.body());
+            let lead = |l: &str| {
+                if l.starts_with('#') { format!("{l}\n") } else { format!("/session/{n:032x}/{l}\n") }
+            };
+            let text: String = text.lines().map(lead).collect();
+            let out = out.header("content-type", "application/vnd.apple.mpegurl");
+            return out.body(Full::new(text.into())).expect("a response");
+        }
+        let file = path.get(42..).unwrap_or_default();
+        let known = path.get(9..41).and_then(|n| u64::from_str_radix(n, 16).ok());
+        let known = known.is_some_and(|n| self.sessions.borrow().contains_key(&n));
+        let out = out.status(if known { 307 } else { 404 });
+        out.header("location", format!("http://{host}/media/demo/{file}"))
+            .body(Full::default())
+            .expect("a response")
+    }
+}
+
 /// The same proxying written plainly on hyper: no checks of the offer, no module, no books beyond a map.
 pub fn plain_hyper(to: SocketAddr) -> Peer {
     start("hyper", move |listener, _| async move {
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -176,7 +176,7 @@
         ready(addr)?;
         println!(
             "try: curl -i -H 'content-type: application/sdp' --data-binary @fixtures/offers/chromium-play.sdp \
-             http://{addr}/whep/demo"
+             http://{addr}/whep/demo\nor:  curl -i http://{addr}/watch/demo/index.m3u8"
         );
         let source = Box::new(Fixed(Some(rows)));
         serve_until_signalled(listener, config, source, Extras::default()).await
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,7 +8,8 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// A session front: places video sessions on streaming servers and shapes their quality, over WHIP and WHEP.
+/// A session front: places video sessions on streaming servers and shapes their quality, over WHIP, WHEP and HTTP with
+/// CMCD.
 #[derive(Debug, Parser)]
 #[command(version, propagate_version = true)]
 struct Cli {
--- a/crates/rehearse/src/replay.rs
+++ b/crates/rehearse/src/replay.rs
@@ -210,6 +210,8 @@
     }
 }
 
+/// What a box was asked for and nobody came to use is over after this, in nanoseconds.
+const REAP: u64 = 2_000_000_000;
 /// News of the list are heard within this.
 const HEARD: Duration = Duration::from_millis(200);
 
@@ -228,8 +230,7 @@
     let places: BTreeMap<u32, u32> =
         rows.iter().map(|r| (r.id, config.settings.streams_by_kind[r.kind])).collect();
     let record = Record::new();
-    let fleet =
-        Fleet::new(World::of(&config, &rows, 60_000_000_000), Habits::default(), record.clone(), seed);
+    let fleet = Fleet::new(World::of(&config, &rows, REAP), Habits::default(), record.clone(), seed);
     fleet.open_all(&mut rows).await.map_err(fail)?;
     let dir = std::env::temp_dir().join(format!("micadyke-replay-{}-{:x}", std::process::id(), unix()));
     std::fs::create_dir_all(&dir).map_err(fail)?;
