Hints read in one pass, ladders made once

Need: the segment path. Fields are found in one pass over the head, values moved instead of copied, keys kept in a short sorted list; the ladder of each class is made at the start.

--- a/crates/cmcd/src/client.rs
+++ b/crates/cmcd/src/client.rs
@@ -5,7 +5,7 @@
 use micadyke_http::Headers;
 use micadyke_http::structured::{Bare, Dictionary, Item, Member, parse_dictionary, write_dictionary};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode_str, utf8_percent_encode};
-use std::collections::BTreeMap;
+use std::borrow::Cow;
 
 /// Name of the query argument (CTA-5004 section 2.2).
 pub const ARGUMENT: &str = "CMCD";
@@ -36,7 +36,8 @@
 /// What one request or report tells.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Cmcd {
-    reserved: BTreeMap<&'static str, Value>,
+    /// By name, in its order: a handful.
+    reserved: Vec<(&'static str, Value)>,
     /// Keys of an operator's or maker's own: their names hold a hyphen (CTA-5004 section 3).
     pub custom: Vec<(String, Value)>,
     /// Keys and fields that were left out: unknown, of a wrong type, malformed, too long or too many.
@@ -56,16 +57,22 @@
     /// by commas (RFC 9110 section 5.3); the later of two equal keys counts.
     pub fn of(headers: &Headers, target: &str) -> Self {
         let mut told = Cmcd::default();
-        let mut any = false;
-        for field in Field::ALL {
-            let mut values = headers.all(field.name()).peekable();
-            if values.peek().is_some() {
-                any = true;
-                let joined = values.collect::<Vec<_>>().join(",");
-                told.read(&joined);
+        let mut texts: [Option<Cow<'_, str>>; Field::ALL.len()] = Default::default();
+        for (name, value) in headers.0.iter().filter(|h| h.0.starts_with("cmcd-")) {
+            let Some(i) = Field::ALL.iter().position(|f| f.name() == name) else { continue };
+            match &mut texts[i] {
+                None => texts[i] = Some(Cow::Borrowed(value)),
+                Some(text) => {
+                    let text = text.to_mut();
+                    text.push(',');
+                    text.push_str(value);
+                }
             }
         }
-        if let Some(text) = (!any).then(|| argument(target)).flatten() {
+        texts.iter().flatten().for_each(|text| told.read(text));
+        if texts.iter().all(Option::is_none)
+            && let Some(text) = argument(target)
+        {
             told.read(&text);
         }
         told
@@ -93,9 +100,9 @@
         };
         for (name, member) in members {
             let kept = match find(&name) {
-                Some(key) => value(key.kind, &member).map(|v| self.reserved.insert(key.name, v)).is_some(),
+                Some(key) => value(key.kind, member).map(|v| self.put(key.name, v)).is_some(),
                 None if name.contains('-') && self.custom.len() < MAX_CUSTOM => {
-                    own(&member).map(|v| self.custom.push((name, v))).is_some()
+                    own(member).map(|v| self.custom.push((name, v))).is_some()
                 }
                 None => false,
             };
@@ -103,6 +110,13 @@
         }
     }
 
+    fn put(&mut self, name: &'static str, value: Value) {
+        match self.reserved.binary_search_by(|r| r.0.cmp(name)) {
+            Ok(at) => self.reserved[at].1 = value,
+            Err(at) => self.reserved.insert(at, (name, value)),
+        }
+    }
+
     /// The version that it says it is of; without one it is 1.
     pub fn version(&self) -> u64 {
         self.integer("v").unwrap_or(1)
@@ -115,12 +129,12 @@
 
     /// The value of a reserved key.
     pub fn get(&self, name: &str) -> Option<&Value> {
-        self.reserved.get(name)
+        self.reserved.iter().find(|r| r.0 == name).map(|r| &r.1)
     }
 
     /// A whole number; of several by type of object the one of video, or of all together, or else the first.
     pub fn integer(&self, name: &str) -> Option<u64> {
-        match self.reserved.get(name)? {
+        match self.get(name)? {
             Value::Integer(n) => Some(*n),
             Value::Integers(all) => {
                 let of = |kinds: &[&str]| {
@@ -134,7 +148,7 @@
 
     /// A text or a token; of several texts the first.
     pub fn text(&self, name: &str) -> Option<&str> {
-        match self.reserved.get(name)? {
+        match self.get(name)? {
             Value::Text(t) | Value::Token(t) => Some(t),
             Value::Texts(all) => all.first().map(String::as_str),
             _ => None,
@@ -143,7 +157,7 @@
 
     /// Whether a flag is set.
     pub fn flag(&self, name: &str) -> bool {
-        self.reserved.get(name) == Some(&Value::Flag)
+        self.get(name) == Some(&Value::Flag)
     }
 
     /// Sets a reserved key; one that is not known, or whose kind is another, changes nothing and gives false.
@@ -162,7 +176,7 @@
             _ => false,
         };
         if fits {
-            self.reserved.insert(key.name, value);
+            self.put(key.name, value);
         }
         fits
     }
@@ -191,7 +205,7 @@
     fn dictionary(&self, of: impl Fn(&Key) -> bool) -> Dictionary {
         let known = KEYS.iter().filter(|k| of(k));
         let mut all: Dictionary =
-            known.filter_map(|k| Some((k.name.to_owned(), write(k, self.reserved.get(k.name)?)?))).collect();
+            known.filter_map(|k| Some((k.name.to_owned(), write(k, self.get(k.name)?)?))).collect();
         if of(&KEYS[0]) {
             // Custom keys go with what is of the object, as the first of the fields.
             all.extend(self.custom.iter().filter_map(|(n, v)| Some((n.clone(), member(v, 1)?))));
@@ -239,7 +253,7 @@
 }
 
 /// A member as a value of a kind.
-fn value(kind: Kind, member: &Member) -> Option<Value> {
+fn value(kind: Kind, member: Member) -> Option<Value> {
     match (kind, member) {
         (Kind::Integer, Member::Item(i)) => whole(&i.value).map(Value::Integer),
         (Kind::Integer, Member::Inner(all, _)) => {
@@ -256,7 +270,7 @@
             _ => None,
         },
         (Kind::Text(most), Member::Item(Item { value: Bare::String(t), .. })) => {
-            (t.len() <= most).then(|| Value::Text(t.clone()))
+            (t.len() <= most).then_some(Value::Text(t))
         }
         (Kind::Text(most), Member::Inner(all, _)) => {
             let one = |i: &Item| match &i.value {
@@ -268,7 +282,7 @@
         }
         // A value that is not known is of a later version; it is left out.
         (Kind::Token(known), Member::Item(Item { value: Bare::Token(t), .. })) => {
-            known.contains(&t.as_str()).then(|| Value::Token(t.clone()))
+            known.contains(&t.as_str()).then_some(Value::Token(t))
         }
         (Kind::Flag, Member::Item(Item { value: Bare::Boolean(true), .. })) => Some(Value::Flag),
         _ => None,
@@ -276,13 +290,13 @@
 }
 
 /// A custom key's value.
-fn own(member: &Member) -> Option<Value> {
+fn own(member: Member) -> Option<Value> {
     let Member::Item(item) = member else { return None };
-    match &item.value {
-        Bare::Integer(_) => whole(&item.value).map(Value::Integer),
-        Bare::Decimal(n) => u64::try_from(*n).ok().map(Value::Decimal),
-        Bare::String(t) if t.len() <= 128 => Some(Value::Text(t.clone())),
-        Bare::Token(t) if t.len() <= 128 => Some(Value::Token(t.clone())),
+    match item.value {
+        Bare::Integer(n) => u64::try_from(n).ok().map(Value::Integer),
+        Bare::Decimal(n) => u64::try_from(n).ok().map(Value::Decimal),
+        Bare::String(t) if t.len() <= 128 => Some(Value::Text(t)),
+        Bare::Token(t) if t.len() <= 128 => Some(Value::Token(t)),
         Bare::Boolean(true) => Some(Value::Flag),
         _ => None,
     }
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -7,6 +7,7 @@
 
 use crate::books::{Calls, Owed, Plays, Publications, Sessions, Visits};
 use crate::endpoint::{SDP, dress};
+use crate::hints::Ladder;
 use crate::io::{CallId, ConnId, Input, Output, Purpose, Timer};
 use crate::media;
 use crate::seats::{Permitted, Seats};
@@ -85,6 +86,8 @@
     pub(crate) publications: Publications,
     pub(crate) visits: Visits,
     pub(crate) plays: Plays,
+    /// The ladder of each class, as players count it.
+    pub(crate) ladders: Rc<[Ladder]>,
     /// What checks signed tokens, and the Unix time of the front's time zero, in nanoseconds.
     pub(crate) entitlements: Option<(Checker, u64)>,
     /// Seats of the issuer, where the settings name one.
@@ -136,6 +139,9 @@
     }
 
     fn with(config: Rc<Config>, module: Box<dyn Decide>, random: StdRng, now: Nanos) -> Self {
+        let s = &config.settings;
+        let ladder = |scale| Ladder::new(s.ladder.iter().map(|r| r.rate), scale);
+        let ladders = s.classes.iter().map(|c| ladder(c.scale)).collect();
         Front {
             config,
             module,
@@ -153,6 +159,7 @@
             publications: Publications::default(),
             visits: Visits::default(),
             plays: Plays::default(),
+            ladders,
             entitlements: None,
             seats: None,
             counts: Counts::default(),
--- a/crates/front/src/media.rs
+++ b/crates/front/src/media.rs
@@ -13,7 +13,7 @@
 use crate::books::{Play, Want};
 use crate::core::Front;
 use crate::endpoint::{SESSION, bearer, not_allowed};
-use crate::hints::{Hints, Ladder};
+use crate::hints::Hints;
 use crate::io::{CallId, ConnId, Purpose, Timer};
 use crate::session::{Asked, Phase, Place, Playing, Session};
 use crate::signalling::Wanted;
@@ -96,11 +96,6 @@
         self.config.routes[route].media.unwrap_or(usual)
     }
 
-    fn rates(&self, class: usize) -> Ladder {
-        let s = &self.config.settings;
-        Ladder::new(s.ladder.iter().map(|r| r.rate), s.classes[class].scale)
-    }
-
     // ----- requests of players
 
     /// A request for a file of a title: a manifest, which may begin a play; or reports.
@@ -172,7 +167,7 @@
             return Err(Response::problem(503, what).with("retry-after", "1"));
         }
         let name = self.name();
-        let top = self.rates(self.config.routes[route].class).top(told);
+        let top = self.ladders[self.config.routes[route].class].top(told);
         let play = Play {
             route,
             title: title.clone(),
@@ -278,9 +273,9 @@
         if told.is_empty() {
             return;
         }
-        let ladder = self.rates(self.config.routes[route].class);
+        let (ladders, class) = (self.ladders.clone(), self.config.routes[route].class);
         let Some(play) = self.plays.get_mut(name) else { return };
-        let notes = play.hints.heard(told, &ladder);
+        let notes = play.hints.heard(told, &ladders[class]);
         let Some(id) = session else { return };
         let Some(server) = self.sessions.get_mut(id).and_then(Session::playing).map(|p| p.place.server)
         else {
@@ -588,7 +583,7 @@
         let route = self.media_route(session.route);
         let text = std::str::from_utf8(&r.body).map_err(|_| fault("it is not UTF-8"))?;
         let class = &self.config.settings.classes[session.class];
-        let (ladder, floor) = (self.rates(session.class), class.floor);
+        let (ladder, floor) = (&self.ladders[session.class], class.floor);
         let usable = self.plays.get(name).map_or(class.top, |p| p.top.min(class.top));
         let top = if route.all_renditions { usable } else { session.rung };
         let folder = format!("/media/{}/", session.title);
@@ -625,7 +620,7 @@
     pub(crate) fn with_rung(&self, id: SessionId, response: Response, from: Option<&Response>) -> Response {
         let Some(session) = self.sessions.get(id) else { return response };
         let mut told = from.map(|r| Cmsd::of(&r.headers)).unwrap_or_default();
-        let rate = self.rates(session.class).rate(session.rung) / 1_000;
+        let rate = self.ladders[session.class].rate(session.rung) / 1_000;
         let at = match &session.phase {
             Phase::Playing(p) => format!("box-{}", p.place.server.0),
             Phase::SettingUp(_) => return response,
