--- a/crates/rehearse/tests/sockets.rs
+++ b/crates/rehearse/tests/sockets.rs
@@ -8,6 +8,7 @@
 use micadyke_standin::media_box::{Fleet, Habits};
 use micadyke_standin::model::World;
 use micadyke_standin::offers::offer;
+use micadyke_standin::player::{self, Player, Teller};
 use micadyke_standin::record::Record;
 use micadyke_standin::viewer::{Client, Outcome, Session, Wish, ask, end};
 use std::net::SocketAddr;
@@ -31,6 +32,7 @@
 (bounds (connections 20) (read 400ms) (idle 700ms))
 (route "/whep/" (kind whep) (class play))
 (route "/paid/" (kind whep) (class paid))
+(route "/watch/" (kind media) (class play) (silence 1s))
 (title demo (from-cell 0) (cells 2))
 "#;
 
@@ -306,6 +308,54 @@
     });
 }
 
+#[test]
+fn players_that_hang_up_halfway_send_too_much_or_fall_silent_leave_nothing_behind() {
+    local(async {
+        let hall = Hall::new().await;
+        let get = |told: &str| {
+            format!(
+                "GET /watch/demo/index.m3u8 HTTP/1.1\r\nhost: h\r\ncmcd-session: {told}\r\nconnection: close\r\n\r\n"
+            )
+        };
+        let whole = get("sid=\"a\"");
+        // Halfway through its request; after it, before its answer is there.
+        for part in [&whole[..40], &whole] {
+            let mut stream = TcpStream::connect(hall.addr).await.expect("a connection");
+            stream.write_all(part.as_bytes()).await.expect("written");
+        }
+        sleep(Duration::from_millis(100)).await;
+        hall.settle(0).await;
+        // Halfway through its answer, and back with the same id: one play, and it goes on.
+        let mut stream = TcpStream::connect(hall.addr).await.expect("a connection");
+        stream.write_all(whole.as_bytes()).await.expect("written");
+        let mut some = [0; 20];
+        stream.read_exact(&mut some).await.expect("the answer begins");
+        drop(stream);
+        let again = hall.raw(&[whole.as_bytes()], Duration::ZERO).await;
+        assert!(again.starts_with("HTTP/1.1 200") && hall.held() == 1, "{again}");
+        // A head that is too long is refused; hints that are none are passed over, and so is a query of them.
+        let long =
+            hall.raw(&[get(&format!("nor=\"{}\"", "x".repeat(64 << 10))).as_bytes()], Duration::ZERO).await;
+        assert!(long.starts_with("HTTP/1.1 431"), "{long}");
+        let head = get("br=\"x\",sid=").replace("GET", "HEAD");
+        let head = hall.raw(&[head.as_bytes()], Duration::ZERO).await;
+        assert!(head.starts_with("HTTP/1.1 200") && head.ends_with("\r\n\r\n"), "{head}");
+        // A whole play by a player; then all fall silent.
+        let (teller, wish) =
+            (Teller { sid: "p".into(), most: Some(1_000) }, wish(1, "/watch/demo/manifest.mpd"));
+        let asked = player::ask(0, hall.addr, &wish, &teller, &hall.record).await.0;
+        let Outcome::Plays(session) = asked else { panic!("{asked:?}") };
+        let mut player = Player::new((0, hall.addr), &session, &teller, None, &hall.record);
+        for _ in 0..3 {
+            assert_eq!(player.segment(Duration::from_secs(2)).await.as_deref(), Ok("0"), "its ceiling holds");
+        }
+        assert_eq!(hall.held(), 3);
+        assert_eq!(player.end().await, Some(204));
+        hall.settle(0).await;
+        hall.plays(9).await;
+    });
+}
+
 #[test]
 fn a_webrtc_library_gets_its_session_trickles_and_restarts() {
     use str0m::change::SdpAnswer;
