--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -7,7 +7,7 @@
 use micadyke_config::{BoundConfig, BoxRow, Config, Diagnostic, Entitlements, read_boxes, read_config};
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
-use micadyke_front::shell::{Extras, serve};
+use micadyke_front::shell::{Extras, Questions, serve};
 use micadyke_rehearse::replay::{self, Line, Via};
 use micadyke_rehearse::run::{Post, Program, play_with};
 use micadyke_rehearse::sabotage::Break;
@@ -104,7 +104,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-pub fn front(file: &Path, addr: Option<SocketAddr>) -> Result<ExitCode, Failure> {
+pub fn front(file: &Path, addr: Option<SocketAddr>, record: Option<&Path>) -> Result<ExitCode, Failure> {
     let config = Rc::new(load(file)?);
     if config.boxes.is_empty() {
         return Err("the settings name no list of boxes: (front (boxes \"FILE\"))".into());
@@ -123,7 +123,8 @@
     for note in config.not_promised() {
         tracing::warn!("{note}");
     }
-    let extras = Extras { seats, bound, entitlements };
+    let questions = record.map(|path| Questions::append(path).map_err(at(path))).transpose()?;
+    let extras = Extras { seats, bound, entitlements, questions };
     run(async {
         let (listener, addr) = listen(addr.unwrap_or(config.listen)).await?;
         ready(addr)?;
@@ -330,7 +331,8 @@
 /// Asks a list of a front that runs, over WHEP.
 pub fn replay_at(list: &Path, front: SocketAddr, routes: &[String]) -> Result<ExitCode, Failure> {
     let lines = read_list(list)?;
-    let mut client = Client { rule: Rule { most: 1, ..Rule::default() }, ..Client::new(front) };
+    let (rule, bearer) = (Rule { most: 1, ..Rule::default() }, std::env::var("MICADYKE_BEARER").ok());
+    let mut client = Client { rule, bearer, ..Client::new(front) };
     for r in routes {
         let (class, path) = r.split_once('=').ok_or_else(|| format!("'{r}' is not CLASS=PATH"))?;
         client = client.route(class, path);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -46,6 +46,9 @@
         /// Listen here instead of where the settings say; port 0: any free one.
         #[arg(long)]
         listen: Option<SocketAddr>,
+        /// Write down the questions that are taken, for `replay`.
+        #[arg(long, value_name = "FILE")]
+        record: Option<PathBuf>,
     },
     /// Run a front and stand-in boxes in one process on loopback, until interrupted.
     Demo {
@@ -94,7 +97,8 @@
         /// Print a list of so many questions instead, with troubles.
         #[arg(long, value_name = "QUESTIONS", conflicts_with_all = ["list", "front", "client"])]
         make: Option<usize>,
-        /// Ask the front that runs here over WHEP, and print the outcomes; troubles in the list are passed over.
+        /// Ask the front that runs here over WHEP, with the token of MICADYKE_BEARER if there is one, and print the
+        /// outcomes; troubles in the list are passed over.
         #[arg(long)]
         front: Option<SocketAddr>,
         /// Routes of that front, as CLASS=PATH.
@@ -161,7 +165,7 @@
         LogForm::Json => builder.json().init(),
     }
     let result = match cli.command {
-        Command::Front { config, listen } => commands::front(&config, listen),
+        Command::Front { config, listen, record } => commands::front(&config, listen, record.as_deref()),
         Command::Demo { listen } => commands::demo(listen),
         Command::Standin { config } => commands::standin(&config),
         Command::Issuer { listen, seats, ttl } => commands::issuer(listen, &seats, &ttl),
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -96,6 +96,8 @@
     pub(crate) out: Vec<Output>,
     /// The next attempt goes out without waiting for the last one to close: a front broken on purpose.
     overlap: bool,
+    /// Questions are told of as they are taken.
+    pub(crate) recording: bool,
     /// What the list says of a box's state is not heard: a front broken on purpose.
     deaf: bool,
 }
@@ -165,10 +167,16 @@
             counts: Counts::default(),
             out: Vec::new(),
             overlap: false,
+            recording: false,
             deaf: false,
         }
     }
 
+    /// Tells of each question that is taken, by [`Output::Taken`].
+    pub fn record_questions(&mut self) {
+        self.recording = true;
+    }
+
     /// When [`Input::Tick`] is due.
     pub fn deadline(&self) -> Option<Nanos> {
         let timer = self.timers.peek().map(|Reverse((at, ..))| *at);
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -7,6 +7,7 @@
 use micadyke_http::{Request, Response, sse};
 use micadyke_tokens::store::Record;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A viewer's connection.
@@ -79,6 +80,21 @@
     Stop,
 }
 
+/// A question as a front has taken it, whatever its protocol.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Taken {
+    /// When, by the front's clock.
+    pub at: Nanos,
+    /// The title.
+    pub title: Arc<str>,
+    /// Index of its class.
+    pub class: usize,
+    /// Rate of the highest rung that the viewer can use, kbit/s.
+    pub ceiling: u64,
+    /// How long the viewer still waited for its answer.
+    pub patience: Nanos,
+}
+
 /// Something to be done.
 #[derive(Debug)]
 pub enum Output {
@@ -123,6 +139,8 @@
     Subscribe,
     /// Append this to the log of seats, before anything that follows is done.
     Record(Record),
+    /// Write this down, where questions are recorded (see [`crate::Front::record_questions`]).
+    Taken(Taken),
 }
 
 /// What a call is for.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,4 +20,4 @@
 mod signalling;
 
 pub use crate::core::{Counts, Decide, Front};
-pub use crate::io::{CallId, ConnId, Input, Output, StreamId};
+pub use crate::io::{CallId, ConnId, Input, Output, StreamId, Taken};
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -4,7 +4,7 @@
 //! which hands it to the core with one reading of the clock and carries the outputs out before it returns.
 
 use crate::core::{Counts, Front};
-use crate::io::{CallId, ConnId, Input, Output, StreamId};
+use crate::io::{CallId, ConnId, Input, Output, StreamId, Taken};
 use crate::list::{News, Source};
 use micadyke::interface::Nanos;
 use micadyke_config::{Config, RouteKind};
@@ -50,6 +50,40 @@
     pub bound: Option<SharedKey>,
     /// What checks signed tokens; due where a route asks for them.
     pub entitlements: Option<Checker>,
+    /// Questions are written down here as they are taken, a line of JSON each.
+    pub questions: Option<Questions>,
+}
+
+/// A list of the questions that a front took, as `micadyke replay` reads it.
+#[derive(Debug)]
+pub struct Questions {
+    to: std::io::BufWriter<std::fs::File>,
+    bytes: u64,
+}
+
+/// Bytes of such a list at most; what comes later is not written down.
+const QUESTIONS_MOST: u64 = 1 << 30;
+
+impl Questions {
+    /// A list at the end of a file.
+    pub fn append(path: &std::path::Path) -> std::io::Result<Self> {
+        let file = std::fs::File::options().create(true).append(true).open(path)?;
+        let bytes = file.metadata()?.len();
+        Ok(Questions { to: std::io::BufWriter::new(file), bytes })
+    }
+
+    fn write(&mut self, taken: &Taken, class: &str) -> std::io::Result<()> {
+        if self.bytes >= QUESTIONS_MOST {
+            return Ok(());
+        }
+        let line = serde_json::json!({
+            "title": &*taken.title, "class": class, "ceiling": taken.ceiling,
+            "patience_ms": taken.patience / 1_000_000, "at_ms": taken.at / 1_000_000,
+        });
+        let line = format!("{line}\n");
+        self.bytes += line.len() as u64;
+        std::io::Write::write_all(&mut self.to, line.as_bytes())
+    }
 }
 
 /// Nanoseconds since the machine was started, those included that it slept: a lease does not wait for a machine that
@@ -70,6 +104,7 @@
     source: RefCell<Box<dyn Source>>,
     /// The log of seats.
     log: RefCell<Option<File>>,
+    questions: RefCell<Option<Questions>>,
     polled: Cell<Instant>,
     /// When the front last found that it had stood still, and for how long.
     stood: Cell<(Instant, Duration)>,
@@ -98,6 +133,7 @@
         epoch: unix.saturating_sub(ZERO),
         source: RefCell::new(source),
         log: RefCell::new(None),
+        questions: RefCell::new(None),
         polled: Cell::new(start),
         stood: Cell::new((start, Duration::ZERO)),
         answers: RefCell::default(),
@@ -112,6 +148,10 @@
     if let Some(checker) = extras.entitlements {
         shell.core.borrow_mut().with_entitlements(checker, shell.epoch);
     }
+    if let Some(questions) = extras.questions {
+        shell.core.borrow_mut().record_questions();
+        *shell.questions.borrow_mut() = Some(questions);
+    }
     if let Some((state, file)) = extras.seats {
         *shell.log.borrow_mut() = Some(file);
         let mut out = Vec::new();
@@ -233,6 +273,14 @@
                 self.listens.borrow_mut().remove(&stream);
             }
             Output::Record(record) => self.write_down(&[record]),
+            Output::Taken(taken) => {
+                let class = &self.config.classes[taken.class].name;
+                let written = self.questions.borrow_mut().as_mut().map(|q| q.write(&taken, class));
+                if let Some(Err(e)) = written {
+                    warn!("questions are written down no more: {e}");
+                    *self.questions.borrow_mut() = None;
+                }
+            }
             // A watched list is always subscribed.
             Output::Subscribe => self.poll_list(),
         }
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -5,7 +5,7 @@
 use crate::endpoint::{
     self, ENDPOINT_ALLOW, FRAGMENT, SDP, SESSION, SESSION_ALLOW, Target, bearer, not_allowed,
 };
-use crate::io::{CallId, ConnId, Output, Purpose, StreamId, Timer};
+use crate::io::{CallId, ConnId, Output, Purpose, StreamId, Taken, Timer};
 use crate::media;
 use crate::notes;
 use crate::session::{Asked, Patch, Phase, Place, Playing, Reports, Session, SettingUp};
@@ -170,6 +170,16 @@
     ) -> SessionId {
         let Wanted { route, title, media, top, patience, visitor, place, name, asked } = wanted;
         let (kind, class) = (self.config.routes[route].kind, self.config.routes[route].class);
+        if self.recording && kind != RouteKind::Publish {
+            let ceiling = self.ladders[class].rate(top) / 1_000;
+            self.out.push(Output::Taken(Taken {
+                at: self.now,
+                title: title.clone(),
+                class,
+                ceiling,
+                patience,
+            }));
+        }
         let again = self.visits.again(visitor, self.now);
         let id = SessionId(self.id());
         let phase = Phase::SettingUp(SettingUp {
--- a/crates/front/tests/bench/mod.rs
+++ b/crates/front/tests/bench/mod.rs
@@ -4,7 +4,7 @@
 use micadyke::interface::{Nanos, ServerState};
 use micadyke_cmcd::Cmcd;
 use micadyke_config::{BoxRow, Config, read_config};
-use micadyke_front::{CallId, ConnId, Front, Input, Output, StreamId};
+use micadyke_front::{CallId, ConnId, Front, Input, Output, StreamId, Taken};
 use micadyke_http::client::CallError;
 use micadyke_http::fields::Link;
 use micadyke_http::{Method, Request, Response};
@@ -60,6 +60,8 @@
     pub answers: HashMap<ConnId, Vec<Response>>,
     pub conns: u64,
     pub session: u64,
+    /// Questions that it told of.
+    pub taken: Vec<Taken>,
     /// Where requests come from.
     pub peer: IpAddr,
 }
@@ -78,6 +80,7 @@
             conns: 0,
             session: 0,
             peer: IpAddr::from([127, 0, 0, 1]),
+            taken: Vec::new(),
         };
         bench.list((1..=4).map(|id| row(id, ServerState::Ready)).collect());
         bench
@@ -102,6 +105,7 @@
                     self.streams.remove(&stream);
                 }
                 Output::Subscribe | Output::Record(_) => {}
+                Output::Taken(taken) => self.taken.push(taken),
             }
         }
         self.one_attempt_at_a_time();
--- a/crates/front/tests/media.rs
+++ b/crates/front/tests/media.rs
@@ -410,6 +410,19 @@
     }
 }
 
+#[test]
+fn questions_are_told_of_alike_over_both_protocols() {
+    let mut b = Bench::new();
+    b.front.record_questions();
+    b.request(get("/watch/demo/index.m3u8", "tb=2400"));
+    let limited = offer_text(2).replace("m=video", "b=AS:9\r\nm=video");
+    b.post("/whep/demo", limited);
+    b.request(get("/watch/none/index.m3u8", ""));
+    let told: Vec<_> = b.taken.iter().map(|t| (&*t.title, t.class, t.ceiling, t.patience / MS)).collect();
+    assert_eq!(told[0], ("demo", 0, 2_400, 3_900));
+    assert_eq!((told.len(), told[1].1, told[1].3), (2, 0, 3_900));
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Ask(u8, u8),
