A play refused within the turn that took it is answered

It waits before anything is asked; test seen to fail before. Routes may ignore hints (hints ignore).

--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -28,6 +28,8 @@
     pub silence: u64,
     /// Manifests offer all that the viewer can use, and the rung is told as `mb` alone; else only up to the rung.
     pub all_renditions: bool,
+    /// What players tell of themselves is heard; else their ids and ends alone.
+    pub hints: bool,
 }
 
 /// A route: titles under a path, and the class that they are asked as.
@@ -386,7 +388,7 @@
     // Routes and titles.
     let mut routes: Vec<Route> = Vec::new();
     for r in all("route") {
-        r.allow(&["kind", "class", "bearer", "entitled", "manifests", "silence", "renditions"], &[]);
+        r.allow(&["kind", "class", "bearer", "entitled", "manifests", "silence", "renditions", "hints"], &[]);
         let entitled = r.choice("entitled", &["no", "yes"], Some(0)) == 1;
         if entitled && one("entitlements").is_none() {
             r.fault("the route wants entitlements, and no 'entitlements' are named");
@@ -410,9 +412,10 @@
             redirect: r.choice("manifests", &["rewrite", "redirect"], Some(0)) == 1,
             silence: r.get("silence", Unit::Time, (1e9, HOUR), Some(60e9)) as u64,
             all_renditions: r.choice("renditions", &["rung", "all"], Some(0)) == 1,
+            hints: r.choice("hints", &["hear", "ignore"], Some(0)) == 0,
         };
         if kind != RouteKind::Media {
-            for word in ["manifests", "silence", "renditions"] {
+            for word in ["manifests", "silence", "renditions", "hints"] {
                 if let Some(part) = r.part(word) {
                     part.fault(format!("'{word}' is for routes of kind media"));
                 }
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -63,6 +63,12 @@
         ("\"f\"", "\"f", "f.sexp:9:45: a string that is not closed"),
         ("(from 0.4)", "(from 1.5)", "f.sexp:7:26: from: 1.5 is outside 0 to 1"),
         ("/whep/", "whep", "f.sexp:9:1: route 'whep' must begin and end with a slash"),
+        ("(class play))", "(class play) (silence 5s))", "f.sexp:9:42: 'silence' is for routes of kind media"),
+        (
+            "(kind whep) (class play))",
+            "(kind media) (class play) (silence 5))",
+            "f.sexp:9:52: silence: '5' has no unit; '5ms' or '5s'? (units: ns, us, ms, s, min, h, d)",
+        ),
         ("/whep/", "/session/", "f.sexp:9:1: routes under /session/ are the front's own"),
         ("127.0.0.1:0", "localhost", "f.sexp:1:19: listen: 'localhost' is no address and port"),
         ("(from-cell 0)", "(from-cell 9)", "f.sexp:10:24: from-cell: '9' is no whole number from 0 to 3"),
--- a/crates/front/src/media.rs
+++ b/crates/front/src/media.rs
@@ -92,7 +92,8 @@
 
 impl Front {
     fn media_route(&self, route: usize) -> MediaRoute {
-        let usual = MediaRoute { redirect: false, silence: 60_000_000_000, all_renditions: false };
+        let usual =
+            MediaRoute { redirect: false, silence: 60_000_000_000, all_renditions: false, hints: true };
         self.config.routes[route].media.unwrap_or(usual)
     }
 
@@ -167,7 +168,8 @@
             return Err(Response::problem(503, what).with("retry-after", "1"));
         }
         let name = self.name();
-        let top = self.ladders[self.config.routes[route].class].top(told);
+        let (ladder, none) = (&self.ladders[self.config.routes[route].class], Cmcd::new());
+        let top = ladder.top(if self.media_route(route).hints { told } else { &none });
         let play = Play {
             route,
             title: title.clone(),
@@ -270,7 +272,7 @@
         let Some(play) = self.plays.get_mut(name) else { return };
         play.heard = now;
         let (session, route) = (play.session, play.route);
-        if told.is_empty() {
+        if told.is_empty() || !self.media_route(route).hints {
             return;
         }
         let (ladders, class) = (self.ladders.clone(), self.config.routes[route].class);
@@ -312,35 +314,25 @@
             }
             return;
         }
-        let id = match session {
-            Some(id) => id,
-            None => {
-                if let Err(response) = self.room() {
-                    if self.plays.get(name).is_some_and(|p| p.waiting.is_empty()) {
-                        self.plays.close(name);
-                    }
-                    return self.respond(conn, response);
-                }
-                match self.place_play(conn, name, asked.patience, token) {
-                    Some(id) => id,
-                    None => return,
+        let Some(id) = session else {
+            if let Err(response) = self.room() {
+                if self.plays.get(name).is_some_and(|p| p.waiting.is_empty()) {
+                    self.plays.close(name);
                 }
+                return self.respond(conn, response);
             }
+            return self.place_play(conn, name, asked, token);
         };
-        if session.is_some() {
-            // Where nobody waited for it any more, its end makes room for this one: see `unplaced`.
-            self.owed.offer(conn, id);
-        }
+        // Where nobody waited for it any more, its end makes room for this one: see `unplaced`.
+        self.owed.offer(conn, id);
         if let Some(play) = self.plays.get_mut(name) {
             play.waiting.push((conn, asked.want));
         }
     }
 
     /// A play gets a session of its own, which the module is to place.
-    fn place_play(
-        &mut self, conn: ConnId, name: u128, patience: Nanos, token: Option<&str>,
-    ) -> Option<SessionId> {
-        let play = self.plays.get(name)?;
+    fn place_play(&mut self, conn: ConnId, name: u128, asked: Asking, token: Option<&str>) {
+        let Some(play) = self.plays.get(name) else { return };
         let (route, title, top) = (play.route, play.title.clone(), play.top);
         let sid: Box<str> = play.sid.clone().unwrap_or_else(|| format!("{name:032x}").into());
         let file = play.entry.clone();
@@ -348,10 +340,10 @@
             Ok(place) => place,
             Err(response) => {
                 self.plays.close(name);
-                self.respond(conn, response);
-                return None;
+                return self.respond(conn, response);
             }
         };
+        let Asking { want, patience } = asked;
         let mut visitor = DefaultHasher::new();
         (token.unwrap_or(&sid), &*title).hash(&mut visitor);
         let wanted = Wanted {
@@ -365,12 +357,13 @@
             name,
             asked: Asked::Manifest { file, sid },
         };
-        // The module may answer in the same turn: the play must know its session by then.
-        Some(self.take(conn, wanted, |front, id| {
+        // It may be refused in the same turn: by then the play must know its session, and who waits for it.
+        self.take(conn, wanted, |front, id| {
             if let Some(play) = front.plays.get_mut(name) {
                 play.session = Some(id);
+                play.waiting.push((conn, want));
             }
-        }))
+        });
     }
 
     // ----- boxes
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -165,9 +165,7 @@
     }
 
     /// Takes a request for a session, in the books and to the module; `opened` is called in between.
-    pub(crate) fn take(
-        &mut self, conn: ConnId, wanted: Wanted, opened: impl FnOnce(&mut Self, SessionId),
-    ) -> SessionId {
+    pub(crate) fn take(&mut self, conn: ConnId, wanted: Wanted, opened: impl FnOnce(&mut Self, SessionId)) {
         let Wanted { route, title, media, top, patience, visitor, place, name, asked } = wanted;
         let (kind, class) = (self.config.routes[route].kind, self.config.routes[route].class);
         if self.recording && kind != RouteKind::Publish {
@@ -219,7 +217,6 @@
         } else {
             self.tell(Event::Request(wish));
         }
-        id
     }
 
     /// Where a title lies, or may be published.
--- a/crates/front/tests/bench/mod.rs
+++ b/crates/front/tests/bench/mod.rs
@@ -34,6 +34,7 @@
 (route "/show/" (kind media) (class paid) (bearer "t1"))
 (route "/go/" (kind media) (class play) (manifests redirect) (silence 10s))
 (route "/all/" (kind media) (class play) (renditions all))
+(route "/mute/" (kind media) (class play) (renditions all) (hints ignore))
 (title demo (from-cell 0) (cells 4))
 "#;
 
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -650,6 +650,10 @@
     b.front.not_recorded(&Record::Epoch(1));
     let conn = b.post("/paid/demo", offer_text(1));
     assert_eq!((b.answer(conn).status, b.issuer_calls(), b.set_ups().len()), (503, 0, 0));
+    // A play that is refused within the same turn is answered all the same.
+    let request = Request::new(Method::Get, "/show/demo/index.m3u8").with("authorization", "Bearer t1");
+    let conn = b.request(request);
+    assert_eq!((b.answer(conn).status, b.front.plays(), b.front.owed()), (503, 0, 0));
     b.play(2);
 }
 
--- a/crates/front/tests/media.rs
+++ b/crates/front/tests/media.rs
@@ -167,6 +167,20 @@
     assert_eq!(b.front.plays(), before - 1);
 }
 
+#[test]
+fn a_route_that_ignores_hints_hears_ids_and_ends_alone() {
+    let mut b = Bench::new();
+    let play = |b: &mut Bench, told: &str| {
+        let conn = b.request(get("/mute/demo/x.m3u8", told));
+        let call = b.set_ups()[0];
+        b.reply(call, list(VARIANTS));
+        String::from_utf8_lossy(&b.answer(conn).body).into_owned()
+    };
+    assert!(play(&mut b, "tb=800,sid=\"a\"").contains("7200000"), "what it can use is not heard");
+    b.request(report("/mute/demo", "sid=\"a\",sta=e"));
+    assert_eq!(b.front.plays(), 0);
+}
+
 #[test]
 fn what_is_turned_away_touches_nothing() {
     let mut b = Bench::new();
