The test of a front by its files tries other ports where one was taken

Cause: the ports that it gives its stand-in boxes were free a moment before, and another program's by the time that they were opened; the front then had no box (503).

--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -98,19 +98,27 @@
 fn a_front_runs_by_its_files_with_stand_in_boxes() {
     let dir = std::env::temp_dir().join(format!("micadyke-cli-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a folder");
-    let free = || std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
     let settings =
         include_str!("../src/demo.sexp").replace("(name \"demo\")", "(name \"f\") (boxes \"boxes.sexp\")");
     let config = dir.join("front.sexp");
     std::fs::write(&config, settings).expect("written");
-    let list: String =
-        (0..4).map(|c| format!("(box {} (address \"{}\") (cell {c}))\n", c + 1, free())).collect();
-    std::fs::write(dir.join("boxes.sexp"), &list).expect("written");
     let path = config.to_str().expect("a path");
-    let check = Command::new(BINARY).args(["check", path]).output().expect("it runs");
-    assert_eq!(check.status.code(), Some(0), "{check:?}");
-    let mut boxes = start(&["standin", "--config", path]);
-    (0..4).for_each(|_| drop(boxes.line()));
+    // A port that was free may be another program's when the boxes open it: then others are tried.
+    let boxes = (0..8).find_map(|_| {
+        let free = || std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let held: Vec<_> = (0..4).map(|_| free()).collect();
+        let row = |(c, l): (usize, &std::net::TcpListener)| {
+            format!("(box {} (address \"{}\") (cell {c}))\n", c + 1, l.local_addr().expect("an address"))
+        };
+        let list: String = held.iter().enumerate().map(row).collect();
+        drop(held);
+        std::fs::write(dir.join("boxes.sexp"), &list).expect("written");
+        let check = Command::new(BINARY).args(["check", path]).output().expect("it runs");
+        assert_eq!(check.status.code(), Some(0), "{check:?}");
+        let mut boxes = start(&["standin", "--config", path]);
+        (0..4).all(|_| boxes.line().starts_with("box ")).then_some(boxes)
+    });
+    let _boxes = boxes.expect("stand-in boxes");
     let mut front = start(&["front", "--config", path, "--listen", "127.0.0.1:0"]);
     let addr = front.line().replace("listening on http://", "");
     let said = post(&addr, "/whep/demo", OFFER);
