--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -390,3 +390,24 @@
         Ok(ExitCode::from(u8::from(!kept || !c.differ.is_empty())))
     })?
 }
+
+/// Asks a list of a front that runs, over CMCD by another program; it inherits the token and writes the outcomes.
+pub fn replay_by(
+    list: &Path, front: SocketAddr, routes: &[String], client: &str,
+) -> Result<ExitCode, Failure> {
+    let lines = read_list(list)?;
+    let (program, args) = client.split_once(' ').unwrap_or((client, ""));
+    let mut command = std::process::Command::new(program);
+    command.args(args.split_whitespace()).arg(format!("http://{front}")).args(routes);
+    let mut child =
+        command.stdin(std::process::Stdio::piped()).spawn().map_err(|e| format!("{client}: {e}"))?;
+    if let Some(mut to) = child.stdin.take() {
+        for line in lines {
+            if let Line::Ask(question) = line {
+                writeln!(to, "{}", serde_json::to_string(&question)?)?;
+            }
+        }
+    }
+    let status = child.wait()?;
+    Ok(ExitCode::from(if status.success() { 0 } else { 2 }))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -30,6 +30,14 @@
     log_level: Option<String>,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Over {
+    /// By the Rust client.
+    Whep,
+    /// By the program that `--client` names.
+    Cmcd,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum LogForm {
     Text,
@@ -97,10 +105,13 @@
         /// Print a list of so many questions instead, with troubles.
         #[arg(long, value_name = "QUESTIONS", conflicts_with_all = ["list", "front", "client"])]
         make: Option<usize>,
-        /// Ask the front that runs here over WHEP, with the token of MICADYKE_BEARER if there is one, and print the
-        /// outcomes; troubles in the list are passed over.
+        /// Ask the front that runs here, with the token of MICADYKE_BEARER if there is one, and print the outcomes;
+        /// troubles in the list are passed over.
         #[arg(long)]
         front: Option<SocketAddr>,
+        /// Over which protocol that front is asked.
+        #[arg(long, value_enum, default_value_t = Over::Whep, requires = "front")]
+        via: Over,
         /// Routes of that front, as CLASS=PATH.
         #[arg(long, value_name = "CLASS=PATH", requires = "front")]
         route: Vec<String>,
@@ -173,9 +184,12 @@
             let required: Vec<usize> = require.into_iter().map(usize::from).collect();
             commands::rehearse(&scenarios, how.as_deref(), &required)
         }
-        Command::Replay { list, make, front, route, client, config, seed, how } => {
+        Command::Replay { list, make, front, via, route, client, config, seed, how } => {
             match (make, list, front) {
                 (Some(questions), ..) => commands::make_list(questions, seed),
+                (None, Some(list), Some(front)) if via == Over::Cmcd => {
+                    commands::replay_by(&list, front, &route, &client)
+                }
                 (None, Some(list), Some(front)) => commands::replay_at(&list, front, &route),
                 (None, Some(list), None) => {
                     commands::replay_both(&list, &client, config.as_deref(), seed, how.as_deref())
