--- a/clients/typescript/src/client.ts
+++ b/clients/typescript/src/client.ts
@@ -46,6 +46,10 @@
   });
 }
 
+function authorised(o: Options): Record<string, string> {
+  return o.bearer === undefined ? {} : { authorization: `Bearer ${o.bearer}` };
+}
+
 /** A client of one front. */
 export class Client {
   readonly #o: Options;
@@ -80,7 +84,7 @@
     const title = encodeURIComponent(question.title);
     const url = new URL(`${route.replace(/\/+$/, '')}/${title}/${manifest}`, this.#o.front);
     const told: Told = { v: 2, sid, ot: 'm', su: true, tb: question.ceiling };
-    const headers: Record<string, string> = { ...fields(told), ...this.#authorised() };
+    const headers: Record<string, string> = { ...fields(told), ...authorised(this.#o) };
     const wait = Math.floor(question.patience_ms / 1_000);
     if (wait > 0) headers['prefer'] = `wait=${wait}`;
     const late = AbortSignal.timeout(question.patience_ms);
@@ -120,10 +124,6 @@
     const play = new Play(this.#o, sid, rung, text, url, new URL(base, url));
     return { outcome: { kind: 'plays', at, rung }, play };
   }
-
-  #authorised(): Record<string, string> {
-    return this.#o.bearer === undefined ? {} : { authorization: `Bearer ${this.#o.bearer}` };
-  }
 }
 
 /** Whether a request never reached anybody: no connection came about. */
@@ -164,7 +164,7 @@
    * comes back as it is: 410 says that the play has ended at the front.
    */
   async get(reference: string, told: Told = {}, signal?: AbortSignal): Promise<Response> {
-    const headers = { ...fields({ v: 2, sid: this.sid, ...told }), ...this.#authorised() };
+    const headers = { ...fields({ v: 2, sid: this.sid, ...told }), ...authorised(this.#o) };
     const ask = this.#o.fetch ?? fetch;
     const url = new URL(reference, this.url);
     const init = signal === undefined ? { headers } : { headers, signal };
@@ -182,7 +182,7 @@
   /** Tells the front what goes on (CTA-5004-A, event mode); whether it was taken. */
   async report(told: Told): Promise<boolean> {
     const body = encode({ v: 2, sid: this.sid, ts: Date.now(), ...told });
-    const headers = { 'content-type': REPORT, ...this.#authorised() };
+    const headers = { 'content-type': REPORT, ...authorised(this.#o) };
     try {
       const response = await (this.#o.fetch ?? fetch)(this.resource, { method: 'POST', headers, body });
       await response.body?.cancel();
@@ -196,8 +196,4 @@
   end(): Promise<boolean> {
     return this.report({ e: 'ps', sta: 'e' });
   }
-
-  #authorised(): Record<string, string> {
-    return this.#o.bearer === undefined ? {} : { authorization: `Bearer ${this.#o.bearer}` };
-  }
 }
--- a/crates/front/src/books.rs
+++ b/crates/front/src/books.rs
@@ -264,6 +264,13 @@
     pub hints: Hints,
 }
 
+impl Play {
+    /// What boxes know the play by: its player's id, or the name that the front gave it.
+    pub(crate) fn known_as(&self, name: u128) -> Box<str> {
+        self.sid.clone().unwrap_or_else(|| format!("{name:032x}").into())
+    }
+}
+
 /// Plays, by the random name that their references carry, and by their player's id.
 #[derive(Debug, Default)]
 pub(crate) struct Plays {
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -428,7 +428,7 @@
                 finished: false,
             });
         };
-        let mut request = asked.with("via", format!("1.1 {}", self.config.name));
+        let mut request = self.passed_on(asked);
         match self.permit(id, server, due) {
             Permitted::Freely => {}
             Permitted::With(token) => request = request.with("authorization", format!("Bearer {token}")),
@@ -457,7 +457,12 @@
 
     /// A request to a box; it names the front that passes it on (RFC 9110 section 7.6.3).
     pub(crate) fn to_box(&self, method: Method, path: impl Into<String>) -> Request {
-        Request::new(method, path).with("via", format!("1.1 {}", self.config.name))
+        self.passed_on(Request::new(method, path))
+    }
+
+    /// A request to a box, with the front's name.
+    pub(crate) fn passed_on(&self, request: Request) -> Request {
+        request.with("via", format!("1.1 {}", self.config.name))
     }
 
     /// Makes a call; without a time-out it lasts until it is aborted.
--- a/crates/front/src/media.rs
+++ b/crates/front/src/media.rs
@@ -17,7 +17,7 @@
 use crate::io::{CallId, ConnId, Purpose, Timer};
 use crate::session::{Asked, Phase, Place, Playing, Session};
 use crate::signalling::Wanted;
-use micadyke::interface::{Effect, Event, Nanos, NoteKind, Outcome, ServerId, SessionId};
+use micadyke::interface::{Effect, Event, Nanos, Outcome, ServerId, SessionId};
 use micadyke_cmcd::client::{Cmcd, REPORT, Value};
 use micadyke_cmcd::server::{Cmsd, Hop};
 use micadyke_config::{MediaRoute, RouteKind};
@@ -145,14 +145,14 @@
     fn joined(&mut self, name: u128, peer: IpAddr) -> u128 {
         let Some(play) = self.plays.get_mut(name).filter(|p| p.peer != peer) else { return name };
         play.peer = peer;
-        let (session, silence) = (play.session, play.route);
+        let (session, route) = (play.session, play.route);
         let new = self.name();
         self.plays.rename(name, new);
         if let Some(s) = session.and_then(|id| self.sessions.get_mut(id)) {
             s.name = new;
         }
         debug!("a play is taken over from another address");
-        let after = self.media_route(silence).silence;
+        let after = self.media_route(route).silence;
         self.timer(after, Timer::Silence(new));
         new
     }
@@ -334,7 +334,7 @@
     fn place_play(&mut self, conn: ConnId, name: u128, asked: Asking, token: Option<&str>) {
         let Some(play) = self.plays.get(name) else { return };
         let (route, title, top) = (play.route, play.title.clone(), play.top);
-        let sid: Box<str> = play.sid.clone().unwrap_or_else(|| format!("{name:032x}").into());
+        let sid: Box<str> = play.known_as(name);
         let file = play.entry.clone();
         let place = match self.title(RouteKind::Play, &title) {
             Ok(place) => place,
@@ -478,12 +478,7 @@
     /// Notes of a box's load that came with an answer.
     fn box_told(&mut self, id: SessionId, server: ServerId, r: &Response) {
         let field = r.headers.get(micadyke_http::fields::LoadReport::FIELD);
-        let reports = crate::notes::reports(field);
-        for (kind, value) in [(NoteKind::LinkUse, reports.link), (NoteKind::UplinkUse, reports.uplink)] {
-            if let Some(value) = value {
-                self.tell(Event::Note { session: id, server, kind, value });
-            }
-        }
+        self.tell_load(id, server, crate::notes::reports(field));
     }
 
     /// Asks the play's box for a manifest, or leads the player there.
@@ -492,9 +487,8 @@
         if self.media_route(play.route).redirect {
             return self.lead_on(conn, name, id, file);
         }
-        let sid = play.sid.clone().unwrap_or_else(|| format!("{name:032x}").into());
-        let request = asking(&play.title, file, &told(&play.title, &sid));
-        let request = request.with("via", format!("1.1 {}", self.config.name));
+        let sid = play.known_as(name);
+        let request = self.passed_on(asking(&play.title, file, &told(&play.title, &sid)));
         let Some(addr) = self.sessions.get_mut(id).and_then(Session::playing).map(|p| p.place.addr) else {
             return;
         };
@@ -631,7 +625,7 @@
         let Some(play) = self.plays.get(name) else {
             return self.respond(conn, Response::problem(410, "the play has ended"));
         };
-        let sid = play.sid.clone().unwrap_or_else(|| format!("{name:032x}").into());
+        let sid = play.known_as(name);
         let mut told = Cmcd::new();
         told.set("cid", Value::Text(play.title.to_string()));
         told.set("sid", Value::Text(sid.into()));
@@ -689,11 +683,10 @@
             return;
         }
         // They came when its set-up went on for nobody.
-        play.waiting.retain(|(conn, _)| {
+        for (conn, _) in &play.waiting {
             self.owed.settled(*conn);
             self.owed.patch(*conn);
-            true
-        });
+        }
         self.free_for_another(session.name);
     }
 
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -499,7 +499,7 @@
     /// Ends a session at its box.
     pub(crate) fn withdraw(&mut self, session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8) {
         let request = match media::ended(&path) {
-            Some(report) => report.with("via", format!("1.1 {}", self.config.name)),
+            Some(report) => self.passed_on(report),
             None => self.to_box(Method::Delete, &*path),
         };
         self.call_soon(Purpose::Withdraw { session, addr, path, tries }, addr, request);
@@ -621,11 +621,7 @@
             }
         }
         self.tell(Event::Started { session: id });
-        for (kind, value) in [(NoteKind::LinkUse, reports.link), (NoteKind::UplinkUse, reports.uplink)] {
-            if let Some(value) = value {
-                self.tell(Event::Note { session: id, server, kind, value });
-            }
-        }
+        self.tell_load(id, server, reports);
         self.settle();
         self.change_layer(id);
         self.subscribe(id);
@@ -648,6 +644,15 @@
         Some(self.to_box(Method::Post, path).content("application/json", body.to_string()))
     }
 
+    /// Tells the module of the load that a box reported with an answer.
+    pub(crate) fn tell_load(&mut self, id: SessionId, server: ServerId, reports: Reports) {
+        for (kind, value) in [(NoteKind::LinkUse, reports.link), (NoteKind::UplinkUse, reports.uplink)] {
+            if let Some(value) = value {
+                self.tell(Event::Note { session: id, server, kind, value });
+            }
+        }
+    }
+
     /// Brings the box's layer to the rung that the module wants, one call at a time.
     fn change_layer(&mut self, id: SessionId) {
         let Some(session) = self.sessions.get_mut(id) else { return };
--- a/crates/playlist/src/dash.rs
+++ b/crates/playlist/src/dash.rs
@@ -187,7 +187,7 @@
     let mut found: Vec<Representation> = Vec::new();
     // What is put in the place of what, from the beginning on.
     let mut edits: Vec<(Range<usize>, String)> = Vec::new();
-    let (mut parts, mut live, mut root, mut own_base) = (0, false, None, None);
+    let (mut parts, mut live, mut root, mut based) = (0, false, None, false);
     while let Some(tag) = reader.next()? {
         parts += 1;
         if parts > MAX_PARTS {
@@ -256,9 +256,7 @@
                 let at = element.inside..tag.at.start;
                 let reference = plain(text[at.clone()].trim());
                 let first = element.name == "BaseURL" && open.len() == 1;
-                if first && own_base.is_none() {
-                    own_base = Some(());
-                }
+                based |= first;
                 let absolute = reference.starts_with('/') || reference.contains("://");
                 if first || absolute || element.name != "BaseURL" {
                     let Some(target) = resolve(rules.own, &reference) else {
@@ -272,7 +270,7 @@
     let Some(root) = root.filter(|_| open.is_empty()) else {
         return fault(reader.line(text.len()), "the manifest ends too soon");
     };
-    if own_base.is_none() {
+    if !based {
         edits.push((root..root, format!("<BaseURL>{}</BaseURL>", escape(base))));
     }
     // Sound is never cut: it is a small part of the rate, and a title without it is none.
--- a/crates/rehearse/src/check.rs
+++ b/crates/rehearse/src/check.rs
@@ -162,10 +162,15 @@
     status == 201 || status == 200
 }
 
+/// A play's id, as hints tell it.
+fn sid_in(hints: &str) -> Option<String> {
+    let rest = hints.split_once("sid=\"")?.1;
+    rest.split_once('"').map(|s| s.0.to_owned())
+}
+
 /// A play's id, as a request's hints tell it in its fields.
 fn sid(m: &Message) -> Option<String> {
-    let rest = m.header("cmcd-session")?.split_once("sid=\"")?.1;
-    rest.split_once('"').map(|s| s.0.to_owned())
+    sid_in(m.header("cmcd-session")?)
 }
 
 /// Whether a request at a box sets a play up: a front asks for a list, at the start.
@@ -201,7 +206,7 @@
         by_ufrag.entry(&a.ufrag).or_insert(a);
     }
     answers(&asks, deeds, &mut verdict.rules[0]);
-    doubles(&asks, &attempts, terms.config, &mut verdict.rules[1]);
+    doubles(&by_ufrag, &attempts, terms.config, &mut verdict.rules[1]);
     drains(&attempts, &by_ufrag, deeds, &mut verdict.rules[2]);
     cold(&attempts, &by_ufrag, deeds, terms, &mut verdict.rules[3]);
     floors(&all, &attempts, &by_ufrag, deeds, terms, &mut verdict.rules[4]);
@@ -331,16 +336,12 @@
 }
 
 /// Rule 2.
-fn doubles(asks: &[Ask], attempts: &[Attempt], config: &Config, finding: &mut Finding) {
+fn doubles(asked: &HashMap<&str, &Ask>, attempts: &[Attempt], config: &Config, finding: &mut Finding) {
     let mut by: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
     for a in attempts {
         finding.looked_at += 1;
         by.entry(&a.ufrag).or_default().push(a);
     }
-    let mut asked: HashMap<&str, &Ask> = HashMap::new();
-    for a in asks {
-        asked.entry(&a.ufrag).or_insert(a);
-    }
     for (ufrag, tries) in &by {
         for (i, later) in tries.iter().enumerate().skip(1) {
             finding.tried += 1;
@@ -523,9 +524,9 @@
         let text = String::from_utf8_lossy(&m.body);
         if m.method == "POST"
             && text.contains("sta=e")
-            && let Some(rest) = text.split_once("sid=\"")
+            && let Some(sid) = sid_in(&text)
         {
-            told.entry(rest.1.split('"').next().unwrap_or_default().to_owned()).or_insert(m.first);
+            told.entry(sid).or_insert(m.first);
         }
     }
     type Seats<'a> = (u32, usize, &'a str);
--- a/crates/standin/src/media.rs
+++ b/crates/standin/src/media.rs
@@ -126,8 +126,6 @@
             });
             let (session, held) = same.next()?;
             held.alone_since = now;
-            let play = held.play.as_mut()?;
-            play.number = play.number.max(number);
             Some(*session)
         });
         let session = match known {
