--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -3,7 +3,7 @@
 
 use micadyke::decide::Controller;
 use micadyke::interface::*;
-use serde_json::Value;
+use micadyke_settings::{Names, position, read};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, Write};
 
@@ -104,173 +104,6 @@
     }
 }
 
-/// Names that an instance's settings give to classes, machine kinds and zones.
-#[derive(Default)]
-struct Names {
-    classes: Vec<String>,
-    kinds: Vec<String>,
-    zones: Vec<String>,
-}
-
-fn position(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|n| n == name)
-}
-
-fn at<'v>(value: &'v Value, path: &str) -> &'v Value {
-    path.split('.').fold(value, |v, key| &v[key])
-}
-
-fn float(value: &Value, path: &str) -> Parsed<f64> {
-    let v = at(value, path);
-    if v.is_null() {
-        return Ok(0.0);
-    }
-    v.as_f64().ok_or_else(|| format!("settings: {path} holds {v}, not a number"))
-}
-
-fn nanos(value: &Value, path: &str) -> Parsed<Nanos> {
-    let v = float(value, path)?;
-    if v < 0.0 { Err(format!("settings: {path} holds {v}, a negative time")) } else { Ok(v as Nanos) }
-}
-
-fn count(value: &Value, path: &str) -> Parsed<u32> {
-    let v = float(value, path)?;
-    if v < 0.0 || v > f64::from(u32::MAX) || v.fract() != 0.0 {
-        return Err(format!("settings: {path} holds {v}, not a count"));
-    }
-    Ok(v as u32)
-}
-
-fn text<'v>(value: &'v Value, path: &str) -> Parsed<&'v str> {
-    let v = at(value, path);
-    if v.is_null() {
-        return Ok("");
-    }
-    v.as_str().ok_or_else(|| format!("settings: {path} holds {v}, not a text"))
-}
-
-fn list<'v>(value: &'v Value, path: &str) -> Parsed<&'v [Value]> {
-    let v = at(value, path);
-    if v.is_null() {
-        return Ok(&[]);
-    }
-    v.as_array().map(Vec::as_slice).ok_or_else(|| format!("settings: {path} holds {v}, not a list"))
-}
-
-fn truth(value: &Value, path: &str) -> Parsed<bool> {
-    let v = at(value, path);
-    if v.is_null() {
-        return Ok(false);
-    }
-    v.as_bool().ok_or_else(|| format!("settings: {path} holds {v}, not true or false"))
-}
-
-fn floats(value: &Value, path: &str) -> Parsed<Vec<f64>> {
-    let bad = |v: &Value| format!("settings: {path} holds {v}, not a number");
-    list(value, path)?.iter().map(|v| v.as_f64().ok_or_else(|| bad(v))).collect()
-}
-
-fn names(value: &Value, path: &str) -> Parsed<Vec<String>> {
-    let bad = |v: &Value| format!("settings: {path} holds {v}, not a name");
-    list(value, path)?.iter().map(|v| v.as_str().map(str::to_owned).ok_or_else(|| bad(v))).collect()
-}
-
-/// Reads the settings object into the module's own words.
-fn settings(json: &str) -> Parsed<(Settings, Names)> {
-    let v: Value = serde_json::from_str(json).map_err(|e| format!("settings can't be read: {e}"))?;
-    let zones = names(&v, "dcs")?;
-    let kinds = names(&v, "models")?;
-    let scales = floats(&v, "family_info.scale_by_class")?;
-    let floors = floats(&v, "family_info.floor_by_class")?;
-    let tops = floats(&v, "family_info.highest_rung")?;
-    let seats = floats(&v, "family_info.licence_cap")?;
-    let rates = floats(&v, "family_info.rung_kb")?;
-    let worths = floats(&v, "family_info.worth_by_rung")?;
-    if rates.len() != worths.len() {
-        return Err("settings: family_info.rung_kb and worth_by_rung differ in length".into());
-    }
-    let known = list(&v, "classes")?.len();
-    let lists = [("scale_by_class", &scales), ("floor_by_class", &floors), ("highest_rung", &tops)];
-    for (name, values) in lists.into_iter().chain([("licence_cap", &seats)]) {
-        if !values.is_empty() && values.len() != known {
-            return Err(format!(
-                "settings: family_info.{name} holds {} values for {known} classes",
-                values.len()
-            ));
-        }
-    }
-    let mut classes = Vec::new();
-    let mut class_names = Vec::new();
-    for (i, c) in list(&v, "classes")?.iter().enumerate() {
-        class_names.push(text(c, "name")?.to_owned());
-        let effect = match text(c, "effect")? {
-            "idempotent" | "" => Effect::Idempotent,
-            "at_most_once" => Effect::AtMostOnce,
-            "deduplicated" => Effect::Deduplicated {
-                scope: match text(c, "dedup_scope")? {
-                    "all" | "" => Scope::All,
-                    "zone" => Scope::Zone,
-                    "cell" => Scope::Cell,
-                    other => return Err(format!("settings: dedup_scope holds '{other}'")),
-                },
-                window: nanos(c, "window_ns")?,
-            },
-            other => return Err(format!("settings: effect holds '{other}'")),
-        };
-        let top = rates.len().saturating_sub(1) as f64;
-        classes.push(Class {
-            worth: float(c, "worth")?,
-            aim: nanos(c, "promise_ns")?,
-            effect,
-            scale: scales.get(i).copied().unwrap_or(1.0),
-            floor: floors.get(i).copied().unwrap_or(0.0) as Rung,
-            top: tops.get(i).copied().unwrap_or(top) as Rung,
-            seats: seats.get(i).copied().unwrap_or(0.0) as u32,
-        });
-    }
-    let zone_name = text(&v, "zone")?;
-    let retry_budget = match at(&v, "rules.counted_over_ns").is_null() {
-        true => None,
-        false => Some(RetryBudget {
-            spare: float(&v, "rules.spare_attempts")?,
-            share: float(&v, "rules.budget_share")?,
-            window: nanos(&v, "rules.counted_over_ns")?,
-        }),
-    };
-    let s = Settings {
-        fronts: count(&v, "group_size")?.max(1),
-        zone: position(&zones, zone_name).unwrap_or(zones.len()) as u32,
-        classes,
-        ladder: rates.iter().zip(&worths).map(|(&rate, &worth)| Step { rate, worth }).collect(),
-        cells: count(&v, "family_info.cells")?,
-        racks: count(&v, "family_info.racks")?,
-        streams_by_kind: floats(&v, "family_info.places_by_kind")?.iter().map(|&p| p as u32).collect(),
-        uplink: float(&v, "family_info.uplink_kb")?,
-        link_per_weight: float(&v, "family_info.kb_per_weight")?,
-        weights_tell_size: matches!(text(&v, "weights")?, "nominal" | "rough"),
-        full_from: float(&v, "family_info.full_from")?,
-        change_cost_s: float(&v, "family_info.switch_s")?,
-        note_delay: nanos(&v, "family_info.see_ns")?,
-        note_period: nanos(&v, "family_info.tell_ns")?,
-        listing: if text(&v, "registry_mode")? == "subscribe" {
-            Listing::Subscribed
-        } else {
-            Listing::Pushed
-        },
-        max_attempts: count(&v, "permissions.max_attempts")?,
-        may_advise: truth(&v, "permissions.retry_after")?,
-        max_come_back: nanos(&v, "permissions.max_retry_after_ns")?,
-        cross_price: float(&v, "penalties.cross_zone")?,
-        ask_within: nanos(&v, "rules.ask_within_ns")?,
-        cold_for: nanos(&v, "rules.cold_ns")?,
-        cold_from: float(&v, "rules.start_capacity")?,
-        fall_multiple: float(&v, "rules.fall_multiple")?,
-        fall_window: nanos(&v, "rules.fall_ns")?,
-        retry_budget,
-    };
-    Ok((s, Names { classes: class_names, kinds, zones }))
-}
-
 /// An entry of a shared list, its names not yet looked up.
 struct Row {
     kind: String,
@@ -481,7 +314,7 @@
         let mut actions = Vec::new();
         match line.name {
             "spawn" => {
-                let (settings, names) = settings(line.need("settings")?)?;
+                let (settings, names) = read(line.need("settings")?).map(|s| (s.settings, s.names))?;
                 let seed = line.number("seed")?;
                 let controller =
                     Controller::new(settings, seed, now).map_err(|e| format!("settings: {e}"))?;
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,5 +1,6 @@
 //! What each command does.
 
+use micadyke::decide::Controller;
 use micadyke::interface::ServerState;
 use micadyke_client::net::Client;
 use micadyke_client::retry::Rule;
@@ -104,6 +105,20 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs a front node as the platform starts it.
+pub fn node() -> Result<ExitCode, Failure> {
+    let path = std::env::var_os("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set: it names the configuration")?;
+    let path = PathBuf::from(path);
+    let config = micadyke_node::shell::load(&path)?;
+    let (name, addr) = (std::env::var("EDGE_NAME").ok(), std::env::var("EDGE_LISTEN").ok());
+    config.agrees(name.as_deref(), addr.as_deref()).map_err(at(&path))?;
+    let (settings, seed) = (config.site.settings.clone(), config.seed);
+    settings.check().map_err(|e| format!("{}: settings: {e}", path.display()))?;
+    let module = move |now| Controller::new(settings, seed, now).expect("settings were checked");
+    run(micadyke_node::shell::run(path, config, module))??;
+    Ok(ExitCode::SUCCESS)
+}
+
 pub fn front(file: &Path, addr: Option<SocketAddr>, record: Option<&Path>) -> Result<ExitCode, Failure> {
     let config = Rc::new(load(file)?);
     if config.boxes.is_empty() {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -58,6 +58,8 @@
         #[arg(long, value_name = "FILE")]
         record: Option<PathBuf>,
     },
+    /// Run a front node on the platform by the configuration that EDGE_CONFIG names, until SIGTERM.
+    Node,
     /// Run a front and stand-in boxes in one process on loopback, until interrupted.
     Demo {
         /// Where the front listens; port 0: any free one.
@@ -177,6 +179,7 @@
     }
     let result = match cli.command {
         Command::Front { config, listen, record } => commands::front(&config, listen, record.as_deref()),
+        Command::Node => commands::node(),
         Command::Demo { listen } => commands::demo(listen),
         Command::Standin { config } => commands::standin(&config),
         Command::Issuer { listen, seats, ttl } => commands::issuer(listen, &seats, &ttl),
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -821,13 +821,13 @@
                         "TEXT application_utilization={}, utilization.uplink=0.5",
                         f64::from(v) / 100.0
                     );
-                    sse::Event { kind: "endpoint-load-metrics".into(), data }
+                    sse::Event { kind: "endpoint-load-metrics".into(), data, ..Default::default() }
                 } else {
                     let data = format!(
                         "{{\"1\":{{\"active\":[{{\"encodingId\":\"{}\",\"bitrate\":{v},\"targetBitrate\":255}}]}}}}",
                         v % 4
                     );
-                    sse::Event { kind: "layers".into(), data }
+                    sse::Event { kind: "layers".into(), data, ..Default::default() }
                 };
                 self.feed(Input::Event { stream, event });
             }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod fields;
+pub mod head;
 pub mod message;
 pub mod parse;
 pub mod sse;
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -5,6 +5,7 @@
 //! lets two parties read one message differently: bare LF, folded fields, white space before a colon, doubled
 //! or mixed framing fields are all refused, and nothing is handed out after a refusal.
 
+use crate::head::{Buffer, fault, fields, is_token, text};
 use crate::message::{Headers, Method, Request, Response};
 
 /// Bounds on what a peer may send.
@@ -43,10 +44,6 @@
 
 impl std::error::Error for Fault {}
 
-fn fault<T>(status: u16, what: &'static str) -> Result<T, Fault> {
-    Err(Fault { status, what })
-}
-
 /// How the content of a message is told from what follows (RFC 9112 section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Framing {
@@ -72,115 +69,6 @@
     Failed(Fault),
 }
 
-/// The buffer of a connection: `at` bytes are used up, `seen` were searched for the end of a line or head.
-#[derive(Debug, Default)]
-struct Buffer {
-    bytes: Vec<u8>,
-    at: usize,
-    seen: usize,
-}
-
-impl Buffer {
-    fn rest(&self) -> &[u8] {
-        &self.bytes[self.at..]
-    }
-
-    fn take(&mut self, n: usize) {
-        self.at += n;
-        self.seen = self.at;
-        if self.at == self.bytes.len() {
-            self.bytes.clear();
-            (self.at, self.seen) = (0, 0);
-        } else if self.at > 16 << 10 {
-            self.bytes.drain(..self.at);
-            (self.at, self.seen) = (0, 0);
-        }
-    }
-
-    /// Length of the head up to and including its empty line, if it is all there.
-    fn head(&mut self, limits: &Limits) -> Result<Option<usize>, Fault> {
-        let from = self.seen.max(self.at + 3) - 3;
-        let found = self.bytes[from..].windows(4).position(|w| w == b"\r\n\r\n");
-        let length = found.map_or(self.rest().len(), |p| from + p + 4 - self.at);
-        self.seen = self.bytes.len();
-        let line = self.rest().iter().take(limits.line + 1).position(|&b| b == b'\n');
-        if line.is_none() && self.rest().len() > limits.line {
-            return fault(414, "the first line is too long");
-        }
-        if length > limits.head {
-            return fault(431, "the head is too long");
-        }
-        // A bare LF never ends a line here; waiting for CRLF would hang on a peer that sends none.
-        let end = self.at + length;
-        let bare = |i: &usize| self.bytes[*i] == b'\n' && (*i == self.at || self.bytes[*i - 1] != b'\r');
-        if (from.max(self.at)..end).any(|i| bare(&i)) {
-            return fault(400, "a line ends in a bare LF");
-        }
-        Ok(found.map(|_| length))
-    }
-
-    /// The next line without its CRLF, and how many bytes it takes.
-    fn line(&mut self, limit: usize, what: &'static str) -> Result<Option<usize>, Fault> {
-        let from = self.seen.max(self.at);
-        let Some(p) = self.bytes[from..].iter().position(|&b| b == b'\n') else {
-            self.seen = self.bytes.len();
-            return if self.rest().len() > limit { fault(400, what) } else { Ok(None) };
-        };
-        let length = from + p - self.at;
-        if length > limit {
-            return fault(400, what);
-        }
-        if length == 0 || self.rest()[length - 1] != b'\r' {
-            return fault(400, "a line ends in a bare LF");
-        }
-        Ok(Some(length - 1))
-    }
-}
-
-fn is_token(b: u8) -> bool {
-    b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b)
-}
-
-fn text(bytes: &[u8]) -> Result<&str, Fault> {
-    match std::str::from_utf8(bytes) {
-        Ok(s) => Ok(s),
-        Err(_) => fault(400, "a field is not UTF-8"),
-    }
-}
-
-/// Parses the fields of a head, without its first line.
-fn fields(mut lines: &[u8], limits: &Limits) -> Result<Headers, Fault> {
-    let mut headers = Headers::default();
-    while lines != b"\r\n" {
-        let Some(end) = lines.iter().position(|&b| b == b'\n') else {
-            return fault(400, "a field has no end");
-        };
-        if end == 0 || lines[end - 1] != b'\r' {
-            return fault(400, "a line ends in a bare LF");
-        }
-        let line = &lines[..end - 1];
-        lines = &lines[end + 1..];
-        if headers.0.len() == limits.fields {
-            return fault(431, "too many fields");
-        }
-        if line.first().is_some_and(|&b| b == b' ' || b == b'\t') {
-            return fault(400, "a field is folded over lines");
-        }
-        let Some(colon) = line.iter().position(|&b| b == b':') else {
-            return fault(400, "a field has no colon");
-        };
-        let (name, value) = (&line[..colon], line[colon + 1..].trim_ascii());
-        if name.is_empty() || !name.iter().all(|&b| is_token(b)) {
-            return fault(400, "a field's name is no token");
-        }
-        if value.iter().any(|&b| (b < b' ' && b != b'\t') || b == 0x7f) {
-            return fault(400, "a field's value holds a control character");
-        }
-        headers.0.push((text(name)?.to_ascii_lowercase(), text(value)?.to_owned()));
-    }
-    Ok(headers)
-}
-
 /// The framing of a message's content; `None` where the fields say nothing of it.
 fn framing(headers: &Headers, limits: &Limits) -> Result<Option<Framing>, Fault> {
     let (mut lengths, mut codings) = (headers.all("content-length"), headers.all("transfer-encoding"));
@@ -328,7 +216,7 @@
 
     /// Takes bytes as they were read.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.bytes.extend_from_slice(bytes);
+        self.buffer.feed(bytes);
     }
 
     /// Bytes held that belong to no message handed out yet.
@@ -460,7 +348,7 @@
 
     /// Takes bytes as they were read.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.bytes.extend_from_slice(bytes);
+        self.buffer.feed(bytes);
     }
 
     /// Whether nothing of an answer has come yet.
--- a/crates/http/src/sse.rs
+++ b/crates/http/src/sse.rs
@@ -7,6 +7,8 @@
     pub kind: String,
     /// Its data, lines joined by LF.
     pub data: String,
+    /// The stream's last event id as it stands at this event; empty: none was given.
+    pub id: String,
 }
 
 impl Event {
@@ -18,6 +20,11 @@
             out.push_str(self.kind.split(['\r', '\n']).next().unwrap_or(""));
             out.push('\n');
         }
+        if !self.id.is_empty() {
+            out.push_str("id: ");
+            out.push_str(self.id.split(['\r', '\n', '\0']).next().unwrap_or(""));
+            out.push('\n');
+        }
         for line in self.data.split('\n') {
             out.push_str("data: ");
             out.push_str(line.trim_end_matches('\r'));
@@ -41,13 +48,24 @@
     has_data: bool,
     after_cr: bool,
     started: bool,
+    last_id: String,
+    comments: u64,
 }
 
 impl Parser {
     /// A parser that takes at most `limit` bytes for one event.
     pub fn new(limit: usize) -> Self {
         let (line, event) = (Vec::new(), Event::default());
-        Parser { limit, line, event, has_data: false, after_cr: false, started: false }
+        Parser {
+            limit,
+            line,
+            event,
+            has_data: false,
+            after_cr: false,
+            started: false,
+            last_id: String::new(),
+            comments: 0,
+        }
     }
 
     /// Takes bytes as they came; whole events are appended to `out`.
@@ -70,6 +88,11 @@
         Ok(())
     }
 
+    /// How many comments came: streams that have nothing to tell show by them that they are alive.
+    pub fn comments(&self) -> u64 {
+        self.comments
+    }
+
     fn end_line(&mut self, out: &mut Vec<Event>) {
         let line = std::mem::take(&mut self.line);
         let mut text = String::from_utf8_lossy(&line).into_owned();
@@ -79,7 +102,7 @@
             text = rest.to_owned();
         }
         if text.is_empty() {
-            let event = std::mem::take(&mut self.event);
+            let event = Event { id: self.last_id.clone(), ..std::mem::take(&mut self.event) };
             if std::mem::take(&mut self.has_data) {
                 out.push(event);
             }
@@ -95,8 +118,9 @@
                 }
                 self.event.data.push_str(value);
             }
-            // `id` and `retry` steer reconnection, which the front decides by its own books; comments begin
-            // with a colon and have an empty field name.
+            "id" if !value.contains('\0') => self.last_id = value.to_owned(),
+            "" => self.comments += 1,
+            // `retry` steers reconnection, which the reader decides by its own books.
             _ => {}
         }
     }
--- a/crates/http/tests/parse.rs
+++ b/crates/http/tests/parse.rs
@@ -164,7 +164,7 @@
 
     #[test]
     fn events_come_back(kind in "[a-z-]{0,8}", data in "[ -~\n]{1,40}", cut in 1usize..9) {
-        let event = Event { kind, data };
+        let event = Event { kind, data, ..Event::default() };
         let (mut parser, mut out) = (Parser::new(1000), Vec::new());
         for part in event.encode().chunks(cut) { parser.feed(part, &mut out).expect("short"); }
         prop_assert_eq!(out, vec![event]);
--- /dev/null
+++ b/crates/node/src/care.rs
@@ -0,0 +1,142 @@
+//! What a front node chooses beyond the module's decisions: whether a server lives, which connection is used, what is
+//! taken at the door. Free of I/O; each constant is a choice with its reason. Where a session goes, whether it is taken
+//! and at which rung are the module's, never chosen here.
+
+use micadyke::interface::Nanos;
+
+/// A millisecond.
+pub const MS: Nanos = 1_000_000;
+/// A second.
+pub const SECOND: Nanos = 1_000 * MS;
+
+// ----- the event bus
+
+/// The bus comments each second: two missed and a half mean that it has stopped, and what it tells counts as told 4 s
+/// after that unless the node asks again.
+pub const BUS_SILENCE: Nanos = 2_500 * MS;
+/// Pause after the first failed call of the bus.
+const BUS_PAUSE: Nanos = 50 * MS;
+/// Longest pause: well within the time after which a listing counts as told.
+const BUS_PAUSE_MOST: Nanos = 500 * MS;
+
+/// How long to wait after `failed` calls in a row; `lot` from 0 to 1 keeps the fronts apart.
+pub fn bus_pause(failed: u32, lot: f64) -> Nanos {
+    if failed == 0 {
+        return 0;
+    }
+    let most = (BUS_PAUSE << failed.min(8)).min(BUS_PAUSE_MOST);
+    (most as f64 * (0.5 + 0.5 * lot.clamp(0.0, 1.0))) as Nanos
+}
+
+// ----- connections to servers
+
+/// Connections to one server that a set-up is spread over: a spoilt answer takes all others on its connection along.
+pub const LINKS: usize = 4;
+/// A connection to a server that carried nothing for so long is closed, beyond the one that sessions there need.
+pub const LINK_IDLE: Nanos = 5 * SECOND;
+/// Servers write messages whole: half of one that does not go on for so long never will.
+pub const HALF_MESSAGE: Nanos = 250 * MS;
+/// A connection that does not come up within this, where the settings state nothing.
+pub const CONNECT: Nanos = 250 * MS;
+/// Bytes that wait to be written to a server at most; a server that lets more pile up reads nothing.
+pub const LINK_BACKLOG: usize = 256 << 10;
+
+// ----- whether a server lives
+
+/// A server with sessions tells something at least as often as its notes come; silent for longer than this, it is
+/// called on a new connection. The end of a session must be told within 8 s.
+pub const QUIET: Nanos = 3 * SECOND;
+/// Calls in a row that must fail before a silent server counts as gone: one lost handshake is no death.
+pub const CALLS: u32 = 3;
+/// Pause between such calls.
+pub const CALL_PAUSE: Nanos = 300 * MS;
+
+// ----- at the door
+
+/// Connections of viewers at most, as a part of the descriptors: usual viewers hold a third at most.
+const VIEWERS_PART: f64 = 0.5;
+/// Descriptors kept for the program itself, the listener and the bus.
+pub const OWN_DESCRIPTORS: usize = 24;
+/// A viewer that has not sent a sound message by then is turned away: it is owed an answer or a close within 3 s.
+pub const SILENT: Nanos = 2 * SECOND;
+/// Half a message that does not go on for so long is not waited for.
+pub const HALF_REQUEST: Nanos = 1_500 * MS;
+/// Set-ups open on one connection at most: far more than usual viewers have, and a flood on one connection does not
+/// take the others' turn. Those beyond are refused at once, never having been sent.
+pub const OPEN_EACH: usize = 64;
+/// Unsound messages on one connection after which it is closed.
+pub const UNSOUND: u32 = 4;
+/// After an unsound message a connection is not read for this long: the same again at once costs its sender alone.
+pub const UNSOUND_PAUSE: Nanos = 50 * MS;
+/// Bytes that wait to be written to a viewer at most; one that reads nothing is closed.
+pub const VIEWER_BACKLOG: usize = 64 << 10;
+/// A connection that said something within this time is not closed to make room.
+pub const JUST_SENT: Nanos = SECOND;
+/// What a set-up refused at the door is told to wait.
+pub const STAY_AWAY: Nanos = SECOND;
+/// A release that no connection could take is kept for so long: it is due within 8 s of the session's end.
+pub const RELEASE_KEPT: Nanos = 8 * SECOND;
+/// A release waits so long for a connection that is known for a viewer's before any other is used.
+pub const RELEASE_CHOOSY: Nanos = 500 * MS;
+
+/// Connections of viewers and of servers that a node with so many descriptors holds at most.
+pub fn shares(descriptors: usize) -> (usize, usize) {
+    let viewers = (descriptors as f64 * VIEWERS_PART) as usize;
+    (viewers, descriptors.saturating_sub(viewers + OWN_DESCRIPTORS).max(8))
+}
+
+/// A connection that a set-up could go out on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// It is up.
+    pub up: bool,
+    /// Set-ups open on it, or waiting for it.
+    pub open: usize,
+}
+
+/// Which connection a set-up goes out on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pick {
+    /// The one at this place.
+    Old(usize),
+    /// A new one.
+    New,
+    /// None: all are full, and there is no room for another.
+    None,
+}
+
+/// Chooses a connection: one that is up and carries no set-up; else a new one while there is room; else the one that
+/// carries the fewest, up to `most` set-ups each.
+pub fn pick(links: &[Candidate], most: usize, room: bool) -> Pick {
+    let free = links.iter().position(|l| l.up && l.open == 0);
+    if let Some(i) = free {
+        return Pick::Old(i);
+    }
+    if room && links.len() < LINKS {
+        return Pick::New;
+    }
+    let least = links.iter().enumerate().filter(|(_, l)| l.open < most).min_by_key(|(_, l)| (!l.up, l.open));
+    match least {
+        Some((i, _)) => Pick::Old(i),
+        None if room => Pick::New,
+        None => Pick::None,
+    }
+}
+
+/// A viewer's connection that might be closed to make room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Idler {
+    /// No set-up is open on it.
+    pub free: bool,
+    /// It has sent a sound message.
+    pub spoke: bool,
+    /// When it last sent one, or connected.
+    pub last: Nanos,
+}
+
+/// Which connection makes room for a new one: of those with no set-up open one that never sent a sound message, the
+/// oldest first; else the longest idle one that has not just sent. `None`: none may be closed.
+pub fn evict(idlers: impl Iterator<Item = (u64, Idler)>, now: Nanos) -> Option<u64> {
+    let may = |i: &(u64, Idler)| i.1.free && (!i.1.spoke || now >= i.1.last + JUST_SENT);
+    idlers.filter(may).min_by_key(|i| (i.1.spoke, i.1.last, i.0)).map(|i| i.0)
+}
--- /dev/null
+++ b/crates/node/src/core.rs
@@ -0,0 +1,529 @@
+//! The state machine: the books of sessions, attempts, connections and the list, and the turn in which the module
+//! decides. No I/O and no clock: inputs and the time in, outputs out.
+
+use crate::bus::{Follower, Step};
+use crate::care::{self, SECOND};
+use crate::config::Config;
+use crate::io::{ConnId, Input, Output};
+use crate::list::{Change, Numbers, Row, entry};
+use crate::servers::{Link, Server};
+use crate::viewers::Viewer;
+use micadyke::interface::*;
+use micadyke_front::core::Decide;
+use micadyke_isup as isup;
+use micadyke_settings::{Names, Terms};
+use std::collections::{BTreeMap, VecDeque};
+use tracing::{info, warn};
+
+/// Connections, half messages, silence and releases are looked after so often.
+const TIDY: Nanos = 100 * care::MS;
+/// A stopping node serves on for this long: connections and set-ups still arrive.
+const LINGER: Nanos = 700 * care::MS;
+/// A stopping node ends by then whatever it owes: longest deadline (3 s at least) and this.
+const LINGER_MOST: Nanos = 500 * care::MS;
+/// Releases kept for lack of a connection at most; the oldest is dropped for a newer one.
+const RELEASES: usize = 4096;
+
+/// Causes of releases that the node words itself (ITU-T Q.850).
+pub mod cause {
+    /// Refused: trying again is harmless.
+    pub const REFUSED: u8 = 42;
+    /// Failed.
+    pub const FAILED: u8 = 41;
+    /// A set-up is given up.
+    pub const GIVEN_UP: u8 = 16;
+    /// A set-up makes no sense.
+    pub const UNSOUND: u8 = 111;
+}
+
+/// Where a session stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// No attempt is out.
+    New,
+    /// An attempt waits for its connection; nothing was written.
+    Waiting { server: ServerId, link: ConnId },
+    /// An attempt was written; `from` is where it begins among the bytes of its connection.
+    Out { server: ServerId, link: ConnId, from: u64, at: Nanos },
+    /// It plays since then; 0: since before the node knew of it.
+    Standing { server: ServerId, link: Option<ConnId>, since: Nanos },
+}
+
+#[derive(Debug)]
+pub(crate) struct Session {
+    pub class: String,
+    pub title: String,
+    pub description: Vec<u8>,
+    pub viewer: ConnId,
+    pub rung: Option<Rung>,
+    /// Number of the attempt, so that an old attempt's timer is told from a new one's.
+    pub attempt: u32,
+    /// When the attempt is given up.
+    pub due: Nanos,
+    pub stage: Stage,
+}
+
+/// What a timer was set for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Due {
+    Module(u64),
+    Attempt(SessionId, u32),
+    Connect(ConnId),
+    Tidy,
+}
+
+/// Counts since the node's start.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Counts {
+    /// Set-ups taken.
+    pub taken: u64,
+    /// Answered: the session stands.
+    pub answered: u64,
+    /// Refused by the module.
+    pub refused: u64,
+    /// Failed by the module.
+    pub failed: u64,
+    /// Given up by viewers.
+    pub given_up: u64,
+    /// Turned away at the door: too many open on a connection.
+    pub turned_away: u64,
+    /// Messages that could not be read or made no sense.
+    pub unsound: u64,
+    /// Attempts written to servers.
+    pub attempts: u64,
+    /// Attempts that ended without an answer, by outcome: error, full, timed out, no connection, reset, cancelled,
+    /// not sent.
+    pub ended: [u64; 7],
+    /// Connections of viewers closed by the node.
+    pub closed: u64,
+    /// Connections to servers opened.
+    pub links: u64,
+    /// Servers found gone while sessions stood there.
+    pub lost_servers: u64,
+}
+
+/// A front node.
+#[derive(Debug)]
+pub struct Node<D> {
+    pub(crate) decide: D,
+    pub(crate) names: Names,
+    pub(crate) terms: Terms,
+    pub(crate) cells: u32,
+    pub(crate) rungs: usize,
+    pub(crate) now: Nanos,
+    random: u64,
+    pub(crate) out: Vec<Output>,
+    pub(crate) events: VecDeque<Event>,
+    timers: BTreeMap<(Nanos, u64), Due>,
+    timer: u64,
+    conn: u64,
+    pub(crate) viewers: BTreeMap<ConnId, Viewer>,
+    pub(crate) links: BTreeMap<ConnId, Link>,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) numbers: Numbers,
+    pub(crate) sessions: BTreeMap<SessionId, Session>,
+    /// Releases that no connection could take: since when, and the message.
+    pub(crate) releases: VecDeque<(Nanos, isup::Message)>,
+    pub(crate) most_viewers: usize,
+    pub(crate) most_links: usize,
+    follower: Follower,
+    stopping: Option<Nanos>,
+    ready: bool,
+    pub(crate) counts: Counts,
+    told_at: Nanos,
+}
+
+impl<D: Decide> Node<D> {
+    /// A node with its module; `now` is Unix time.
+    pub fn new(config: &Config, decide: D, now: Nanos) -> Self {
+        let (most_viewers, most_links) = care::shares(config.sockets);
+        let mut node = Node {
+            decide,
+            names: config.site.names.clone(),
+            terms: config.site.terms.clone(),
+            cells: config.site.settings.cells,
+            rungs: config.site.settings.ladder.len(),
+            now,
+            random: config.seed,
+            out: Vec::new(),
+            events: VecDeque::new(),
+            timers: BTreeMap::new(),
+            timer: 0,
+            conn: 0,
+            viewers: BTreeMap::new(),
+            links: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            numbers: Numbers::default(),
+            sessions: BTreeMap::new(),
+            releases: VecDeque::new(),
+            most_viewers,
+            most_links,
+            follower: Follower::new(config.bus, config.offset, now),
+            stopping: None,
+            ready: false,
+            counts: Counts::default(),
+            told_at: now,
+        };
+        node.known(&config.known);
+        node.set(now, Due::Tidy);
+        node
+    }
+
+    /// What the node did so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Sessions held: set-ups open, and sessions that stand.
+    pub fn held(&self) -> (usize, usize) {
+        let standing = self.sessions.values().filter(|s| matches!(s.stage, Stage::Standing { .. })).count();
+        (self.sessions.len() - standing, standing)
+    }
+
+    /// Sizes of the books: connections of viewers, of servers, servers, sessions, timers, releases.
+    pub fn books(&self) -> [usize; 6] {
+        let s = self;
+        [s.viewers.len(), s.links.len(), s.servers.len(), s.sessions.len(), s.timers.len(), s.releases.len()]
+    }
+
+    /// The module.
+    pub fn module(&self) -> &D {
+        &self.decide
+    }
+
+    /// When [`Input::Wake`] is due.
+    pub fn wake_at(&self) -> Nanos {
+        self.timers.first_key_value().map_or(Nanos::MAX, |(k, _)| k.0)
+    }
+
+    /// Whether a stopping node may end.
+    pub fn done(&self, now: Nanos) -> bool {
+        let Some(since) = self.stopping else { return false };
+        let most = self.terms.deadline.max(3 * SECOND) + LINGER_MOST;
+        let owed = self.held().0 > 0 || !self.releases.is_empty();
+        now >= since + most || (now >= since + LINGER && !owed)
+    }
+
+    /// Takes one input at Unix time `now`; what is to be done is appended to `out`, in order.
+    pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::ViewerOpened { conn } => self.viewer_opened(conn),
+            Input::Data { conn, bytes } => self.data(conn, bytes),
+            Input::Up { conn } if self.follower.owns(conn) => self.follower.opened(self.now),
+            Input::Up { conn } => self.link_up(conn),
+            Input::Closed { conn, .. } if self.follower.owns(conn) => self.bus_closed(),
+            Input::Closed { conn, .. } if self.viewers.contains_key(&conn) => self.viewer_closed(conn),
+            Input::Closed { conn, written, refused } => self.link_closed(conn, written, refused),
+            Input::BusMoved { addr } => {
+                if addr != self.follower.addr() {
+                    info!(%addr, "the event bus moved");
+                    let old = self.follower.moved(addr, self.now);
+                    self.out.extend(old.map(|conn| Output::Close { conn }));
+                }
+            }
+            Input::Stop => {
+                if self.stopping.is_none() {
+                    info!(owed = self.held().0, "stopping: what is owed is answered first");
+                    self.stopping = Some(self.now);
+                }
+            }
+            Input::Wake => {}
+        }
+        self.settle();
+        self.timers();
+        self.follow();
+        self.settle();
+        out.append(&mut self.out);
+    }
+
+    fn data(&mut self, conn: ConnId, bytes: &[u8]) {
+        if self.viewers.contains_key(&conn) {
+            self.viewer_data(conn, bytes);
+        } else if self.links.contains_key(&conn) {
+            self.link_data(conn, bytes);
+        } else if self.follower.owns(conn) {
+            let mut changes = Vec::new();
+            let sound = self.follower.feed(bytes, self.now, &mut changes);
+            changes.iter().for_each(|c| self.change(c, None));
+            if !sound {
+                self.out.push(Output::Close { conn });
+                self.bus_closed();
+            }
+        }
+    }
+
+    // ----- the turn
+
+    /// Hands the module what happened, and carries out what it decides, until nothing is left.
+    pub(crate) fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            tracing::trace!(?event, "told");
+            self.decide.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                tracing::trace!(?action, "decided");
+                self.carry_out(action);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::SetRung { session, rung } => self.set_rung(session, rung),
+            Action::Send { session, server, timeout } => self.send(session, server, timeout),
+            Action::Refuse { session, come_back } => self.refuse(session, come_back),
+            Action::Fail { session } => self.fail(session),
+            Action::SetTimer { after, token } => self.set(self.now + after, Due::Module(token)),
+            // The bus tells unprompted; a module that asks is given what there is as it comes.
+            Action::Subscribe => {}
+        }
+    }
+
+    /// The module's refusal: told at once, with its advice.
+    fn refuse(&mut self, id: SessionId, come_back: Nanos) {
+        self.counts.refused += 1;
+        let message = isup::Message::new(isup::kind::RELEASE, id.0).cause(cause::REFUSED);
+        let message = match come_back / care::MS {
+            0 => message,
+            ms => message.with(isup::code::STAY_AWAY, ms.to_string()),
+        };
+        self.final_answer(id, &message);
+    }
+
+    /// The module's failure: told at once.
+    fn fail(&mut self, id: SessionId) {
+        self.counts.failed += 1;
+        self.final_answer(id, &isup::Message::new(isup::kind::RELEASE, id.0).cause(cause::FAILED));
+    }
+
+    fn final_answer(&mut self, id: SessionId, message: &isup::Message) {
+        // One answer and no more: only a session without an attempt out is owed one here.
+        let Some(session) = self.sessions.remove_if(id, |s| s.stage == Stage::New) else {
+            warn!(session = id.0, "the module answered a session that is owed nothing");
+            return;
+        };
+        if let Some(viewer) = self.viewers.get_mut(&session.viewer) {
+            viewer.open.remove(&id);
+            self.write(session.viewer, message);
+        }
+    }
+
+    /// Ends a session's attempt, and says how.
+    pub(crate) fn attempt_ended(&mut self, id: SessionId, outcome: Outcome) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let (Stage::Waiting { server, link } | Stage::Out { server, link, .. }) = session.stage else {
+            return;
+        };
+        session.stage = Stage::New;
+        self.forget_attempt(link, id);
+        self.count(outcome);
+        self.events.push_back(Event::Ended { session: id, server, outcome, finished: false });
+    }
+
+    pub(crate) fn forget_attempt(&mut self, link: ConnId, id: SessionId) {
+        if let Some(link) = self.links.get_mut(&link) {
+            link.open.remove(&id);
+            link.used = self.now;
+        }
+    }
+
+    pub(crate) fn count(&mut self, outcome: Outcome) {
+        let place = match outcome {
+            Outcome::Served => return,
+            Outcome::Error => 0,
+            Outcome::Full => 1,
+            Outcome::TimedOut => 2,
+            Outcome::NoConnection => 3,
+            Outcome::Reset => 4,
+            Outcome::Cancelled => 5,
+            Outcome::NotSent => 6,
+        };
+        self.counts.ended[place] += 1;
+    }
+
+    // ----- the list
+
+    /// Takes the events of the start as the one list they come to.
+    fn known(&mut self, changes: &[Change]) {
+        let mut rows: BTreeMap<&str, &Row> = BTreeMap::new();
+        for change in changes {
+            if change.full {
+                rows.clear();
+            }
+            rows.extend(change.rows.iter().map(|r| (r.id.as_str(), r)));
+        }
+        let rows: Vec<Row> = rows.into_values().filter(|r| r.state != ServerState::Gone).cloned().collect();
+        if !changes.is_empty() {
+            self.change(&Change { offset: 0, full: true, rows }, Some(ListKind::Cached));
+        }
+    }
+
+    /// Takes a change of the list: it is in force at the sending end before anything else goes out.
+    fn change(&mut self, change: &Change, kind: Option<ListKind>) {
+        let kind = kind.unwrap_or(if change.full { ListKind::Full } else { ListKind::Delta });
+        let mut rows: Vec<(ServerId, Row)> = Vec::with_capacity(change.rows.len());
+        for row in &change.rows {
+            // A server that is gone and was never known is not worth a number.
+            if row.state != ServerState::Gone || self.numbers.known(&row.id).is_some() {
+                rows.push((self.numbers.number(&row.id), row.clone()));
+            }
+        }
+        let entries = rows.iter().map(|(n, row)| entry(row, *n, &self.names)).collect();
+        if change.full {
+            let gone: Vec<ServerId> =
+                self.servers.keys().filter(|s| rows.iter().all(|r| r.0 != **s)).copied().collect();
+            gone.into_iter().for_each(|s| self.server_gone(s));
+        }
+        self.events.push_back(Event::List { kind, entries });
+        rows.into_iter().for_each(|(number, row)| self.server_row(number, row));
+        if !self.ready {
+            self.ready = true;
+            info!(servers = self.servers.len(), offset = change.offset, "the list stands");
+        }
+    }
+
+    /// Whether list and module stand, so that set-ups can be taken.
+    pub fn ready(&self) -> bool {
+        self.ready
+    }
+
+    // ----- the event bus
+
+    fn follow(&mut self) {
+        match self.follower.step(self.now) {
+            Step::Wait => return,
+            Step::Drop(conn) => {
+                warn!(last = self.follower.last(), "the event bus is silent");
+                self.out.push(Output::Close { conn });
+                self.bus_closed();
+            }
+            Step::Ask => {}
+        }
+        if self.follower.step(self.now) == Step::Ask {
+            let conn = self.number();
+            self.follower.asked(conn, self.now);
+            self.out.push(Output::Listen { conn, addr: self.follower.addr(), last: self.follower.last() });
+        }
+    }
+
+    fn bus_closed(&mut self) {
+        let lot = self.chance();
+        self.follower.closed(self.now, lot);
+    }
+
+    // ----- timers, numbers, chance
+
+    fn set(&mut self, at: Nanos, due: Due) {
+        self.timer += 1;
+        self.timers.insert((at, self.timer), due);
+    }
+
+    pub(crate) fn set_attempt(&mut self, at: Nanos, id: SessionId, attempt: u32) {
+        self.set(at, Due::Attempt(id, attempt));
+    }
+
+    pub(crate) fn set_connect(&mut self, at: Nanos, conn: ConnId) {
+        self.set(at, Due::Connect(conn));
+    }
+
+    fn timers(&mut self) {
+        while let Some(first) = self.timers.first_entry().filter(|e| e.key().0 <= self.now) {
+            match first.remove() {
+                Due::Module(token) => self.events.push_back(Event::Timer { token }),
+                Due::Attempt(id, attempt) => self.attempt_due(id, attempt),
+                Due::Connect(conn) => self.connect_due(conn),
+                Due::Tidy => {
+                    self.set(self.now + TIDY, Due::Tidy);
+                    self.tidy_viewers();
+                    self.tidy_servers();
+                    self.tidy_releases();
+                    self.report();
+                }
+            }
+            self.settle();
+        }
+    }
+
+    /// A line for the log now and then.
+    fn report(&mut self) {
+        if self.now < self.told_at + 5 * SECOND {
+            return;
+        }
+        self.told_at = self.now;
+        let ((open, standing), books, counts) = (self.held(), self.books(), self.counts);
+        info!(open, standing, ?books, bus = self.follower.last(), ?counts, "so far");
+    }
+
+    /// The number of a new connection of the node's own making.
+    pub(crate) fn number(&mut self) -> ConnId {
+        self.conn += 2;
+        ConnId(self.conn)
+    }
+
+    /// A draw from [0, 1): splitmix64.
+    fn chance(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut z = self.random;
+        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// Removal on a condition, which `BTreeMap` lacks.
+trait RemoveIf<K, V> {
+    fn remove_if(&mut self, key: K, condition: impl FnOnce(&V) -> bool) -> Option<V>;
+}
+
+impl<K: Ord, V> RemoveIf<K, V> for BTreeMap<K, V> {
+    fn remove_if(&mut self, key: K, condition: impl FnOnce(&V) -> bool) -> Option<V> {
+        if self.get(&key).is_some_and(condition) { self.remove(&key) } else { None }
+    }
+}
+
+impl<D> Node<D> {
+    /// Writes a message to a viewer.
+    pub(crate) fn write(&mut self, conn: ConnId, message: &isup::Message) {
+        if let Some(bytes) = message.encode() {
+            self.out.push(Output::Write { conn, bytes });
+        }
+    }
+
+    /// Tells a viewer that a session that stood is over: on the connection it came by if that is open, else on any.
+    pub(crate) fn release(&mut self, viewer: ConnId, message: isup::Message) {
+        match self.viewers.contains_key(&viewer) {
+            true => self.write(viewer, &message),
+            false => {
+                if self.releases.len() == RELEASES {
+                    self.releases.pop_front();
+                }
+                self.releases.push_back((self.now, message));
+                self.tidy_releases();
+            }
+        }
+    }
+
+    /// Sends the releases that wait, where there is a connection to send them on.
+    pub(crate) fn tidy_releases(&mut self) {
+        if self.releases.is_empty() {
+            return;
+        }
+        // Connections that brought set-ups before any other: what else connects may read nothing.
+        let by_age = |v: &(&ConnId, &Viewer)| v.1.last;
+        let known = self.viewers.iter().filter(|v| v.1.proven).max_by_key(by_age).map(|v| *v.0);
+        let any = self.viewers.iter().filter(|v| v.1.unsound == 0).max_by_key(by_age).map(|v| *v.0);
+        while let Some((since, _)) = self.releases.front() {
+            let choosy = self.now < since + care::RELEASE_CHOOSY;
+            let conn = known.or(if choosy { None } else { any });
+            if conn.is_none() && self.now < since + care::RELEASE_KEPT {
+                break;
+            }
+            let Some((_, message)) = self.releases.pop_front() else { break };
+            match conn {
+                Some(conn) => self.write(conn, &message),
+                None => warn!(session = message.session, "a release could not be told to anyone"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/io.rs
@@ -0,0 +1,89 @@
+//! What goes into the core and what comes out of it.
+
+use micadyke::interface::Nanos;
+use std::net::SocketAddr;
+
+/// A connection; never used twice. The shell numbers those of viewers, the core all others, so that one side's numbers
+/// are odd and the other's even.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// Something that happened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Input<'a> {
+    /// A viewer connected.
+    ViewerOpened {
+        /// Its connection.
+        conn: ConnId,
+    },
+    /// Bytes came on a connection of any kind.
+    Data {
+        /// The connection.
+        conn: ConnId,
+        /// The bytes.
+        bytes: &'a [u8],
+    },
+    /// A connection that the core asked for is up; for the event bus: its stream is open.
+    Up {
+        /// The connection.
+        conn: ConnId,
+    },
+    /// A connection is over, or did not come up.
+    Closed {
+        /// The connection.
+        conn: ConnId,
+        /// Bytes of it that the operating system had taken.
+        written: u64,
+        /// It was refused: nothing listens there.
+        refused: bool,
+    },
+    /// The configuration names another address of the event bus.
+    BusMoved {
+        /// The address.
+        addr: SocketAddr,
+    },
+    /// The node is to end once it owes nothing.
+    Stop,
+    /// Time went by.
+    Wake,
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Write to a connection.
+    Write {
+        /// The connection.
+        conn: ConnId,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
+    /// Close a connection once what was written to it is out; nothing is heard of it any more.
+    Close {
+        /// The connection.
+        conn: ConnId,
+    },
+    /// Open a connection to a server.
+    Connect {
+        /// Its number.
+        conn: ConnId,
+        /// Where to.
+        addr: SocketAddr,
+    },
+    /// Open a stream of the event bus: its content is handed in as [`Input::Data`].
+    Listen {
+        /// Its number.
+        conn: ConnId,
+        /// Where to.
+        addr: SocketAddr,
+        /// The last event that is held.
+        last: u64,
+    },
+    /// Read nothing from a connection for so long.
+    Pause {
+        /// The connection.
+        conn: ConnId,
+        /// How long.
+        span: Nanos,
+    },
+}
--- /dev/null
+++ b/crates/node/src/servers.rs
@@ -0,0 +1,583 @@
+//! Servers: connections, attempts, notes, and whether a server lives.
+
+use crate::care;
+use crate::core::{Node, Stage, cause};
+use crate::io::{ConnId, Output};
+use crate::list::Row;
+use micadyke::interface::*;
+use micadyke_front::core::Decide;
+use micadyke_isup as isup;
+use micadyke_rtsp::{Message, Parser, Start};
+use std::collections::{BTreeSet, VecDeque};
+use tracing::{debug, info, warn};
+
+/// Messages that wait for a connection to a server at most; the oldest is dropped for a newer one.
+const QUEUE: usize = 256;
+
+/// A connection to a server.
+#[derive(Debug)]
+pub(crate) struct Link {
+    server: ServerId,
+    up: bool,
+    parser: Parser,
+    /// Attempts that wait for it, or are out on it.
+    pub open: BTreeSet<SessionId>,
+    /// Bytes handed over for writing.
+    sent: u64,
+    /// When something last came.
+    heard: Nanos,
+    /// When it was last of use.
+    pub used: Nanos,
+    /// Since when half a message has waited for its rest.
+    half: Option<Nanos>,
+    /// An attempt on it went without an answer: nothing new goes out on it.
+    retired: bool,
+}
+
+/// A server as the list names it, and what is known of it.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub row: Row,
+    pub links: Vec<ConnId>,
+    /// Sessions that play there.
+    pub standing: BTreeSet<SessionId>,
+    /// Messages that wait for a connection.
+    queue: VecDeque<Message>,
+    /// When it last showed that it lives.
+    heard: Nanos,
+    /// Calls in a row that did not come up.
+    calls: u32,
+    /// Not called before.
+    call_at: Nanos,
+}
+
+impl<D: Decide> Node<D> {
+    // ----- the list
+
+    /// A server's row came.
+    pub(crate) fn server_row(&mut self, id: ServerId, row: Row) {
+        let now = self.now;
+        if row.state == ServerState::Gone {
+            return self.server_gone(id);
+        }
+        let Some(server) = self.servers.get_mut(&id) else {
+            let (links, standing, queue) = (Vec::new(), BTreeSet::new(), VecDeque::new());
+            let server = Server { row, links, standing, queue, heard: now, calls: 0, call_at: 0 };
+            self.servers.insert(id, server);
+            return;
+        };
+        let (old, new) = (server.row.started_at, row.started_at);
+        let moved = server.row.addr != row.addr;
+        let state = row.state;
+        server.row = row;
+        if new > old || moved {
+            // Another process: what played at the one before is over. It may be heard of long after the restart.
+            let before = |s: &SessionId| match self.sessions.get(s).map(|s| s.stage) {
+                Some(Stage::Standing { since, .. }) => moved || since < new,
+                _ => false,
+            };
+            let over: Vec<SessionId> = server.standing.iter().copied().filter(before).collect();
+            if !over.is_empty() {
+                info!(server = server.row.id, sessions = over.len(), "a server's process is another one");
+            }
+            over.into_iter().for_each(|s| self.over(s, Outcome::Reset, Some(cause::FAILED)));
+        }
+        if state != ServerState::Ready {
+            self.unsend(id);
+        }
+    }
+
+    /// A server has gone from the list: nothing new is opened to its address, which may soon be another's.
+    pub(crate) fn server_gone(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.row.state = ServerState::Gone;
+        self.unsend(id);
+        let Some(server) = self.servers.get(&id) else { return };
+        let opening: Vec<ConnId> = server.links.iter().copied().filter(|l| !self.links[l].up).collect();
+        opening.into_iter().for_each(|l| self.drop_link(l, Outcome::NoConnection));
+        self.forget(id);
+    }
+
+    /// Attempts that wait for a connection never leave: the server takes nothing new.
+    fn unsend(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get(&id) else { return };
+        let waiting = server.links.iter().filter_map(|l| self.links.get(l)).flat_map(|l| &l.open);
+        let waits =
+            |s: &&SessionId| matches!(self.sessions.get(s).map(|s| s.stage), Some(Stage::Waiting { .. }));
+        let waiting: Vec<SessionId> = waiting.filter(waits).copied().collect();
+        waiting.into_iter().for_each(|s| self.attempt_ended(s, Outcome::NotSent));
+    }
+
+    /// Forgets a server that has gone and holds nothing.
+    fn forget(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get(&id) else { return };
+        if server.row.state != ServerState::Gone {
+            return;
+        }
+        if server.links.is_empty() && !server.standing.is_empty() {
+            // Nothing will be heard of these sessions any more.
+            self.lost(id);
+        }
+        let Some(server) = self.servers.get(&id) else { return };
+        if server.links.is_empty() && server.standing.is_empty() {
+            self.servers.remove(&id);
+            self.numbers.forget(id);
+        }
+    }
+
+    // ----- attempts
+
+    pub(crate) fn send(&mut self, id: SessionId, to: ServerId, timeout: Nanos) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id).filter(|s| s.stage == Stage::New) else {
+            warn!(session = id.0, "the module sent a session that is not its to send");
+            return;
+        };
+        session.attempt += 1;
+        session.due = now + timeout;
+        let attempt = session.attempt;
+        let never = |outcome| Event::Ended { session: id, server: to, outcome, finished: false };
+        let Some(server) = self.servers.get(&to).filter(|s| s.row.state == ServerState::Ready) else {
+            return self.events.push_back(never(Outcome::NotSent));
+        };
+        let usable: Vec<ConnId> = server.links.iter().copied().filter(|l| !self.links[l].retired).collect();
+        let candidates: Vec<care::Candidate> = usable
+            .iter()
+            .map(|l| care::Candidate { up: self.links[l].up, open: self.links[l].open.len() })
+            .collect();
+        // A server that does not come up is not waited for by set-ups until a call of the node's own got through.
+        if server.calls > 0 && now < server.call_at && candidates.iter().all(|c| !c.up) {
+            self.count(Outcome::NoConnection);
+            return self.events.push_back(never(Outcome::NoConnection));
+        }
+        let most = if self.terms.streams > 0 { self.terms.streams as usize } else { usize::MAX };
+        let link = match care::pick(&candidates, most, self.links.len() < self.most_links) {
+            care::Pick::Old(i) => usable[i],
+            care::Pick::New => self.connect(to),
+            care::Pick::None => {
+                self.count(Outcome::NoConnection);
+                return self.events.push_back(never(Outcome::NoConnection));
+            }
+        };
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.stage = Stage::Waiting { server: to, link };
+        }
+        self.set_attempt(now + timeout, id, attempt);
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.open.insert(id);
+        l.used = now;
+        if l.up {
+            self.write_set_up(id);
+        }
+    }
+
+    /// Writes the set-up of a session whose connection is up.
+    fn write_set_up(&mut self, id: SessionId) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let Stage::Waiting { server, link } = session.stage else { return };
+        let patience = (session.due.saturating_sub(now) / care::MS).max(1);
+        let mut message = Message::request("SETUP", &format!("rtsp://media/{}", session.title), 1)
+            .session(id.0)
+            .with("Subject", &session.class)
+            .with("X-Patience", &patience.to_string());
+        if let Some(rung) = session.rung {
+            message = message.with("Rate-Step", &rung.to_string());
+        }
+        let message = message.content(&session.description);
+        let from = self.links.get(&link).map_or(0, |l| l.sent);
+        session.stage = Stage::Out { server, link, from, at: now };
+        self.counts.attempts += 1;
+        self.write_link(link, &message);
+    }
+
+    fn write_link(&mut self, conn: ConnId, message: &Message) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        let bytes = message.encode();
+        link.sent += bytes.len() as u64;
+        link.used = self.now;
+        self.out.push(Output::Write { conn, bytes });
+    }
+
+    /// Withdraws an attempt that is out.
+    pub(crate) fn withdraw(&mut self, id: SessionId, link: ConnId) {
+        let message = Message::request("TEARDOWN", &address(id), 2).session(id.0);
+        self.write_link(link, &message);
+    }
+
+    /// An attempt's time is up.
+    pub(crate) fn attempt_due(&mut self, id: SessionId, attempt: u32) {
+        let Some(session) = self.sessions.get(&id).filter(|s| s.attempt == attempt) else { return };
+        match session.stage {
+            // It was never written.
+            Stage::Waiting { .. } => self.attempt_ended(id, Outcome::NoConnection),
+            Stage::Out { link, at, .. } => {
+                self.withdraw(id, link);
+                // Nothing at all since it was sent: the connection may be of no further use.
+                if let Some(l) = self.links.get_mut(&link).filter(|l| l.heard < at) {
+                    l.retired = true;
+                }
+                self.attempt_ended(id, Outcome::TimedOut);
+                self.drop_if_retired(link);
+            }
+            Stage::New | Stage::Standing { .. } => {}
+        }
+    }
+
+    // ----- connections
+
+    fn connect(&mut self, to: ServerId) -> ConnId {
+        let conn = self.number();
+        let now = self.now;
+        let timeout = if self.terms.connect_timeout > 0 { self.terms.connect_timeout } else { care::CONNECT };
+        let Some(server) = self.servers.get_mut(&to) else { return conn };
+        server.links.push(conn);
+        let link = Link {
+            server: to,
+            up: false,
+            parser: Parser::default(),
+            open: BTreeSet::new(),
+            sent: 0,
+            heard: now,
+            used: now,
+            half: None,
+            retired: false,
+        };
+        self.links.insert(conn, link);
+        self.counts.links += 1;
+        self.out.push(Output::Connect { conn, addr: server.row.addr });
+        self.set_connect(now + timeout, conn);
+        conn
+    }
+
+    /// Where sessions play, a connection stays, so that notes and releases arrive.
+    pub(crate) fn keep_link(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get(&id) else { return };
+        let wanted = !server.standing.is_empty() || !server.queue.is_empty();
+        let any = server.links.iter().any(|l| !self.links[l].retired);
+        if wanted && !any && server.row.state != ServerState::Gone && self.now >= server.call_at {
+            self.connect(id);
+        }
+    }
+
+    pub(crate) fn link_up(&mut self, conn: ConnId) {
+        let now = self.now;
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        (link.up, link.heard, link.used) = (true, now, now);
+        let (id, waiting) = (link.server, link.open.clone());
+        let mut queue = VecDeque::new();
+        if let Some(server) = self.servers.get_mut(&id) {
+            (server.calls, server.call_at, server.heard) = (0, 0, now);
+            queue = std::mem::take(&mut server.queue);
+        }
+        queue.into_iter().for_each(|m| self.write_link(conn, &m));
+        waiting.into_iter().for_each(|s| self.write_set_up(s));
+    }
+
+    pub(crate) fn connect_due(&mut self, conn: ConnId) {
+        if self.links.get(&conn).is_some_and(|l| !l.up) {
+            self.out.push(Output::Close { conn });
+            self.link_closed(conn, 0, false);
+        }
+    }
+
+    /// Closes a connection; what is open on it ends with this outcome.
+    fn drop_link(&mut self, conn: ConnId, outcome: Outcome) {
+        self.out.push(Output::Close { conn });
+        self.remove_link(conn, |_| outcome);
+    }
+
+    fn drop_if_retired(&mut self, conn: ConnId) {
+        if self.links.get(&conn).is_some_and(|l| l.retired && l.open.is_empty()) {
+            let server = self.links[&conn].server;
+            self.drop_link(conn, Outcome::Cancelled);
+            self.keep_link(server);
+        }
+    }
+
+    fn remove_link(&mut self, conn: ConnId, outcome: impl Fn(&Stage) -> Outcome) -> Option<ServerId> {
+        let link = self.links.remove(&conn)?;
+        if let Some(server) = self.servers.get_mut(&link.server) {
+            server.links.retain(|l| *l != conn);
+        }
+        for id in link.open {
+            let Some(stage) = self.sessions.get(&id).map(|s| s.stage) else { continue };
+            self.attempt_ended(id, outcome(&stage));
+        }
+        Some(link.server)
+    }
+
+    /// A connection is over, or did not come up.
+    pub(crate) fn link_closed(&mut self, conn: ConnId, written: u64, refused: bool) {
+        let now = self.now;
+        let Some(link) = self.links.get(&conn) else { return };
+        let (id, up) = (link.server, link.up);
+        let others = self.servers.get(&id).is_some_and(|s| {
+            s.links.iter().any(|l| *l != conn && self.links[l].up && !self.links[l].retired)
+        });
+        self.remove_link(conn, |stage| match *stage {
+            // What the operating system had not taken of it never left.
+            Stage::Out { from, .. } if from < written && others => Outcome::Error,
+            Stage::Out { from, .. } if from < written => Outcome::Reset,
+            _ => Outcome::NoConnection,
+        });
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        if !up {
+            server.calls += 1;
+            server.call_at = now + care::CALL_PAUSE;
+            let silent = now >= server.heard + care::QUIET && server.calls >= care::CALLS;
+            if (refused && !others) || silent {
+                // Nothing listens there, or nothing has been there for a while: what played there is over.
+                self.lost(id);
+            }
+        } else {
+            debug!(server = server.row.id, others, "a connection to a server broke");
+        }
+        self.keep_link(id);
+        self.forget(id);
+    }
+
+    /// A server has gone with all that played there.
+    fn lost(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get(&id) else { return };
+        if server.standing.is_empty() {
+            return;
+        }
+        self.counts.lost_servers += 1;
+        warn!(server = server.row.id, sessions = server.standing.len(), "a server is gone");
+        let over: Vec<SessionId> = server.standing.iter().copied().collect();
+        over.into_iter().for_each(|s| self.over(s, Outcome::Reset, Some(cause::FAILED)));
+    }
+
+    // ----- what servers say
+
+    pub(crate) fn link_data(&mut self, conn: ConnId, bytes: &[u8]) {
+        let now = self.now;
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        link.heard = now;
+        link.parser.feed(bytes);
+        if let Some(server) = self.servers.get_mut(&link.server) {
+            server.heard = now;
+        }
+        loop {
+            let Some(link) = self.links.get_mut(&conn) else { return };
+            match link.parser.poll() {
+                Ok(Some(message)) => {
+                    link.half = None;
+                    self.message(conn, message);
+                    self.settle();
+                }
+                Ok(None) => {
+                    link.half = if link.parser.midway() { link.half.or(Some(now)) } else { None };
+                    return;
+                }
+                Err(fault) => {
+                    let id = link.server;
+                    debug!(conn = conn.0, %fault, "a server's stream can't be read");
+                    // Set-ups that are out on it may have run.
+                    self.drop_link(conn, Outcome::Error);
+                    self.keep_link(id);
+                    return self.forget(id);
+                }
+            }
+        }
+    }
+
+    fn message(&mut self, conn: ConnId, message: Message) {
+        let Some(server) = self.links.get(&conn).map(|l| l.server) else { return };
+        let session = message.named_session().map(SessionId);
+        match &message.start {
+            Start::Response { status } => {
+                if *status >= 200
+                    && message.number() == Some(1)
+                    && let Some(id) = session
+                {
+                    self.answered(conn, server, id, *status, &message);
+                }
+            }
+            Start::Request { method, .. } => match (method.as_str(), session) {
+                ("TEARDOWN", Some(id)) => self.released(conn, server, id, &message),
+                ("ANNOUNCE", Some(id)) => self.note(server, id, &message),
+                _ => {}
+            },
+        }
+    }
+
+    /// A server's final answer to a set-up.
+    fn answered(&mut self, conn: ConnId, server: ServerId, id: SessionId, status: u16, message: &Message) {
+        let now = self.now;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        // Copies, late answers and those of another server are nobody's.
+        match session.stage {
+            Stage::Out { server: s, link, .. } if s == server && link == conn => {}
+            _ => return,
+        }
+        let outcome = match status {
+            200 => {
+                session.stage = Stage::Standing { server, link: Some(conn), since: now };
+                let (viewer, answer) = (session.viewer, isup::Message::new(isup::kind::ANSWER, id.0));
+                let answer = answer.with(isup::code::DESCRIPTION, message.body.as_slice());
+                session.description = Vec::new();
+                self.counts.answered += 1;
+                self.forget_attempt(conn, id);
+                if let Some(v) = self.viewers.get_mut(&viewer) {
+                    v.open.remove(&id);
+                }
+                if let Some(s) = self.servers.get_mut(&server) {
+                    s.standing.insert(id);
+                }
+                self.write(viewer, &answer);
+                return self.events.push_back(Event::Started { session: id });
+            }
+            453 => Outcome::Full,
+            454 => Outcome::NotSent,
+            504 => Outcome::Reset,
+            _ => Outcome::Error,
+        };
+        self.attempt_ended(id, outcome);
+        self.drop_if_retired(conn);
+    }
+
+    /// A server releases a session.
+    fn released(&mut self, conn: ConnId, server: ServerId, id: SessionId, message: &Message) {
+        self.write_link(conn, &Message::response(200, message.number().unwrap_or(2)).session(id.0));
+        let reason = message.headers.get("reason").and_then(|r| r.trim().strip_prefix("cause="));
+        let stated = reason.and_then(|c| c.trim().parse::<u8>().ok());
+        match self.sessions.get(&id).map(|s| s.stage) {
+            Some(Stage::Standing { server: s, .. }) if s == server => {
+                let (outcome, owed) = match stated {
+                    Some(16) => (Outcome::Served, Some(16)),
+                    Some(31) => (Outcome::Cancelled, None),
+                    other => (Outcome::Reset, Some(other.unwrap_or(cause::FAILED))),
+                };
+                self.over(id, outcome, owed);
+            }
+            Some(Stage::Out { server: s, .. }) if s == server => self.attempt_ended(id, Outcome::Reset),
+            _ => {}
+        }
+    }
+
+    fn note(&mut self, server: ServerId, id: SessionId, message: &Message) {
+        let kind = match message.headers.get("x-note") {
+            Some("quality") => NoteKind::Delivered,
+            Some("profile") => NoteKind::RungInForce,
+            Some("nic") => NoteKind::LinkUse,
+            Some("tor") => NoteKind::UplinkUse,
+            _ => return,
+        };
+        let figure = message.headers.get("figure").and_then(|f| f.trim().parse::<f64>().ok());
+        let Some(value) = figure.filter(|v| v.is_finite()) else { return };
+        self.events.push_back(Event::Note { session: id, server, kind, value });
+    }
+
+    // ----- sessions that stand
+
+    /// A session that stood is over; its viewer is told unless nothing is owed.
+    pub(crate) fn over(&mut self, id: SessionId, outcome: Outcome, owed: Option<u8>) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let Stage::Standing { server, .. } = session.stage else { return };
+        let viewer = session.viewer;
+        self.sessions.remove(&id);
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.standing.remove(&id);
+        }
+        self.events.push_back(Event::Ended { session: id, server, outcome, finished: true });
+        if let Some(cause) = owed {
+            self.release(viewer, isup::Message::new(isup::kind::RELEASE, id.0).cause(cause));
+        }
+        self.forget(server);
+    }
+
+    /// A viewer ends its session: it is cut at its server, and the viewer is owed nothing.
+    pub(crate) fn ended_by_viewer(&mut self, id: SessionId, cause: u8) {
+        let Some(Stage::Standing { server, .. }) = self.sessions.get(&id).map(|s| s.stage) else { return };
+        let message = Message::request("TEARDOWN", &address(id), 2).session(id.0);
+        self.tell(server, id, message.with("Reason", &format!("cause={cause}")));
+        self.over(id, Outcome::Cancelled, None);
+    }
+
+    pub(crate) fn set_rung(&mut self, id: SessionId, rung: Rung) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        session.rung = Some(rung);
+        if let Stage::Standing { server, .. } = session.stage {
+            let message = Message::request("SET_PARAMETER", &address(id), 4).session(id.0);
+            self.tell(server, id, message.with("Rate-Step", &rung.to_string()));
+        }
+    }
+
+    /// Tells a server something about a session: on the connection of its set-up, else on any, else on the next.
+    fn tell(&mut self, server: ServerId, id: SessionId, message: Message) {
+        let own = match self.sessions.get(&id).map(|s| s.stage) {
+            Some(Stage::Standing { link, .. }) => link,
+            _ => None,
+        };
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let usable = |l: &ConnId| self.links.get(l).is_some_and(|l| l.up && !l.retired);
+        let own = own.filter(|l| s.links.contains(l) && usable(l));
+        if let Some(conn) = own.or_else(|| s.links.iter().copied().find(|l| usable(l))) {
+            return self.write_link(conn, &message);
+        }
+        if s.row.state == ServerState::Gone {
+            return;
+        }
+        if s.queue.len() == QUEUE {
+            s.queue.pop_front();
+        }
+        s.queue.push_back(message);
+        self.keep_link(server);
+    }
+
+    // ----- looking after
+
+    pub(crate) fn tidy_servers(&mut self) {
+        let now = self.now;
+        let mut close: Vec<(ConnId, Outcome)> = Vec::new();
+        for (conn, link) in &self.links {
+            let Some(server) = self.servers.get(&link.server) else { continue };
+            let needed = !server.standing.is_empty() && server.links.len() == 1;
+            if link.half.is_some_and(|h| now >= h + care::HALF_MESSAGE) {
+                close.push((*conn, Outcome::Error));
+            } else if link.up && link.open.is_empty() && now >= link.used + care::LINK_IDLE && !needed {
+                close.push((*conn, Outcome::Cancelled));
+            }
+        }
+        for (conn, outcome) in close {
+            let Some(link) = self.links.get(&conn) else { continue };
+            let id = link.server;
+            // Never the last one that sessions need.
+            let last = self.servers.get(&id).is_some_and(|s| !s.standing.is_empty() && s.links.len() == 1);
+            if last && outcome == Outcome::Cancelled {
+                continue;
+            }
+            self.drop_link(conn, outcome);
+            self.keep_link(id);
+            self.forget(id);
+        }
+        let ids: Vec<ServerId> = self.servers.keys().copied().collect();
+        for id in ids {
+            self.keep_link(id);
+            let Some(server) = self.servers.get(&id) else { continue };
+            let quiet = !server.standing.is_empty() && now >= server.heard + care::QUIET;
+            if !quiet {
+                continue;
+            }
+            if server.row.state == ServerState::Gone {
+                // It can't be called: its address may be another's by now.
+                let links = server.links.clone();
+                self.lost(id);
+                links.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
+                self.forget(id);
+            } else if now >= server.call_at
+                && server.links.iter().all(|l| self.links[l].up)
+                && self.links.len() < self.most_links
+            {
+                // Silent: a call on a new connection tells a process that lives from a machine that has gone.
+                self.connect(id);
+            }
+        }
+    }
+}
+
+fn address(id: SessionId) -> String {
+    format!("rtsp://media/{:016x}", id.0)
+}
--- /dev/null
+++ b/crates/node/src/shell.rs
@@ -0,0 +1,375 @@
+//! The tokio layer around the core: sockets, clock and signals; no choices.
+//!
+//! Everything runs on one thread, as tasks of a `LocalSet`. A task that brings an input calls [`Shell::feed`], which
+//! hands it to the core with one reading of the clock and carries the outputs out before it returns.
+
+use crate::care;
+use crate::config::{Config, LONGEST, read};
+use crate::core::{Counts, Node};
+use crate::io::{ConnId, Input, Output};
+use micadyke::interface::Nanos;
+use micadyke_front::core::Decide;
+use micadyke_http::client::{CallError, Connection};
+use micadyke_http::{Limits, Method, Request};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::Interest;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tracing::{info, warn};
+
+/// Bytes read from a connection in one turn.
+const READ: usize = 8 << 10;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// A connection that is closed with bytes still to write waits so long for its peer to take them.
+const FLUSH: Duration = Duration::from_secs(2);
+/// Accepting is tried again after this when descriptors are short.
+const SHORT: Duration = Duration::from_millis(20);
+
+/// Reads the configuration from its file; the error names the file and the field.
+pub fn load(path: &Path) -> Result<Config, String> {
+    let fault = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let size = std::fs::metadata(path).map_err(|e| fault(&e))?.len();
+    if size > LONGEST {
+        return Err(fault(&format!("{size} bytes; {LONGEST} at most")));
+    }
+    let text = std::fs::read_to_string(path).map_err(|e| fault(&e))?;
+    read(&text).map_err(|e| fault(&e))
+}
+
+/// A connection's side of the shell.
+#[derive(Debug, Default)]
+struct Conn {
+    stream: RefCell<Option<Rc<TcpStream>>>,
+    waiting: RefCell<VecDeque<u8>>,
+    written: Cell<u64>,
+    changed: Notify,
+    closing: Cell<bool>,
+    paused: Cell<Option<Instant>>,
+    backlog: usize,
+}
+
+impl Conn {
+    fn new(stream: Option<TcpStream>, backlog: usize) -> Rc<Self> {
+        let stream = RefCell::new(stream.map(Rc::new));
+        Rc::new(Conn { stream, backlog, ..Conn::default() })
+    }
+
+    /// Writes what the operating system takes now; the rest waits. False: the connection is of no further use.
+    fn write(&self, bytes: &[u8]) -> bool {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.extend(bytes);
+        let Some(stream) = self.stream.borrow().clone() else { return waiting.len() <= self.backlog };
+        while !waiting.is_empty() {
+            match stream.try_write(waiting.as_slices().0) {
+                Ok(n) => {
+                    waiting.drain(..n);
+                    self.written.set(self.written.get() + n as u64);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return false,
+            }
+        }
+        if waiting.is_empty() {
+            *waiting = VecDeque::new();
+        }
+        waiting.len() <= self.backlog
+    }
+}
+
+/// A running node.
+struct Shell<D> {
+    core: RefCell<Node<D>>,
+    start: Instant,
+    /// Unix time at its start.
+    epoch: u64,
+    conns: RefCell<HashMap<ConnId, Rc<Conn>>>,
+    /// Inputs that came up while outputs were carried out.
+    later: RefCell<VecDeque<(ConnId, u64)>>,
+    next: Cell<u64>,
+    wake: Notify,
+    armed: Cell<Nanos>,
+}
+
+/// Runs a node by its configuration until SIGTERM; then answers what it owes and returns.
+///
+/// # Errors
+///
+/// Where it cannot listen.
+pub async fn run<D: Decide + 'static>(
+    path: PathBuf, config: Config, decide: impl FnOnce(Nanos) -> D,
+) -> Result<Counts, String> {
+    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let failed = |e: std::io::Error| format!("no signals: {e}");
+    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
+    let hup = signal(SignalKind::hangup()).map_err(failed)?;
+    let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let node = Node::new(&config, decide(epoch), epoch);
+    let shell = Rc::new(Shell {
+        core: RefCell::new(node),
+        start: Instant::now(),
+        epoch,
+        conns: RefCell::default(),
+        later: RefCell::default(),
+        next: Cell::new(1),
+        wake: Notify::new(),
+        armed: Cell::new(Nanos::MAX),
+    });
+    info!(name = config.name, listen = %config.listen, sockets = config.sockets, "serving");
+    drop(config);
+    let reload = spawn_local(shell.clone().reload(path, hup));
+    let timers = spawn_local(shell.clone().timers());
+    shell.feed(Input::Wake);
+    let accept = spawn_local(shell.clone().accept(listener));
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    shell.feed(Input::Stop);
+    while !shell.core.borrow().done(shell.now()) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    accept.abort();
+    // What was handed over for writing is written by the connections' own tasks: let them.
+    let until = Instant::now() + Duration::from_millis(200);
+    let left = || shell.conns.borrow().values().any(|c| !c.waiting.borrow().is_empty());
+    while left() && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    reload.abort();
+    timers.abort();
+    let counts = shell.core.borrow().counts();
+    info!(?counts, "stopped");
+    Ok(counts)
+}
+
+fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(BACKLOG)
+}
+
+impl<D: Decide + 'static> Shell<D> {
+    fn now(&self) -> Nanos {
+        self.epoch + self.start.elapsed().as_nanos() as u64
+    }
+
+    /// Hands an input to the core and carries out what it says.
+    fn feed(self: &Rc<Self>, input: Input) {
+        let mut out = Vec::new();
+        self.core.borrow_mut().handle(self.now(), input, &mut out);
+        loop {
+            out.drain(..).for_each(|o| self.carry_out(o));
+            let Some((conn, written)) = self.later.borrow_mut().pop_front() else { break };
+            let input = Input::Closed { conn, written, refused: false };
+            self.core.borrow_mut().handle(self.now(), input, &mut out);
+        }
+        let at = self.core.borrow().wake_at();
+        if at < self.armed.get() {
+            self.wake.notify_one();
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, output: Output) {
+        match output {
+            Output::Write { conn, bytes } => {
+                let Some(c) = self.conns.borrow().get(&conn).cloned() else { return };
+                if !c.write(&bytes) {
+                    self.conns.borrow_mut().remove(&conn);
+                    c.closing.set(true);
+                    c.waiting.borrow_mut().clear();
+                    c.changed.notify_one();
+                    self.later.borrow_mut().push_back((conn, c.written.get()));
+                } else if !c.waiting.borrow().is_empty() {
+                    c.changed.notify_one();
+                }
+            }
+            Output::Close { conn } => {
+                let Some(c) = self.conns.borrow_mut().remove(&conn) else { return };
+                c.closing.set(true);
+                c.changed.notify_one();
+            }
+            Output::Connect { conn, addr } => {
+                let c = Conn::new(None, care::LINK_BACKLOG);
+                self.conns.borrow_mut().insert(conn, c.clone());
+                spawn_local(self.clone().link(conn, addr, c));
+            }
+            Output::Listen { conn, addr, last } => {
+                let c = Conn::new(None, 0);
+                self.conns.borrow_mut().insert(conn, c.clone());
+                spawn_local(self.clone().bus(conn, addr, last, c));
+            }
+            Output::Pause { conn, span } => {
+                if let Some(c) = self.conns.borrow().get(&conn) {
+                    c.paused.set(Some(Instant::now() + Duration::from_nanos(span)));
+                }
+            }
+        }
+    }
+
+    async fn timers(self: Rc<Self>) {
+        loop {
+            let at = self.core.borrow().wake_at();
+            self.armed.set(at);
+            let span = Duration::from_nanos(at.saturating_sub(self.now()).min(care::SECOND));
+            tokio::select! {
+                () = tokio::time::sleep(span) => {
+                    self.armed.set(Nanos::MAX);
+                    self.feed(Input::Wake);
+                }
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    warn!("no connection can be accepted: {e}");
+                    tokio::time::sleep(SHORT).await;
+                    continue;
+                }
+            };
+            let _ = stream.set_nodelay(true);
+            self.next.set(self.next.get() + 2);
+            let conn = ConnId(self.next.get());
+            let c = Conn::new(Some(stream), care::VIEWER_BACKLOG);
+            self.conns.borrow_mut().insert(conn, c.clone());
+            self.feed(Input::ViewerOpened { conn });
+            spawn_local(self.clone().serve(conn, c));
+        }
+    }
+
+    async fn link(self: Rc<Self>, conn: ConnId, addr: SocketAddr, c: Rc<Conn>) {
+        let stream = tokio::select! {
+            s = TcpStream::connect(addr) => s,
+            () = c.changed.notified() => return,
+        };
+        match stream {
+            Ok(stream) => {
+                let _ = stream.set_nodelay(true);
+                *c.stream.borrow_mut() = Some(Rc::new(stream));
+                self.feed(Input::Up { conn });
+                self.serve(conn, c).await;
+            }
+            Err(e) => {
+                let refused = e.kind() == ErrorKind::ConnectionRefused;
+                if self.conns.borrow_mut().remove(&conn).is_some() {
+                    self.feed(Input::Closed { conn, written: 0, refused });
+                }
+            }
+        }
+    }
+
+    /// Reads and writes a connection until it is over.
+    async fn serve(self: Rc<Self>, conn: ConnId, c: Rc<Conn>) {
+        let Some(stream) = c.stream.borrow().clone() else { return };
+        loop {
+            if c.closing.get() {
+                return finish(&stream, &c).await;
+            }
+            if let Some(until) = c.paused.take() {
+                tokio::select! {
+                    () = tokio::time::sleep_until(until.into()) => {}
+                    () = c.changed.notified() => c.paused.set(Some(until)),
+                }
+                if !c.waiting.borrow().is_empty() && !c.write(&[]) {
+                    break;
+                }
+                continue;
+            }
+            let full = !c.waiting.borrow().is_empty();
+            let interest = if full { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+            let ready = tokio::select! {
+                r = stream.ready(interest) => r,
+                () = c.changed.notified() => continue,
+            };
+            let Ok(ready) = ready else { break };
+            if full && ready.is_writable() && !c.write(&[]) {
+                break;
+            }
+            if ready.is_readable() || ready.is_read_closed() || ready.is_error() {
+                let mut buffer = [0u8; READ];
+                match stream.try_read(&mut buffer) {
+                    Ok(0) => break,
+                    Ok(n) => self.feed(Input::Data { conn, bytes: &buffer[..n] }),
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => break,
+                }
+                // Fair turns: one that sends without end does not keep the others waiting.
+                tokio::task::yield_now().await;
+            }
+        }
+        if self.conns.borrow_mut().remove(&conn).is_some() {
+            self.feed(Input::Closed { conn, written: c.written.get(), refused: false });
+        }
+    }
+
+    /// Reads the event bus until its stream is over.
+    async fn bus(self: Rc<Self>, conn: ConnId, addr: SocketAddr, last: u64, c: Rc<Conn>) {
+        tokio::select! {
+            e = self.listen_to(conn, addr, last) => {
+                if let Err(e) = e {
+                    info!(%addr, last, "the event bus broke off: {e:?}");
+                }
+            }
+            () = c.changed.notified() => return,
+        }
+        if self.conns.borrow_mut().remove(&conn).is_some() {
+            self.feed(Input::Closed { conn, written: 0, refused: false });
+        }
+    }
+
+    async fn listen_to(self: &Rc<Self>, conn: ConnId, addr: SocketAddr, last: u64) -> Result<(), CallError> {
+        let limit = Duration::from_nanos(care::BUS_SILENCE);
+        let mut bus = Connection::open(addr, limit, Limits::default()).await?;
+        let request = Request::new(Method::Get, "/bus/read").with("accept", "text/event-stream");
+        let answer = bus.open_stream(&request.with("last-event-id", last.to_string())).await?;
+        if answer.status != 200 {
+            warn!(status = answer.status, "the event bus refuses");
+            return Ok(());
+        }
+        self.feed(Input::Up { conn });
+        while let Some(bytes) = bus.chunk().await? {
+            self.feed(Input::Data { conn, bytes: &bytes });
+        }
+        Ok(())
+    }
+
+    /// Reads the configuration again at each SIGHUP; one that can't be read changes nothing.
+    async fn reload(self: Rc<Self>, path: PathBuf, mut hup: tokio::signal::unix::Signal) {
+        while hup.recv().await.is_some() {
+            match load(&path) {
+                Ok(config) => {
+                    info!(bus = %config.bus, "configuration read again");
+                    self.feed(Input::BusMoved { addr: config.bus });
+                }
+                Err(e) => warn!("the old configuration stays: {e}"),
+            }
+        }
+    }
+}
+
+/// Writes what is left, then closes.
+async fn finish(stream: &TcpStream, c: &Conn) {
+    let rest = async {
+        while !c.waiting.borrow().is_empty() {
+            if stream.writable().await.is_err() || !c.write(&[]) {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(FLUSH, rest).await;
+}
--- /dev/null
+++ b/crates/rtsp/src/lib.rs
@@ -0,0 +1,227 @@
+//! RTSP 1.0 (RFC 2326) as front nodes and media servers speak it (`PROTOCOL.md`): reading and writing, without I/O.
+//!
+//! Both sides send requests and responses on one connection; messages are matched by `Session` and `CSeq`, and every
+//! message carries `Content-Length`. Heads are read as `crates/http` reads them: strict, incremental, bounded. What
+//! can't be read is final: nobody can tell where the next message of such a stream begins.
+#![warn(missing_docs)]
+
+use micadyke_http::head::{Buffer, fault, fields, is_token};
+use std::fmt::Write as _;
+
+pub use micadyke_http::{Fault, Headers, Limits};
+
+/// Bytes of a message at most, head and content together (`PROTOCOL.md`: 16 KiB).
+pub const LONGEST: usize = 16 << 10;
+
+/// Bounds on what a server may send.
+pub const LIMITS: Limits = Limits { line: 1 << 10, head: 8 << 10, fields: 48, body: LONGEST };
+
+/// The first line of a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Start {
+    /// A request.
+    Request {
+        /// Its method, such as `ANNOUNCE`.
+        method: String,
+        /// Its address.
+        address: String,
+    },
+    /// A response.
+    Response {
+        /// Its status code.
+        status: u16,
+    },
+}
+
+/// A whole message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Message {
+    /// Its first line.
+    pub start: Start,
+    /// Its fields; names in lower case where it was read.
+    pub headers: Headers,
+    /// Its content.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// A request without content.
+    pub fn request(method: &str, address: &str, number: u32) -> Self {
+        let start = Start::Request { method: method.to_owned(), address: address.to_owned() };
+        Message { start, headers: Headers::default(), body: Vec::new() }.with("CSeq", &number.to_string())
+    }
+
+    /// A response without content.
+    pub fn response(status: u16, number: u32) -> Self {
+        let start = Start::Response { status };
+        Message { start, headers: Headers::default(), body: Vec::new() }.with("CSeq", &number.to_string())
+    }
+
+    /// Adds a field.
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.add(name, value);
+        self
+    }
+
+    /// Adds the session, as 16 hex digits.
+    pub fn session(self, id: u64) -> Self {
+        self.with("Session", &format!("{id:016x}"))
+    }
+
+    /// Sets the content.
+    pub fn content(mut self, body: &[u8]) -> Self {
+        self.body = body.to_vec();
+        self
+    }
+
+    /// The session that the message names: 16 hex digits.
+    pub fn named_session(&self) -> Option<u64> {
+        let text = self.headers.get("session")?;
+        let hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        hex.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+    }
+
+    /// The number of the request that it is, or answers.
+    pub fn number(&self) -> Option<u32> {
+        let text = self.headers.get("cseq")?;
+        (text.len() <= 9 && text.bytes().all(|b| b.is_ascii_digit())).then(|| text.parse().ok()).flatten()
+    }
+
+    /// The bytes on the wire; `Content-Length` is added.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut head = String::with_capacity(256);
+        let _ = match &self.start {
+            Start::Request { method, address } => write!(head, "{method} {address} RTSP/1.0\r\n"),
+            Start::Response { status } => write!(head, "RTSP/1.0 {status} {}\r\n", reason(*status)),
+        };
+        for (name, value) in &self.headers.0 {
+            // A line break inside a value would start a field of its own: it is left out, with what follows it.
+            let value = value.split(['\r', '\n', '\0']).next().unwrap_or("");
+            let _ = write!(head, "{name}: {value}\r\n");
+        }
+        let _ = write!(head, "Content-Length: {}\r\n\r\n", self.body.len());
+        let mut out = head.into_bytes();
+        out.extend_from_slice(&self.body);
+        out
+    }
+}
+
+/// The reason phrase of a status code (RFC 2326 section 7.1.1).
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        453 => "Not Enough Bandwidth",
+        454 => "Session Not Found",
+        500 => "Internal Server Error",
+        503 => "Service Unavailable",
+        504 => "Gateway Time-out",
+        _ => "Status",
+    }
+}
+
+/// Reads a stream of messages.
+#[derive(Debug)]
+pub struct Parser {
+    limits: Limits,
+    buffer: Buffer,
+    head: Option<(Start, Headers, usize)>,
+    failed: Option<Fault>,
+}
+
+impl Default for Parser {
+    fn default() -> Self {
+        Parser { limits: LIMITS, buffer: Buffer::default(), head: None, failed: None }
+    }
+}
+
+impl Parser {
+    /// Takes bytes as they came; none are kept after a fault.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if self.failed.is_none() {
+            self.buffer.feed(bytes);
+        }
+    }
+
+    /// Whether part of a message has come and the rest has not.
+    pub fn midway(&self) -> bool {
+        self.head.is_some() || !self.buffer.rest().is_empty()
+    }
+
+    /// The next whole message; a fault is final and comes again at each call.
+    pub fn poll(&mut self) -> Result<Option<Message>, Fault> {
+        if let Some(f) = self.failed {
+            return Err(f);
+        }
+        let result = self.step();
+        if let Err(f) = result {
+            (self.failed, self.buffer, self.head) = (Some(f), Buffer::default(), None);
+        }
+        result
+    }
+
+    fn step(&mut self) -> Result<Option<Message>, Fault> {
+        if self.head.is_none() {
+            if self.buffer.rest().is_empty() {
+                return Ok(None);
+            }
+            let Some(length) = self.buffer.head(&self.limits)? else { return Ok(None) };
+            self.head = Some(read_head(&self.buffer.rest()[..length], length, &self.limits)?);
+            self.buffer.take(length);
+        }
+        match self.head.take() {
+            Some((start, headers, size)) if self.buffer.rest().len() >= size => {
+                let body = self.buffer.rest()[..size].to_vec();
+                self.buffer.take(size);
+                Ok(Some(Message { start, headers, body }))
+            }
+            head => {
+                self.head = head;
+                Ok(None)
+            }
+        }
+    }
+}
+
+fn read_head(head: &[u8], length: usize, limits: &Limits) -> Result<(Start, Headers, usize), Fault> {
+    let end = head.iter().position(|&b| b == b'\n').unwrap_or(0);
+    let start = first_line(&head[..end.saturating_sub(1)])?;
+    let headers = fields(&head[end + 1..], limits)?;
+    let lengths: Vec<&str> = headers.all("content-length").collect();
+    let &[size] = lengths.as_slice() else { return fault(411, "one content length is due") };
+    if size.is_empty() || size.len() > 9 || !size.bytes().all(|b| b.is_ascii_digit()) {
+        return fault(400, "the content length is no number, or far too large");
+    }
+    let size: usize = size.parse().unwrap_or(usize::MAX);
+    if size.saturating_add(length) > limits.body {
+        return fault(413, "the message is too long");
+    }
+    Ok((start, headers, size))
+}
+
+fn first_line(line: &[u8]) -> Result<Start, Fault> {
+    if let Some(rest) = line.strip_prefix(b"RTSP/1.0 ") {
+        let (digits, after) = rest.split_at(rest.len().min(3));
+        if digits.len() != 3
+            || !digits.iter().all(u8::is_ascii_digit)
+            || after.first().is_some_and(|&b| b != b' ')
+        {
+            return fault(400, "the first line is no status line");
+        }
+        let status = digits.iter().fold(0, |a, &d| a * 10 + u16::from(d - b'0'));
+        return Ok(Start::Response { status });
+    }
+    let mut parts = line.split(|&b| b == b' ');
+    let (Some(method), Some(address), Some(b"RTSP/1.0"), None) =
+        (parts.next(), parts.next(), parts.next(), parts.next())
+    else {
+        return fault(400, "the first line is neither a request's nor a response's");
+    };
+    if method.is_empty() || !method.iter().all(|&b| is_token(b)) {
+        return fault(400, "the method is no token");
+    }
+    if address.is_empty() || !address.iter().all(u8::is_ascii_graphic) {
+        return fault(400, "the address holds what no URI may");
+    }
+    let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+    Ok(Start::Request { method: text(method), address: text(address) })
+}
--- a/crates/standin/src/media_box.rs
+++ b/crates/standin/src/media_box.rs
@@ -715,7 +715,7 @@
             }
         }
         for (to, data) in due {
-            self.send(id, to, sse::Event { kind: "layers".into(), data });
+            self.send(id, to, sse::Event { kind: "layers".into(), data, ..Default::default() });
         }
     }
 
@@ -726,7 +726,11 @@
                 r.streams.values().filter(|s| s.load).map(|s| s.to.clone()).collect()
             });
         for to in to {
-            self.send(id, to, sse::Event { kind: LoadReport::FIELD.into(), data: data.clone() });
+            self.send(
+                id,
+                to,
+                sse::Event { kind: LoadReport::FIELD.into(), data: data.clone(), ..Default::default() },
+            );
         }
     }
 }
