--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,310 @@
+//! `micadyke node` as the platform starts it: a process between stand-in servers, a bus and viewers on loopback.
+
+use micadyke_isup::{Frame, Message, Parser, code, kind};
+use micadyke_standin::platform::{MediaServer, Seen, Treat, verdict};
+use micadyke_standin::platform_net::{Bus, Listening, Scene};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_micadyke");
+const SETTINGS: &str = include_str!("../../../fixtures/node/settings.json");
+const MS: u64 = 1_000_000;
+
+struct Running {
+    child: Child,
+    config: PathBuf,
+    listen: SocketAddr,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn row(server: &Listening, id: &str, state: &str) -> String {
+    let addr = server.addr;
+    format!(
+        r#"{{"id":"{id}","addr":"{addr}","zone":"z","kind":"k","cell":0,"state":"{state}","weight":1,"started_ms":0}}"#
+    )
+}
+
+fn write_config(path: &std::path::Path, listen: SocketAddr, bus: SocketAddr, rows: &str) {
+    let text = format!(
+        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"bus":"{bus}","known":{{"offset":1,"batch":[{{"offset":1,"topology":{{"version":1,"full":true,"servers":[{rows}]}}}}]}},"settings":{SETTINGS}}}"#
+    );
+    std::fs::write(path, text).expect("written");
+}
+
+fn start(name: &str, listen: SocketAddr, bus: SocketAddr, rows: &str) -> Running {
+    let config = std::env::temp_dir().join(format!("micadyke-node-{name}-{}.json", std::process::id()));
+    write_config(&config, listen, bus, rows);
+    let child = Command::new(BINARY)
+        .arg("node")
+        .env("EDGE_CONFIG", &config)
+        .env("EDGE_NAME", "n0")
+        .env("EDGE_LISTEN", listen.to_string())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    Running { child, config, listen }
+}
+
+impl Running {
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    async fn ends(&mut self) -> Option<i32> {
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.code();
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// A viewer's connection.
+struct Viewer {
+    stream: TcpStream,
+    parser: Parser,
+}
+
+impl Viewer {
+    async fn connect(to: SocketAddr) -> Self {
+        loop {
+            if let Ok(stream) = TcpStream::connect(to).await {
+                return Viewer { stream, parser: Parser::default() };
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn send(&mut self, message: &Message) {
+        self.stream.write_all(&message.encode().expect("it fits")).await.expect("written");
+    }
+
+    /// The next message; `None`: closed.
+    async fn next(&mut self) -> Option<Message> {
+        loop {
+            match self.parser.poll().expect("the node's messages can be read") {
+                Some(Frame::Message(m)) => return Some(m),
+                Some(other) => panic!("{other:?}"),
+                None => {}
+            }
+            let mut bytes = [0u8; 1024];
+            match self.stream.read(&mut bytes).await {
+                Ok(n @ 1..) => self.parser.feed(&bytes[..n]),
+                _ => return None,
+            }
+        }
+    }
+
+    async fn test(&mut self) -> Option<u8> {
+        self.send(&Message::new(kind::TEST, 1).cause(0)).await;
+        self.next().await.filter(|m| m.kind == kind::TESTED).and_then(|m| m.stated_cause())
+    }
+
+    async fn ask(&mut self, scene: &Scene, id: u64, class: &str) -> Message {
+        let (paid, floor) = (class == "paid", usize::from(class == "paid"));
+        scene.note(Seen::Asked { id, patience: 4000 * MS, paid, floor });
+        self.send(&set_up(id, class)).await;
+        self.answer(scene, id).await
+    }
+
+    async fn answer(&mut self, scene: &Scene, id: u64) -> Message {
+        loop {
+            let m = self.next().await.expect("an answer");
+            if m.session == id {
+                let description =
+                    (m.kind == kind::ANSWER).then(|| m.get(code::DESCRIPTION).unwrap_or_default().to_vec());
+                let refused = description.is_none() && matches!(m.stated_cause(), Some(34 | 42 | 102));
+                scene.note(Seen::Answered { id, description, refused });
+                return m;
+            }
+        }
+    }
+}
+
+fn set_up(id: u64, class: &str) -> Message {
+    Message::new(kind::SETUP, id)
+        .with(code::CLASS, class)
+        .with(code::PATIENCE, "4000")
+        .with(code::TITLE, "7f3a9c21e0b4d655")
+        .with(code::HINT, "8200.0")
+        .with(code::FIGURES, "home:0;copies:1;top:2;viewer:00000000b4d65521")
+        .with(code::DESCRIPTION, "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n")
+}
+
+fn free_port() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+async fn server(scene: &Scene, id: &str, life_ms: u64) -> Rc<Listening> {
+    let model = MediaServer::new(id, 5 * MS, Treat::Serve(life_ms * MS));
+    Listening::start(SocketAddr::from(([127, 0, 0, 1], 0)), model, scene.clone()).await.expect("it listens")
+}
+
+fn on_one_thread<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let test =
+        async { tokio::time::timeout(Duration::from_secs(60), test).await.expect("it comes to an end") };
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn a_day_from_start_to_sigterm() {
+    on_one_thread(async {
+        let scene = Scene::default();
+        let (a, b) = (server(&scene, "a", 60_000).await, server(&scene, "b", 300).await);
+        a.server.borrow_mut().plays(99, 60_000 * MS);
+        let first = format!("{},{}", row(&a, "a", "up"), row(&b, "b", "up"));
+        let bus = Bus::start(vec![(true, first.clone())]).await.expect("a bus");
+        let mut node = start("day", free_port(), bus.addr, &first);
+        let mut v = Viewer::connect(node.listen).await;
+        assert_eq!(v.test().await, Some(1));
+        // A session handed over wants no answer; a set-up does, whatever server it finds.
+        let mut at = set_up(99, "free");
+        at.parameters
+            .iter_mut()
+            .filter(|p| p.0 == code::FIGURES)
+            .for_each(|p| p.1.extend_from_slice(b";at:a"));
+        v.send(&at).await;
+        for id in 1..=20 {
+            let said = v.ask(&scene, id, if id % 2 == 0 { "paid" } else { "free" }).await;
+            assert_eq!(said.kind, kind::ANSWER, "{said:?}");
+        }
+        // Servers treat set-ups badly: each is answered all the same.
+        for (i, treat) in [Treat::Status(453), Treat::Noise, Treat::Break, Treat::Half, Treat::Twice]
+            .into_iter()
+            .enumerate()
+        {
+            for s in [&a, &b] {
+                s.server.borrow_mut().next.clear();
+                s.server.borrow_mut().next.push_back(treat);
+            }
+            v.ask(&scene, 100 + i as u64, "free").await;
+        }
+        for s in [&a, &b] {
+            s.server.borrow_mut().next.clear();
+        }
+        // What can't be read is closed; the others go on.
+        let mut bad = Viewer::connect(node.listen).await;
+        bad.stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("written");
+        while bad.next().await.is_some() {}
+        // The bus breaks off, and moves; a configuration that can't be read changes nothing.
+        bus.break_off(false);
+        std::fs::write(&node.config, "{").expect("written");
+        node.signal("-HUP");
+        v.ask(&scene, 200, "free").await;
+        let moved = Bus::start(vec![(true, first.clone())]).await.expect("a bus");
+        write_config(&node.config, node.listen, moved.addr, &first);
+        node.signal("-HUP");
+        while moved.calls.borrow().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(moved.calls.borrow()[0], "1", "the number is kept");
+        // It tells that b drains: set-ups go to a alone.
+        moved.tell(false, &row(&b, "b", "draining"));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        scene.note(Seen::Told { server: "b".into() });
+        for id in 300..320 {
+            assert_eq!(v.ask(&scene, id, "paid").await.kind, kind::ANSWER);
+        }
+        // SIGTERM: what was taken is answered, and what still comes; then it ends by itself.
+        let mut last = Viewer::connect(node.listen).await;
+        scene.note(Seen::Asked { id: 400, patience: 4000 * MS, paid: true, floor: 1 });
+        last.send(&set_up(400, "paid")).await;
+        node.signal("-TERM");
+        node.signal("-TERM");
+        assert_eq!(last.answer(&scene, 400).await.kind, kind::ANSWER);
+        assert_eq!(v.ask(&scene, 401, "free").await.kind, kind::ANSWER);
+        assert_eq!(node.ends().await, Some(0));
+        assert!(a.server.borrow().standing().any(|s| s == 401), "sessions play on at their server");
+        // Releases are judged in virtual time: here they may be on their way.
+        let broken = verdict(&scene.record.borrow(), scene.now());
+        let broken: Vec<_> = broken.into_iter().filter(|b| !b.contains("not released")).collect();
+        assert_eq!(broken, Vec::<String>::new());
+    });
+}
+
+#[test]
+fn killed_and_started_again_it_takes_over_what_plays() {
+    on_one_thread(async {
+        let scene = Scene::default();
+        let a = server(&scene, "a", 60_000).await;
+        let rows = row(&a, "a", "up");
+        let bus = Bus::start(vec![(true, rows.clone())]).await.expect("a bus");
+        let listen = free_port();
+        let mut node = start("killed", listen, bus.addr, &rows);
+        let mut v = Viewer::connect(listen).await;
+        assert_eq!(v.test().await, Some(1));
+        assert_eq!(v.ask(&scene, 1, "paid").await.kind, kind::ANSWER);
+        node.signal("-KILL");
+        assert_eq!(node.ends().await, None);
+        drop(node);
+        let _node = start("again", listen, bus.addr, &rows);
+        let mut v = Viewer::connect(listen).await;
+        assert_eq!(v.test().await, Some(1));
+        let mut at = set_up(1, "paid");
+        at.parameters
+            .iter_mut()
+            .filter(|p| p.0 == code::FIGURES)
+            .for_each(|p| p.1.extend_from_slice(b";at:a"));
+        v.send(&at).await;
+        assert_eq!(v.ask(&scene, 2, "free").await.kind, kind::ANSWER);
+        // The server's process ends: both sessions are released, on the connection that there is.
+        a.stop();
+        let mut over: Vec<u64> =
+            vec![v.next().await.expect("a release").session, v.next().await.expect("a release").session];
+        over.sort_unstable();
+        assert_eq!(over, [1, 2]);
+    });
+}
+
+#[test]
+fn a_configuration_that_is_wrong_is_named() {
+    let dir = std::env::temp_dir().join(format!("micadyke-node-wrong-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let path = dir.join("config.json");
+    let any = SocketAddr::from(([127, 0, 0, 1], 1));
+    write_config(&path, any, any, "");
+    let sound = std::fs::read_to_string(&path).expect("it is there");
+    // What is changed, and what the message names.
+    let table = [
+        (String::new(), "not JSON"),
+        (sound.replace("\"name\"", "\"nom\""), "name is missing"),
+        (sound.replace("\"n0\"", "\"n1\""), "EDGE_NAME"),
+        (sound.replace("8c1f30d27a5be964", "later"), "seed"),
+        (sound.replace("\"sockets\":256", "\"sockets\":3"), "limits.sockets"),
+        (sound.replace("\"bus\":\"127.0.0.1:1\"", "\"bus\":\"here\""), "bus"),
+        (sound.replace("\"offset\":1,\"topology\"", "\"offset\":5,\"topology\""), "known.batch[0]"),
+        (sound.replace("\"rung_kb\"", "\"rungs\""), "rung_kb"),
+        (sound.replace("\"cells\":2", "\"cells\":0"), "cells"),
+    ];
+    for (text, named) in table {
+        std::fs::write(&path, &text).expect("written");
+        let run = Command::new(BINARY)
+            .arg("node")
+            .env("EDGE_CONFIG", &path)
+            .env("EDGE_NAME", "n0")
+            .output()
+            .expect("it runs");
+        let said = String::from_utf8_lossy(&run.stderr).into_owned();
+        assert!(!run.status.success() && said.contains(named), "{named}: {said}");
+    }
+    let missing = Command::new(BINARY).arg("node").env_remove("EDGE_CONFIG").output().expect("it runs");
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("EDGE_CONFIG"));
+    std::fs::remove_dir_all(&dir).expect("removed");
+}
--- a/crates/http/tests/parse.rs
+++ b/crates/http/tests/parse.rs
@@ -170,3 +170,15 @@
         prop_assert_eq!(out, vec![event]);
     }
 }
+
+#[test]
+fn ids_and_comments_of_a_stream() {
+    let (mut parser, mut events) = (Parser::new(200), Vec::new());
+    parser.feed(b":\n\nid: 4\ndata: a\n\n: alive\ndata: b\n\nid: 7\n\nid\ndata: c\n\n", &mut events).unwrap();
+    let seen: Vec<(&str, &str)> = events.iter().map(|e| (e.id.as_str(), e.data.as_str())).collect();
+    // An id holds until another comes; one without a value takes it back (WHATWG HTML, section 9.2.6).
+    assert_eq!((seen, parser.comments()), (vec![("4", "a"), ("4", "b"), ("", "c")], 2));
+    let (mut again, mut read) = (Parser::new(200), Vec::new());
+    again.feed(&events[0].encode(), &mut read).unwrap();
+    assert_eq!(read[0], events[0]);
+}
--- /dev/null
+++ b/crates/node/tests/core.rs
@@ -0,0 +1,488 @@
+//! The node's core in virtual time: set-ups, servers and connections that fail, the bus, the door, the end.
+
+mod world;
+
+use micadyke_isup::{Message, code, kind};
+use micadyke_node::Input;
+use micadyke_standin::platform::{Seen, Treat};
+use world::*;
+
+fn kept(w: &World) {
+    assert_eq!(w.broken_rules(), Vec::<String>::new());
+}
+
+#[test]
+fn a_set_up_plays_and_its_end_is_told_on_its_connection() {
+    let mut w = World::new(2);
+    let v = w.viewer();
+    w.ask(v, 7, "free", 4000);
+    w.run(SECOND);
+    assert!(w.answer(7).is_some_and(|a| a.1 && a.0 < START + 100 * MS), "{:?}", w.record);
+    assert_eq!(w.node.held(), (0, 1));
+    w.run(6 * SECOND);
+    assert_eq!(w.told[&v].last().map(|m| (m.1.kind, m.1.stated_cause())), Some((kind::RELEASE, Some(16))));
+    assert_eq!(w.node.held(), (0, 0));
+    kept(&w);
+}
+
+#[test]
+fn whatever_a_server_does_with_a_set_up_it_is_answered_once_and_truthfully() {
+    // What the first server does; whether a free set-up plays in the end, and whether a paid one may (else it fails).
+    let table = [
+        (Treat::Status(453), true, true),
+        (Treat::Status(454), true, true),
+        (Treat::Status(500), true, false),
+        (Treat::Status(504), true, false),
+        (Treat::Silent, true, false),
+        (Treat::Noise, true, false),
+        (Treat::Half, true, false),
+        (Treat::Huge, true, false),
+        (Treat::Break, true, false),
+        (Treat::Release, true, false),
+        (Treat::Twice, true, true),
+        (Treat::Stranger, true, true),
+    ];
+    for (treat, free, paid) in table {
+        for (class, plays) in [("free", free), ("paid", paid)] {
+            let mut w = World::new(3);
+            w.servers.values_mut().for_each(|s| s.next.push_back(treat));
+            let v = w.viewer();
+            // Only the first attempt is treated so: the others find servers that serve.
+            w.ask(v, 7, class, 4000);
+            w.run(30 * MS);
+            w.servers.values_mut().for_each(|s| s.next.clear());
+            w.run(8 * SECOND);
+            let (_, served, refused) =
+                w.answer(7).unwrap_or_else(|| panic!("{treat:?} {class}: {:?}", w.record));
+            assert_eq!((served, refused), (plays, false), "{treat:?} {class}: {:?}", w.record);
+            assert_eq!(w.sends(7), if class == "paid" && !plays { 1 } else { w.sends(7) }, "{treat:?}");
+            kept(&w);
+            // What is over or failed left nothing behind.
+            w.run(30 * SECOND);
+            assert_eq!(w.node.held(), (0, 0), "{treat:?} {class}");
+        }
+    }
+}
+
+#[test]
+fn a_spoilt_answer_ends_what_shares_its_connection_and_a_fresh_one_is_used() {
+    let mut w = World::new(1);
+    let v = w.viewer();
+    // Eight set-ups at once: four connections, two on each.
+    let server = w.servers.get_mut(&server_addr(0)).unwrap();
+    server.next.push_back(Treat::Noise);
+    (0..8).for_each(|i| w.ask(v, 100 + i, "paid", 4000));
+    w.run(200 * MS);
+    let failed = (100..108).filter(|i| w.answer(*i).is_some_and(|a| !a.1)).count();
+    assert!((1..=2).contains(&failed), "{:?}", w.record);
+    w.ask(v, 200, "paid", 4000);
+    w.run(200 * MS);
+    assert!(w.answer(200).is_some_and(|a| a.1));
+    kept(&w);
+}
+
+#[test]
+fn a_set_up_that_is_given_up_is_withdrawn_and_not_answered() {
+    let mut w = World::new(2);
+    w.servers.values_mut().for_each(|s| s.usual = Treat::Silent);
+    let (a, b) = (w.viewer(), w.viewer());
+    w.ask(a, 7, "free", 4000);
+    w.ask(b, 8, "paid", 4000);
+    w.run(50 * MS);
+    w.give_up(a, 7);
+    w.record.push((w.now, Seen::GaveUp { id: 8 }));
+    w.hang_up(b);
+    w.run(5 * SECOND);
+    let withdrawn = w.record.iter().filter(|r| matches!(r.1, Seen::Withdrawn { .. })).count();
+    assert_eq!(
+        (withdrawn, w.answer(7), w.answer(8), w.node.held()),
+        (2, None, None, (0, 0)),
+        "{:?}",
+        w.record
+    );
+    kept(&w);
+}
+
+#[test]
+fn a_set_up_that_waits_for_its_connection_does_not_go_to_a_server_that_drains() {
+    let mut w = World::new(2);
+    w.run(10 * MS);
+    let v = w.viewer();
+    w.vanished.insert(server_addr(0));
+    w.vanished.insert(server_addr(1));
+    w.ask(v, 7, "paid", 4000);
+    w.run(20 * MS);
+    w.drain(2, 0);
+    w.drain(3, 1);
+    w.run(10 * MS);
+    // Both hear of it before a connection came up: nothing ran, so that the paid set-up is refused, at once.
+    assert!(w.answer(7).is_some_and(|a| a.2 && a.0 < w.now), "{:?}", w.record);
+    w.vanished.clear();
+    w.run(SECOND);
+    assert_eq!(w.sends(7), 0);
+    kept(&w);
+}
+
+#[test]
+fn sessions_handed_over_are_held_and_their_end_is_told_on_any_connection() {
+    let mut w = World::new(2);
+    let (v, other) = (w.viewer(), w.viewer());
+    let at = |id, server: &str| {
+        let figures = format!("home:0;copies:1;top:2;viewer:1;at:{server}");
+        let mut m = World::set_up(id, "free", 4000);
+        m.parameters
+            .iter_mut()
+            .filter(|p| p.0 == code::FIGURES)
+            .for_each(|p| p.1 = figures.clone().into_bytes());
+        m.encode().unwrap()
+    };
+    w.servers.get_mut(&server_addr(1)).unwrap().plays(7, START + 2 * SECOND);
+    w.send(v, at(7, "s-1"));
+    w.send(v, at(7, "s-1"));
+    w.send(v, at(8, "s-99"));
+    w.run(100 * MS);
+    // No answer for what is held; word at once of what can't be.
+    let told: Vec<u64> = w.told[&v].iter().map(|m| m.1.session).collect();
+    assert_eq!((told, w.node.held(), w.links_to(server_addr(1))), (vec![8], (0, 1), 1));
+    w.hang_up(v);
+    w.ask(other, 9, "free", 4000);
+    w.run(3 * SECOND);
+    assert!(
+        w.told[&other].iter().any(|m| m.1.session == 7 && m.1.stated_cause() == Some(16)),
+        "{:?}",
+        w.told
+    );
+    kept(&w);
+}
+
+#[test]
+fn a_release_finds_a_viewer_that_connects_later() {
+    let mut w = World::new(1);
+    let v = w.viewer();
+    w.ask(v, 7, "free", 4000);
+    w.run(SECOND);
+    w.hang_up(v);
+    w.run(5 * SECOND);
+    let late = w.viewer();
+    w.ask(late, 8, "free", 4000);
+    w.run(SECOND);
+    assert!(w.told[&late].iter().any(|m| m.1.session == 7 && m.1.kind == kind::RELEASE), "{:?}", w.told);
+}
+
+#[test]
+fn a_viewer_ends_its_session_on_another_connection() {
+    let mut w = World::new(1);
+    let (v, other) = (w.viewer(), w.viewer());
+    w.ask(v, 7, "free", 4000);
+    w.run(SECOND);
+    w.give_up(other, 7);
+    w.run(SECOND);
+    assert_eq!((w.node.held(), w.servers[&server_addr(0)].standing().count()), ((0, 0), 0));
+    assert!(w.told[&v].iter().all(|m| m.1.kind == kind::ANSWER), "nothing is owed any more: {:?}", w.told);
+    kept(&w);
+}
+
+// ----- what becomes of servers
+
+fn playing(servers: usize, sessions: u64) -> (World, u64) {
+    let mut w = World::new(servers);
+    w.servers.values_mut().for_each(|s| s.usual = Treat::Serve(60 * SECOND));
+    let v = w.viewer();
+    (1..=sessions).for_each(|id| w.ask(v, id, "free", 4000));
+    w.run(SECOND);
+    assert_eq!(w.node.held(), (0, sessions as usize));
+    (w, v)
+}
+
+fn releases(w: &World, v: u64) -> Vec<u64> {
+    w.told[&v].iter().filter(|m| m.1.kind == kind::RELEASE).map(|m| m.0).collect()
+}
+
+#[test]
+fn a_reset_connection_is_no_dead_process() {
+    let (mut w, v) = playing(1, 3);
+    w.reset(server_addr(0));
+    w.run(2 * SECOND);
+    assert_eq!((w.node.held(), releases(&w, v).len(), w.links_to(server_addr(0))), ((0, 3), 0, 1));
+}
+
+#[test]
+fn a_process_that_died_takes_its_sessions_along_at_once() {
+    let (mut w, v) = playing(1, 3);
+    w.refusing.insert(server_addr(0));
+    w.reset(server_addr(0));
+    let died = w.now;
+    w.run(2 * SECOND);
+    let told = releases(&w, v);
+    assert!(told.len() == 3 && told.iter().all(|t| *t < died + 500 * MS), "{told:?}");
+    assert_eq!(w.node.held(), (0, 0));
+}
+
+#[test]
+fn a_machine_that_vanished_without_a_sign_is_found_within_eight_seconds() {
+    let (mut w, v) = playing(2, 40);
+    let gone: Vec<_> = w.servers.keys().copied().collect();
+    w.vanished.extend(gone);
+    let vanished = w.now;
+    w.run(9 * SECOND);
+    let told = releases(&w, v);
+    assert!(told.len() == 40 && told.iter().all(|t| *t < vanished + 7 * SECOND), "{told:?}");
+}
+
+#[test]
+fn a_server_that_stands_still_but_takes_connections_keeps_its_sessions() {
+    let (mut w, v) = playing(1, 3);
+    // It says nothing for twenty seconds; calls get through.
+    w.run(20 * SECOND);
+    assert_eq!((w.node.held(), releases(&w, v).len()), ((0, 3), 0));
+    // Calls do not pile up connections.
+    assert!(w.links_to(server_addr(0)) <= 4, "{}", w.links_to(server_addr(0)));
+}
+
+#[test]
+fn a_new_process_or_a_new_server_at_the_address_is_not_the_old_one() {
+    // What the list says, and whether the sessions are over by it.
+    let later = (START + SECOND) / MS;
+    let elsewhere = row(0, "up", 0).replace(":2905", ":2906");
+    let taken = format!("{},{}", row(0, "removed", 0), row(9, "up", later).replace("127.1.0.9", "127.1.0.0"));
+    for (rows, over) in
+        [(row(0, "up", 0), false), (row(0, "up", later), true), (elsewhere, true), (taken, false)]
+    {
+        let (mut w, v) = playing(1, 3);
+        w.run(SECOND);
+        w.bus(2, false, &rows);
+        w.run(SECOND);
+        assert_eq!(releases(&w, v).len(), if over { 3 } else { 0 }, "{rows}");
+        if rows.contains("removed") {
+            // The old connections are good; once they are gone, the address is not the old server's any more.
+            w.reset(server_addr(0));
+            w.run(SECOND);
+            assert_eq!((releases(&w, v).len(), w.node.held()), (3, (0, 0)));
+        }
+    }
+}
+
+#[test]
+fn a_server_out_of_reach_is_called_by_the_node_not_by_every_set_up() {
+    let mut w = World::new(2);
+    w.run(10 * MS);
+    w.vanished.insert(server_addr(0));
+    let v = w.viewer();
+    for id in 1..=40 {
+        w.ask(v, id, "free", 4000);
+        w.run(50 * MS);
+    }
+    w.run(2 * SECOND);
+    let slow = (1..=40).filter(|id| w.answer(*id).is_none_or(|a| !a.1)).count();
+    assert_eq!(slow, 0, "the other server serves them all");
+    kept(&w);
+}
+
+// ----- the event bus
+
+#[test]
+fn the_bus_is_followed_by_number_through_breaks_silence_repeats_and_gaps() {
+    let mut w = World::new(1);
+    w.run(100 * MS);
+    assert_eq!(w.bus_calls.iter().map(|c| c.1).collect::<Vec<_>>(), [1]);
+    w.bus(2, false, &row(1, "up", 0));
+    w.bus(2, false, &row(1, "draining", 0));
+    w.run(10 * MS);
+    assert_eq!(w.node.books()[2], 2);
+    // Broken off in the middle of an event: asked again at once from the last whole one.
+    w.bus_bytes(b"id: 3\ndata: {\"offset\":3,\"topo");
+    w.run(10 * MS);
+    w.break_bus();
+    w.run(20 * MS);
+    assert_eq!(w.bus_calls.last().map(|c| c.1), Some(2));
+    // A gap: asked again, and then taken as it comes.
+    let calls = w.bus_calls.len();
+    w.bus(9, false, &row(2, "up", 0));
+    w.run(20 * MS);
+    assert_eq!((w.bus_calls.len(), w.node.books()[2]), (calls + 1, 3));
+    w.bus(9, false, &row(3, "up", 0));
+    w.run(20 * MS);
+    assert_eq!(w.node.books()[2], 3);
+    // Silence of an open stream; comments are no silence.
+    let calls = w.bus_calls.len();
+    for _ in 0..5 {
+        w.bus_bytes(b":\n\n");
+        w.run(SECOND);
+    }
+    assert_eq!(w.bus_calls.len(), calls);
+    w.run(2 * SECOND);
+    assert_eq!((w.bus_calls.len(), w.bus_calls.last().map(|c| c.1)), (calls + 1, Some(9)));
+    // Out of reach: pauses grow, but stay short.
+    w.bus_up = false;
+    w.break_bus();
+    let calls = w.bus_calls.len();
+    w.run(10 * SECOND);
+    assert!((20..120).contains(&(w.bus_calls.len() - calls)), "{}", w.bus_calls.len() - calls);
+    // Moved: the number is kept.
+    w.feed(Input::BusMoved { addr: "127.0.0.3:4222".parse().unwrap() });
+    w.run(10 * MS);
+    assert_eq!(w.bus_calls.last().map(|c| c.1), Some(9));
+}
+
+// ----- the door
+
+#[test]
+fn bad_viewers_are_told_or_closed_within_three_seconds_and_harm_nobody() {
+    let good = World::set_up(50, "free", 4000);
+    let with = |c: u8, v: &str| {
+        let mut m = good.clone();
+        m.parameters.iter_mut().filter(|p| p.0 == c).for_each(|p| p.1 = v.as_bytes().to_vec());
+        m.encode().unwrap()
+    };
+    let without = |c: u8| {
+        let mut m = good.clone();
+        m.parameters.retain(|p| p.0 != c);
+        m.encode().unwrap()
+    };
+    let bytes = good.encode().unwrap();
+    let table: Vec<(&str, Vec<u8>)> = vec![
+        ("nothing", vec![]),
+        ("noise", b"GET / HTTP/1.1\r\n\r\n".to_vec()),
+        ("a length of 0", vec![0, 0]),
+        ("a length past the bound", vec![0xff, 0xff, 1]),
+        ("half a request", bytes[..20].to_vec()),
+        ("one byte", vec![0]),
+        ("no such class", with(code::CLASS, "gold")),
+        ("no class", without(code::CLASS)),
+        ("a patience that is no number", with(code::PATIENCE, "soon")),
+        ("a patience below 0", with(code::PATIENCE, "-5")),
+        ("no patience", with(code::PATIENCE, "0")),
+        ("a hint that is no number", with(code::HINT, "NaN")),
+        ("a rung that is none", with(code::FIGURES, "home:0;copies:1;top:99")),
+        ("a cell that is none", with(code::FIGURES, "home:1e9;copies:1;top:1")),
+        ("no copies", with(code::FIGURES, "home:0;copies:0;top:1")),
+        ("no figures", without(code::FIGURES)),
+        ("a title that breaks the line", with(code::TITLE, "a\r\nX: y")),
+        ("no title", without(code::TITLE)),
+        ("no description", without(code::DESCRIPTION)),
+        ("no id", World::set_up(0, "free", 4000).encode().unwrap()),
+        ("a release of nothing", Message::new(kind::RELEASE, 77).cause(16).encode().unwrap()),
+        ("a type that is none", Message::new(200, 1).encode().unwrap()),
+    ];
+    for (what, bytes) in table {
+        let mut w = World::new(2);
+        let bad = w.viewer();
+        // In one read, byte by byte, and the same again at once.
+        w.send(bad, bytes.clone());
+        let slow = w.viewer();
+        bytes.iter().for_each(|b| w.send(slow, vec![*b]));
+        let again = w.viewer();
+        (0..40).for_each(|_| w.send(again, bytes.clone()));
+        let usual = w.viewer();
+        w.ask(usual, 7, "paid", 4000);
+        w.run(2900 * MS);
+        for v in [bad, slow, again] {
+            assert!(w.told.contains_key(&v) || w.closed.contains_key(&v), "{what}");
+            assert!(w.told.get(&v).is_none_or(|m| m.iter().all(|m| m.1.kind != kind::ANSWER)), "{what}");
+        }
+        assert!(w.answer(7).is_some_and(|a| a.1), "{what}");
+        assert!(!w.closed.contains_key(&usual), "{what}");
+        kept(&w);
+        assert_eq!(w.node.books()[3], 1, "{what}: only the usual session is held");
+    }
+}
+
+#[test]
+fn a_number_used_twice_is_answered_for_neither_and_leaves_others_alone() {
+    let mut w = World::new(1);
+    w.servers.values_mut().for_each(|s| s.delay = 200 * MS);
+    let (a, b) = (w.viewer(), w.viewer());
+    w.ask(a, 7, "free", 4000);
+    w.run(10 * MS);
+    // Elsewhere under the same number: that connection is closed, the first is served.
+    w.send(b, World::set_up(7, "paid", 4000).encode().unwrap());
+    w.run(SECOND);
+    assert!(w.closed.contains_key(&b) && !w.told.contains_key(&b));
+    assert!(w.answer(7).is_some_and(|a| a.1));
+    // On one connection: nothing is served under it.
+    let c = w.viewer();
+    w.record.push((w.now, Seen::Asked { id: 8, patience: 4 * SECOND, paid: false, floor: 0 }));
+    w.record.push((w.now, Seen::GaveUp { id: 8 }));
+    w.send(
+        c,
+        [World::set_up(8, "free", 4000), World::set_up(8, "paid", 4000)]
+            .iter()
+            .flat_map(|m| m.encode().unwrap())
+            .collect(),
+    );
+    w.run(SECOND);
+    assert!(w.closed.contains_key(&c) && w.answer(8).is_none());
+    kept(&w);
+}
+
+#[test]
+fn floods_are_bounded_and_make_room() {
+    // Hundreds of connections that say nothing: the usual one stays, the number is bounded.
+    let mut w = World::new(2);
+    let usual = w.viewer();
+    w.ask(usual, 7, "free", 4000);
+    w.run(SECOND);
+    for _ in 0..600 {
+        w.viewer();
+        w.run(MS);
+        assert!(w.node.books()[0] <= 128);
+    }
+    let late = w.viewer();
+    w.ask(late, 8, "free", 4000);
+    w.run(SECOND);
+    assert!(w.answer(8).is_some_and(|a| a.1) && !w.closed.contains_key(&usual));
+    w.run(3 * SECOND);
+    assert_eq!(w.node.books()[0], 2, "the silent ones are closed");
+    // Hundreds of set-ups at once on one connection: a part is taken, each is answered.
+    let mut w = World::new(2);
+    w.servers.values_mut().for_each(|s| s.delay = 100 * MS);
+    let v = w.viewer();
+    (1..=400).for_each(|id| w.ask(v, id, "free", 4000));
+    w.run(2 * SECOND);
+    assert!((1..=400).all(|id| w.answer(id).is_some()));
+    assert_eq!(w.node.counts().turned_away, 336);
+    kept(&w);
+    // Hundreds withdrawn at once.
+    let v = w.viewer();
+    for id in 1001..=1300 {
+        w.ask(v, id, "free", 4000);
+        w.give_up(v, id);
+    }
+    w.run(2 * SECOND);
+    assert_eq!(w.node.held().0, 0);
+    kept(&w);
+}
+
+// ----- the end
+
+#[test]
+fn a_stopping_node_serves_on_answers_what_it_took_and_ends() {
+    let mut w = World::new(2);
+    w.servers.values_mut().for_each(|s| s.delay = 900 * MS);
+    let v = w.viewer();
+    w.ask(v, 7, "paid", 4000);
+    w.run(100 * MS);
+    w.feed(Input::Stop);
+    w.run(300 * MS);
+    let (late, at) = (w.viewer(), w.now);
+    w.ask(late, 8, "paid", 4000);
+    w.feed(Input::Stop);
+    assert!(!w.node.done(w.now));
+    w.run(700 * MS);
+    assert!(!w.node.done(w.now), "a set-up is owed its answer");
+    w.run(300 * MS);
+    assert!(w.answer(7).is_some() && w.answer(8).is_some_and(|a| a.1), "{:?}", w.record);
+    assert!(w.node.done(w.now) && w.now < at + 3 * SECOND);
+    // Sessions stand on at their servers.
+    assert_eq!(w.servers.values().map(|s| s.standing().count()).sum::<usize>(), 2);
+    // A node that owes for ever ends all the same, before it is killed.
+    let mut w = World::new(1);
+    w.servers.values_mut().for_each(|s| s.usual = Treat::Silent);
+    let v = w.viewer();
+    w.feed(Input::Stop);
+    w.ask(v, 7, "paid", 600_000);
+    w.run(4400 * MS);
+    assert!(!w.node.done(w.now));
+    w.run(200 * MS);
+    assert!(w.node.done(w.now));
+}
--- /dev/null
+++ b/crates/node/tests/world/mod.rs
@@ -0,0 +1,470 @@
+//! A node in virtual time between scripted viewers, stand-in servers and an event bus, and the record of what crossed.
+
+#![allow(dead_code)]
+
+use micadyke::decide::Controller;
+use micadyke_isup::{Frame, Message, code, kind};
+use micadyke_node::config::{Config, read};
+use micadyke_node::{ConnId, Input, Node, Output};
+use micadyke_standin::platform::{Act, MediaServer, Record, Seen, Treat, bus_event, verdict};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+pub const MS: u64 = 1_000_000;
+pub const SECOND: u64 = 1_000 * MS;
+/// Unix time at which every test starts.
+pub const START: u64 = 1_800_000_000 * SECOND;
+/// One way between any two.
+const WAY: u64 = MS;
+
+pub const SETTINGS: &str = include_str!("../../../../fixtures/node/settings.json");
+
+pub fn server_addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, 0, n as u8], 2905))
+}
+
+pub fn row(n: usize, state: &str, started_ms: u64) -> String {
+    format!(
+        r#"{{"id":"s-{n}","addr":"{}","zone":"z","kind":"k","cell":0,"state":"{state}","weight":1,"started_ms":{started_ms}}}"#,
+        server_addr(n)
+    )
+}
+
+pub fn config(servers: usize, sockets: usize) -> Config {
+    let rows: Vec<String> = (0..servers).map(|n| row(n, "up", 0)).collect();
+    let text = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:2905","seed":"8c1f30d27a5be964","limits":{{"cores":1,"memory_mb":32,"sockets":{sockets}}},"bus":"127.0.0.2:4222","known":{{"offset":1,"batch":[{{"offset":1,"topology":{{"version":1,"full":true,"servers":[{}]}}}}]}},"settings":{SETTINGS}}}"#,
+        rows.join(",")
+    );
+    read(&text).expect("the configuration is sound")
+}
+
+/// How the way between node and world is broken on purpose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Break {
+    /// Answers reach viewers twice.
+    Twice,
+    /// Answers reach nobody.
+    Mute,
+    /// Descriptions are changed.
+    Forged,
+    /// Withdrawals get lost.
+    Overlap,
+    /// The node is not told of drains.
+    Drains,
+    /// Rungs are left out of set-ups.
+    Floors,
+    /// Failures of paid set-ups are worded as refusals.
+    Refusals,
+    /// Releases of sessions that stood get lost.
+    Releases,
+}
+
+enum Ev {
+    ViewerOpens(u64),
+    ViewerSends(u64, Vec<u8>),
+    ViewerCloses(u64),
+    ToViewer(u64, Vec<u8>),
+    Connected(u64),
+    Refused(u64),
+    ToServer(u64, Vec<u8>),
+    ServerCloses(u64),
+    ToNode(u64, Vec<u8>),
+    NodeHears(u64),
+    Do(Box<dyn FnOnce(&mut World)>),
+}
+
+pub struct World {
+    pub now: u64,
+    pub node: Node<Controller>,
+    pub record: Record,
+    pub servers: BTreeMap<SocketAddr, MediaServer>,
+    /// Nothing listens there.
+    pub refusing: BTreeSet<SocketAddr>,
+    /// Nothing comes from or goes there.
+    pub vanished: BTreeSet<SocketAddr>,
+    /// Connections of the node to servers, where to, and how many bytes were written.
+    links: BTreeMap<u64, (SocketAddr, bool, u64)>,
+    viewers: BTreeMap<u64, micadyke_isup::Parser>,
+    /// What each connection of viewers was sent, and when it was closed by the node.
+    pub told: BTreeMap<u64, Vec<(u64, Message)>>,
+    pub closed: BTreeMap<u64, u64>,
+    served: BTreeSet<u64>,
+    paid: BTreeSet<u64>,
+    /// Calls of the bus: connection, last event id.
+    pub bus_calls: Vec<(u64, u64)>,
+    pub bus_up: bool,
+    bus_open: bool,
+    bus_log: Vec<(u64, Vec<u8>)>,
+    events: BTreeMap<(u64, u64), Ev>,
+    seq: u64,
+    next_viewer: u64,
+    sabotage: Option<Break>,
+    /// What could not be carried to or from machines out of reach.
+    held: Vec<(SocketAddr, Ev)>,
+}
+
+impl World {
+    pub fn new(servers: usize) -> Self {
+        Self::with(config(servers, 256), servers, None)
+    }
+
+    pub fn broken(servers: usize, how: Break) -> Self {
+        Self::with(config(servers, 256), servers, Some(how))
+    }
+
+    pub fn with(config: Config, servers: usize, sabotage: Option<Break>) -> Self {
+        let module =
+            Controller::new(config.site.settings.clone(), config.seed, START).expect("sound settings");
+        let made = (0..servers).map(|n| {
+            let server = MediaServer::new(&format!("s-{n}"), 20 * MS, Treat::Serve(5 * SECOND));
+            (server_addr(n), server)
+        });
+        World {
+            now: START,
+            node: Node::new(&config, module, START),
+            record: Vec::new(),
+            servers: made.collect(),
+            refusing: BTreeSet::new(),
+            vanished: BTreeSet::new(),
+            links: BTreeMap::new(),
+            viewers: BTreeMap::new(),
+            told: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            served: BTreeSet::new(),
+            paid: BTreeSet::new(),
+            bus_calls: Vec::new(),
+            bus_up: true,
+            bus_open: false,
+            bus_log: Vec::new(),
+            events: BTreeMap::new(),
+            seq: 0,
+            next_viewer: 1,
+            sabotage,
+            held: Vec::new(),
+        }
+    }
+
+    fn at(&mut self, at: u64, ev: Ev) {
+        self.seq += 1;
+        self.events.insert((at.max(self.now), self.seq), ev);
+    }
+
+    pub fn later(&mut self, after: u64, what: impl FnOnce(&mut World) + 'static) {
+        self.at(self.now + after, Ev::Do(Box::new(what)));
+    }
+
+    pub fn viewer(&mut self) -> u64 {
+        self.next_viewer += 2;
+        let conn = self.next_viewer;
+        self.viewers.insert(conn, micadyke_isup::Parser::default());
+        self.at(self.now, Ev::ViewerOpens(conn));
+        conn
+    }
+
+    pub fn send(&mut self, conn: u64, bytes: Vec<u8>) {
+        self.at(self.now, Ev::ViewerSends(conn, bytes));
+    }
+
+    pub fn hang_up(&mut self, conn: u64) {
+        self.at(self.now, Ev::ViewerCloses(conn));
+    }
+
+    /// A set-up's message.
+    pub fn set_up(id: u64, class: &str, patience_ms: u64) -> Message {
+        Message::new(kind::SETUP, id)
+            .with(code::CLASS, class)
+            .with(code::PATIENCE, patience_ms.to_string())
+            .with(code::TITLE, "7f3a9c21e0b4d655")
+            .with(code::HINT, "8200.0")
+            .with(code::FIGURES, "home:0;copies:1;top:2;viewer:00000000b4d65521")
+            .with(code::DESCRIPTION, "wish")
+    }
+
+    pub fn ask(&mut self, conn: u64, id: u64, class: &str, patience_ms: u64) {
+        let (paid, floor) = (class == "paid", usize::from(class == "paid"));
+        if paid {
+            self.paid.insert(id);
+        }
+        self.record.push((self.now, Seen::Asked { id, patience: patience_ms * MS, paid, floor }));
+        self.send(conn, Self::set_up(id, class, patience_ms).encode().unwrap());
+    }
+
+    pub fn give_up(&mut self, conn: u64, id: u64) {
+        self.record.push((self.now, Seen::GaveUp { id }));
+        self.send(conn, Message::new(kind::RELEASE, id).cause(16).encode().unwrap());
+    }
+
+    /// The bus tells; a node that is not connected hears it when it asks.
+    pub fn bus(&mut self, offset: u64, full: bool, rows: &str) {
+        self.bus_log.push((offset, bus_event(offset, full, rows).into_bytes()));
+        if self.bus_open {
+            let bytes = self.bus_log.last().map(|e| e.1.clone()).unwrap_or_default();
+            self.bus_bytes(&bytes);
+        }
+    }
+
+    pub fn bus_bytes(&mut self, bytes: &[u8]) {
+        if let Some(&(conn, _)) = self.bus_calls.last() {
+            self.at(self.now + WAY, Ev::ToNode(conn, bytes.to_vec()));
+        }
+    }
+
+    pub fn drain(&mut self, offset: u64, n: usize) {
+        self.record.push((self.now + WAY, Seen::Told { server: format!("s-{n}") }));
+        if self.sabotage != Some(Break::Drains) {
+            self.bus(offset, false, &row(n, "draining", 0));
+        }
+    }
+
+    pub fn break_bus(&mut self) {
+        self.bus_open = false;
+        if let Some(&(conn, _)) = self.bus_calls.last() {
+            self.at(self.now, Ev::NodeHears(conn));
+        }
+    }
+
+    /// Connections to a server are reset.
+    pub fn reset(&mut self, server: SocketAddr) {
+        let conns: Vec<u64> = self.links.iter().filter(|l| l.1.0 == server).map(|l| *l.0).collect();
+        conns.into_iter().for_each(|c| self.at(self.now, Ev::ServerCloses(c)));
+    }
+
+    /// A machine is in reach again: what it sent arrives, connections that it was sent something on are reset.
+    pub fn back(&mut self, addr: SocketAddr) {
+        self.vanished.remove(&addr);
+        let (now, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.held).into_iter().partition(|h| h.0 == addr);
+        self.held = later;
+        for (_, ev) in now {
+            let ev = if let Ev::ToServer(conn, _) = ev { Ev::ServerCloses(conn) } else { ev };
+            self.at(self.now, ev);
+        }
+    }
+
+    pub fn links_to(&self, server: SocketAddr) -> usize {
+        self.links.values().filter(|l| l.0 == server && l.1).count()
+    }
+
+    /// Lets time go by.
+    pub fn run(&mut self, span: u64) {
+        let until = self.now + span;
+        self.feed(Input::Wake);
+        loop {
+            let event = self.events.first_key_value().map(|(k, _)| k.0);
+            let server = self.servers.values().filter_map(MediaServer::wake_at).min();
+            let next = [event, server, Some(self.node.wake_at())].into_iter().flatten().min();
+            let Some(next) = next.filter(|n| *n <= until) else { break };
+            self.now = self.now.max(next);
+            if event == Some(next) {
+                let Some((_, ev)) = self.events.pop_first() else { break };
+                self.happen(ev);
+            } else if server == Some(next) {
+                let addrs: Vec<SocketAddr> = self.servers.keys().copied().collect();
+                for addr in addrs {
+                    let acts = match self.servers.get_mut(&addr) {
+                        Some(s) => s.wake(self.now, &mut self.record),
+                        None => continue,
+                    };
+                    self.acts(addr, acts);
+                }
+            } else {
+                self.feed(Input::Wake);
+            }
+        }
+        self.now = until;
+    }
+
+    fn acts(&mut self, addr: SocketAddr, acts: Vec<Act>) {
+        for act in acts {
+            match act {
+                Act::Write(conn, bytes) if !self.vanished.contains(&addr) => {
+                    self.at(self.now + WAY, Ev::ToNode(conn, bytes));
+                }
+                Act::Write(conn, bytes) => self.held.push((addr, Ev::ToNode(conn, bytes))),
+                Act::Close(conn) => self.at(self.now, Ev::ServerCloses(conn)),
+            }
+        }
+    }
+
+    fn happen(&mut self, ev: Ev) {
+        match ev {
+            Ev::Do(what) => what(self),
+            Ev::ViewerOpens(conn) => self.feed(Input::ViewerOpened { conn: ConnId(conn) }),
+            Ev::ViewerSends(conn, bytes) if self.viewers.contains_key(&conn) => {
+                self.feed(Input::Data { conn: ConnId(conn), bytes: &bytes });
+            }
+            Ev::ViewerSends(..) => {}
+            Ev::ViewerCloses(conn) => {
+                if self.viewers.remove(&conn).is_some() {
+                    self.feed(Input::Closed { conn: ConnId(conn), written: 0, refused: false });
+                }
+            }
+            Ev::ToViewer(conn, bytes) => self.viewer_reads(conn, &bytes),
+            Ev::Connected(conn) => {
+                let Some(link) = self.links.get_mut(&conn) else { return };
+                link.1 = true;
+                let addr = link.0;
+                if let Some(s) = self.servers.get_mut(&addr) {
+                    let acts = s.opened(conn);
+                    self.acts(addr, acts);
+                }
+                self.feed(Input::Up { conn: ConnId(conn) });
+            }
+            Ev::Refused(conn) => {
+                if self.links.remove(&conn).is_some() {
+                    self.feed(Input::Closed { conn: ConnId(conn), written: 0, refused: true });
+                }
+            }
+            Ev::ToServer(conn, bytes) => {
+                let Some(&(addr, ..)) = self.links.get(&conn) else { return };
+                if self.vanished.contains(&addr) {
+                    return self.held.push((addr, Ev::ToServer(conn, bytes)));
+                }
+                let Some(server) = self.servers.get_mut(&addr) else { return };
+                let acts = server.read(self.now, conn, &bytes, &mut self.record);
+                self.acts(addr, acts);
+            }
+            Ev::ServerCloses(conn) => {
+                let Some((addr, _, written)) = self.links.remove(&conn) else { return };
+                if let Some(s) = self.servers.get_mut(&addr) {
+                    s.closed(self.now, conn, &mut self.record);
+                }
+                self.feed(Input::Closed { conn: ConnId(conn), written, refused: false });
+            }
+            Ev::ToNode(conn, bytes) => self.feed(Input::Data { conn: ConnId(conn), bytes: &bytes }),
+            Ev::NodeHears(conn) => {
+                self.feed(Input::Closed { conn: ConnId(conn), written: 0, refused: false })
+            }
+        }
+    }
+
+    pub fn feed(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.node.handle(self.now, input, &mut out);
+        for o in out {
+            self.carry_out(o);
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::Write { conn, mut bytes } => {
+                if let Some(link) = self.links.get_mut(&conn.0) {
+                    link.2 += bytes.len() as u64;
+                    if self.sabotage == Some(Break::Overlap) && bytes.starts_with(b"TEARDOWN") {
+                        return;
+                    }
+                    if self.sabotage == Some(Break::Floors) && bytes.starts_with(b"SETUP") {
+                        bytes =
+                            String::from_utf8_lossy(&bytes).replace("Rate-Step", "X-Nothing").into_bytes();
+                    }
+                    self.at(self.now + WAY, Ev::ToServer(conn.0, bytes));
+                } else {
+                    if self.sabotage == Some(Break::Twice) {
+                        self.at(self.now + WAY, Ev::ToViewer(conn.0, bytes.clone()));
+                    }
+                    self.at(self.now + WAY, Ev::ToViewer(conn.0, bytes));
+                }
+            }
+            Output::Close { conn } => {
+                if let Some((addr, ..)) = self.links.remove(&conn.0) {
+                    if let Some(s) = self.servers.get_mut(&addr) {
+                        s.closed(self.now, conn.0, &mut self.record);
+                    }
+                } else {
+                    self.viewers.remove(&conn.0);
+                    self.closed.insert(conn.0, self.now);
+                }
+            }
+            Output::Connect { conn, addr } => {
+                self.links.insert(conn.0, (addr, false, 0));
+                if self.vanished.contains(&addr) {
+                } else if self.refusing.contains(&addr) || !self.servers.contains_key(&addr) {
+                    self.at(self.now + WAY, Ev::Refused(conn.0));
+                } else {
+                    self.at(self.now + 2 * WAY, Ev::Connected(conn.0));
+                }
+            }
+            Output::Listen { conn, last, .. } => {
+                self.bus_calls.push((conn.0, last));
+                self.bus_open = self.bus_up;
+                if self.bus_up {
+                    self.later(WAY, move |w| w.feed(Input::Up { conn }));
+                    let missed = self.bus_log.iter().filter(|e| e.0 > last).map(|e| e.1.clone());
+                    let missed: Vec<u8> = missed.flatten().collect();
+                    if !missed.is_empty() {
+                        self.at(self.now + 2 * WAY, Ev::ToNode(conn.0, missed));
+                    }
+                } else {
+                    self.at(self.now + WAY, Ev::NodeHears(conn.0));
+                }
+            }
+            Output::Pause { .. } => {}
+        }
+    }
+
+    fn viewer_reads(&mut self, conn: u64, bytes: &[u8]) {
+        // What is read after the close was sent before it.
+        let parser = self.viewers.entry(conn).or_default();
+        parser.feed(bytes);
+        let mut messages = Vec::new();
+        while let Ok(Some(Frame::Message(m))) = parser.poll() {
+            messages.push(m);
+        }
+        if self.closed.contains_key(&conn) {
+            self.viewers.remove(&conn);
+        }
+        for m in messages {
+            if self.sabotage == Some(Break::Mute) {
+                continue;
+            }
+            let id = m.session;
+            match m.kind {
+                kind::ANSWER => {
+                    self.served.insert(id);
+                    let mut description = m.get(code::DESCRIPTION).unwrap_or_default().to_vec();
+                    if self.sabotage == Some(Break::Forged) {
+                        description.push(0);
+                    }
+                    self.record.push((
+                        self.now,
+                        Seen::Answered { id, description: Some(description), refused: false },
+                    ));
+                }
+                kind::RELEASE if self.served.contains(&id) && self.sabotage == Some(Break::Releases) => {}
+                kind::RELEASE if self.served.contains(&id) => {
+                    self.record.push((self.now, Seen::Released { id }))
+                }
+                kind::RELEASE
+                    if self.record.iter().any(|r| matches!(r.1, Seen::Asked { id: i, .. } if i == id)) =>
+                {
+                    let refused = matches!(m.stated_cause(), Some(34 | 42 | 102));
+                    let refused = refused || self.sabotage == Some(Break::Refusals);
+                    self.record.push((self.now, Seen::Answered { id, description: None, refused }));
+                }
+                _ => {}
+            }
+            self.told.entry(conn).or_default().push((self.now, m));
+        }
+    }
+
+    /// The final answer of a set-up as its viewer saw it.
+    pub fn answer(&self, id: u64) -> Option<(u64, bool, bool)> {
+        self.record.iter().find_map(|(at, s)| match s {
+            Seen::Answered { id: i, description, refused } if *i == id => {
+                Some((*at, description.is_some(), *refused))
+            }
+            _ => None,
+        })
+    }
+
+    /// How often servers were sent a set-up.
+    pub fn sends(&self, id: u64) -> usize {
+        self.record.iter().filter(|(_, s)| matches!(s, Seen::Sent { id: i, .. } if *i == id)).count()
+    }
+
+    pub fn broken_rules(&self) -> Vec<String> {
+        verdict(&self.record, self.now)
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod media_box;
 pub mod model;
 pub mod offers;
+pub mod platform;
+pub mod platform_net;
 pub mod player;
 pub mod record;
 pub mod server;
--- /dev/null
+++ b/crates/standin/src/platform_net.rs
@@ -0,0 +1,236 @@
+//! The platform's stand-ins over sockets: media servers and the event bus on loopback. For a `LocalSet`.
+
+use crate::platform::{Act, MediaServer, Record, Seen, bus_event};
+use crate::server::bind;
+use micadyke_http::client::read_some;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, spawn_local};
+
+/// What all stand-ins of one platform share: the clock and the record.
+#[derive(Debug, Clone)]
+pub struct Scene {
+    start: Instant,
+    /// What crossed.
+    pub record: Rc<RefCell<Record>>,
+}
+
+impl Default for Scene {
+    fn default() -> Self {
+        Scene { start: Instant::now(), record: Rc::default() }
+    }
+}
+
+impl Scene {
+    /// Nanoseconds since the scene's start.
+    pub fn now(&self) -> u64 {
+        self.start.elapsed().as_nanos() as u64
+    }
+
+    /// Notes what was seen.
+    pub fn note(&self, seen: Seen) {
+        self.record.borrow_mut().push((self.now(), seen));
+    }
+}
+
+/// A media server that listens.
+pub struct Listening {
+    /// Where.
+    pub addr: SocketAddr,
+    /// Its model.
+    pub server: RefCell<MediaServer>,
+    scene: Scene,
+    conns: RefCell<HashMap<u64, mpsc::UnboundedSender<Option<Vec<u8>>>>>,
+    wake: Notify,
+    tasks: RefCell<Vec<AbortHandle>>,
+}
+
+impl Listening {
+    /// Serves a model at an address; port 0: any free one.
+    pub async fn start(at: SocketAddr, server: MediaServer, scene: Scene) -> std::io::Result<Rc<Self>> {
+        let listener = bind(at).await?;
+        let me = Rc::new(Listening {
+            addr: listener.local_addr()?,
+            server: RefCell::new(server),
+            scene,
+            conns: RefCell::default(),
+            wake: Notify::new(),
+            tasks: RefCell::default(),
+        });
+        let (accepting, waking) = (me.clone(), me.clone());
+        let accept = spawn_local(async move {
+            let mut number = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                number += 1;
+                let task = spawn_local(accepting.clone().connection(number, stream));
+                accepting.tasks.borrow_mut().push(task.abort_handle());
+            }
+        });
+        let wake = spawn_local(async move {
+            loop {
+                let at = waking.server.borrow().wake_at();
+                let span = at.map_or(Duration::from_secs(1), |at| {
+                    Duration::from_nanos(at.saturating_sub(waking.scene.now()))
+                });
+                tokio::select! {
+                    () = tokio::time::sleep(span) => {}
+                    () = waking.wake.notified() => {}
+                }
+                let acts = waking
+                    .server
+                    .borrow_mut()
+                    .wake(waking.scene.now(), &mut waking.scene.record.borrow_mut());
+                waking.act(acts);
+            }
+        });
+        me.tasks.borrow_mut().extend([accept.abort_handle(), wake.abort_handle()]);
+        Ok(me)
+    }
+
+    /// Ends the process: its connections are reset, nothing listens any more.
+    pub fn stop(&self) {
+        self.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
+        self.conns.borrow_mut().clear();
+    }
+
+    fn act(&self, acts: Vec<Act>) {
+        for act in acts {
+            let (conn, bytes) = match act {
+                Act::Write(conn, bytes) => (conn, Some(bytes)),
+                Act::Close(conn) => (conn, None),
+            };
+            if let Some(to) = self.conns.borrow().get(&conn) {
+                let _ = to.send(bytes);
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, conn: u64, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let (to, mut from) = mpsc::unbounded_channel();
+        self.conns.borrow_mut().insert(conn, to);
+        let acts = self.server.borrow_mut().opened(conn);
+        self.act(acts);
+        loop {
+            let mut bytes = Vec::new();
+            tokio::select! {
+                n = read_some(&stream, |b| bytes.extend_from_slice(b)) => {
+                    if !matches!(n, Ok(1..)) {
+                        break;
+                    }
+                    let now = self.scene.now();
+                    let acts = self.server.borrow_mut().read(now, conn, &bytes, &mut self.scene.record.borrow_mut());
+                    self.wake.notify_one();
+                    self.act(acts);
+                }
+                out = from.recv() => match out {
+                    Some(Some(bytes)) => {
+                        if stream.write_all(&bytes).await.is_err() {
+                            break;
+                        }
+                    }
+                    _ => break,
+                },
+            }
+        }
+        self.conns.borrow_mut().remove(&conn);
+        self.server.borrow_mut().closed(self.scene.now(), conn, &mut self.scene.record.borrow_mut());
+    }
+}
+
+/// The event bus.
+pub struct Bus {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Rows of the events, from number 1.
+    events: RefCell<Vec<(bool, String)>>,
+    more: Notify,
+    /// `Last-Event-ID` of each call.
+    pub calls: RefCell<Vec<String>>,
+    open: Cell<bool>,
+}
+
+impl Bus {
+    /// A bus with its first events.
+    pub async fn start(events: Vec<(bool, String)>) -> std::io::Result<Rc<Self>> {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let me = Rc::new(Bus {
+            addr: listener.local_addr()?,
+            events: RefCell::new(events),
+            more: Notify::new(),
+            calls: RefCell::default(),
+            open: Cell::new(true),
+        });
+        let bus = me.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(bus.clone().serve(stream));
+            }
+        });
+        Ok(me)
+    }
+
+    /// A further event.
+    pub fn tell(&self, full: bool, rows: &str) {
+        self.events.borrow_mut().push((full, rows.to_owned()));
+        self.more.notify_waiters();
+    }
+
+    /// Breaks off, in the middle of an event; further calls find it closed where `for_good`.
+    pub fn break_off(&self, for_good: bool) {
+        self.open.set(!for_good);
+        self.more.notify_waiters();
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            if !matches!(read_some(&stream, |b| head.extend_from_slice(b)).await, Ok(1..))
+                || head.len() > 4096
+            {
+                return;
+            }
+        }
+        let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+        let last =
+            head.lines().find_map(|l| l.strip_prefix("last-event-id:")).unwrap_or("").trim().to_owned();
+        let mut next = last.parse::<usize>().unwrap_or(0);
+        self.calls.borrow_mut().push(last);
+        if !self.open.get() {
+            return;
+        }
+        let start = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n";
+        if stream.write_all(start.as_bytes()).await.is_err() {
+            return;
+        }
+        loop {
+            let event = self.events.borrow().get(next).cloned();
+            let text = match event {
+                Some((full, rows)) => {
+                    next += 1;
+                    bus_event(next as u64, full, &rows)
+                }
+                None => {
+                    tokio::select! {
+                        () = self.more.notified() => {}
+                        () = tokio::time::sleep(Duration::from_millis(500)) => {}
+                    }
+                    if !self.open.get() {
+                        let _ = stream.write_all(b"id: 99\ndata: {\"off").await;
+                        return;
+                    }
+                    ":\n\n".into()
+                }
+            };
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
