--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -359,6 +359,15 @@
                         bytes =
                             String::from_utf8_lossy(&bytes).replace("Rate-Step", "X-Nothing").into_bytes();
                     }
+                    // A machine out of reach reads no withdrawal: what counts is that it was written.
+                    let addr = link.0;
+                    if self.vanished.contains(&addr) && bytes.starts_with(b"TEARDOWN") {
+                        let (now, record) = (self.now, &mut self.record);
+                        self.servers
+                            .get_mut(&addr)
+                            .into_iter()
+                            .for_each(|s| s.written_off(now, &bytes, record));
+                    }
                     self.at(self.now + WAY, Ev::ToServer(conn.0, bytes));
                 } else {
                     if self.sabotage == Some(Break::Twice) {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -130,6 +130,16 @@
         }
     }
 
+    /// A withdrawal was written that can't reach it: the set-up counts as given up.
+    pub fn written_off(&mut self, now: u64, bytes: &[u8], record: &mut Record) {
+        let mut parser = Parser::default();
+        parser.feed(bytes);
+        let id = parser.poll().ok().flatten().and_then(|m| m.named_session());
+        if let Some(id) = id.filter(|id| self.out.remove(id).is_some()) {
+            record.push((now, Seen::Withdrawn { id, server: self.id.clone() }));
+        }
+    }
+
     /// A session that plays already, as after a restart of its front node.
     pub fn plays(&mut self, id: u64, until: u64) {
         self.standing.insert(id, 0);
