A server that has gone is found gone once, not once for each of its sessions

Checked: the releases were right and sent once. Cause: forget() called lost(), lost() over() and over() forget() again for every session, a recursion as deep as the server had sessions (servers.rs, forget and over).

Change: over() asks to forget only with the last session. Test: counted in a_new_process_or_a_new_server..., seen to fail.

--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -115,8 +115,8 @@
             return;
         }
         if server.links.is_empty() && !server.standing.is_empty() {
-            // Nothing will be heard of these sessions any more.
-            self.lost(id);
+            // Nothing will be heard of these sessions any more; the last of them brings it here again.
+            return self.lost(id);
         }
         let Some(server) = self.servers.get(&id) else { return };
         if server.links.is_empty() && server.standing.is_empty() {
@@ -478,14 +478,15 @@
         let Stage::Standing { server, .. } = session.stage else { return };
         let viewer = session.viewer;
         self.sessions.remove(&id);
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.standing.remove(&id);
-        }
+        let last =
+            self.servers.get_mut(&server).is_some_and(|s| s.standing.remove(&id) && s.standing.is_empty());
         self.events.push_back(Event::Ended { session: id, server, outcome, finished: true });
         if let Some(cause) = owed {
             self.release(viewer, isup::Message::new(isup::kind::RELEASE, id.0).cause(cause));
         }
-        self.forget(server);
+        if last {
+            self.forget(server);
+        }
     }
 
     /// A viewer ends its session: it is cut at its server, and the viewer is owed nothing.
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -84,7 +84,10 @@
 
     /// Closes a viewer's connection; set-ups that are open on it are given up.
     fn turn_out(&mut self, conn: ConnId, why: &str) {
-        debug!(conn = conn.0, why, "a viewer's connection is closed");
+        if let Some(v) = self.viewers.get(&conn) {
+            let (age_ms, idle_ms) = ((self.now - v.since) / care::MS, (self.now - v.last) / care::MS);
+            debug!(conn = conn.0, why, age_ms, idle_ms, spoke = v.spoke, "a viewer's connection is closed");
+        }
         self.counts.closed += 1;
         self.out.push(Output::Close { conn });
         self.viewer_closed(conn);
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -258,6 +258,7 @@
             w.reset(server_addr(0));
             w.run(SECOND);
             assert_eq!((releases(&w, v).len(), w.node.held()), (3, (0, 0)));
+            assert_eq!(w.node.counts().lost_servers, 1, "one server, found gone once");
         }
     }
 }
