A release whose connection is gone goes where sessions stand, not to whoever asked last

Checked with a debug line for each release: the release was written at once, on another connection than the one its session came by, and that connection was a bad client's. Ruled out: that it was late, unsent, or written where the viewer was just closing. Cause: a connection counted as a viewer's once it had sent a sound set-up, and the latest of them was taken; clients that withdraw hundreds of set-ups send sound ones (core.rs tidy_releases, viewers.rs spoke).

Change: care::bearer: a connection by which sessions came that stand, else one that has brought a session that stood, else, after 500 ms, any without unsound messages. care::evict: a connection younger than 100 ms is given time to speak while another can make room. Tests: tables of both, and a_release_is_not_told_to_a_client_that_merely_asked, seen to fail.

--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -72,6 +72,8 @@
 pub const VIEWER_BACKLOG: usize = 64 << 10;
 /// A connection that said something within this time is not closed to make room.
 pub const JUST_SENT: Nanos = SECOND;
+/// A connection younger than this is given the time to say something, as long as any other can make room.
+pub const YOUNG: Nanos = 100 * MS;
 /// What a set-up refused at the door is told to wait.
 pub const STAY_AWAY: Nanos = SECOND;
 /// A release that no connection could take is kept for so long: it is due within 8 s of the session's end.
@@ -134,9 +136,108 @@
     pub last: Nanos,
 }
 
-/// Which connection makes room for a new one: of those with no set-up open one that never sent a sound message, the
-/// oldest first; else the longest idle one that has not just sent. `None`: none may be closed.
+/// Which connection makes room for a new one: of those with no set-up open one that has had time to speak and never sent
+/// a sound message, the oldest first; else the longest idle one that has not just sent; else the oldest that has not
+/// spoken yet. `None`: none may be closed.
 pub fn evict(idlers: impl Iterator<Item = (u64, Idler)>, now: Nanos) -> Option<u64> {
-    let may = |i: &(u64, Idler)| i.1.free && (!i.1.spoke || now >= i.1.last + JUST_SENT);
-    idlers.filter(may).min_by_key(|i| (i.1.spoke, i.1.last, i.0)).map(|i| i.0)
+    let rank = |i: &Idler| match (i.spoke, now >= i.last + YOUNG, now >= i.last + JUST_SENT) {
+        (false, true, _) => Some(0),
+        (true, _, true) => Some(1),
+        (false, false, _) => Some(2),
+        (true, _, false) => None,
+    };
+    let may = idlers.filter(|i| i.1.free).filter_map(|(id, i)| Some((rank(&i)?, i.last, id)));
+    may.min().map(|m| m.2)
+}
+
+/// A viewer's connection that a release could go out on, when the one that its session came by is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bearer {
+    /// Sessions that came by it and stand.
+    pub standing: usize,
+    /// A session that came by it has stood.
+    pub proven: bool,
+    /// It sent something unsound.
+    pub unsound: bool,
+    /// When it last sent a sound message, or connected.
+    pub last: Nanos,
+}
+
+/// Which connection bears a release: one by which sessions came that stand, for viewers keep those open; else one that
+/// has brought a session that stood; else, once the release has waited for [`RELEASE_CHOOSY`], any that sent nothing
+/// unsound. What merely sent a set-up may be a bad client, which reads for nobody else. The latest of equals.
+pub fn bearer(bearers: impl Iterator<Item = (u64, Bearer)>, waited: Nanos) -> Option<u64> {
+    let rank = |b: &Bearer| match (b.standing > 0, b.proven) {
+        (true, _) => Some(2),
+        (false, true) => Some(1),
+        (false, false) => (waited >= RELEASE_CHOOSY && !b.unsound).then_some(0),
+    };
+    bearers.filter_map(|(id, b)| Some((rank(&b)?, b.last, id))).max().map(|m| m.2)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_makes_room() {
+        let now = 10 * SECOND;
+        let idler = |free, spoke, ago| Idler { free, spoke, last: now - ago * MS };
+        // (who is there, who goes)
+        let table: [(&[Idler], Option<u64>); 7] = [
+            (&[idler(false, true, 9000), idler(false, false, 9000)], None),
+            (&[idler(true, true, 500)], None),
+            (&[idler(true, true, 9000), idler(true, false, 150)], Some(1)),
+            (&[idler(true, true, 9000), idler(true, false, 50)], Some(0)),
+            (&[idler(true, true, 2000), idler(true, true, 3000)], Some(1)),
+            (&[idler(true, true, 500), idler(true, false, 50), idler(true, false, 60)], Some(2)),
+            (&[idler(true, false, 200), idler(true, false, 1900), idler(false, false, 5000)], Some(1)),
+        ];
+        for (idlers, goes) in table {
+            let there = idlers.iter().enumerate().map(|(i, v)| (i as u64, *v));
+            assert_eq!(evict(there, now), goes, "{idlers:?}");
+        }
+    }
+
+    #[test]
+    fn who_bears_a_release() {
+        let bearer_of = |standing, proven, unsound, last| Bearer { standing, proven, unsound, last };
+        let flood = bearer_of(0, false, false, 9);
+        let table: [(&[Bearer], Nanos, Option<u64>); 6] = [
+            (&[flood], 0, None),
+            (&[flood], RELEASE_CHOOSY, Some(0)),
+            (&[bearer_of(0, false, true, 9)], RELEASE_KEPT, None),
+            (&[flood, bearer_of(0, true, false, 1)], RELEASE_CHOOSY, Some(1)),
+            (&[flood, bearer_of(0, true, false, 8), bearer_of(2, true, false, 1)], 0, Some(2)),
+            (&[bearer_of(1, true, false, 1), bearer_of(1, true, false, 2)], 0, Some(1)),
+        ];
+        for (bearers, waited, bears) in table {
+            let there = bearers.iter().enumerate().map(|(i, b)| (i as u64, *b));
+            assert_eq!(bearer(there, waited), bears, "{bearers:?}");
+        }
+    }
+
+    #[test]
+    fn which_connection_a_set_up_goes_out_on() {
+        let link = |up, open| Candidate { up, open };
+        let table: [(&[Candidate], usize, bool, Pick); 7] = [
+            (&[], 32, true, Pick::New),
+            (&[], 32, false, Pick::None),
+            (&[link(true, 1), link(true, 0)], 32, true, Pick::Old(1)),
+            (&[link(true, 1)], 32, true, Pick::New),
+            (&[link(true, 2), link(true, 1), link(false, 0)], 32, false, Pick::Old(1)),
+            (&[link(true, 2), link(true, 1), link(true, 3), link(true, 2)], 32, true, Pick::Old(1)),
+            (&[link(true, 2), link(true, 2), link(true, 2), link(true, 2)], 2, true, Pick::New),
+        ];
+        for (links, most, room, picked) in table {
+            assert_eq!(pick(links, most, room), picked, "{links:?}");
+        }
+    }
+
+    #[test]
+    fn pauses_of_the_bus_grow_and_stay_short() {
+        assert_eq!(bus_pause(0, 1.0), 0);
+        assert!(bus_pause(1, 0.0) < bus_pause(2, 0.0) && bus_pause(1, 0.0) < bus_pause(1, 1.0));
+        assert_eq!((bus_pause(99, 1.0), bus_pause(u32::MAX, 7.0)), (BUS_PAUSE_MOST, BUS_PAUSE_MOST));
+    }
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -493,7 +493,10 @@
     /// Tells a viewer that a session that stood is over: on the connection it came by if that is open, else on any.
     pub(crate) fn release(&mut self, viewer: ConnId, message: isup::Message) {
         match self.viewers.contains_key(&viewer) {
-            true => self.write(viewer, &message),
+            true => {
+                tracing::debug!(session = %format_args!("{:016x}", message.session), conn = viewer.0, "released where it came by");
+                self.write(viewer, &message);
+            }
             false => {
                 if self.releases.len() == RELEASES {
                     self.releases.pop_front();
@@ -509,19 +512,20 @@
         if self.releases.is_empty() {
             return;
         }
-        // Connections that brought set-ups before any other: what else connects may read nothing.
-        let by_age = |v: &(&ConnId, &Viewer)| v.1.last;
-        let known = self.viewers.iter().filter(|v| v.1.proven).max_by_key(by_age).map(|v| *v.0);
-        let any = self.viewers.iter().filter(|v| v.1.unsound == 0).max_by_key(by_age).map(|v| *v.0);
         while let Some((since, _)) = self.releases.front() {
-            let choosy = self.now < since + care::RELEASE_CHOOSY;
-            let conn = known.or(if choosy { None } else { any });
-            if conn.is_none() && self.now < since + care::RELEASE_KEPT {
+            let waited = self.now.saturating_sub(*since);
+            let bearers = self.viewers.iter().map(|(c, v)| (c.0, v.bearer()));
+            let conn = care::bearer(bearers, waited).map(ConnId);
+            if conn.is_none() && waited < care::RELEASE_KEPT {
                 break;
             }
             let Some((_, message)) = self.releases.pop_front() else { break };
             match conn {
-                Some(conn) => self.write(conn, &message),
+                Some(conn) => {
+                    let session = format!("{:016x}", message.session);
+                    tracing::debug!(session, conn = conn.0, "released on another connection");
+                    self.write(conn, &message);
+                }
                 None => warn!(session = message.session, "a release could not be told to anyone"),
             }
         }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -422,6 +422,7 @@
                 self.forget_attempt(conn, id);
                 if let Some(v) = self.viewers.get_mut(&viewer) {
                     v.open.remove(&id);
+                    v.stood();
                 }
                 if let Some(s) = self.servers.get_mut(&server) {
                     s.standing.insert(id);
@@ -478,6 +479,9 @@
         let Stage::Standing { server, .. } = session.stage else { return };
         let viewer = session.viewer;
         self.sessions.remove(&id);
+        if let Some(v) = self.viewers.get_mut(&viewer) {
+            v.standing = v.standing.saturating_sub(1);
+        }
         let last =
             self.servers.get_mut(&server).is_some_and(|s| s.standing.remove(&id) && s.standing.is_empty());
         self.events.push_back(Event::Ended { session: id, server, outcome, finished: true });
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -21,14 +21,28 @@
     pub last: Nanos,
     /// It has sent a sound message.
     spoke: bool,
-    /// It has brought a sound set-up.
+    /// A session that came by it has stood.
     pub proven: bool,
+    /// Sessions that came by it and stand.
+    pub standing: usize,
     /// Unsound messages so far.
     pub unsound: u32,
     /// Since when half a message has waited for its rest.
     half: Option<Nanos>,
 }
 
+impl Viewer {
+    pub(crate) fn bearer(&self) -> care::Bearer {
+        let (standing, proven, unsound) = (self.standing, self.proven, self.unsound > 0);
+        care::Bearer { standing, proven, unsound, last: self.last }
+    }
+
+    /// A session that came by it stands.
+    pub(crate) fn stood(&mut self) {
+        (self.proven, self.standing) = (true, self.standing + 1);
+    }
+}
+
 /// A sound set-up.
 #[derive(Debug)]
 struct SetUp {
@@ -76,6 +90,7 @@
             last: self.now,
             spoke: false,
             proven: false,
+            standing: 0,
             unsound: 0,
             half: None,
         };
@@ -135,16 +150,16 @@
             kind::TEST => {
                 let passed = u8::from(self.ready());
                 self.write(conn, &Message::new(kind::TESTED, id.0).cause(passed));
-                self.spoke(conn, false);
+                self.spoke(conn);
             }
             kind::RELEASE => match self.sessions.get(&id).map(|s| (s.stage, s.viewer)) {
                 Some((Stage::Standing { .. }, _)) => {
-                    self.spoke(conn, false);
+                    self.spoke(conn);
                     self.ended_by_viewer(id, message.stated_cause().unwrap_or(cause::GIVEN_UP));
                 }
                 // A set-up is given up by the connection that it came on.
                 Some((_, owner)) if owner == conn => {
-                    self.spoke(conn, false);
+                    self.spoke(conn);
                     if let Some(viewer) = self.viewers.get_mut(&conn) {
                         viewer.open.remove(&id);
                     }
@@ -157,10 +172,9 @@
         }
     }
 
-    fn spoke(&mut self, conn: ConnId, proven: bool) {
+    fn spoke(&mut self, conn: ConnId) {
         let Some(viewer) = self.viewers.get_mut(&conn) else { return };
         (viewer.spoke, viewer.last) = (true, self.now);
-        viewer.proven |= proven;
     }
 
     /// A message that makes no sense: it is answered, its sender is not read for a while, and closed after some.
@@ -203,7 +217,7 @@
             return self.write(conn, &refusal.with(code::STAY_AWAY, wait));
         }
         self.counts.taken += 1;
-        self.spoke(conn, true);
+        self.spoke(conn);
         if let Some(viewer) = self.viewers.get_mut(&conn) {
             viewer.open.insert(id);
         }
@@ -274,7 +288,7 @@
     /// Takes over a session that plays; no answer is wanted, not even where it is held already.
     fn adopt(&mut self, conn: ConnId, wish: SessionRequest, class: String, at: &str) {
         let id = wish.session;
-        self.spoke(conn, true);
+        self.spoke(conn);
         if self.sessions.contains_key(&id) {
             return;
         }
@@ -295,6 +309,7 @@
             stage: Stage::Standing { server, link: None, since: 0 },
         };
         self.sessions.insert(id, session);
+        self.viewers.get_mut(&conn).into_iter().for_each(Viewer::stood);
         self.events.push_back(Event::Adopted { wish, server });
         if let Some(s) = self.servers.get_mut(&server) {
             s.standing.insert(id);
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -155,6 +155,27 @@
     kept(&w);
 }
 
+#[test]
+fn a_release_is_not_told_to_a_client_that_merely_asked() {
+    let mut w = World::new(1);
+    w.servers.values_mut().for_each(|s| s.usual = Treat::Serve(3 * SECOND));
+    let (gone, usual) = (w.viewer(), w.viewer());
+    w.ask(gone, 7, "free", 4000);
+    w.ask(usual, 8, "free", 4000);
+    w.run(SECOND);
+    w.hang_up(gone);
+    // The latest to send: set-ups that are withdrawn at once, none of which ever stands.
+    w.run(1500 * MS);
+    let flood = w.viewer();
+    for id in 100..150 {
+        w.ask(flood, id, "free", 4000);
+        w.give_up(flood, id);
+    }
+    w.run(SECOND);
+    assert!(w.told[&usual].iter().any(|m| m.1.session == 7), "{:?}", w.told);
+    assert!(w.told.get(&flood).is_none_or(|m| m.iter().all(|m| m.1.session >= 100)), "{:?}", w.told);
+}
+
 #[test]
 fn a_release_finds_a_viewer_that_connects_later() {
     let mut w = World::new(1);
