--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -490,7 +490,7 @@
             }
             _ => {}
         }
-        // The note at set-up corrects a set-up on a guess alone; else it is news like any other, only younger.
+        // The note at set-up corrects a set-up on a guess alone; else it is news like any other.
         s.told |= !(fresh && guess);
         if fresh && guess {
             self.follow(server, Some(id), out);
