Read once more: pieces the project already had are called, dead state of the node is out

Seen on reading the whole change. Written again, now called: the writer of header fields and the end of a head (http::message fields, finish; rtsp had a copy), the reading of a status code (http::head::status_code, one for http and rtsp), read_some of the HTTP client (the shell had its own loop, whose 8 KiB buffer lived in every connection's task), rand for the bus's pauses (a third splitmix64), sse::Event and next_request in the stand-in bus. Dead or derived: Follower::open and due, remove_link's result, the condition on calls beside call_at, a session's class name and title as copies, a trait for one removal, two timer wrappers. One piece for two: end_attempt for attempts that end and set-ups that are given up, Session::new, one pass over connections in tidy_servers, classes of the settings walked once.

At its depth: what follows a closed connection (another one where it is needed, a gone server forgotten) stood beside five calls of drop_link and was missing at the one for retired connections: a server that had gone stayed in the books for good. It is part of drop_link now. Test a_server_that_has_gone_is_forgotten_with_its_last_connection, seen to fail before.

No check, bound or expectation changed.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -93,6 +93,16 @@
     }
 }
 
+/// The status code of a status line, given what follows its version: a space, three digits, then nothing or a space.
+pub fn status_code(rest: &[u8]) -> Option<u16> {
+    let digits = rest.strip_prefix(b" ")?;
+    let (digits, after) = digits.split_at(digits.len().min(3));
+    let sound = digits.len() == 3
+        && digits.iter().all(u8::is_ascii_digit)
+        && after.first().is_none_or(|&b| b == b' ');
+    sound.then(|| digits.iter().fold(0, |a, &d| a * 10 + u16::from(d - b'0')))
+}
+
 /// Parses the fields of a head, without its first line but with its empty last one.
 pub fn fields(mut lines: &[u8], limits: &Limits) -> Result<Headers, Fault> {
     let mut headers = Headers::default();
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -210,7 +210,8 @@
     Some(kind.split(';').next().unwrap_or("").trim().to_ascii_lowercase())
 }
 
-fn fields(head: &mut String, headers: &Headers) {
+/// Appends header fields to a head, a line each.
+pub fn fields(head: &mut String, headers: &Headers) {
     for (name, value) in &headers.0 {
         // A line break inside a value would start a field of its own: it is left out, with what follows it.
         let value = value.split(['\r', '\n', '\0']).next().unwrap_or("");
@@ -218,7 +219,8 @@
     }
 }
 
-fn finish(head: String, body: &[u8]) -> Vec<u8> {
+/// The bytes of a message: its head so far, the empty line, its content.
+pub fn finish(head: String, body: &[u8]) -> Vec<u8> {
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(b"\r\n");
     bytes.extend_from_slice(body);
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -5,7 +5,7 @@
 //! lets two parties read one message differently: bare LF, folded fields, white space before a colon, doubled
 //! or mixed framing fields are all refused, and nothing is handed out after a refusal.
 
-use crate::head::{Buffer, fault, fields, is_token, text};
+use crate::head::{Buffer, fault, fields, is_token, status_code, text};
 use crate::message::{Headers, Method, Request, Response};
 
 /// Bounds on what a peer may send.
@@ -377,15 +377,9 @@
                     let line = &head[..end.saturating_sub(1)];
                     let (v, rest) = line.split_at(line.len().min(8));
                     let minor = version(v)?;
-                    let digits = rest.get(1..4).unwrap_or(b"");
-                    if rest.first() != Some(&b' ')
-                        || digits.len() != 3
-                        || !digits.iter().all(u8::is_ascii_digit)
-                        || rest.get(4).is_some_and(|&b| b != b' ')
-                    {
+                    let Some(status) = status_code(rest) else {
                         return fault(502, "the first line is no status line");
-                    }
-                    let status = digits.iter().fold(0u16, |a, &d| a * 10 + u16::from(d - b'0'));
+                    };
                     let headers = fields(&head[end + 1..], &self.limits)?;
                     let keep = keep_alive(minor, &headers);
                     self.buffer.take(length);
--- a/crates/node/src/bus.rs
+++ b/crates/node/src/bus.rs
@@ -17,7 +17,6 @@
     /// Number of the last event that was applied.
     last: u64,
     conn: Option<ConnId>,
-    open: bool,
     parser: sse::Parser,
     /// Last time that anything came, or that it was asked.
     heard: Nanos,
@@ -44,17 +43,7 @@
     /// A follower that holds all events up to `last`, and is to ask at once.
     pub fn new(addr: SocketAddr, last: u64, now: Nanos) -> Self {
         let parser = sse::Parser::new(EVENT);
-        Follower {
-            addr,
-            last,
-            conn: None,
-            open: false,
-            parser,
-            heard: now,
-            failed: 0,
-            ask_at: now,
-            gap: None,
-        }
+        Follower { addr, last, conn: None, parser, heard: now, failed: 0, ask_at: now, gap: None }
     }
 
     /// Where the bus is.
@@ -81,20 +70,15 @@
         }
     }
 
-    /// When [`Self::step`] may say something else.
-    pub fn due(&self) -> Nanos {
-        if self.conn.is_some() { self.heard + care::BUS_SILENCE } else { self.ask_at }
-    }
-
     /// It was asked on this connection.
     pub fn asked(&mut self, conn: ConnId, now: Nanos) {
-        (self.conn, self.open, self.heard) = (Some(conn), false, now);
+        (self.conn, self.heard) = (Some(conn), now);
         self.parser = sse::Parser::new(EVENT);
     }
 
     /// The stream is open.
     pub fn opened(&mut self, now: Nanos) {
-        (self.open, self.heard) = (true, now);
+        self.heard = now;
     }
 
     /// The connection is over: at once again after a stream that told something, else after a pause that grows.
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -12,6 +12,9 @@
 use micadyke_front::core::Decide;
 use micadyke_isup as isup;
 use micadyke_settings::{Names, Terms};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{info, warn};
 
@@ -51,8 +54,8 @@
 
 #[derive(Debug)]
 pub(crate) struct Session {
-    pub class: String,
-    pub title: String,
+    pub class: ClassId,
+    pub title: TitleId,
     pub description: Vec<u8>,
     pub viewer: ConnId,
     pub rung: Option<Rung>,
@@ -65,9 +68,26 @@
     pub early: Vec<(NoteKind, f64)>,
 }
 
+impl Session {
+    /// A session that came by a viewer's connection, nothing yet known to be done about it.
+    pub(crate) fn new(wish: &SessionRequest, viewer: ConnId, stage: Stage) -> Self {
+        Session {
+            class: wish.class,
+            title: wish.title.clone(),
+            description: Vec::new(),
+            viewer,
+            rung: None,
+            attempt: 0,
+            due: wish.give_up_at,
+            stage,
+            early: Vec::new(),
+        }
+    }
+}
+
 /// What a timer was set for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Due {
+pub(crate) enum Due {
     Module(u64),
     Attempt(SessionId, u32),
     Connect(ConnId),
@@ -113,7 +133,7 @@
     pub(crate) cells: u32,
     pub(crate) rungs: usize,
     pub(crate) now: Nanos,
-    random: u64,
+    random: StdRng,
     pub(crate) out: Vec<Output>,
     pub(crate) events: VecDeque<Event>,
     timers: BTreeMap<(Nanos, u64), Due>,
@@ -146,7 +166,7 @@
             cells: config.site.settings.cells,
             rungs: config.site.settings.ladder.len(),
             now,
-            random: config.seed,
+            random: StdRng::seed_from_u64(config.seed),
             out: Vec::new(),
             events: VecDeque::new(),
             timers: BTreeMap::new(),
@@ -301,9 +321,9 @@
 
     fn final_answer(&mut self, id: SessionId, message: &isup::Message) {
         // One answer and no more: only a session without an attempt out is owed one here.
-        let Some(session) = self.sessions.remove_if(id, |s| s.stage == Stage::New) else {
-            warn!(session = id.0, "the module answered a session that is owed nothing");
-            return;
+        let session = match self.sessions.entry(id) {
+            Entry::Occupied(e) if e.get().stage == Stage::New => e.remove(),
+            _ => return warn!(session = id.0, "the module answered a session that is owed nothing"),
         };
         if let Some(viewer) = self.viewers.get_mut(&session.viewer) {
             viewer.open.remove(&id);
@@ -311,8 +331,13 @@
         }
     }
 
-    /// Ends a session's attempt, and says how.
+    /// Ends a session's attempt, and says how: the module goes on with it.
     pub(crate) fn attempt_ended(&mut self, id: SessionId, outcome: Outcome) {
+        self.end_attempt(id, outcome, false);
+    }
+
+    /// Ends a session's attempt; `finished`: no answer is owed any more.
+    pub(crate) fn end_attempt(&mut self, id: SessionId, outcome: Outcome, finished: bool) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let (Stage::Waiting { server, link } | Stage::Out { server, link, .. }) = session.stage else {
             return;
@@ -321,7 +346,7 @@
         session.early.clear();
         self.forget_attempt(link, id);
         self.count(outcome);
-        self.events.push_back(Event::Ended { session: id, server, outcome, finished: false });
+        self.events.push_back(Event::Ended { session: id, server, outcome, finished });
     }
 
     pub(crate) fn forget_attempt(&mut self, link: ConnId, id: SessionId) {
@@ -411,25 +436,17 @@
     }
 
     fn bus_closed(&mut self) {
-        let lot = self.chance();
+        let lot = self.random.random();
         self.follower.closed(self.now, lot);
     }
 
-    // ----- timers, numbers, chance
+    // ----- timers, numbers
 
-    fn set(&mut self, at: Nanos, due: Due) {
+    pub(crate) fn set(&mut self, at: Nanos, due: Due) {
         self.timer += 1;
         self.timers.insert((at, self.timer), due);
     }
 
-    pub(crate) fn set_attempt(&mut self, at: Nanos, id: SessionId, attempt: u32) {
-        self.set(at, Due::Attempt(id, attempt));
-    }
-
-    pub(crate) fn set_connect(&mut self, at: Nanos, conn: ConnId) {
-        self.set(at, Due::Connect(conn));
-    }
-
     fn timers(&mut self) {
         while let Some(first) = self.timers.first_entry().filter(|e| e.key().0 <= self.now) {
             match first.remove() {
@@ -463,26 +480,6 @@
         self.conn += 2;
         ConnId(self.conn)
     }
-
-    /// A draw from [0, 1): splitmix64.
-    fn chance(&mut self) -> f64 {
-        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.random;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
-/// Removal on a condition, which `BTreeMap` lacks.
-trait RemoveIf<K, V> {
-    fn remove_if(&mut self, key: K, condition: impl FnOnce(&V) -> bool) -> Option<V>;
-}
-
-impl<K: Ord, V> RemoveIf<K, V> for BTreeMap<K, V> {
-    fn remove_if(&mut self, key: K, condition: impl FnOnce(&V) -> bool) -> Option<V> {
-        if self.get(&key).is_some_and(condition) { self.remove(&key) } else { None }
-    }
 }
 
 impl<D> Node<D> {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,7 +1,7 @@
 //! Servers: connections, attempts, notes, and whether a server lives.
 
 use crate::care;
-use crate::core::{Node, Session, Stage, cause};
+use crate::core::{Due, Node, Session, Stage, cause};
 use crate::io::{ConnId, Output};
 use crate::list::Row;
 use micadyke::interface::*;
@@ -95,6 +95,7 @@
         let Some(server) = self.servers.get(&id) else { return };
         let opening: Vec<ConnId> = server.links.iter().copied().filter(|l| !self.links[l].up).collect();
         opening.into_iter().for_each(|l| self.drop_link(l, Outcome::NoConnection));
+        // There may have been none.
         self.forget(id);
     }
 
@@ -111,18 +112,15 @@
     /// Forgets a server that has gone and holds nothing.
     fn forget(&mut self, id: ServerId) {
         let Some(server) = self.servers.get(&id) else { return };
-        if server.row.state != ServerState::Gone {
+        if server.row.state != ServerState::Gone || !server.links.is_empty() {
             return;
         }
-        if server.links.is_empty() && !server.standing.is_empty() {
+        if !server.standing.is_empty() {
             // Nothing will be heard of these sessions any more; the last of them brings it here again.
             return self.lost(id);
         }
-        let Some(server) = self.servers.get(&id) else { return };
-        if server.links.is_empty() && server.standing.is_empty() {
-            self.servers.remove(&id);
-            self.numbers.forget(id);
-        }
+        self.servers.remove(&id);
+        self.numbers.forget(id);
     }
 
     // ----- attempts
@@ -146,12 +144,11 @@
             .map(|l| care::Candidate { up: self.links[l].up, open: self.links[l].open.len() })
             .collect();
         // A server that does not come up is not waited for by set-ups until a call of the node's own got through.
-        if server.calls > 0 && now < server.call_at && candidates.iter().all(|c| !c.up) {
-            self.count(Outcome::NoConnection);
-            return self.events.push_back(never(Outcome::NoConnection));
-        }
+        let out_of_reach = now < server.call_at && candidates.iter().all(|c| !c.up);
+        let room = self.links.len() < self.most_links;
         let most = if self.terms.streams > 0 { self.terms.streams as usize } else { usize::MAX };
-        let link = match care::pick(&candidates, most, self.links.len() < self.most_links) {
+        let pick = if out_of_reach { care::Pick::None } else { care::pick(&candidates, most, room) };
+        let link = match pick {
             care::Pick::Old(i) => usable[i],
             care::Pick::New => self.connect(to),
             care::Pick::None => {
@@ -162,7 +159,7 @@
         if let Some(session) = self.sessions.get_mut(&id) {
             session.stage = Stage::Waiting { server: to, link };
         }
-        self.set_attempt(now + timeout, id, attempt);
+        self.set(now + timeout, Due::Attempt(id, attempt));
         let Some(l) = self.links.get_mut(&link) else { return };
         l.open.insert(id);
         l.used = now;
@@ -177,9 +174,9 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Stage::Waiting { server, link } = session.stage else { return };
         let patience = (session.due.saturating_sub(now) / care::MS).max(1);
-        let mut message = Message::request("SETUP", &format!("rtsp://media/{}", session.title), 1)
+        let mut message = Message::request("SETUP", &format!("rtsp://media/{}", session.title.0), 1)
             .session(id.0)
-            .with("Subject", &session.class)
+            .with("Subject", &self.names.classes[session.class.0])
             .with("X-Patience", &patience.to_string());
         if let Some(rung) = session.rung {
             message = message.with("Rate-Step", &rung.to_string());
@@ -246,7 +243,7 @@
         self.links.insert(conn, link);
         self.counts.links += 1;
         self.out.push(Output::Connect { conn, addr: server.row.addr });
-        self.set_connect(now + timeout, conn);
+        self.set(now + timeout, Due::Connect(conn));
         conn
     }
 
@@ -281,22 +278,23 @@
         }
     }
 
-    /// Closes a connection; what is open on it ends with this outcome.
+    /// Closes a connection; what is open on it ends with this outcome. Another is opened where one is needed.
     fn drop_link(&mut self, conn: ConnId, outcome: Outcome) {
+        let Some(id) = self.links.get(&conn).map(|l| l.server) else { return };
         self.out.push(Output::Close { conn });
         self.remove_link(conn, |_| outcome);
+        self.keep_link(id);
+        self.forget(id);
     }
 
     fn drop_if_retired(&mut self, conn: ConnId) {
         if self.links.get(&conn).is_some_and(|l| l.retired && l.open.is_empty()) {
-            let server = self.links[&conn].server;
             self.drop_link(conn, Outcome::Cancelled);
-            self.keep_link(server);
         }
     }
 
-    fn remove_link(&mut self, conn: ConnId, outcome: impl Fn(&Stage) -> Outcome) -> Option<ServerId> {
-        let link = self.links.remove(&conn)?;
+    fn remove_link(&mut self, conn: ConnId, outcome: impl Fn(&Stage) -> Outcome) {
+        let Some(link) = self.links.remove(&conn) else { return };
         if let Some(server) = self.servers.get_mut(&link.server) {
             server.links.retain(|l| *l != conn);
         }
@@ -304,7 +302,6 @@
             let Some(stage) = self.sessions.get(&id).map(|s| s.stage) else { continue };
             self.attempt_ended(id, outcome(&stage));
         }
-        Some(link.server)
     }
 
     /// A connection is over, or did not come up.
@@ -372,12 +369,9 @@
                     return;
                 }
                 Err(fault) => {
-                    let id = link.server;
                     debug!(conn = conn.0, %fault, "a server's stream can't be read");
                     // Set-ups that are out on it may have run.
-                    self.drop_link(conn, Outcome::Error);
-                    self.keep_link(id);
-                    return self.forget(id);
+                    return self.drop_link(conn, Outcome::Error);
                 }
             }
         }
@@ -545,27 +539,18 @@
 
     pub(crate) fn tidy_servers(&mut self) {
         let now = self.now;
-        let mut close: Vec<(ConnId, Outcome)> = Vec::new();
-        for (conn, link) in &self.links {
-            let Some(server) = self.servers.get(&link.server) else { continue };
-            let needed = !server.standing.is_empty() && server.links.len() == 1;
-            if link.half.is_some_and(|h| now >= h + care::HALF_MESSAGE) {
-                close.push((*conn, Outcome::Error));
-            } else if link.up && link.open.is_empty() && now >= link.used + care::LINK_IDLE && !needed {
-                close.push((*conn, Outcome::Cancelled));
-            }
-        }
-        for (conn, outcome) in close {
+        let conns: Vec<ConnId> = self.links.keys().copied().collect();
+        for conn in conns {
             let Some(link) = self.links.get(&conn) else { continue };
-            let id = link.server;
             // Never the last one that sessions need.
-            let last = self.servers.get(&id).is_some_and(|s| !s.standing.is_empty() && s.links.len() == 1);
-            if last && outcome == Outcome::Cancelled {
-                continue;
+            let last =
+                self.servers.get(&link.server).is_some_and(|s| !s.standing.is_empty() && s.links.len() == 1);
+            let idle = link.up && link.open.is_empty() && now >= link.used + care::LINK_IDLE;
+            if link.half.is_some_and(|h| now >= h + care::HALF_MESSAGE) {
+                self.drop_link(conn, Outcome::Error);
+            } else if idle && !last {
+                self.drop_link(conn, Outcome::Cancelled);
             }
-            self.drop_link(conn, outcome);
-            self.keep_link(id);
-            self.forget(id);
         }
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
@@ -580,7 +565,6 @@
                 let links = server.links.clone();
                 self.lost(id);
                 links.into_iter().for_each(|l| self.drop_link(l, Outcome::Reset));
-                self.forget(id);
             } else if now >= server.call_at
                 && server.links.iter().all(|l| self.links[l].up)
                 && self.links.len() < self.most_links
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -9,7 +9,7 @@
 use crate::io::{ConnId, Input, Output};
 use micadyke::interface::Nanos;
 use micadyke_front::core::Decide;
-use micadyke_http::client::{CallError, Connection};
+use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -18,15 +18,12 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
-/// Bytes read from a connection in one turn.
-const READ: usize = 8 << 10;
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// A connection that is closed with bytes still to write waits so long for its peer to take them.
@@ -291,26 +288,21 @@
                 continue;
             }
             let full = !c.waiting.borrow().is_empty();
-            let interest = if full { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
-            let ready = tokio::select! {
-                r = stream.ready(interest) => r,
+            let read = tokio::select! {
+                n = read_some(&stream, |bytes| self.feed(Input::Data { conn, bytes })) => n,
+                w = stream.writable(), if full => {
+                    if w.is_err() || !c.write(&[]) {
+                        break;
+                    }
+                    continue;
+                }
                 () = c.changed.notified() => continue,
             };
-            let Ok(ready) = ready else { break };
-            if full && ready.is_writable() && !c.write(&[]) {
+            if !matches!(read, Ok(1..)) {
                 break;
             }
-            if ready.is_readable() || ready.is_read_closed() || ready.is_error() {
-                let mut buffer = [0u8; READ];
-                match stream.try_read(&mut buffer) {
-                    Ok(0) => break,
-                    Ok(n) => self.feed(Input::Data { conn, bytes: &buffer[..n] }),
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                    Err(_) => break,
-                }
-                // Fair turns: one that sends without end does not keep the others waiting.
-                tokio::task::yield_now().await;
-            }
+            // Fair turns: one that sends without end does not keep the others waiting.
+            tokio::task::yield_now().await;
         }
         if self.conns.borrow_mut().remove(&conn).is_some() {
             self.feed(Input::Closed { conn, written: c.written.get(), refused: false });
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -47,7 +47,6 @@
 #[derive(Debug)]
 struct SetUp {
     wish: SessionRequest,
-    class: String,
     description: Vec<u8>,
     /// It plays already, at this server.
     at: Option<String>,
@@ -200,7 +199,7 @@
             Err(what) => return self.unsound(conn, id.0, what),
         };
         if let Some(server) = set_up.at {
-            return self.adopt(conn, set_up.wish, set_up.class, &server);
+            return self.adopt(conn, set_up.wish, &server);
         }
         if self.sessions.contains_key(&id) {
             // Two set-ups under one number: neither can be told from the other, so nothing is answered under it.
@@ -221,17 +220,8 @@
         if let Some(viewer) = self.viewers.get_mut(&conn) {
             viewer.open.insert(id);
         }
-        let session = Session {
-            class: set_up.class,
-            title: set_up.wish.title.0.as_ref().to_owned(),
-            description: set_up.description,
-            viewer: conn,
-            rung: None,
-            attempt: 0,
-            due: set_up.wish.give_up_at,
-            stage: Stage::New,
-            early: Vec::new(),
-        };
+        let session = Session::new(&set_up.wish, conn, Stage::New);
+        let session = Session { description: set_up.description, ..session };
         self.sessions.insert(id, session);
         self.events.push_back(Event::Request(set_up.wish));
     }
@@ -240,8 +230,8 @@
         if message.session == 0 {
             return Err("no id");
         }
-        let class = message.text(code::CLASS).ok_or("no class")?.to_owned();
-        let index = position(&self.names.classes, &class).ok_or("a class that does not exist")?;
+        let class = message.text(code::CLASS).ok_or("no class")?;
+        let class = position(&self.names.classes, class).ok_or("a class that does not exist")?;
         let title = message.text(code::TITLE).ok_or("no title")?;
         let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.~:".contains(&b);
         if title.is_empty() || title.len() > TITLE || !title.bytes().all(plain) {
@@ -275,7 +265,7 @@
         let description = description.or(at.is_some().then(Vec::new)).ok_or("no description")?;
         let wish = SessionRequest {
             session: SessionId(message.session),
-            class: ClassId(index),
+            class: ClassId(class),
             title,
             base: base as u32,
             spread: spread as u32,
@@ -283,11 +273,11 @@
             give_up_at: self.now + patience.min(PATIENCE) * care::MS,
             again,
         };
-        Ok(SetUp { wish, class, description, at })
+        Ok(SetUp { wish, description, at })
     }
 
     /// Takes over a session that plays; no answer is wanted, not even where it is held already.
-    fn adopt(&mut self, conn: ConnId, wish: SessionRequest, class: String, at: &str) {
+    fn adopt(&mut self, conn: ConnId, wish: SessionRequest, at: &str) {
         let id = wish.session;
         self.spoke(conn);
         if self.sessions.contains_key(&id) {
@@ -298,18 +288,7 @@
             debug!(at, "a session plays at a server that is not listed");
             return self.release(conn, Message::new(kind::RELEASE, id.0).cause(cause::FAILED));
         };
-        let title = wish.title.0.as_ref().to_owned();
-        let session = Session {
-            class,
-            title,
-            description: Vec::new(),
-            viewer: conn,
-            rung: None,
-            attempt: 0,
-            due: 0,
-            stage: Stage::Standing { server, link: None, since: 0 },
-            early: Vec::new(),
-        };
+        let session = Session::new(&wish, conn, Stage::Standing { server, link: None, since: 0 });
         self.sessions.insert(id, session);
         self.viewers.get_mut(&conn).into_iter().for_each(Viewer::stood);
         self.events.push_back(Event::Adopted { wish, server });
@@ -325,18 +304,13 @@
         let stage = session.stage;
         self.counts.given_up += 1;
         self.events.push_back(Event::Left { session: id });
-        let outcome = match stage {
-            Stage::Waiting { .. } => Outcome::NotSent,
-            Stage::Out { .. } => Outcome::Cancelled,
-            Stage::New | Stage::Standing { .. } => return,
-        };
-        if let Stage::Waiting { server, link } | Stage::Out { server, link, .. } = stage {
-            if outcome == Outcome::Cancelled {
+        match stage {
+            Stage::Waiting { .. } => self.end_attempt(id, Outcome::NotSent, true),
+            Stage::Out { link, .. } => {
                 self.withdraw(id, link);
+                self.end_attempt(id, Outcome::Cancelled, true);
             }
-            self.forget_attempt(link, id);
-            self.count(outcome);
-            self.events.push_back(Event::Ended { session: id, server, outcome, finished: true });
+            Stage::New | Stage::Standing { .. } => return,
         }
         self.sessions.remove(&id);
     }
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -359,6 +359,24 @@
     }
 }
 
+#[test]
+fn a_server_that_has_gone_is_forgotten_with_its_last_connection() {
+    let mut w = World::new(1);
+    w.servers.values_mut().for_each(|s| s.usual = Treat::Serve(100 * MS));
+    let v = w.viewer();
+    w.ask(v, 7, "free", 4000);
+    w.run(SECOND);
+    // On the same connection the next one gets no answer: the connection is given up after it.
+    w.servers.values_mut().for_each(|s| s.usual = Treat::Silent);
+    w.ask(v, 8, "free", 4000);
+    w.run(20 * MS);
+    w.bus(2, false, &row(0, "removed", 0));
+    w.run(SECOND);
+    let [_, links, servers, ..] = w.node.books();
+    assert_eq!((links, servers, w.node.held()), (0, 0, (0, 0)));
+    kept(&w);
+}
+
 #[test]
 fn a_server_out_of_reach_is_called_by_the_node_not_by_every_set_up() {
     let mut w = World::new(2);
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -197,7 +197,7 @@
 
     /// The bus tells; a node that is not connected hears it when it asks.
     pub fn bus(&mut self, offset: u64, full: bool, rows: &str) {
-        self.bus_log.push((offset, bus_event(offset, full, rows).into_bytes()));
+        self.bus_log.push((offset, bus_event(offset, full, rows)));
         if self.bus_open {
             let bytes = self.bus_log.last().map(|e| e.1.clone()).unwrap_or_default();
             self.bus_bytes(&bytes);
--- a/crates/rtsp/src/lib.rs
+++ b/crates/rtsp/src/lib.rs
@@ -5,7 +5,8 @@
 //! can't be read is final: nobody can tell where the next message of such a stream begins.
 #![warn(missing_docs)]
 
-use micadyke_http::head::{Buffer, fault, fields, is_token};
+use micadyke_http::head::{Buffer, fault, fields, is_token, status_code};
+use micadyke_http::message;
 use std::fmt::Write as _;
 
 pub use micadyke_http::{Fault, Headers, Limits};
@@ -99,15 +100,9 @@
             Start::Request { method, address } => write!(head, "{method} {address} RTSP/1.0\r\n"),
             Start::Response { status } => write!(head, "RTSP/1.0 {status} {}\r\n", reason(*status)),
         };
-        for (name, value) in &self.headers.0 {
-            // A line break inside a value would start a field of its own: it is left out, with what follows it.
-            let value = value.split(['\r', '\n', '\0']).next().unwrap_or("");
-            let _ = write!(head, "{name}: {value}\r\n");
-        }
-        let _ = write!(head, "Content-Length: {}\r\n\r\n", self.body.len());
-        let mut out = head.into_bytes();
-        out.extend_from_slice(&self.body);
-        out
+        message::fields(&mut head, &self.headers);
+        let _ = write!(head, "Content-Length: {}\r\n", self.body.len());
+        message::finish(head, &self.body)
     }
 }
 
@@ -204,16 +199,11 @@
 }
 
 fn first_line(line: &[u8]) -> Result<Start, Fault> {
-    if let Some(rest) = line.strip_prefix(b"RTSP/1.0 ") {
-        let (digits, after) = rest.split_at(rest.len().min(3));
-        if digits.len() != 3
-            || !digits.iter().all(u8::is_ascii_digit)
-            || after.first().is_some_and(|&b| b != b' ')
-        {
-            return fault(400, "the first line is no status line");
-        }
-        let status = digits.iter().fold(0, |a, &d| a * 10 + u16::from(d - b'0'));
-        return Ok(Start::Response { status });
+    if line.starts_with(b"RTSP/1.0 ") {
+        return match status_code(&line[b"RTSP/1.0".len()..]) {
+            Some(status) => Ok(Start::Response { status }),
+            None => fault(400, "the first line is no status line"),
+        };
     }
     let mut parts = line.split(|&b| b == b' ');
     let (Some(method), Some(address), Some(b"RTSP/1.0"), None) =
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -141,8 +141,10 @@
     }
     let mut classes = Vec::new();
     let mut class_names = Vec::new();
+    let mut deadline = 0;
     for (i, c) in list(v, "classes")?.iter().enumerate() {
         class_names.push(text(c, "name")?.to_owned());
+        deadline = deadline.max(nanos(c, "deadline_ns")?);
         let effect = match text(c, "effect")? {
             "idempotent" | "" => Effect::Idempotent,
             "at_most_once" => Effect::AtMostOnce,
@@ -204,10 +206,6 @@
         fall_window: nanos(v, "rules.fall_ns")?,
         retry_budget,
     };
-    let mut deadline = 0;
-    for c in list(v, "classes")? {
-        deadline = deadline.max(nanos(c, "deadline_ns")?);
-    }
     let terms = Terms {
         streams: count(v, "permissions.max_streams")?,
         idle: nanos(v, "permissions.conn_idle_ns")?,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform that a front node serves on: media servers over RTSP, the event bus's words, and the
 //! verdict on what crossed between them and viewers. Without I/O; times are nanoseconds of one clock.
 
+use micadyke_http::sse;
 use micadyke_rtsp::{Message, Parser, Start};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -287,10 +288,10 @@
 }
 
 /// An event of the bus as its stream carries it; `rows` holds servers as JSON objects between commas.
-pub fn bus_event(offset: u64, full: bool, rows: &str) -> String {
-    format!(
-        "id: {offset}\ndata: {{\"offset\":{offset},\"topology\":{{\"version\":{offset},\"full\":{full},\"servers\":[{rows}]}}}}\n\n"
-    )
+pub fn bus_event(offset: u64, full: bool, rows: &str) -> Vec<u8> {
+    let topology = format!("{{\"version\":{offset},\"full\":{full},\"servers\":[{rows}]}}");
+    let data = format!("{{\"offset\":{offset},\"topology\":{topology}}}");
+    sse::Event { id: offset.to_string(), data, ..Default::default() }.encode()
 }
 
 /// Grace of the verdicts, beside what the rules allow.
--- a/crates/standin/src/platform_net.rs
+++ b/crates/standin/src/platform_net.rs
@@ -1,8 +1,9 @@
 //! The platform's stand-ins over sockets: media servers and the event bus on loopback. For a `LocalSet`.
 
 use crate::platform::{Act, MediaServer, Record, Seen, bus_event};
-use crate::server::bind;
+use crate::server::{bind, next_request};
 use micadyke_http::client::read_some;
+use micadyke_http::{Limits, RequestParser};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -189,17 +190,9 @@
     }
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            if !matches!(read_some(&stream, |b| head.extend_from_slice(b)).await, Ok(1..))
-                || head.len() > 4096
-            {
-                return;
-            }
-        }
-        let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
-        let last =
-            head.lines().find_map(|l| l.strip_prefix("last-event-id:")).unwrap_or("").trim().to_owned();
+        let mut parser = RequestParser::new(Limits::default());
+        let Some(Ok(request)) = next_request(&stream, &mut parser, |_| ()).await else { return };
+        let last = request.headers.get("last-event-id").unwrap_or("").to_owned();
         let mut next = last.parse::<usize>().unwrap_or(0);
         self.calls.borrow_mut().push(last);
         if !self.open.get() {
@@ -211,7 +204,7 @@
         }
         loop {
             let event = self.events.borrow().get(next).cloned();
-            let text = match event {
+            let bytes = match event {
                 Some((full, rows)) => {
                     next += 1;
                     bus_event(next as u64, full, &rows)
@@ -225,10 +218,10 @@
                         let _ = stream.write_all(b"id: 99\ndata: {\"off").await;
                         return;
                     }
-                    ":\n\n".into()
+                    b":\n\n".to_vec()
                 }
             };
-            if stream.write_all(text.as_bytes()).await.is_err() {
+            if stream.write_all(&bytes).await.is_err() {
                 return;
             }
         }
