The module hears of open connections and lost servers; a handshake has its price

Cause: `place` and `usable` in decide.rs knew neither whether a connection was up nor that calls failed; `lost` in servers.rs tells the module nothing where no session stood there, and a failed call was no word of a new process.

Change: one event, `Reach` (open, closed, lost), from the node's own connections. The module adds the settings' price of a handshake, times CALL points of use, where none is up; it tries a lost server last and takes it for cold once it is back.

Each new test seen to fail with its line out.

--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -468,6 +468,7 @@
         may_advise: come_back.is_some(),
         max_come_back: max_come_back as u64,
         cross_price: fleet.get("cross-price", Unit::Share, (0.0, 1e3), Some(0.0)),
+        handshake_price: 0.0,
         ask_within: 0,
         cold_for,
         cold_from,
--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -44,6 +44,10 @@
 const HERD: f64 = 0.04;
 /// Crossing zones is worth this many points of use for each point of its price.
 const CROSS: f64 = 1.5;
+/// A handshake likewise; more, for where a connection is up the figures are young as well.
+const CALL: f64 = 3.0;
+/// What counts for a server whose calls do not come up: more than any use, so that it is tried last.
+const LAST: f64 = 1e3;
 /// A playing session steps up only where the higher rung's limit would hold with this much left.
 const UP_GAP: f64 = 0.12;
 /// A step up must promise this many times its cost over the time that a session lasts: it may be taken back.
@@ -213,12 +217,15 @@
     gives: (f64, Nanos),
     /// News of it that all fronts with sessions there have heard waits for an answer.
     told: bool,
+    /// Whether there is a way to it.
+    reach: Reach,
 }
 
 impl Server {
     fn new(entry: ServerEntry) -> Self {
         let (link, cold_since, cold_sends) = (Pool::default(), entry.started_at, VecDeque::new());
-        Server { entry, link, streams: 0, cold_since, cold_sends, gives: (1.0, 0), told: false }
+        let (gives, reach) = ((1.0, 0), Reach::Closed);
+        Server { entry, link, streams: 0, cold_since, cold_sends, gives, told: false, reach }
     }
 
     fn rack(&self, racks: u32) -> u32 {
@@ -313,6 +320,7 @@
         self.ask(out);
         match event {
             Event::List { kind, entries } => self.list(kind, entries),
+            Event::Reach { server, reach } => self.reach(server, reach),
             Event::Request(wish) => self.request(wish, out),
             Event::Adopted { wish, server } => self.adopt(wish, server),
             Event::Started { session } => self.started(session),
@@ -418,6 +426,16 @@
         self.sizes();
     }
 
+    fn reach(&mut self, server: ServerId, reach: Reach) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.reach = reach;
+        if reach == Reach::Lost {
+            // Guards against what was out of reach and comes back as a new process, which the list tells seconds
+            // late, to hundreds of fronts at once. May hurt after a mere cut: for a while it gets little.
+            s.cold_since = self.now;
+        }
+    }
+
     fn streams_of(&self, server: &Server) -> f64 {
         f64::from(self.s.streams_by_kind.get(server.entry.kind).copied().unwrap_or(0))
     }
@@ -727,8 +745,13 @@
             let mut holders: Vec<(f64, ServerId)> = Vec::new();
             for (n, server) in self.servers.values().filter(|h| self.usable(h, s)).enumerate() {
                 let cross = if server.entry.zone == self.s.zone { 0.0 } else { CROSS * self.s.cross_price };
+                let call = match server.reach {
+                    Reach::Open => 0.0,
+                    Reach::Closed => CALL * self.s.handshake_price,
+                    Reach::Lost => LAST,
+                };
                 let lot = (jitter + n as f64 * 0.618).fract() * HERD;
-                holders.push((self.usage(server) + cross + lot, server.entry.server));
+                holders.push((self.usage(server) + cross + call + lot, server.entry.server));
             }
             holders.sort_by(|a, b| a.0.total_cmp(&b.0));
             choice = holders.iter().find_map(|&(_, h)| Some((h, self.fit(&self.servers[&h], s, prices)?)));
--- a/crates/micadyke/src/interface.rs
+++ b/crates/micadyke/src/interface.rs
@@ -154,6 +154,8 @@
     pub max_come_back: Nanos,
     /// Price of crossing zones with every session, as a share of all worth.
     pub cross_price: f64,
+    /// Price of a new connection with every session, as a share of all worth.
+    pub handshake_price: f64,
     /// A subscribed front must have asked within this time.
     pub ask_within: Nanos,
     /// A started server is warm after this at the latest.
@@ -253,6 +255,18 @@
     NotSent,
 }
 
+/// Whether this front has a way to a server, as far as its own connections tell.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// A connection is up.
+    Open,
+    /// None is up: the next set-up brings a handshake. Where nothing is ever told, all servers count alike.
+    #[default]
+    Closed,
+    /// Calls there did not come up: the next set-up would wait for one in vain, or meet a new process.
+    Lost,
+}
+
 /// What a note on a playing session tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoteKind {
@@ -276,6 +290,13 @@
         /// Its entries.
         entries: Vec<ServerEntry>,
     },
+    /// The way to a server has changed.
+    Reach {
+        /// Which server.
+        server: ServerId,
+        /// What it is now.
+        reach: Reach,
+    },
     /// A viewer wants a session.
     Request(SessionRequest),
     /// A session that already plays is handed over; it counts as attempt 0.
@@ -429,6 +450,7 @@
             ("full_from", s.full_from),
             ("change_cost_s", s.change_cost_s),
             ("cross_price", s.cross_price),
+            ("handshake_price", s.handshake_price),
             ("cold_from", s.cold_from),
             ("fall_multiple", s.fall_multiple),
             ("retry_budget.spare", s.retry_budget.map_or(0.0, |b| b.spare)),
--- a/crates/micadyke/tests/failures.rs
+++ b/crates/micadyke/tests/failures.rs
@@ -519,3 +519,39 @@
     f.tick();
     assert!(sent(&f.request(3, 0, "a")).is_some(), "the others have stepped down as this front would");
 }
+
+#[test]
+fn a_handshake_counts_by_its_price() {
+    // Where one connection is up: how many of forty set-ups, one at a time, go there.
+    let there = |price: f64| {
+        let mut f =
+            Front::new(Settings { handshake_price: price, ..settings(vec![class(IDEMPOTENT, 0, 0)]) }, 8);
+        f.feed(Event::Reach { server: ServerId(5), reach: Reach::Open });
+        let mut go = |id| {
+            let to = sent(&f.request(id, 0, "a")).expect("sent").0;
+            f.end(id, to, Outcome::Served, true);
+            to
+        };
+        (1..=40).filter(|id| go(*id) == ServerId(5)).count()
+    };
+    assert_eq!(there(0.08), 40);
+    assert!(there(0.0) < 20, "{}", there(0.0));
+}
+
+#[test]
+fn a_server_that_was_out_of_reach_is_tried_last_and_comes_back_cold() {
+    let mut f = Front::new(settings(vec![class(IDEMPOTENT, 0, 0)]), 2);
+    f.feed(Event::Reach { server: ServerId(0), reach: Reach::Lost });
+    for id in 1..=6 {
+        assert_eq!(sent(&f.request(id, 0, "a")).map(|s| s.0), Some(ServerId(1)));
+    }
+    // Nobody else is left: it is tried, and what it may bear after a start is not passed, told of a start or not.
+    let entries = vec![entry(1, ServerState::Draining, 0)];
+    f.feed(Event::List { kind: ListKind::Delta, entries });
+    f.feed(Event::Reach { server: ServerId(0), reach: Reach::Closed });
+    let sends = (11..=30).filter(|id| sent(&f.request(*id, 0, "a")).is_some()).count();
+    assert_eq!(
+        sends, 1,
+        "its pace is 0.67 a second, three times that for 2 s, of which a front of two has 1.6"
+    );
+}
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -51,6 +51,18 @@
 /// Pause between such calls.
 pub const CALL_PAUSE: Nanos = 300 * MS;
 
+/// First span for which set-ups stay away from a server whose call did not come up: each that tries waits a whole
+/// connect time-out for it, and a node of hundreds sees too few set-ups to learn much from one more.
+const LOST: Nanos = SECOND;
+/// Longest such span: the list tells of a return within seconds.
+const LOST_MOST: Nanos = 4 * SECOND;
+
+/// How long set-ups stay away from a server after `calls` in a row that did not come up. Where the last was refused, a
+/// machine is there, and its process may be back at once.
+pub fn lost_for(calls: u32, refused: bool) -> Nanos {
+    if refused { CALL_PAUSE } else { (LOST << calls.saturating_sub(1).min(8)).min(LOST_MOST) }
+}
+
 // ----- at the door
 
 /// Connections of viewers at most, as a part of the descriptors: usual viewers hold a third at most.
@@ -234,6 +246,15 @@
         }
     }
 
+    #[test]
+    fn set_ups_stay_away_for_longer_after_each_call_and_come_back_soon_where_a_machine_is() {
+        let table = [(1, false, LOST), (2, false, 2 * LOST), (3, false, LOST_MOST), (99, false, LOST_MOST)];
+        for (calls, refused, span) in table.into_iter().chain([(1, true, CALL_PAUSE), (9, true, CALL_PAUSE)])
+        {
+            assert_eq!(lost_for(calls, refused), span, "{calls} {refused}");
+        }
+    }
+
     #[test]
     fn pauses_of_the_bus_grow_and_stay_short() {
         assert_eq!(bus_pause(0, 1.0), 0);
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -49,6 +49,10 @@
     calls: u32,
     /// Not called before.
     call_at: Nanos,
+    /// Calls did not come up, so that set-ups stay away until then.
+    lost_until: Nanos,
+    /// What the module was last told of the way there.
+    reach: Reach,
 }
 
 impl<D: Decide> Node<D> {
@@ -62,7 +66,17 @@
         }
         let Some(server) = self.servers.get_mut(&id) else {
             let (links, standing, queue) = (Vec::new(), BTreeSet::new(), VecDeque::new());
-            let server = Server { row, links, standing, queue, heard: now, calls: 0, call_at: 0 };
+            let server = Server {
+                row,
+                links,
+                standing,
+                queue,
+                heard: now,
+                calls: 0,
+                call_at: 0,
+                lost_until: 0,
+                reach: Reach::Closed,
+            };
             self.servers.insert(id, server);
             return;
         };
@@ -150,7 +164,7 @@
         let pick = if out_of_reach { care::Pick::None } else { care::pick(&candidates, most, room) };
         let link = match pick {
             care::Pick::Old(i) => usable[i],
-            care::Pick::New => self.connect(to),
+            care::Pick::New => self.connect(to, "set-up"),
             care::Pick::None => {
                 self.count(Outcome::NoConnection);
                 return self.events.push_back(never(Outcome::NoConnection));
@@ -223,12 +237,29 @@
 
     // ----- connections
 
-    fn connect(&mut self, to: ServerId) -> ConnId {
+    /// Tells the module of the way to a server where that has changed: before it hears how attempts there ended.
+    fn tell_reach(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let open = server.links.iter().any(|l| self.links.get(l).is_some_and(|l| l.up && !l.retired));
+        let reach = match open {
+            true => Reach::Open,
+            false if self.now < server.lost_until => Reach::Lost,
+            false => Reach::Closed,
+        };
+        if reach != server.reach {
+            server.reach = reach;
+            self.events.push_back(Event::Reach { server: id, reach });
+        }
+    }
+
+    /// Opens a connection; `why` is for the log.
+    fn connect(&mut self, to: ServerId, why: &'static str) -> ConnId {
         let conn = self.number();
         let now = self.now;
         let timeout = if self.terms.connect_timeout > 0 { self.terms.connect_timeout } else { care::CONNECT };
         let Some(server) = self.servers.get_mut(&to) else { return conn };
         server.links.push(conn);
+        debug!(server = server.row.id, conn = conn.0, why, "a server is called");
         let link = Link {
             server: to,
             up: false,
@@ -253,7 +284,7 @@
         let wanted = !server.standing.is_empty() || !server.queue.is_empty();
         let any = server.links.iter().any(|l| !self.links[l].retired);
         if wanted && !any && server.row.state != ServerState::Gone && self.now >= server.call_at {
-            self.connect(id);
+            self.connect(id, "kept");
         }
     }
 
@@ -264,9 +295,10 @@
         let (id, waiting) = (link.server, link.open.clone());
         let mut queue = VecDeque::new();
         if let Some(server) = self.servers.get_mut(&id) {
-            (server.calls, server.call_at, server.heard) = (0, 0, now);
+            (server.calls, server.call_at, server.heard, server.lost_until) = (0, 0, now, 0);
             queue = std::mem::take(&mut server.queue);
         }
+        self.tell_reach(id);
         queue.into_iter().for_each(|m| self.write_link(conn, &m));
         waiting.into_iter().for_each(|s| self.write_set_up(s));
     }
@@ -282,6 +314,7 @@
     fn drop_link(&mut self, conn: ConnId, outcome: Outcome) {
         let Some(id) = self.links.get(&conn).map(|l| l.server) else { return };
         self.out.push(Output::Close { conn });
+        debug!(conn = conn.0, ?outcome, "a connection to a server is closed");
         self.remove_link(conn, |_| outcome);
         self.keep_link(id);
         self.forget(id);
@@ -298,6 +331,7 @@
         if let Some(server) = self.servers.get_mut(&link.server) {
             server.links.retain(|l| *l != conn);
         }
+        self.tell_reach(link.server);
         for id in link.open {
             let Some(stage) = self.sessions.get(&id).map(|s| s.stage) else { continue };
             self.attempt_ended(id, outcome(&stage));
@@ -312,6 +346,11 @@
         let others = self.servers.get(&id).is_some_and(|s| {
             s.links.iter().any(|l| *l != conn && self.links[l].up && !self.links[l].retired)
         });
+        if let Some(server) = self.servers.get_mut(&id).filter(|_| !up) {
+            server.calls += 1;
+            server.call_at = now + care::CALL_PAUSE;
+            server.lost_until = now + care::lost_for(server.calls, refused);
+        }
         self.remove_link(conn, |stage| match *stage {
             // What the operating system had not taken of it never left.
             Stage::Out { from, .. } if from < written && others => Outcome::Error,
@@ -320,8 +359,13 @@
         });
         let Some(server) = self.servers.get_mut(&id) else { return };
         if !up {
-            server.calls += 1;
-            server.call_at = now + care::CALL_PAUSE;
+            debug!(
+                server = server.row.id,
+                conn = conn.0,
+                refused,
+                calls = server.calls,
+                "a call did not come up"
+            );
             let silent = now >= server.heard + care::QUIET && server.calls >= care::CALLS;
             if (refused && !others) || silent {
                 // Nothing listens there, or nothing has been there for a while: what played there is over.
@@ -555,6 +599,7 @@
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
             self.keep_link(id);
+            self.tell_reach(id);
             let Some(server) = self.servers.get(&id) else { continue };
             let quiet = !server.standing.is_empty() && now >= server.heard + care::QUIET;
             if !quiet {
@@ -570,7 +615,7 @@
                 && self.links.len() < self.most_links
             {
                 // Silent: a call on a new connection tells a process that lives from a machine that has gone.
-                self.connect(id);
+                self.connect(id, "silent");
             }
         }
     }
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -390,6 +390,9 @@
     w.run(2 * SECOND);
     let slow = (1..=40).filter(|id| w.answer(*id).is_none_or(|a| !a.1)).count();
     assert_eq!(slow, 0, "the other server serves them all");
+    // The module hears of it, so that few go there in vain: one more at the end of each span that it is lost for.
+    let in_vain = w.node.counts().ended[3];
+    assert!((1..=3).contains(&in_vain), "{in_vain} of 40 set-ups found no connection");
     kept(&w);
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -199,6 +199,7 @@
         may_advise: truth(v, "permissions.retry_after")?,
         max_come_back: nanos(v, "permissions.max_retry_after_ns")?,
         cross_price: float(v, "penalties.cross_zone")?,
+        handshake_price: float(v, "penalties.handshake")?,
         ask_within: nanos(v, "rules.ask_within_ns")?,
         cold_for: nanos(v, "rules.cold_ns")?,
         cold_from: float(v, "rules.start_capacity")?,
