Books beneath core and both sides: no part of node and front imports another in a circle

Need: core, servers and viewers of the node imported each other, and so did core, media and signalling of the front; a fourth neighbour would have been a fourth knot.

Change: what all of them need lies beneath them, in books.rs (node: sessions, attempts, connections, servers, the node itself) and state.rs (front). Moved, not changed.

--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -10,8 +10,10 @@
 use crate::hints::Ladder;
 use crate::io::{CallId, ConnId, Input, Output, Purpose, Timer};
 use crate::media;
-use crate::seats::{Permitted, Seats};
+use crate::seats::Permitted;
 use crate::session::{Asked, Phase, Session, SettingUp};
+use crate::state::MediaBox;
+pub use crate::state::{Counts, Decide, Front};
 use micadyke::decide::Controller;
 use micadyke::interface::{
     Action, Event, ListKind, Nanos, Outcome, ServerEntry, ServerId, ServerState, SessionId, SettingsError,
@@ -27,87 +29,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The decision module as the core sees it.
-pub trait Decide {
-    /// Takes one event; what is to be done is appended to `out`.
-    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>);
-}
-
-impl Decide for Controller {
-    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
-        Controller::handle(self, now, event, out);
-    }
-}
-
-/// A box as the list names it, and the sessions there.
-#[derive(Debug)]
-pub(crate) struct MediaBox {
-    pub row: BoxRow,
-    /// Sessions of WHIP and WHEP.
-    pub playing: BTreeSet<SessionId>,
-    /// Plays over HTTP.
-    pub plays: BTreeSet<SessionId>,
-}
-
-/// Counts of what the front did, since its start.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct Counts {
-    /// Offers taken.
-    pub taken: u64,
-    /// Sessions that came to play.
-    pub played: u64,
-    /// Offers refused by the module.
-    pub refused: u64,
-    /// Offers that failed.
-    pub failed: u64,
-    /// Viewers that left before their answer.
-    pub left: u64,
-    /// Attempts sent.
-    pub attempts: u64,
-    /// Sessions withdrawn at boxes because nobody waited for them.
-    pub withdrawn: u64,
-}
-
-/// The front. See the module's text.
-pub struct Front {
-    pub(crate) config: Rc<Config>,
-    pub(crate) module: Box<dyn Decide>,
-    pub(crate) now: Nanos,
-    pub(crate) random: StdRng,
-    pub(crate) stopping: bool,
-    next_id: u64,
-    events: VecDeque<Event>,
-    actions: Vec<Action>,
-    timers: BinaryHeap<Reverse<(Nanos, u64, Timer)>>,
-    pub(crate) boxes: BTreeMap<ServerId, MediaBox>,
-    pub(crate) sessions: Sessions,
-    pub(crate) calls: Calls,
-    pub(crate) owed: Owed,
-    pub(crate) publications: Publications,
-    pub(crate) visits: Visits,
-    pub(crate) plays: Plays,
-    /// The ladder of each class, as players count it.
-    pub(crate) ladders: Rc<[Ladder]>,
-    /// What checks signed tokens, and the Unix time of the front's time zero, in nanoseconds.
-    pub(crate) entitlements: Option<(Checker, u64)>,
-    /// Seats of the issuer, where the settings name one.
-    pub(crate) seats: Option<Box<Seats>>,
-    pub(crate) counts: Counts,
-    pub(crate) out: Vec<Output>,
-    /// The next attempt goes out without waiting for the last one to close: a front broken on purpose.
-    overlap: bool,
-    /// Questions are told of as they are taken.
-    pub(crate) recording: bool,
-    /// What the list says of a box's state is not heard: a front broken on purpose.
-    deaf: bool,
-}
-
-impl std::fmt::Debug for Front {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Front {{ sessions: {}, calls: {} }}", self.sessions.len(), self.calls.len())
-    }
-}
-
 impl Front {
     /// A front with the decision module; refuses settings that the module refuses.
     pub fn new(config: Rc<Config>, seed: [u8; 32], now: Nanos) -> Result<Self, SettingsError> {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 mod session;
 pub mod shell;
 mod signalling;
+mod state;
 
 pub use crate::core::{Counts, Decide, Front};
 pub use crate::io::{CallId, ConnId, Input, Output, StreamId, Taken};
--- a/crates/front/src/media.rs
+++ b/crates/front/src/media.rs
@@ -11,12 +11,11 @@
 //! ends no later attempt.
 
 use crate::books::{Play, Want};
-use crate::core::Front;
 use crate::endpoint::{SESSION, bearer, not_allowed};
 use crate::hints::Hints;
 use crate::io::{CallId, ConnId, Purpose, Timer};
 use crate::session::{Asked, Phase, Place, Playing, Session};
-use crate::signalling::Wanted;
+use crate::state::{Front, Wanted};
 use micadyke::interface::{Effect, Event, Nanos, Outcome, ServerId, SessionId};
 use micadyke_cmcd::client::{Cmcd, REPORT, Value};
 use micadyke_cmcd::server::{Cmsd, Hop};
--- a/crates/front/src/seating.rs
+++ b/crates/front/src/seating.rs
@@ -1,8 +1,8 @@
 //! What the front does for its seats: [`Deed`]s carried out, in their order.
 
-use crate::core::Front;
 use crate::io::{Output, Purpose};
 use crate::seats::{Deed, Permitted, Seats};
+use crate::state::Front;
 use micadyke::interface::{Event, Nanos, Outcome, ServerId, SessionId, SessionRequest};
 use micadyke_http::client::CallError;
 use micadyke_http::{Method, Response};
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -1,7 +1,6 @@
 //! What requests, answers and events do: the WHIP and WHEP resource towards viewers (RFC 9725, the WHEP draft),
 //! and the client of the boxes' resources.
 
-use crate::core::Front;
 use crate::endpoint::{
     self, ENDPOINT_ALLOW, FRAGMENT, SDP, SESSION, SESSION_ALLOW, Target, bearer, not_allowed,
 };
@@ -9,6 +8,7 @@
 use crate::media;
 use crate::notes;
 use crate::session::{Asked, Patch, Phase, Place, Playing, Reports, Session, SettingUp};
+use crate::state::{Front, Wanted};
 use micadyke::interface::{
     ClassId, Event, Nanos, NoteKind, Outcome, Rung, ServerId, SessionId, SessionRequest, TitleId,
 };
@@ -34,24 +34,6 @@
 const WITHDRAWALS: u8 = 3;
 const SECOND: Nanos = 1_000_000_000;
 
-/// A session that a viewer wants, checked and ready to be placed.
-pub(crate) struct Wanted {
-    pub route: usize,
-    pub title: Arc<str>,
-    /// Media section whose layers are chosen.
-    pub media: Box<str>,
-    /// The highest rung that the viewer can use.
-    pub top: Rung,
-    /// It waits so long for its answer.
-    pub patience: Nanos,
-    /// Equal for equal viewers of equal titles.
-    pub visitor: u64,
-    pub place: Title,
-    /// Random name of its resource.
-    pub name: u128,
-    pub asked: Asked,
-}
-
 impl Front {
     // ----- requests of viewers
 
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,23 +1,23 @@
 //! The state machine: the books of sessions, attempts, connections and the list, and the turn in which the module
 //! decides. No I/O and no clock: inputs and the time in, outputs out.
 
+use crate::books::{Due, Node, Stage};
 use crate::bus::{Follower, Step};
 use crate::care::{self, SECOND};
 use crate::config::Config;
 use crate::io::{ConnId, Input, Output};
 use crate::list::{Change, Numbers, Row, entry};
-use crate::servers::{Link, Server};
-use crate::viewers::Viewer;
 use micadyke::interface::*;
 use micadyke_front::core::Decide;
 use micadyke_isup as isup;
-use micadyke_settings::{Names, Terms};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{info, warn};
 
+pub use crate::books::{Counts, cause};
+
 /// Connections, half messages, silence and releases are looked after so often.
 const TIDY: Nanos = 100 * care::MS;
 /// A stopping node serves on for this long: connections and set-ups still arrive.
@@ -27,134 +27,6 @@
 /// Releases kept for lack of a connection at most; the oldest is dropped for a newer one.
 const RELEASES: usize = 4096;
 
-/// Causes of releases that the node words itself (ITU-T Q.850).
-pub mod cause {
-    /// Refused: trying again is harmless.
-    pub const REFUSED: u8 = 42;
-    /// Failed.
-    pub const FAILED: u8 = 41;
-    /// A set-up is given up.
-    pub const GIVEN_UP: u8 = 16;
-    /// A set-up makes no sense.
-    pub const UNSOUND: u8 = 111;
-}
-
-/// Where a session stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Stage {
-    /// No attempt is out.
-    New,
-    /// An attempt waits for its connection; nothing was written.
-    Waiting { server: ServerId, link: ConnId },
-    /// An attempt was written; `from` is where it begins among the bytes of its connection.
-    Out { server: ServerId, link: ConnId, from: u64, at: Nanos },
-    /// It plays since then; 0: since before the node knew of it.
-    Standing { server: ServerId, link: Option<ConnId>, since: Nanos },
-}
-
-#[derive(Debug)]
-pub(crate) struct Session {
-    pub class: ClassId,
-    pub title: TitleId,
-    pub description: Vec<u8>,
-    pub viewer: ConnId,
-    pub rung: Option<Rung>,
-    /// Number of the attempt, so that an old attempt's timer is told from a new one's.
-    pub attempt: u32,
-    /// When the attempt is given up.
-    pub due: Nanos,
-    pub stage: Stage,
-    /// Notes that came ahead of the answer, the last of each kind.
-    pub early: Vec<(NoteKind, f64)>,
-}
-
-impl Session {
-    /// A session that came by a viewer's connection, nothing yet known to be done about it.
-    pub(crate) fn new(wish: &SessionRequest, viewer: ConnId, stage: Stage) -> Self {
-        Session {
-            class: wish.class,
-            title: wish.title.clone(),
-            description: Vec::new(),
-            viewer,
-            rung: None,
-            attempt: 0,
-            due: wish.give_up_at,
-            stage,
-            early: Vec::new(),
-        }
-    }
-}
-
-/// What a timer was set for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Due {
-    Module(u64),
-    Attempt(SessionId, u32),
-    Connect(ConnId),
-    Tidy,
-}
-
-/// Counts since the node's start.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct Counts {
-    /// Set-ups taken.
-    pub taken: u64,
-    /// Answered: the session stands.
-    pub answered: u64,
-    /// Refused by the module.
-    pub refused: u64,
-    /// Failed by the module.
-    pub failed: u64,
-    /// Given up by viewers.
-    pub given_up: u64,
-    /// Turned away at the door: too many open on a connection.
-    pub turned_away: u64,
-    /// Messages that could not be read or made no sense.
-    pub unsound: u64,
-    /// Attempts written to servers.
-    pub attempts: u64,
-    /// Attempts that ended without an answer, by outcome: error, full, timed out, no connection, reset, cancelled,
-    /// not sent.
-    pub ended: [u64; 7],
-    /// Connections of viewers closed by the node.
-    pub closed: u64,
-    /// Connections to servers opened.
-    pub links: u64,
-    /// Servers found gone while sessions stood there.
-    pub lost_servers: u64,
-}
-
-/// A front node.
-#[derive(Debug)]
-pub struct Node<D> {
-    pub(crate) decide: D,
-    pub(crate) names: Names,
-    pub(crate) terms: Terms,
-    pub(crate) cells: u32,
-    pub(crate) rungs: usize,
-    pub(crate) now: Nanos,
-    random: StdRng,
-    pub(crate) out: Vec<Output>,
-    pub(crate) events: VecDeque<Event>,
-    timers: BTreeMap<(Nanos, u64), Due>,
-    timer: u64,
-    conn: u64,
-    pub(crate) viewers: BTreeMap<ConnId, Viewer>,
-    pub(crate) links: BTreeMap<ConnId, Link>,
-    pub(crate) servers: BTreeMap<ServerId, Server>,
-    pub(crate) numbers: Numbers,
-    pub(crate) sessions: BTreeMap<SessionId, Session>,
-    /// Releases that no connection could take: since when, and the message.
-    pub(crate) releases: VecDeque<(Nanos, isup::Message)>,
-    pub(crate) most_viewers: usize,
-    pub(crate) most_links: usize,
-    follower: Follower,
-    stopping: Option<Nanos>,
-    ready: bool,
-    pub(crate) counts: Counts,
-    told_at: Nanos,
-}
-
 impl<D: Decide> Node<D> {
     /// A node with its module; `now` is Unix time.
     pub fn new(config: &Config, decide: D, now: Nanos) -> Self {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! used, what is taken at the door. [`shell`] is the tokio layer around it: one thread, tasks of a `LocalSet`, no locks.
 #![warn(missing_docs)]
 
+mod books;
 pub mod bus;
 pub mod care;
 pub mod config;
@@ -16,6 +17,6 @@
 pub mod shell;
 mod viewers;
 
-pub use crate::core::{Counts, Node};
+pub use crate::books::{Counts, Node};
 pub use crate::io::{ConnId, Input, Output};
 pub use micadyke_front::core::Decide;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,7 +1,7 @@
 //! Servers: connections, attempts, notes, and whether a server lives.
 
+use crate::books::{Due, Link, Node, Server, Session, Stage, cause};
 use crate::care;
-use crate::core::{Due, Node, Session, Stage, cause};
 use crate::io::{ConnId, Output};
 use crate::list::Row;
 use micadyke::interface::*;
@@ -14,47 +14,6 @@
 /// Messages that wait for a connection to a server at most; the oldest is dropped for a newer one.
 const QUEUE: usize = 256;
 
-/// A connection to a server.
-#[derive(Debug)]
-pub(crate) struct Link {
-    server: ServerId,
-    up: bool,
-    parser: Parser,
-    /// Attempts that wait for it, or are out on it.
-    pub open: BTreeSet<SessionId>,
-    /// Bytes handed over for writing.
-    sent: u64,
-    /// When something last came.
-    heard: Nanos,
-    /// When it was last of use.
-    pub used: Nanos,
-    /// Since when half a message has waited for its rest.
-    half: Option<Nanos>,
-    /// An attempt on it went without an answer: nothing new goes out on it.
-    retired: bool,
-}
-
-/// A server as the list names it, and what is known of it.
-#[derive(Debug)]
-pub(crate) struct Server {
-    pub row: Row,
-    pub links: Vec<ConnId>,
-    /// Sessions that play there.
-    pub standing: BTreeSet<SessionId>,
-    /// Messages that wait for a connection.
-    queue: VecDeque<Message>,
-    /// When it last showed that it lives.
-    heard: Nanos,
-    /// Calls in a row that did not come up.
-    calls: u32,
-    /// Not called before.
-    call_at: Nanos,
-    /// Calls did not come up, so that set-ups stay away until then.
-    lost_until: Nanos,
-    /// What the module was last told of the way there.
-    reach: Reach,
-}
-
 impl<D: Decide> Node<D> {
     // ----- the list
 
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -3,9 +3,9 @@
 //! Everything runs on one thread, as tasks of a `LocalSet`. A task that brings an input calls [`Shell::feed`], which
 //! hands it to the core with one reading of the clock and carries the outputs out before it returns.
 
+use crate::books::{Counts, Node};
 use crate::care;
 use crate::config::{Config, LONGEST, read};
-use crate::core::{Counts, Node};
 use crate::io::{ConnId, Input, Output};
 use micadyke::interface::Nanos;
 use micadyke_front::core::Decide;
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,7 +1,7 @@
 //! Viewers: what is taken at the door, what is owed to whom.
 
+use crate::books::{Node, Session, Stage, Viewer, cause};
 use crate::care;
-use crate::core::{Node, Session, Stage, cause};
 use crate::io::{ConnId, Output};
 use micadyke::interface::*;
 use micadyke_front::core::Decide;
@@ -10,39 +10,6 @@
 use std::collections::BTreeSet;
 use tracing::debug;
 
-/// A viewer's connection.
-#[derive(Debug)]
-pub(crate) struct Viewer {
-    parser: Parser,
-    /// Set-ups that came on it and are owed an answer.
-    pub open: BTreeSet<SessionId>,
-    since: Nanos,
-    /// When it last sent a sound message, or connected.
-    pub last: Nanos,
-    /// It has sent a sound message.
-    spoke: bool,
-    /// A session that came by it has stood.
-    pub proven: bool,
-    /// Sessions that came by it and stand.
-    pub standing: usize,
-    /// Unsound messages so far.
-    pub unsound: u32,
-    /// Since when half a message has waited for its rest.
-    half: Option<Nanos>,
-}
-
-impl Viewer {
-    pub(crate) fn bearer(&self) -> care::Bearer {
-        let (standing, proven, unsound) = (self.standing, self.proven, self.unsound > 0);
-        care::Bearer { standing, proven, unsound, last: self.last }
-    }
-
-    /// A session that came by it stands.
-    pub(crate) fn stood(&mut self) {
-        (self.proven, self.standing) = (true, self.standing + 1);
-    }
-}
-
 /// A sound set-up.
 #[derive(Debug)]
 struct SetUp {
