Nodes hand on drains and findings of servers: a node without the bus drains what others heard

Need: each node finds out alone that a server is dead, and one cut off from the event bus sends to servers that its neighbours know to be draining.

Change: news.rs in membership (age on everything, bounded board, told at once to three and again as often as the fleet's size asks for); others.rs in node. A drain of a later version of the list than one's own counts as heard, until the own list gets there; half of the servers at most may drain by hearsay. A finding (silent, refused, anew) makes a node look on a connection of its own, four looks a second at most; neither ends a session. The node tells only where it was given others: not under `run`.

Seen: forty members all hear within 3 s, also with a fifth of the datagrams lost; on processes, two of four nodes without the bus send nothing to a server that drains, and the same check fails where they know nothing of each other.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,6 @@
 //! What each command does.
 
-use crate::members::{Member, with_member};
+use crate::members::{Member, Neighbours, with_member};
 use micadyke::decide::Controller;
 use micadyke::interface::ServerState;
 use micadyke_client::net::Client;
@@ -117,9 +117,8 @@
     settings.check().map_err(|e| format!("{}: settings: {e}", path.display()))?;
     let module = move |now| Controller::new(settings, seed, now).expect("settings were checked");
     let member = membership.map(|file| Member::load(file, Some(&config.name))).transpose()?;
-    let (told, parts) = tokio::sync::watch::channel(None);
-    let parts = member.as_ref().is_some_and(Member::shares).then_some(parts);
-    run(with_member(member, Some(told), micadyke_node::shell::run(path, config, module, parts)))???;
+    let (neighbours, others) = crate::members::others(member.as_ref());
+    run(with_member(member, neighbours, micadyke_node::shell::run(path, config, module, others)))???;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -147,7 +146,7 @@
     let questions = record.map(|path| Questions::append(path).map_err(at(path))).transpose()?;
     let extras = Extras { seats, bound, entitlements, questions };
     let member = membership.map(|file| Member::load(file, None)).transpose()?;
-    run(with_member(member, None, async {
+    run(with_member(member, Neighbours::default(), async {
         let (listener, addr) = listen(addr.unwrap_or(config.listen)).await?;
         ready(addr)?;
         serve_until_signalled(listener, config, source, extras).await
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -4,16 +4,17 @@
 use micadyke_config::sexp;
 use micadyke_config::units::{Unit, quantity};
 use micadyke_membership::frame::{KEY, Seal};
+use micadyke_membership::news::News;
 use micadyke_membership::status::{Row, Summary};
 use micadyke_membership::{Change, Settings, shell};
-use micadyke_node::shell::Part;
+use micadyke_node::shell::{Others, Part};
 use serde_json::{Value, json};
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// Settings and key of a member.
 pub struct Member {
@@ -34,34 +35,55 @@
     }
 }
 
-impl Member {
-    /// Whether it shares out a budget with the others.
-    pub fn shares(&self) -> bool {
-        self.settings.shares.is_some()
-    }
-}
-
 /// Whether a file holds settings of membership.
 pub fn is_membership(file: &Path) -> bool {
     let nodes = std::fs::read_to_string(file).ok().and_then(|t| sexp::read(&t).ok()).unwrap_or_default();
     nodes.first().and_then(|n| n.list()?.first()?.atom()) == Some("membership")
 }
 
+/// A member's side of what it and a node tell each other.
+#[derive(Default)]
+pub struct Neighbours {
+    parts: Option<watch::Sender<Option<Part>>>,
+    heard: Option<mpsc::Sender<News>>,
+    tell: Option<mpsc::Receiver<News>>,
+}
+
+/// Pieces of news that wait between member and node; more are lost, as datagrams may be.
+const NEWS: usize = 256;
+
+/// Both sides of what a member and a node tell each other; none where there is no member.
+pub fn others(member: Option<&Member>) -> (Neighbours, Option<Others>) {
+    let Some(member) = member else { return (Neighbours::default(), None) };
+    let (part, parts) = watch::channel(None);
+    let (told, heard) = mpsc::channel(NEWS);
+    let (tell, news) = mpsc::channel(NEWS);
+    let shares = member.settings.shares.is_some();
+    let neighbours = Neighbours { parts: Some(part), heard: Some(told), tell: Some(news) };
+    (neighbours, Some(Others { parts: shares.then_some(parts), heard, tell }))
+}
+
 /// Runs a member beside `work`, where one is to run: it takes its leave when the work is over. Where it cannot listen,
-/// nothing is served. Its part of a common budget goes to `parts`.
+/// nothing is served.
 pub async fn with_member<T>(
-    member: Option<Member>, parts: Option<watch::Sender<Option<Part>>>, work: impl Future<Output = T>,
+    member: Option<Member>, neighbours: Neighbours, work: impl Future<Output = T>,
 ) -> Result<T, Failure> {
     let Some(Member { settings, seal }) = member else { return Ok(work.await) };
     let (stop, stopped) = oneshot::channel();
-    let told = move |change: &Change, zero: Instant| {
-        if let (Change::Part(p), Some(parts)) = (change, &parts) {
+    let Neighbours { parts, heard, tell } = neighbours;
+    let told = move |change: &Change, zero: Instant| match change {
+        Change::Part(p) => {
             // Without a lease there is no end to tell of.
             let until = if p.leased > 0.0 { zero + Duration::from_nanos(p.until) } else { zero };
-            let _ = parts.send(Some(Part { always: p.always, leased: p.leased, until }));
+            let part = Part { always: p.always, leased: p.leased, until };
+            let _ = parts.as_ref().map(|to| to.send(Some(part)));
         }
+        Change::Heard { news, .. } => drop(heard.as_ref().map(|to| to.try_send(news.clone()))),
+        _ => {}
     };
-    let view = tokio::task::spawn_local(shell::run(settings, seal, rand::random(), stopped, told));
+    // Where nobody tells anything, the channel is closed and never heard of.
+    let tell = tell.unwrap_or_else(|| mpsc::channel(1).1);
+    let view = tokio::task::spawn_local(shell::run(settings, seal, rand::random(), tell, stopped, told));
     tokio::pin!(view, work);
     tokio::select! {
         ended = &mut view => {
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -25,7 +25,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
+        for with in ["json", "sexp", "key"] {
+            let _ = std::fs::remove_file(self.config.with_extension(with));
+        }
     }
 }
 
@@ -44,10 +46,26 @@
 }
 
 fn start(name: &str, listen: SocketAddr, bus: SocketAddr, rows: &str) -> Running {
+    start_with(name, listen, bus, rows, None)
+}
+
+fn start_with(
+    name: &str, listen: SocketAddr, bus: SocketAddr, rows: &str, membership: Option<&str>,
+) -> Running {
     let config = std::env::temp_dir().join(format!("micadyke-node-{name}-{}.json", std::process::id()));
     write_config(&config, listen, bus, rows);
+    let membership = membership.map(|text| {
+        std::fs::write(config.with_extension("key"), "a key of the test's own").expect("written");
+        let file = config.with_extension("sexp");
+        let key = config.with_extension("key");
+        let text =
+            format!("(membership (fleet \"t\") (key-file \"{}\") (period 100ms) {text})", key.display());
+        std::fs::write(&file, text).expect("written");
+        ["--membership".into(), file.into_os_string()]
+    });
     let child = Command::new(BINARY)
         .arg("node")
+        .args(membership.into_iter().flatten())
         .env("EDGE_CONFIG", &config)
         .env("EDGE_NAME", "n0")
         .env("EDGE_LISTEN", listen.to_string())
@@ -308,3 +326,67 @@
     assert!(String::from_utf8_lossy(&missing.stderr).contains("EDGE_CONFIG"));
     std::fs::remove_dir_all(&dir).expect("removed");
 }
+
+/// Four nodes, of which two have lost the bus, while a server drains: how many of the set-ups asked at those two reach it
+/// after the others have had their time to say so.
+async fn drained_without_a_bus(members: bool) -> (usize, Vec<String>) {
+    let scene = Scene::default();
+    let (a, b) = (server(&scene, "a", 60_000).await, server(&scene, "b", 60_000).await);
+    let rows = format!("{},{}", row(&a, "a", "up"), row(&b, "b", "up"));
+    let bus = Bus::start(vec![(true, rows.clone())]).await.expect("a bus");
+    let at: Vec<SocketAddr> = (0..4)
+        .map(|_| std::net::UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port"))
+        .collect();
+    let nodes: Vec<Running> = (0..4)
+        .map(|i| {
+            let text = format!("(name \"n{i}\") (listen \"{}\") (seeds \"{}\") (expected 4)", at[i], at[0]);
+            let bus = if i < 2 { bus.addr } else { free_port() };
+            let name = format!("bus-{members}-{i}");
+            start_with(&name, free_port(), bus, &rows, members.then_some(text.as_str()))
+        })
+        .collect();
+    if members {
+        let seal =
+            micadyke_membership::frame::Seal::new("t", b"a key of the test's own").expect("long enough");
+        for at in &at {
+            let limit = Duration::from_secs(10);
+            while micadyke_membership::shell::look(*at, &seal, limit)
+                .await
+                .is_ok_and(|v| v.0.unsettled.is_some())
+            {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+    let mut viewers = Vec::new();
+    for node in &nodes[2..] {
+        let mut v = Viewer::connect(node.listen).await;
+        assert_eq!(v.test().await, Some(1));
+        viewers.push(v);
+    }
+    while bus.calls.borrow().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    bus.tell(false, &row(&b, "b", "draining"));
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    scene.note(Seen::Told { server: "b".into() });
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for id in 0..40 {
+        let said = viewers[id as usize % 2].ask(&scene, 1000 + id, "free").await;
+        assert_eq!(said.kind, kind::ANSWER);
+    }
+    let there = |s: &Seen| matches!(s, Seen::Sent { id, server, .. } if *id >= 1000 && server == "b");
+    let reached = scene.record.borrow().iter().filter(|r| there(&r.1)).count();
+    let broken = verdict(&scene.record.borrow(), scene.now());
+    (reached, broken.into_iter().filter(|b| !b.contains("not released")).collect())
+}
+
+#[test]
+fn a_node_without_the_bus_drains_what_its_neighbours_heard_is_draining() {
+    on_one_thread(async {
+        assert_eq!(drained_without_a_bus(true).await, (0, vec![]));
+        // Seen to fail where they know nothing of each other.
+        let (reached, broken) = drained_without_a_bus(false).await;
+        assert!(reached > 0 && !broken.is_empty(), "{reached} {broken:?}");
+    });
+}
--- a/crates/membership/src/frame.rs
+++ b/crates/membership/src/frame.rs
@@ -45,6 +45,8 @@
         /// At this incarnation.
         incarnation: u16,
     },
+    /// News of servers is in the payload.
+    News,
     /// A word about shares is in the payload.
     Share,
     /// A page of the view is asked for; by people's tools, which are no members.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod frame;
 mod identity;
+pub mod news;
 pub mod settings;
 pub mod share;
 pub mod shell;
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -2,6 +2,7 @@
 
 use crate::frame::{LONGEST, Seal};
 use crate::identity::Member;
+use crate::news::News;
 use crate::settings::Settings;
 use crate::status::{self, Page, Row, Summary};
 use crate::view::{Change, Input, Output, View};
@@ -24,14 +25,14 @@
 const PAGES: u16 = 1024;
 
 /// Runs a member until `stop` is told or dropped; then it takes its leave. Changes go to `told`, in order, with the
-/// moment from which the view's time counts.
+/// moment from which the view's time counts; what `news` brings is told to the others.
 ///
 /// # Errors
 ///
 /// Where it cannot listen.
 pub async fn run(
-    settings: Settings, seal: Seal, seed: u64, mut stop: oneshot::Receiver<()>,
-    mut told: impl FnMut(&Change, Instant),
+    settings: Settings, seal: Seal, seed: u64, mut news: mpsc::Receiver<News>,
+    mut stop: oneshot::Receiver<()>, mut told: impl FnMut(&Change, Instant),
 ) -> Result<(), String> {
     let listen = settings.listen;
     let socket =
@@ -60,6 +61,7 @@
             Some((name, called)) = proofs.recv() => {
                 view.handle(now(), Input::Refused { name: &name, called }, &mut out);
             }
+            Some(news) = news.recv() => view.handle(now(), Input::Tell(&news), &mut out),
             () = tokio::time::sleep(span) => {}
         }
         for _ in 0..AT_A_TIME {
@@ -135,6 +137,7 @@
         Change::Superseded { by } => {
             warn!(by, "a later start bears this name: this one is silent until that is gone")
         }
+        Change::Heard { news, age } => tracing::debug!(?news, age_ms = age / crate::MS, "heard of a server"),
         Change::Part(part) => {
             tracing::debug!(
                 share = part.share(),
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -2,6 +2,7 @@
 
 use crate::frame::{Dropped, Head, Kind, LONGEST, OVERHEAD, Seal};
 use crate::identity::Member;
+use crate::news::{Aged, Board, News};
 use crate::settings::Settings;
 use crate::share::{Part, Share, Word};
 use crate::status::{self, Row, Summary};
@@ -66,6 +67,8 @@
     Wake,
     /// This member takes its leave: the others are told, and nothing is sent after that.
     Leave,
+    /// This member found something out that the others should hear.
+    Tell(&'a News),
     /// The machine of this member refused the call that [`Output::Prove`] asked for.
     Refused {
         /// The member.
@@ -119,6 +122,13 @@
         /// The later start.
         by: u64,
     },
+    /// Another member tells of a server; it is this old.
+    Heard {
+        /// What.
+        news: News,
+        /// Its age.
+        age: Nanos,
+    },
     /// The part of the common budget that this member may use is another one.
     Part(Part),
     /// All that was heard agrees, and nothing changed for a while.
@@ -236,6 +246,9 @@
     share: Option<Share>,
     part: Option<Part>,
     round_at: Nanos,
+    board: Board,
+    /// News is handed on again then.
+    news_at: Nanos,
     /// Bytes that may be sent now, and when that was reckoned.
     room: (u64, Nanos),
     counts: Counts,
@@ -302,6 +315,8 @@
             share,
             part: None,
             round_at: now,
+            board: Board::default(),
+            news_at: Nanos::MAX,
             room: (BURST, now),
             settings,
             seal,
@@ -374,7 +389,7 @@
                 let round = if self.share.is_some() { self.round_at } else { Nanos::MAX };
                 let lapse = self.part.map_or(Nanos::MAX, |p| p.until);
                 let timer = self.timers.first_key_value().map_or(Nanos::MAX, |(k, _)| k.0);
-                timer.min(self.call_at).min(round).min(lapse)
+                timer.min(self.call_at).min(round).min(lapse).min(self.news_at)
             }
         }
     }
@@ -390,6 +405,11 @@
                 Input::Datagram { from, bytes } => self.datagram(from, bytes),
                 Input::Wake => self.wake(),
                 Input::Leave => self.leave(),
+                Input::Tell(news) => {
+                    if self.board.take(self.now, news.clone(), 0) {
+                        self.hand_on();
+                    }
+                }
                 Input::Refused { name, called } => {
                     let words = self.share.as_mut().map(|s| s.refused(now, name, called));
                     self.say(words.unwrap_or_default());
@@ -439,6 +459,48 @@
         if self.now >= self.round_at {
             self.round();
         }
+        if self.now >= self.news_at {
+            self.hand_on();
+        }
+    }
+
+    // ----- news of servers
+
+    /// Hands news on to a few that live, at once when it is new and then with each round of updates until it was told often
+    /// enough for all to have heard.
+    fn hand_on(&mut self) {
+        let most = u32::from(swim_config(&self.settings).max_transmissions.get());
+        let living: Vec<SocketAddr> =
+            self.known.values().filter(|k| k.active).map(|k| k.member.addr).collect();
+        let to: Vec<SocketAddr> = living.sample(&mut self.random, GOSSIP).copied().collect();
+        let news =
+            if to.is_empty() { Vec::new() } else { self.board.hand_on(self.now, most, to.len() as u32) };
+        self.news_at = Nanos::MAX;
+        if let Ok(payload) = postcard::to_allocvec(&news)
+            && !news.is_empty()
+        {
+            self.news_at =
+                self.now + self.settings.period * u64::from(GOSSIP_PART.0) / u64::from(GOSSIP_PART.1);
+            to.into_iter().for_each(|to| self.send(to, Kind::News, &payload));
+        }
+    }
+
+    fn hear(&mut self, payload: &[u8]) {
+        let Ok(all) = postcard::from_bytes::<Vec<Aged>>(payload) else {
+            self.counts.dropped[5] += 1;
+            return;
+        };
+        let mut new = false;
+        for (news, age) in all {
+            let age = u64::from(age) * MS;
+            if self.board.take(self.now, news.clone(), age) {
+                new = true;
+                self.out.push(Output::Told(Change::Heard { news, age }));
+            }
+        }
+        if new {
+            self.hand_on();
+        }
     }
 
     // ----- shares
@@ -706,6 +768,7 @@
                 }
                 self.carry_out();
             }
+            Kind::News if self.stand == Stand::In => self.hear(payload),
             Kind::Share if self.stand == Stand::In => match postcard::from_bytes(payload) {
                 Ok(word) => {
                     let (now, from) = (self.now, head.sender.name.clone());
@@ -734,7 +797,12 @@
                     self.outranked(by, false);
                 }
             }
-            Kind::Swim | Kind::Suspected { .. } | Kind::Share | Kind::Ask { .. } | Kind::Page => {}
+            Kind::Swim
+            | Kind::Suspected { .. }
+            | Kind::News
+            | Kind::Share
+            | Kind::Ask { .. }
+            | Kind::Page => {}
         }
     }
 
--- a/crates/membership/tests/settles.rs
+++ b/crates/membership/tests/settles.rs
@@ -285,3 +285,39 @@
     let scripts = std::env::var("MICADYKE_SCRIPTS").ok().and_then(|n| n.parse().ok()).unwrap_or(24);
     (0..scripts).for_each(|seed| script(1000 + seed, 5 + (seed as usize % 6), 12));
 }
+
+#[test]
+fn news_of_servers_reaches_all_soon_with_its_age_and_is_forgotten() {
+    use micadyke_membership::news::{Board, Finding, MOST, News, OLD};
+    for (loss, n) in [(0.0, 40), (0.2, 40)] {
+        let mut w = World::settled(15, n);
+        w.loss = loss;
+        let drain = |version| News::Drain { server: "s-1".into(), version };
+        w.tell(3, &drain(7));
+        w.run(3 * SECOND);
+        w.tell(9, &drain(6));
+        w.run(SECOND);
+        let heard: Vec<_> = w
+            .told
+            .iter()
+            .filter_map(|t| match &t.2 {
+                Change::Heard { news, age } => Some((t.1, news.clone(), *age)),
+                _ => None,
+            })
+            .collect();
+        // Everybody once, the older version nobody; an age within what it took.
+        assert_eq!(heard.len(), n - 1, "{loss}");
+        assert!(heard.iter().all(|h| h.1 == drain(7) && h.2 < 3 * SECOND));
+    }
+    // The board: bounded, a finding again after a while, old news is none.
+    let found = |n: usize| News::Found { server: format!("s-{n}"), what: Finding::Silent };
+    let mut b = Board::default();
+    assert!((0..2 * MOST).all(|n| b.take(20 * SECOND, found(n), 0)) && b.len() == MOST);
+    assert!(!b.take(20 * SECOND, found(2 * MOST - 1), 0) && b.take(22 * SECOND, found(2 * MOST - 1), 0));
+    assert!(
+        !b.take(22 * SECOND, found(1), OLD + 1)
+            && !b.take(22 * SECOND, News::Drain { server: String::new(), version: 1 }, 0)
+    );
+    assert!(b.hand_on(22 * SECOND, 3, 3).iter().all(|n| n.1 <= 2000));
+    assert!(b.hand_on(40 * SECOND, 3, 3).is_empty());
+}
--- a/crates/membership/tests/world/mod.rs
+++ b/crates/membership/tests/world/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use micadyke_membership::frame::Seal;
+use micadyke_membership::news::News;
 use micadyke_membership::share::{Part, Terms};
 use micadyke_membership::{Change, Input, MS, Member, Nanos, Output, SECOND, Settings, View};
 use rand::rngs::StdRng;
@@ -140,6 +141,12 @@
         self.feed(n, None);
     }
 
+    pub fn tell(&mut self, n: usize, news: &News) {
+        let (mut out, now) = (Vec::new(), self.now);
+        self.processes.get_mut(&n).expect("it runs").view.handle(now, Input::Tell(news), &mut out);
+        self.carry_out(n, out);
+    }
+
     pub fn kill(&mut self, n: usize) {
         if let Some(p) = self.processes.remove(&n) {
             self.at.remove(&p.at);
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -134,6 +134,14 @@
     pub(crate) most_viewers: usize,
     pub(crate) most_links: usize,
     pub(crate) follower: Follower,
+    /// There are other nodes to tell, and to hear of.
+    pub(crate) others: bool,
+    /// The version of the list.
+    pub(crate) version: u64,
+    /// Servers that take nothing new by what others say alone, and the version of the list that said so.
+    pub(crate) hearsay: BTreeMap<ServerId, u64>,
+    /// Looks at servers for what others found: how many are left, as of then.
+    pub(crate) looks: (f64, Nanos),
     pub(crate) stopping: Option<Nanos>,
     pub(crate) ready: bool,
     pub(crate) counts: Counts,
@@ -177,6 +185,8 @@
     pub(crate) call_at: Nanos,
     /// Calls did not come up, so that set-ups stay away until then.
     pub(crate) lost_until: Nanos,
+    /// Its state is by what others say alone.
+    pub(crate) hearsay: bool,
     /// What the module was last told of the way there.
     pub(crate) reach: Reach,
 }
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -63,6 +63,25 @@
     if refused { CALL_PAUSE } else { (LOST << calls.saturating_sub(1).min(8)).min(LOST_MOST) }
 }
 
+// ----- what other nodes say
+
+/// A server that said something within this time needs no look for what others found.
+pub const LOOK: Nanos = SECOND;
+/// Looks a second for what others found, at most: a liar, or one with a broken link, costs so many calls and no more.
+pub const LOOKS: f64 = 4.0;
+/// Part of the servers that may drain by hearsay alone.
+const HEARSAY_PART: f64 = 0.5;
+
+/// Servers, of so many, that may drain by hearsay alone.
+pub fn hearsay(ready: usize) -> usize {
+    (ready as f64 * HEARSAY_PART) as usize
+}
+
+/// Looks that are left now, of what was left then.
+pub fn looks((left, at): (f64, Nanos), now: Nanos) -> f64 {
+    (left + now.saturating_sub(at) as f64 / SECOND as f64 * LOOKS).min(LOOKS)
+}
+
 // ----- at the door
 
 /// Connections of viewers at most, as a part of the descriptors: usual viewers hold a third at most.
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -10,6 +10,7 @@
 use micadyke::interface::*;
 use micadyke_front::core::Decide;
 use micadyke_isup as isup;
+use micadyke_membership::news::News;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::btree_map::Entry;
@@ -52,6 +53,10 @@
             releases: VecDeque::new(),
             most_viewers,
             most_links,
+            others: false,
+            version: 0,
+            hearsay: BTreeMap::new(),
+            looks: (care::LOOKS, now),
             follower: Follower::new(config.bus, config.offset, now),
             stopping: None,
             ready: false,
@@ -63,6 +68,11 @@
         node
     }
 
+    /// There are others to tell of servers, and to hear from.
+    pub fn has_others(&mut self) {
+        self.others = true;
+    }
+
     /// What the node did so far.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -120,6 +130,7 @@
                 let until = self.now.saturating_add(span);
                 self.events.push_back(Event::Part { always, leased, until });
             }
+            Input::Heard(news) => self.heard_of(news),
             Input::Stop => {
                 if self.stopping.is_none() {
                     info!(owed = self.held().0, "stopping: what is owed is answered first");
@@ -259,7 +270,8 @@
         }
         let rows: Vec<Row> = rows.into_values().filter(|r| r.state != ServerState::Gone).cloned().collect();
         if !changes.is_empty() {
-            self.change(&Change { offset: 0, full: true, rows }, Some(ListKind::Cached));
+            let version = changes.iter().map(|c| c.version).max().unwrap_or(0);
+            self.change(&Change { offset: 0, version, full: true, rows }, Some(ListKind::Cached));
         }
     }
 
@@ -280,7 +292,14 @@
             gone.into_iter().for_each(|s| self.server_gone(s));
         }
         self.events.push_back(Event::List { kind, entries });
-        rows.into_iter().for_each(|(number, row)| self.server_row(number, row));
+        for (number, row) in rows {
+            if row.state != ServerState::Ready && kind != ListKind::Cached {
+                self.tell_others(News::Drain { server: row.id.clone(), version: change.version });
+            }
+            self.server_row(number, row);
+        }
+        self.version = self.version.max(change.version);
+        self.own_word();
         if !self.ready {
             self.ready = true;
             info!(servers = self.servers.len(), offset = change.offset, "the list stands");
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -1,6 +1,7 @@
 //! What goes into the core and what comes out of it.
 
 use micadyke::interface::Nanos;
+use micadyke_membership::news::News;
 use std::net::SocketAddr;
 
 /// A connection; never used twice. The shell numbers those of viewers, the core all others, so that one side's numbers
@@ -20,6 +21,8 @@
         /// How long.
         span: Nanos,
     },
+    /// Another node tells of a server: see [`Output::Tell`].
+    Heard(&'a News),
     /// A viewer connected.
     ViewerOpened {
         /// Its connection.
@@ -60,6 +63,8 @@
 /// Something to be done.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
+    /// The other nodes should hear this; only where the node was told that there are others ([`crate::Node::has_others`]).
+    Tell(News),
     /// Write to a connection.
     Write {
         /// The connection.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod core;
 pub mod io;
 pub mod list;
+mod others;
 mod servers;
 pub mod shell;
 mod viewers;
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -37,6 +37,8 @@
 pub struct Change {
     /// Its number, from 1.
     pub offset: u64,
+    /// The version of the list that it brings about: the same at all nodes.
+    pub version: u64,
     /// The rows are all there are.
     pub full: bool,
     /// The rows.
@@ -49,8 +51,9 @@
     let topology = &v["topology"];
     if topology.is_null() {
         // Events of another sort are counted and otherwise passed over.
-        return Ok(Change { offset, full: false, rows: Vec::new() });
+        return Ok(Change { offset, version: 0, full: false, rows: Vec::new() });
     }
+    let version = topology["version"].as_u64().unwrap_or(0);
     let full = topology["full"].as_bool().unwrap_or(false);
     let servers = topology["servers"].as_array().ok_or("topology.servers holds no list")?;
     if servers.len() > MOST_SERVERS {
@@ -58,7 +61,7 @@
     }
     let rows = servers.iter().enumerate();
     let rows = rows.map(|(i, r)| row(r).map_err(|e| format!("topology.servers[{i}].{e}")));
-    Ok(Change { offset, full, rows: rows.collect::<Result<_, _>>()? })
+    Ok(Change { offset, version, full, rows: rows.collect::<Result<_, _>>()? })
 }
 
 fn row(v: &Value) -> Result<Row, String> {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -7,6 +7,7 @@
 use micadyke::interface::*;
 use micadyke_front::core::Decide;
 use micadyke_isup as isup;
+use micadyke_membership::news::{Finding, News};
 use micadyke_rtsp::{Message, Parser, Start};
 use std::collections::{BTreeSet, VecDeque};
 use tracing::{debug, info, warn};
@@ -35,6 +36,7 @@
                 call_at: 0,
                 lost_until: 0,
                 reach: Reach::Closed,
+                hearsay: false,
             };
             self.servers.insert(id, server);
             return;
@@ -42,7 +44,8 @@
         let (old, new) = (server.row.started_at, row.started_at);
         let moved = server.row.addr != row.addr;
         let state = row.state;
-        server.row = row;
+        (server.row, server.hearsay) = (row, false);
+        let anew = (new > old).then(|| server.row.id.clone());
         if new > old || moved {
             // Another process: what played at the one before is over. It may be heard of long after the restart.
             let before = |s: &SessionId| match self.sessions.get(s).map(|s| s.stage) {
@@ -58,12 +61,15 @@
         if state != ServerState::Ready {
             self.unsend(id);
         }
+        if let Some(server) = anew {
+            self.tell_others(News::Found { server, what: Finding::Anew });
+        }
     }
 
     /// A server has gone from the list: nothing new is opened to its address, which may soon be another's.
     pub(crate) fn server_gone(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else { return };
-        server.row.state = ServerState::Gone;
+        (server.row.state, server.hearsay) = (ServerState::Gone, false);
         self.unsend(id);
         let Some(server) = self.servers.get(&id) else { return };
         let opening: Vec<ConnId> = server.links.iter().copied().filter(|l| !self.links[l].up).collect();
@@ -72,16 +78,6 @@
         self.forget(id);
     }
 
-    /// Attempts that wait for a connection never leave: the server takes nothing new.
-    fn unsend(&mut self, id: ServerId) {
-        let Some(server) = self.servers.get(&id) else { return };
-        let waiting = server.links.iter().filter_map(|l| self.links.get(l)).flat_map(|l| &l.open);
-        let waits =
-            |s: &&SessionId| matches!(self.sessions.get(s).map(|s| s.stage), Some(Stage::Waiting { .. }));
-        let waiting: Vec<SessionId> = waiting.filter(waits).copied().collect();
-        waiting.into_iter().for_each(|s| self.attempt_ended(s, Outcome::NotSent));
-    }
-
     /// Forgets a server that has gone and holds nothing.
     fn forget(&mut self, id: ServerId) {
         let Some(server) = self.servers.get(&id) else { return };
@@ -212,7 +208,7 @@
     }
 
     /// Opens a connection; `why` is for the log.
-    fn connect(&mut self, to: ServerId, why: &'static str) -> ConnId {
+    pub(crate) fn connect(&mut self, to: ServerId, why: &'static str) -> ConnId {
         let conn = self.number();
         let now = self.now;
         let timeout = if self.terms.connect_timeout > 0 { self.terms.connect_timeout } else { care::CONNECT };
@@ -325,11 +321,15 @@
                 calls = server.calls,
                 "a call did not come up"
             );
+            let found = (refused && !others).then_some(Finding::Refused);
+            let found = found.or((server.calls == care::CALLS).then_some(Finding::Silent));
+            let found = found.map(|what| News::Found { server: server.row.id.clone(), what });
             let silent = now >= server.heard + care::QUIET && server.calls >= care::CALLS;
             if (refused && !others) || silent {
                 // Nothing listens there, or nothing has been there for a while: what played there is over.
                 self.lost(id);
             }
+            found.into_iter().for_each(|f| self.tell_others(f));
         } else {
             debug!(server = server.row.id, others, "a connection to a server broke");
         }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -11,6 +11,7 @@
 use micadyke_front::core::Decide;
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request};
+use micadyke_membership::news::News;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -20,7 +21,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
@@ -94,6 +95,8 @@
     next: Cell<u64>,
     wake: Notify,
     armed: Cell<Nanos>,
+    /// To the other nodes, where there are any.
+    tell: Option<mpsc::Sender<News>>,
 }
 
 /// A node's part of the cold budgets, from whoever shares them out: always, and beyond that until then.
@@ -107,15 +110,24 @@
     pub until: Instant,
 }
 
-/// Runs a node by its configuration until SIGTERM; then answers what it owes and returns. `parts` tells its part of the
-/// cold budgets; without it that goes by the number of fronts in the settings.
+/// The way to the other nodes, by whoever keeps the view of them.
+#[derive(Debug)]
+pub struct Others {
+    /// This node's part of the cold budgets; without it that goes by the number of fronts in the settings.
+    pub parts: Option<watch::Receiver<Option<Part>>>,
+    /// What they tell of servers.
+    pub heard: mpsc::Receiver<News>,
+    /// What this node tells of servers; what does not fit is lost.
+    pub tell: mpsc::Sender<News>,
+}
+
+/// Runs a node by its configuration until SIGTERM; then answers what it owes and returns.
 ///
 /// # Errors
 ///
 /// Where it cannot listen.
 pub async fn run<D: Decide + 'static>(
-    path: PathBuf, config: Config, decide: impl FnOnce(Nanos) -> D,
-    parts: Option<watch::Receiver<Option<Part>>>,
+    path: PathBuf, config: Config, decide: impl FnOnce(Nanos) -> D, others: Option<Others>,
 ) -> Result<Counts, String> {
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let failed = |e: std::io::Error| format!("no signals: {e}");
@@ -123,7 +135,10 @@
     let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
     let hup = signal(SignalKind::hangup()).map_err(failed)?;
     let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
-    let node = Node::new(&config, decide(epoch), epoch);
+    let mut node = Node::new(&config, decide(epoch), epoch);
+    if others.is_some() {
+        node.has_others();
+    }
     let shell = Rc::new(Shell {
         core: RefCell::new(node),
         start: Instant::now(),
@@ -133,12 +148,13 @@
         next: Cell::new(1),
         wake: Notify::new(),
         armed: Cell::new(Nanos::MAX),
+        tell: others.as_ref().map(|o| o.tell.clone()),
     });
     info!(name = config.name, listen = %config.listen, sockets = config.sockets, "serving");
     drop(config);
     let reload = spawn_local(shell.clone().reload(path, hup));
     let timers = spawn_local(shell.clone().timers());
-    let parts = parts.map(|parts| spawn_local(shell.clone().parts(parts)));
+    let others = others.map(|o| spawn_local(shell.clone().others(o.parts, o.heard)));
     shell.feed(Input::Wake);
     let accept = spawn_local(shell.clone().accept(listener));
     tokio::select! {
@@ -158,7 +174,7 @@
     }
     reload.abort();
     timers.abort();
-    parts.into_iter().for_each(|p| p.abort());
+    others.into_iter().for_each(|o| o.abort());
     let counts = shell.core.borrow().counts();
     info!(?counts, "stopped");
     Ok(counts)
@@ -206,6 +222,9 @@
                     c.changed.notify_one();
                 }
             }
+            Output::Tell(news) => {
+                let _ = self.tell.as_ref().map(|t| t.try_send(news));
+            }
             Output::Close { conn } => {
                 let Some(c) = self.conns.borrow_mut().remove(&conn) else { return };
                 c.closing.set(true);
@@ -229,6 +248,18 @@
         }
     }
 
+    /// Hands over what the view of the other nodes brings.
+    async fn others(
+        self: Rc<Self>, parts: Option<watch::Receiver<Option<Part>>>, mut heard: mpsc::Receiver<News>,
+    ) {
+        if let Some(parts) = parts {
+            spawn_local(self.clone().parts(parts));
+        }
+        while let Some(news) = heard.recv().await {
+            self.feed(Input::Heard(&news));
+        }
+    }
+
     async fn parts(self: Rc<Self>, mut parts: watch::Receiver<Option<Part>>) {
         while parts.changed().await.is_ok() {
             let Some(Part { always, leased, until }) = *parts.borrow_and_update() else { continue };
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use micadyke_isup::{Message, code, kind};
+use micadyke_membership::news::{Finding, News};
 use micadyke_node::Input;
 use micadyke_standin::platform::{Seen, Treat};
 use world::*;
@@ -396,6 +397,85 @@
     kept(&w);
 }
 
+// ----- what other nodes say
+
+fn drains(n: usize, version: u64) -> News {
+    News::Drain { server: format!("s-{n}"), version }
+}
+
+/// How many of forty set-ups reach this server.
+fn reached(w: &mut World, v: u64, ids: u64, n: usize) -> usize {
+    for id in ids..ids + 40 {
+        w.ask(v, id, "free", 4000);
+        w.run(20 * MS);
+    }
+    let name = format!("s-{n}");
+    let there = |s: &Seen| matches!(s, Seen::Sent { id, server, .. } if *id >= ids && *server == name);
+    w.record.iter().filter(|r| there(&r.1)).count()
+}
+
+#[test]
+fn a_drain_that_another_node_heard_of_counts_until_the_own_list_speaks() {
+    let (mut w, v) = playing(3, 6);
+    w.node.has_others();
+    let held = w.node.held();
+    w.feed(Input::Heard(&drains(0, 5)));
+    // Rule 3 counts from here, as from a word of the bus.
+    w.record.push((w.now, Seen::Told { server: "s-0".into() }));
+    assert_eq!(reached(&mut w, v, 1000, 0), 0);
+    assert!(w.node.held().1 >= held.1, "no session ended for it");
+    kept(&w);
+    // The own list gets there, and says nothing of it: it was not so. What is older than that is not taken.
+    w.bus(2, false, &row(1, "up", 0));
+    w.bus(3, false, "");
+    w.bus(4, false, "");
+    w.bus(5, false, "");
+    w.run(100 * MS);
+    w.feed(Input::Heard(&drains(0, 5)));
+    assert!(reached(&mut w, v, 2000, 0) > 0);
+}
+
+#[test]
+fn one_that_lies_takes_half_of_the_servers_at_most_and_costs_few_calls() {
+    let (mut w, v) = playing(4, 8);
+    w.node.has_others();
+    (0..4).for_each(|n| w.feed(Input::Heard(&drains(n, u64::MAX))));
+    let used = (0..4).filter(|n| reached(&mut w, v, 1000 * (1 + *n as u64), *n) > 0).count();
+    assert_eq!(used, 2);
+    // Findings without end: some calls a second, and no session ends, for the servers are there.
+    let (mut w, _) = playing(4, 8);
+    w.run(2 * SECOND);
+    let (links, held) = (w.node.counts().links, w.node.held());
+    for i in 0..400 {
+        let what = [Finding::Silent, Finding::Refused, Finding::Anew][i % 3];
+        w.feed(Input::Heard(&News::Found { server: format!("s-{}", i % 4), what }));
+        w.run(5 * MS);
+    }
+    let calls = w.node.counts().links - links;
+    assert!((1..=12).contains(&calls), "{calls} in two seconds");
+    assert_eq!(w.node.held(), held);
+    kept(&w);
+}
+
+#[test]
+fn what_a_node_finds_out_is_told_where_there_are_others_and_only_there() {
+    for others in [false, true] {
+        let (mut w, _) = playing(3, 3);
+        if others {
+            w.node.has_others();
+        }
+        w.drain(2, 0);
+        w.run(50 * MS);
+        w.vanished.insert(server_addr(1));
+        w.run(8 * SECOND);
+        w.bus(3, false, &row(2, "up", START / MS + 9000));
+        w.run(50 * MS);
+        let found = |n: usize, what| News::Found { server: format!("s-{n}"), what };
+        let all = vec![drains(0, 2), found(1, Finding::Silent), found(2, Finding::Anew)];
+        assert_eq!(w.news, if others { all } else { vec![] });
+    }
+}
+
 // ----- the event bus
 
 #[test]
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 use micadyke::decide::Controller;
 use micadyke_isup::{Frame, Message, code, kind};
+use micadyke_membership::news::News;
 use micadyke_node::config::{Config, read};
 use micadyke_node::{ConnId, Input, Node, Output};
 use micadyke_standin::platform::{Act, MediaServer, Record, Seen, Treat, bus_event, verdict};
@@ -78,6 +79,8 @@
     pub now: u64,
     pub node: Node<Controller>,
     pub record: Record,
+    /// What the node would have the others hear.
+    pub news: Vec<News>,
     pub servers: BTreeMap<SocketAddr, MediaServer>,
     /// Nothing listens there.
     pub refusing: BTreeSet<SocketAddr>,
@@ -123,6 +126,7 @@
         World {
             now: START,
             node: Node::new(&config, module, START),
+            news: Vec::new(),
             record: Vec::new(),
             servers: made.collect(),
             refusing: BTreeSet::new(),
@@ -349,6 +353,7 @@
 
     fn carry_out(&mut self, output: Output) {
         match output {
+            Output::Tell(news) => self.news.push(news),
             Output::Write { conn, mut bytes } => {
                 if let Some(link) = self.links.get_mut(&conn.0) {
                     link.2 += bytes.len() as u64;
