A server whose attempts fail counts as fuller: empty bad ones drew set-ups

Cause: `place` in decide.rs sorts by use. A server that answers with errors fills with nothing, so it looks emptier than the others, and since a handshake has its price its open connection drew set-ups as well. One front sees it once or twice a day; three hundred do so each.

Change: a failed attempt (error or no answer) counts as half a link of use until one plays there or trust returns.

--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -50,6 +50,8 @@
 const ROUNDS: u64 = 3;
 /// Proofs that are asked for beyond those that are lacking: not every machine answers.
 const PROOFS: usize = 3;
+/// Looks in a period at whether the view is settled.
+const SETTLE_LOOKS: u64 = 5;
 /// Bytes that may be sent beyond the rate at one time.
 const BURST: u64 = 64 << 10;
 
@@ -241,6 +243,7 @@
     settled: bool,
     /// It was settled once since its start.
     established: bool,
+    settle_at: Nanos,
     stand: Stand,
     /// Where shares are on: this member's side of them, and what was last told.
     share: Option<Share>,
@@ -337,6 +340,7 @@
             changed_at: now,
             settled: false,
             established: false,
+            settle_at: now,
             stand: Stand::In,
             counts: Counts::default(),
             guarded: true,
@@ -889,6 +893,11 @@
 
     /// Tells when the view settles, and when it does so no longer.
     fn settle(&mut self) {
+        // All members are looked through for it: not at each datagram.
+        if self.now < self.settle_at && self.changed_at < self.now {
+            return;
+        }
+        self.settle_at = self.now + self.settings.period / SETTLE_LOOKS;
         let now = self.settled();
         if now.is_ok() != self.settled {
             self.settled = now.is_ok();
--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -46,6 +46,8 @@
 const CROSS: f64 = 1.5;
 /// A handshake likewise; more, for where a connection is up the figures are young as well.
 const CALL: f64 = 3.0;
+/// Use that counts against a server whose last attempt failed: more than holders usually differ by.
+const FAILED: f64 = 0.5;
 /// What counts for a server whose calls do not come up: more than any use, so that it is tried last.
 const LAST: f64 = 1e3;
 /// A playing session steps up only where the higher rung's limit would hold with this much left.
@@ -219,19 +221,27 @@
     told: bool,
     /// Whether there is a way to it.
     reach: Reach,
+    /// When an attempt there last failed; 0: the last one came to play.
+    failed_at: Nanos,
 }
 
 impl Server {
     fn new(entry: ServerEntry) -> Self {
         let (link, cold_since, cold_sends) = (Pool::default(), entry.started_at, VecDeque::new());
         let (gives, reach) = ((1.0, 0), Reach::Closed);
-        Server { entry, link, streams: 0, cold_since, cold_sends, gives, told: false, reach }
+        Server { entry, link, streams: 0, cold_since, cold_sends, gives, told: false, reach, failed_at: 0 }
     }
 
     fn rack(&self, racks: u32) -> u32 {
         self.entry.cell % racks
     }
 
+    /// What counts against it as use for its failures: less as trust returns.
+    fn doubt(&self, now: Nanos) -> f64 {
+        let old = now.saturating_sub(self.failed_at) as f64 / (TRUST * SECOND as f64);
+        if self.failed_at > 0 { FAILED * (1.0 - old).max(0.0) } else { 0.0 }
+    }
+
     /// What it gives now: trust returns over TRUST while no shortfall is heard.
     fn gives(&self, now: Nanos) -> f64 {
         let (low, at) = self.gives;
@@ -764,7 +774,8 @@
                     Reach::Lost => LAST,
                 };
                 let lot = (jitter + n as f64 * 0.618).fract() * HERD;
-                holders.push((self.usage(server) + cross + call + lot, server.entry.server));
+                let doubt = server.doubt(self.now);
+                holders.push((self.usage(server) + cross + call + doubt + lot, server.entry.server));
             }
             holders.sort_by(|a, b| a.0.total_cmp(&b.0));
             choice = holders.iter().find_map(|&(_, h)| Some((h, self.fit(&self.servers[&h], s, prices)?)));
@@ -841,6 +852,8 @@
         let Some(s) = self.sessions.get_mut(&id) else { return };
         (s.playing, s.answered, s.started_at) = (true, true, now);
         s.changed_at = now.saturating_sub(CHANGE_GAP);
+        let server = s.server.and_then(|h| self.servers.get_mut(&h));
+        server.into_iter().for_each(|h| h.failed_at = 0);
     }
 
     fn ended(
@@ -860,6 +873,11 @@
             if outcome == Outcome::Full && self.s.full_from > 0.0 {
                 h.link.hear(self.s.full_from, now);
             }
+            // Guards against a server that answers with errors or not at all: it fills with nothing and so looks
+            // the best of all, the more with its connection up. May hurt where an error was chance.
+            if matches!(outcome, Outcome::Error | Outcome::TimedOut) && !finished {
+                h.failed_at = now;
+            }
             if outcome == Outcome::Reset {
                 // A broken process may come back cold before the list says so.
                 h.cold_since = now;
--- a/crates/micadyke/tests/failures.rs
+++ b/crates/micadyke/tests/failures.rs
@@ -573,3 +573,18 @@
     assert!(sends(Some((0.25, 0.75, SECOND)), SECOND) <= 1);
     assert_eq!(sends(Some((0.7, 0.7, SECOND)), 0), 1, "more than the whole is not taken");
 }
+
+#[test]
+fn a_server_whose_attempts_fail_does_not_look_the_best_for_being_empty() {
+    for outcome in [Outcome::Error, Outcome::TimedOut] {
+        let mut f = Front::new(Settings { handshake_price: 0.08, ..settings(vec![class(IDEMPOTENT, 0, 0)]) }, 4);
+        let bad = sent(&f.request(1, 0, "a")).expect("sent").0;
+        f.feed(Event::Reach { server: bad, reach: Reach::Open });
+        f.end(1, bad, outcome, false);
+        let to: Vec<_> = (2..8).map(|id| sent(&f.request(id, 0, "a")).map(|s| s.0)).collect();
+        assert!(!to.contains(&Some(bad)), "{outcome:?} {to:?}");
+        // Trust returns with time.
+        f.now += 25 * SECOND;
+        assert_eq!(sent(&f.request(20, 0, "a")).map(|s| s.0), Some(bad), "{outcome:?}");
+    }
+}
