--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -873,7 +873,7 @@
             if outcome == Outcome::Full && self.s.full_from > 0.0 {
                 h.link.hear(self.s.full_from, now);
             }
-            // Guards against a server that answers with errors or not at all: it fills with nothing and so looks
+            // Guards against a server that answers with errors or not at all: it fills with nothing and looks
             // the best of all, the more with its connection up. May hurt where an error was chance.
             if matches!(outcome, Outcome::Error | Outcome::TimedOut) && !finished {
                 h.failed_at = now;
--- a/crates/micadyke/tests/failures.rs
+++ b/crates/micadyke/tests/failures.rs
@@ -577,7 +577,8 @@
 #[test]
 fn a_server_whose_attempts_fail_does_not_look_the_best_for_being_empty() {
     for outcome in [Outcome::Error, Outcome::TimedOut] {
-        let mut f = Front::new(Settings { handshake_price: 0.08, ..settings(vec![class(IDEMPOTENT, 0, 0)]) }, 4);
+        let mut f =
+            Front::new(Settings { handshake_price: 0.08, ..settings(vec![class(IDEMPOTENT, 0, 0)]) }, 4);
         let bad = sent(&f.request(1, 0, "a")).expect("sent").0;
         f.feed(Event::Reach { server: bad, reach: Reach::Open });
         f.end(1, bad, outcome, false);
