Members show part and epoch; membership switched on node by node is tested

Need: people have to see which epoch a member holds and its share; a fleet gets membership one node at a time.

Change: `micadyke members` shows the part of cold budgets, its lease and epoch. `(shares ...)` was refused by the settings' reader since it came ('shares' is no part of 'membership'): found by starting processes with it, mended, and the settings have a table of what is read and what is refused.

Seen: three processes hold equal parts of one epoch by what they answer; five processes that get membership one by one agree at each step.

--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -131,6 +131,8 @@
     let (me, c) = (&summary.me, &summary.counts);
     json!({"name": me.name, "start": me.start, "turn": me.turn, "living": summary.living,
         "digest": format!("{:016x}", summary.digest), "settled": summary.unsettled.is_none(), "why_not": summary.unsettled,
+        "part": summary.part.as_ref().map(|p| json!({"always": p.always, "leased": p.leased, "left_ms": p.left_ms,
+            "epoch": p.epoch.as_ref().map(|e| json!({"number": e.0, "leader": e.1})), "members": p.members})),
         "members": rows.iter().map(row).collect::<Vec<_>>(),
         "counts": {"sent": c.sent, "sent_bytes": c.sent_bytes, "taken": c.taken, "held_back": c.held_back,
             "dropped": c.dropped, "outranked": c.outranked, "given_up": c.given_up, "rejoined": c.rejoined,
@@ -152,6 +154,14 @@
         "{:<20} {:<8} {:<22} {:>16} {:>9} {:>9}  digest",
         "name", "state", "address", "start", "since", "heard"
     );
+    if let Some(p) = &summary.part {
+        let epoch = p.epoch.as_ref().map_or("none".into(), |e| format!("{} by {}", e.0, e.1));
+        let _ = writeln!(
+            text,
+            "part of cold budgets {:.4} always, {:.4} leased for {} ms; epoch {epoch}, {} members",
+            p.always, p.leased, p.left_ms, p.members
+        );
+    }
     let seconds = |ms: u64| format!("{}.{}s", ms / 1000, ms % 1000 / 100);
     for r in rows {
         let start = format!("{}.{}", r.member.start, r.member.turn);
--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -100,6 +100,8 @@
     network: Network,
     listen: Vec<SocketAddr>,
     running: BTreeMap<usize, Child>,
+    /// Without membership.
+    plain: BTreeMap<usize, Child>,
     stopped: BTreeSet<usize>,
     seal: Seal,
 }
@@ -107,7 +109,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.network.over.store(true, Ordering::Relaxed);
-        for child in self.running.values_mut() {
+        for child in self.running.values_mut().chain(self.plain.values_mut()) {
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -126,13 +128,21 @@
         drop(held);
         let network = Network::new(&listen, seed);
         let seal = Seal::new(FLEET, KEY.as_bytes()).expect("long enough");
-        Fleet { dir, network, listen, running: BTreeMap::new(), stopped: BTreeSet::new(), seal }
+        Fleet {
+            dir,
+            network,
+            listen,
+            running: BTreeMap::new(),
+            plain: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            seal,
+        }
     }
 
     fn membership(&self, i: usize) -> PathBuf {
         let (listen, advertised) = (self.listen[i], &self.network.advertised);
         let text = format!(
-            "(membership (fleet \"{FLEET}\") (name \"n{i}\") (listen \"{listen}\") (advertise \"{}\") (key-file \"key\")\n  (seeds \"{}\" \"{}\") (expected {}) (period 100ms))\n",
+            "(membership (fleet \"{FLEET}\") (name \"n{i}\") (listen \"{listen}\") (advertise \"{}\") (key-file \"key\")\n  (seeds \"{}\" \"{}\") (expected {}) (period 100ms) (shares (lease 600ms)))\n",
             advertised[i],
             advertised[0],
             advertised[1],
@@ -145,15 +155,25 @@
 
     fn start(&mut self, i: usize) {
         let membership = self.membership(i);
+        let child = self.spawn(i, &["--membership".into(), membership.into_os_string()]);
+        self.running.insert(i, child);
+    }
+
+    fn start_plain(&mut self, i: usize) {
+        let child = self.spawn(i, &[]);
+        self.plain.insert(i, child);
+    }
+
+    fn spawn(&self, i: usize, with: &[std::ffi::OsString]) -> Child {
         let (config, at) = (self.dir.join(format!("n{i}.json")), "127.0.0.1:0");
         let text = format!(
             r#"{{"name":"n{i}","listen":"{at}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"bus":"127.0.0.1:1","known":{{"offset":0,"batch":[]}},"settings":{SETTINGS}}}"#
         );
         std::fs::write(&config, text).expect("written");
         let mut command = Command::new(BINARY);
-        command.args(["node", "--membership"]).arg(membership).env("EDGE_CONFIG", &config);
+        command.arg("node").args(with).env("EDGE_CONFIG", &config);
         command.env_remove("EDGE_NAME").env_remove("EDGE_LISTEN").stdout(Stdio::null()).stderr(Stdio::null());
-        self.running.insert(i, command.spawn().expect("it starts"));
+        command.spawn().expect("it starts")
     }
 
     fn signal(&self, i: usize, name: &str) {
@@ -342,6 +362,17 @@
             && json["settled"] == true
             && json["members"].as_array().map(Vec::len) == Some(2)
     );
+    // In time each holds an equal part by lease, of one epoch.
+    let start = Instant::now();
+    loop {
+        let (_, json) = members(&["--json"]);
+        let json: serde_json::Value = serde_json::from_str(&json).expect("JSON");
+        if json["part"]["members"] == 3 && json["part"]["epoch"]["leader"] == "n0" {
+            break;
+        }
+        assert!(start.elapsed() < LIMIT, "{json}");
+        tokio::time::sleep(ms(50)).await;
+    }
     // Another key is another fleet: no answer.
     std::fs::write(f.dir.join("key"), "another key of some length").expect("written");
     assert!(!members(&["--wait", "500ms"]).0);
@@ -359,14 +390,23 @@
         sockets.iter().filter(|s| inodes.contains(s.as_str())).count()
     };
     assert_eq!(udp(&f.running[&0]), 1);
-    let mut plain = Command::new(BINARY);
-    plain
-        .arg("node")
-        .env("EDGE_CONFIG", f.dir.join("n0.json"))
-        .env_remove("EDGE_NAME")
-        .env_remove("EDGE_LISTEN");
-    let plain = plain.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts");
-    f.running.insert(99, plain);
+    f.start_plain(2);
     tokio::time::sleep(ms(500)).await;
-    assert_eq!(udp(&f.running[&99]), 0);
+    assert_eq!(udp(&f.plain[&2]), 0);
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn membership_switched_on_node_by_node_in_a_running_fleet() {
+    let mut f = Fleet::new("mixed", 5, 4);
+    (0..5).for_each(|i| f.start_plain(i));
+    for i in 0..5 {
+        let mut child = f.plain.remove(&i).expect("it runs");
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+        f.start(i);
+        // Those that have it agree; those that do not are not there for them. The first alone says that nobody answers.
+        if i > 0 {
+            f.settles().await;
+        }
+    }
 }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -111,6 +111,7 @@
             "period",
             "remember",
             "rate",
+            "shares",
         ];
         form.allow(&once, &[]);
         let name = form.word_of("name", name);
--- a/crates/membership/src/status.rs
+++ b/crates/membership/src/status.rs
@@ -21,7 +21,7 @@
 }
 
 /// What stands above the table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// Who tells.
     pub me: Member,
@@ -33,10 +33,27 @@
     pub unsettled: Option<String>,
     /// What was counted.
     pub counts: Counts,
+    /// Its part of the common budget, where such parts are on.
+    pub part: Option<PartRow>,
+}
+
+/// A part of the common budget as people see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PartRow {
+    /// Always, as a share of the budget.
+    pub always: f64,
+    /// Beyond that, by lease.
+    pub leased: f64,
+    /// What is left of the lease, in milliseconds.
+    pub left_ms: u64,
+    /// The epoch's number and leader.
+    pub epoch: Option<(u64, String)>,
+    /// Its members.
+    pub members: u32,
 }
 
 /// A page of the table.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Page {
     /// Which, from 0.
     pub number: u16,
@@ -49,7 +66,7 @@
 }
 
 /// Rows of a page at most: the longest row, an IPv6 address and the longest name in it, takes 130 bytes.
-const ROWS: usize = 7;
+const ROWS: usize = 6;
 
 /// A page as payload of a datagram of at most `room` bytes.
 pub(crate) fn page(summary: &Summary, rows: &[Row], number: u16, room: usize) -> Vec<u8> {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -5,7 +5,7 @@
 use crate::news::{Aged, Board, News};
 use crate::settings::Settings;
 use crate::share::{Part, Share, Word};
-use crate::status::{self, Row, Summary};
+use crate::status::{self, PartRow, Row, Summary};
 use crate::{MS, Nanos, SECOND};
 use foca::{AccumulatingRuntime, Config, Foca, OwnedNotification, PeriodicParams, PostcardCodec, Timer};
 use rand::rngs::StdRng;
@@ -937,6 +937,18 @@
             digest: self.digest,
             unsettled: self.settled().err().map(|why| why.to_string()),
             counts: self.counts,
+            part: self.share.as_ref().map(|s| self.part_row(s)),
+        }
+    }
+
+    fn part_row(&self, share: &Share) -> PartRow {
+        let part = share.part(self.now);
+        PartRow {
+            always: part.always,
+            leased: part.leased,
+            left_ms: if part.leased > 0.0 { part.until.saturating_sub(self.now) / MS } else { 0 },
+            epoch: share.epoch(self.now).map(|e| (e.number, e.leader.clone())),
+            members: part.members.unwrap_or(0),
         }
     }
 
--- /dev/null
+++ b/crates/membership/tests/settings.rs
@@ -0,0 +1,52 @@
+//! Settings of membership: what is read, and what is refused with its place.
+
+use micadyke_membership::settings::read;
+use micadyke_membership::share::Terms;
+use micadyke_membership::{MS, SECOND};
+
+const SOUND: &str = r#"(membership (fleet "f") (name "n3") (listen "10.0.0.4:7946") (key-file "k")"#;
+
+#[test]
+fn what_is_stated_is_read_and_the_rest_has_its_default() {
+    let least = read(&format!("{SOUND})"), "f.sexp", None).expect("sound");
+    assert_eq!((least.advertise, least.expected, least.period), (least.listen, 2, 500 * MS));
+    assert_eq!((least.shares, least.seeds.len(), least.rate), (None, 0, 64_000));
+    let more = r#"(advertise "10.9.0.4:1") (seeds "10.0.0.1:1" "10.0.0.2:2") (expected 300) (period 1s) (remember 2h)
+        (rate 128kB/s) (shares (always 40%) (lease 2s) (drift 2%)))"#;
+    let all = read(&format!("{SOUND} {more}"), "f.sexp", None).expect("sound");
+    assert_eq!((all.advertise.port(), all.seeds.len(), all.period, all.rate), (1, 2, SECOND, 128_000));
+    assert_eq!(all.shares, Some(Terms { fronts: 300, always: 400, lease: 2 * SECOND, drift: 20 }));
+    assert_eq!(all.remember, 7200 * SECOND);
+    let unnamed = SOUND.replace("(name \"n3\")", "");
+    assert_eq!(read(&format!("{unnamed})"), "f.sexp", Some("n9")).expect("sound").name, "n9");
+}
+
+#[test]
+fn what_is_wrong_is_named_with_its_place() {
+    let table = [
+        ("(seeds \"nowhere\")", "seeds: 'nowhere' is no address and port"),
+        ("(period 500)", "period"),
+        ("(period 1ms)", "outside"),
+        ("(expected 0)", "no whole number"),
+        ("(shares (always 200%))", "outside"),
+        ("(shares (leese 2s))", "'lease'?"),
+        ("(advertise \"0.0.0.0:7946\")", "cannot reach"),
+        ("(name \"n4\")", "given twice"),
+        ("(fleeet \"g\")", "'fleet'?"),
+    ];
+    for (part, what) in table {
+        let faults = read(&format!("{SOUND} {part})"), "f.sexp", None).expect_err(part);
+        assert!(faults.iter().any(|f| f.to_string().contains(what)), "{part}: {faults:?}");
+        assert!(faults[0].to_string().starts_with("f.sexp:1:"), "{faults:?}");
+    }
+    for (text, what) in [
+        ("", "incomplete"),
+        ("(members)", "not 'membership'"),
+        ("(membership", "f.sexp:1"),
+        ("(membership (fleet \"f\") (key-file \"k\") (listen \"1.2.3.4:5\"))", "lacks its 'name'"),
+        ("(membership (fleet \"f\") (key-file \"k\") (name \"a b\"))", "no name of"),
+    ] {
+        let faults = read(text, "f.sexp", None).expect_err(text);
+        assert!(faults.iter().any(|f| f.to_string().contains(what)), "{text}: {faults:?}");
+    }
+}
