The fleet in virtual time is a stand-in of its own: tests and measurement share it

Need: the network that loses, delays, doubles and cuts was part of one package's tests; the laboratory needs it too.

Change: standin::members. Moved, documented, drawn by the project's usual rand; nothing else. Tests of membership pass.

--- a/crates/membership/examples/measure.rs
+++ b/crates/membership/examples/measure.rs
@@ -1,11 +1,8 @@
 //! What the view costs and how soon it knows, in virtual time: `cargo run --release -p micadyke-membership --example measure
 //! -- 60 300 2400`. No part of CI.
 
-#[path = "../tests/world/mod.rs"]
-mod world;
-
 use micadyke_membership::{Change, MS, SECOND};
-use world::*;
+use micadyke_standin::members::*;
 
 fn seconds(nanos: u64) -> f64 {
     nanos as f64 / SECOND as f64
--- a/crates/membership/tests/settles.rs
+++ b/crates/membership/tests/settles.rs
@@ -1,9 +1,7 @@
 //! The view settles again after whatever happens to processes and network, and accuses nobody wrongly. In virtual time.
 
-mod world;
-
 use micadyke_membership::{Change, Input, MS, SECOND, Unsettled};
-use world::*;
+use micadyke_standin::members::*;
 
 #[test]
 fn all_started_within_a_second_with_half_of_the_seeds_dead() {
--- a/crates/membership/tests/shares.rs
+++ b/crates/membership/tests/shares.rs
@@ -1,10 +1,8 @@
 //! Parts of a common budget in whole fleets, in virtual time: never more than the whole, and what the dead leave is used.
 
-mod world;
-
 use micadyke_membership::share::Terms;
 use micadyke_membership::{MS, SECOND};
-use world::*;
+use micadyke_standin::members::*;
 
 const LEASE: u64 = 3 * SECOND;
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,12 +4,14 @@
 //! over sockets, with troubles on demand, and [`media`] its lists and segments over HTTP. [`viewer`] asks for sessions
 //! and ends them, [`player`] plays over HTTP. Whatever passes a socket of
 //! either is noted in a [`record::Record`], from which verdicts are computed.
+//! [`members`] is a fleet that keeps a view of itself, in virtual time on a network that loses, delays, doubles and cuts.
 #![warn(missing_docs)]
 
 pub mod issuer;
 pub mod link;
 pub mod media;
 pub mod media_box;
+pub mod members;
 pub mod model;
 pub mod offers;
 pub mod platform;
--- a/crates/membership/tests/world/mod.rs
+++ b/crates/standin/src/members.rs
@@ -1,33 +1,39 @@
 //! Members in virtual time on a network that loses, delays, doubles and cuts, drawn from a seed.
-#![allow(dead_code)]
 
 use micadyke_membership::frame::Seal;
 use micadyke_membership::news::News;
 use micadyke_membership::share::{Part, Terms};
 use micadyke_membership::{Change, Input, MS, Member, Nanos, Output, SECOND, Settings, View};
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+/// The fleet's name.
 pub const FLEET: &str = "test";
+/// Its key.
 pub const KEY_TEXT: &[u8] = b"sixteen bytes and more";
 
+/// Where process `n` takes datagrams.
 pub fn addr(n: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8 + 1], 7946))
 }
 
+/// Its name.
 pub fn name(n: usize) -> String {
     format!("n{n}")
 }
 
+/// The fleet's seal.
 pub fn seal() -> Seal {
     Seal::new(FLEET, KEY_TEXT).expect("a key that is long enough")
 }
 
 /// A process.
 pub struct Process {
+    /// Its view.
     pub view: View,
+    /// Where it takes datagrams.
     pub at: SocketAddr,
     stopped: bool,
     socket: Vec<(SocketAddr, Vec<u8>)>,
@@ -41,15 +47,22 @@
     Refused(usize, String, Nanos),
 }
 
+/// A fleet, its network and its time.
 pub struct World {
+    /// The time.
     pub now: Nanos,
+    /// What chance is drawn from.
     pub seed: u64,
+    /// The period of those that start.
     pub period: Nanos,
     /// The clock by which starts are counted, beside `now`.
     pub clock: u64,
+    /// What runs.
     pub processes: BTreeMap<usize, Process>,
     at: BTreeMap<SocketAddr, usize>,
+    /// What each view told, and when.
     pub told: Vec<(Nanos, usize, Change)>,
+    /// Bytes that each sent.
     pub bytes: BTreeMap<usize, u64>,
     random: StdRng,
     events: BTreeMap<(Nanos, u64), Ev>,
@@ -58,11 +71,15 @@
     pub cut: BTreeSet<(SocketAddr, SocketAddr)>,
     /// Which side of a partition each address is on.
     pub side: BTreeMap<SocketAddr, usize>,
+    /// Datagrams that are lost, as a share.
     pub loss: f64,
+    /// Datagrams that come twice, as a share.
     pub doubled: f64,
     /// One way takes so long, and up to so much longer.
     pub way: (Nanos, Nanos),
+    /// Seeds of those that start.
     pub seeds: Vec<SocketAddr>,
+    /// The configured number of members.
     pub expected: u32,
     /// Datagrams that wait at a process that stands still; 0: its whole machine does.
     pub socket: usize,
@@ -75,6 +92,7 @@
 }
 
 impl World {
+    /// An empty fleet.
     pub fn new(seed: u64, expected: usize) -> Self {
         World {
             now: SECOND,
@@ -111,6 +129,7 @@
         w
     }
 
+    /// A draw under this number.
     pub fn lot(&mut self, below: usize) -> usize {
         self.random.random_range(0..below)
     }
@@ -120,10 +139,12 @@
         self.events.insert((at, self.number), ev);
     }
 
+    /// Starts process `n`.
     pub fn start(&mut self, n: usize) {
         self.start_as(n, &name(n), addr(n));
     }
 
+    /// Starts a process under another name or address.
     pub fn start_as(&mut self, n: usize, name: &str, at: SocketAddr) {
         let mut settings = Settings::new(FLEET, name, at);
         (settings.seeds, settings.expected, settings.period) =
@@ -141,18 +162,21 @@
         self.feed(n, None);
     }
 
+    /// Has a member tell the others something.
     pub fn tell(&mut self, n: usize, news: &News) {
         let (mut out, now) = (Vec::new(), self.now);
         self.processes.get_mut(&n).expect("it runs").view.handle(now, Input::Tell(news), &mut out);
         self.carry_out(n, out);
     }
 
+    /// Kills a process.
     pub fn kill(&mut self, n: usize) {
         if let Some(p) = self.processes.remove(&n) {
             self.at.remove(&p.at);
         }
     }
 
+    /// Has a member take its leave, and end.
     pub fn leave(&mut self, n: usize) {
         let (mut out, now) = (Vec::new(), self.now);
         self.processes.get_mut(&n).expect("it runs").view.handle(now, Input::Leave, &mut out);
@@ -160,10 +184,12 @@
         self.kill(n);
     }
 
+    /// Stops a process.
     pub fn stop(&mut self, n: usize) {
         self.processes.get_mut(&n).expect("it runs").stopped = true;
     }
 
+    /// Lets a stopped process go on: what lies in its socket comes first.
     pub fn go_on(&mut self, n: usize) {
         let p = self.processes.get_mut(&n).expect("it runs");
         p.stopped = false;
@@ -217,6 +243,7 @@
         }
     }
 
+    /// Puts a datagram on the network.
     pub fn post(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
         let parted = self.side.get(&from) != self.side.get(&to);
         if parted || self.cut.contains(&(from, to)) {
@@ -260,6 +287,7 @@
         }
     }
 
+    /// Lets so much time pass.
     pub fn run(&mut self, span: Nanos) {
         let until = self.now + span;
         while let Some(first) = self.events.first_entry().filter(|e| e.key().0 <= until) {
@@ -342,6 +370,7 @@
         downs.collect()
     }
 
+    /// A process as it now calls itself.
     pub fn member(&self, n: usize) -> &Member {
         self.processes[&n].view.me()
     }
