Fronts hand their module its part of cold budgets as nodes do, through the same piece

Need: node and front were to use one piece of membership; the front kept the view alone.

Change: the part and its channel live with membership's shell; the front's core takes it as an input and hands it to the module. Test of the core with a module that listens; processes as before.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,6 @@
 //! What each command does.
 
-use crate::members::{Member, Neighbours, with_member};
+use crate::members::{Member, with_member};
 use micadyke::decide::Controller;
 use micadyke::interface::ServerState;
 use micadyke_client::net::Client;
@@ -144,9 +144,11 @@
         tracing::warn!("{note}");
     }
     let questions = record.map(|path| Questions::append(path).map_err(at(path))).transpose()?;
-    let extras = Extras { seats, bound, entitlements, questions };
     let member = membership.map(|file| Member::load(file, None)).transpose()?;
-    run(with_member(member, Neighbours::default(), async {
+    let (neighbours, others) = crate::members::others(member.as_ref());
+    let parts = others.and_then(|o| o.parts);
+    let extras = Extras { seats, bound, entitlements, questions, parts };
+    run(with_member(member, neighbours, async {
         let (listener, addr) = listen(addr.unwrap_or(config.listen)).await?;
         ready(addr)?;
         serve_until_signalled(listener, config, source, extras).await
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -139,6 +139,10 @@
             Input::Request { conn, request, peer, waited } => self.request(conn, request, peer, waited),
             Input::Gone { conn } => self.gone(conn),
             Input::List { rows, epoch } => self.list(rows, epoch),
+            Input::Part { always, leased, span } => {
+                let until = self.now.saturating_add(span);
+                self.events.push_back(Event::Part { always, leased, until });
+            }
             Input::Reply { call, result } => self.reply(call, result),
             Input::Closed { call } => self.closed(call),
             Input::Event { stream, event } => self.event(stream, &event),
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -48,6 +48,15 @@
         /// Unix time of the front's time zero, in nanoseconds.
         epoch: u64,
     },
+    /// The part of each box's cold budget that is this front's: see [`micadyke::interface::Event::Part`].
+    Part {
+        /// Always.
+        always: f64,
+        /// Beyond that, for `span` from now.
+        leased: f64,
+        /// How long.
+        span: Nanos,
+    },
     /// A call came to its end. Each [`Output::Call`] comes back as exactly one of this and [`Input::Closed`].
     Reply {
         /// Which call.
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -10,6 +10,7 @@
 use micadyke_config::{Config, RouteKind};
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
+use micadyke_membership::shell::{Parts, next_part};
 use micadyke_tokens::bearer::Checker;
 use micadyke_tokens::bound::SharedKey;
 use micadyke_tokens::store::{File, Record, State};
@@ -52,6 +53,8 @@
     pub entitlements: Option<Checker>,
     /// Questions are written down here as they are taken, a line of JSON each.
     pub questions: Option<Questions>,
+    /// This front's part of cold budgets, where fronts share them out; without it that goes by their configured number.
+    pub parts: Option<Parts>,
 }
 
 /// A list of the questions that a front took, as `micadyke replay` reads it.
@@ -166,6 +169,7 @@
             out.for_each(|o| shell.carry_out(o));
         }
     }
+    let parts = extras.parts.map(|parts| spawn_local(shell.clone().parts(parts)));
     shell.poll_list();
     let timers = spawn_local(shell.clone().timers());
     let lists = spawn_local(shell.clone().lists());
@@ -185,6 +189,7 @@
     tokio::time::sleep(Duration::from_millis(20)).await;
     timers.abort();
     lists.abort();
+    parts.into_iter().for_each(|p| p.abort());
     let counts = shell.core.borrow().counts();
     info!(?counts, "stopped");
     counts
@@ -304,6 +309,12 @@
 
     // ----- the list
 
+    async fn parts(self: Rc<Self>, mut parts: Parts) {
+        while let Some((always, leased, span)) = next_part(&mut parts).await {
+            self.feed(Input::Part { always, leased, span });
+        }
+    }
+
     async fn lists(self: Rc<Self>) {
         let period = self.source.borrow().period();
         loop {
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -872,3 +872,21 @@
         prop_assert_eq!((b.front.held(), b.front.unsettled(), b.calls.len()), (0, 0, 0));
     }
 }
+
+#[test]
+fn the_module_hears_the_part_of_cold_budgets_that_is_this_fronts() {
+    use micadyke::interface::{Action, Event, Nanos};
+    use std::cell::RefCell;
+    struct Ear(Rc<RefCell<Vec<Event>>>);
+    impl micadyke_front::core::Decide for Ear {
+        fn handle(&mut self, _: Nanos, event: Event, _: &mut Vec<Action>) {
+            self.0.borrow_mut().push(event);
+        }
+    }
+    let heard = Rc::new(RefCell::new(Vec::new()));
+    let config = Rc::new(micadyke_config::read_config(SETTINGS, "s").expect("sound"));
+    let mut front = micadyke_front::Front::with_module(config, Box::new(Ear(heard.clone())), [7; 32], START);
+    let part = Input::Part { always: 0.1, leased: 0.2, span: 5 };
+    front.handle(START + 100, part, &mut Vec::new());
+    assert_eq!(heard.borrow()[..], [Event::Part { always: 0.1, leased: 0.2, until: START + 105 }]);
+}
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{info, warn};
 
 /// Datagrams that are taken before a timer's turn comes.
@@ -24,6 +24,31 @@
 /// Pages of a view at most.
 const PAGES: u16 = 1024;
 
+/// A member's part of a common budget: always, and beyond that until then.
+#[derive(Debug, Clone, Copy)]
+pub struct Part {
+    /// Always.
+    pub always: f64,
+    /// Beyond that.
+    pub leased: f64,
+    /// Until then.
+    pub until: Instant,
+}
+
+/// The latest part, for whoever keeps to it.
+pub type Parts = watch::Receiver<Option<Part>>;
+
+/// Waits for the next part: always, leased, and for how long from now. `None`: there will be none any more.
+pub async fn next_part(parts: &mut Parts) -> Option<(f64, f64, Nanos)> {
+    loop {
+        parts.changed().await.ok()?;
+        if let Some(part) = *parts.borrow_and_update() {
+            let span = part.until.saturating_duration_since(Instant::now()).as_nanos() as Nanos;
+            return Some((part.always, part.leased, span));
+        }
+    }
+}
+
 /// Runs a member until `stop` is told or dropped; then it takes its leave. Changes go to `told`, in order, with the
 /// moment from which the view's time counts; what `news` brings is told to the others.
 ///
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -12,6 +12,7 @@
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request};
 use micadyke_membership::news::News;
+use micadyke_membership::shell::{Parts, next_part};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -21,7 +22,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc};
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
@@ -99,22 +100,11 @@
     tell: Option<mpsc::Sender<News>>,
 }
 
-/// A node's part of the cold budgets, from whoever shares them out: always, and beyond that until then.
-#[derive(Debug, Clone, Copy)]
-pub struct Part {
-    /// Always.
-    pub always: f64,
-    /// Beyond that.
-    pub leased: f64,
-    /// Until then.
-    pub until: Instant,
-}
-
 /// The way to the other nodes, by whoever keeps the view of them.
 #[derive(Debug)]
 pub struct Others {
     /// This node's part of the cold budgets; without it that goes by the number of fronts in the settings.
-    pub parts: Option<watch::Receiver<Option<Part>>>,
+    pub parts: Option<Parts>,
     /// What they tell of servers.
     pub heard: mpsc::Receiver<News>,
     /// What this node tells of servers; what does not fit is lost.
@@ -249,9 +239,7 @@
     }
 
     /// Hands over what the view of the other nodes brings.
-    async fn others(
-        self: Rc<Self>, parts: Option<watch::Receiver<Option<Part>>>, mut heard: mpsc::Receiver<News>,
-    ) {
+    async fn others(self: Rc<Self>, parts: Option<Parts>, mut heard: mpsc::Receiver<News>) {
         if let Some(parts) = parts {
             spawn_local(self.clone().parts(parts));
         }
@@ -260,10 +248,8 @@
         }
     }
 
-    async fn parts(self: Rc<Self>, mut parts: watch::Receiver<Option<Part>>) {
-        while parts.changed().await.is_ok() {
-            let Some(Part { always, leased, until }) = *parts.borrow_and_update() else { continue };
-            let span = until.saturating_duration_since(Instant::now()).as_nanos() as Nanos;
+    async fn parts(self: Rc<Self>, mut parts: Parts) {
+        while let Some((always, leased, span)) = next_part(&mut parts).await {
             self.feed(Input::Part { always, leased, span });
         }
     }
