--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -390,3 +390,23 @@
         assert!(reached > 0 && !broken.is_empty(), "{reached} {broken:?}");
     });
 }
+
+#[test]
+fn a_new_configuration_and_the_end_in_the_same_moment() {
+    on_one_thread(async {
+        let scene = Scene::default();
+        let a = server(&scene, "a", 60_000).await;
+        let rows = row(&a, "a", "up");
+        let bus = Bus::start(vec![(true, rows.clone())]).await.expect("a bus");
+        let mut node = start("both", free_port(), bus.addr, &rows);
+        let mut v = Viewer::connect(node.listen).await;
+        assert_eq!(v.test().await, Some(1));
+        v.send(&set_up(1, "paid")).await;
+        for signal in ["-HUP", "-TERM", "-HUP"] {
+            node.signal(signal);
+        }
+        scene.note(Seen::Asked { id: 1, patience: 4000 * MS, paid: true, floor: 1 });
+        assert_eq!(v.answer(&scene, 1).await.kind, kind::ANSWER);
+        assert_eq!(node.ends().await, Some(0));
+    });
+}
--- a/crates/membership/src/status.rs
+++ b/crates/membership/src/status.rs
@@ -65,8 +65,9 @@
     pub rows: Vec<Row>,
 }
 
-/// Rows of a page at most: the longest row, an IPv6 address and the longest name in it, takes 130 bytes.
-const ROWS: usize = 6;
+/// Rows of a page at most: the longest, an IPv6 address and the longest name in it, takes 135 bytes, what stands above
+/// them up to 470.
+const ROWS: usize = 5;
 
 /// A page as payload of a datagram of at most `room` bytes.
 pub(crate) fn page(summary: &Summary, rows: &[Row], number: u16, room: usize) -> Vec<u8> {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -233,6 +233,8 @@
     timers: BTreeMap<(Nanos, u64), Timer<Member>>,
     timer: u64,
     call_at: Nanos,
+    /// One whose view differs is asked then.
+    mend_at: Nanos,
     /// Who is suspected, at which incarnation, and when that is looked up again.
     suspects: BTreeMap<String, u16>,
     suspects_at: Nanos,
@@ -332,6 +334,7 @@
             timers: BTreeMap::new(),
             timer: 0,
             call_at: now,
+            mend_at: now,
             suspects: BTreeMap::new(),
             suspects_at: now,
             known: BTreeMap::new(),
@@ -457,6 +460,9 @@
             let suspects = self.swim.iter_membership_state().filter(|m| m.state() == foca::State::Suspect);
             self.suspects = suspects.map(|m| (m.id().name.clone(), m.incarnation())).collect();
         }
+        if self.now >= self.mend_at {
+            self.mend();
+        }
         if self.now >= self.call_at {
             self.call();
         }
@@ -574,6 +580,19 @@
         self.part = part;
     }
 
+    /// Asks one whose view differs for what it knows: what was not handed on often enough to reach all is mended by that.
+    fn mend(&mut self) {
+        self.mend_at = self.now + self.settings.period;
+        let window = SETTLE * self.settings.period;
+        let differs =
+            |k: &&Known| k.active && k.heard.is_some_and(|h| h.0 + window > self.now && h.1 != self.digest);
+        let others: Vec<Member> = self.known.values().filter(differs).map(|k| k.member.clone()).collect();
+        if let Some(other) = others.choose(&mut self.random).filter(|_| self.stand == Stand::In) {
+            let _ = self.swim.announce(other.clone(), &mut self.runtime);
+            self.carry_out();
+        }
+    }
+
     /// Calls some of those that should be there and are not: seeds, members that were given up and not forgotten, and where
     /// nobody is heard those that seem to be there: two that took another turn at once each know the other's former one.
     fn call(&mut self) {
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -684,3 +684,24 @@
     w.run(200 * MS);
     assert!(w.node.done(w.now));
 }
+
+#[test]
+fn a_set_up_that_waits_for_a_connection_when_the_node_stops_is_answered() {
+    let mut w = World::new(2);
+    w.run(10 * MS);
+    (0..2).for_each(|n| drop(w.vanished.insert(server_addr(n))));
+    let v = w.viewer();
+    w.ask(v, 7, "paid", 4000);
+    w.run(50 * MS);
+    // The configuration moves and the stop comes, in the same moment.
+    w.feed(Input::BusMoved { addr: "127.0.0.9:4222".parse().expect("an address") });
+    w.feed(Input::Stop);
+    assert!(!w.node.done(w.now));
+    // One server is back before the set-up's time is over: it plays there, or is refused; it is not forgotten.
+    w.run(300 * MS);
+    w.back(server_addr(0));
+    w.run(2 * SECOND);
+    assert!(w.answer(7).is_some(), "{:?}", w.record);
+    assert!(w.node.done(w.now));
+    kept(&w);
+}
