Read once more: who spoke lately and how often news is handed on are each said once

Membership's view asked in three places whether a living member's word came within the settling window (mend, call, settled); one function does now, and the condition for whom to call while alone says only what it decides. The number of times that news is handed on was read out of the library's whole settings, built anew at each piece of news; both take it from one function. Behaviour as before; tests of membership and processes pass.

--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -280,18 +280,24 @@
     Duration::from_nanos(nanos)
 }
 
+/// How often news of any kind is handed on in a fleet of this size.
+fn copies(settings: &Settings) -> NonZeroU8 {
+    let size = f64::from(settings.expected.max(2));
+    let copies = (RETRANSMIT * (size + 1.0).log10().ceil()).clamp(1.0, 255.0) as u8;
+    NonZeroU8::new(copies).unwrap_or(NonZeroU8::MIN)
+}
+
 /// The library's settings for a fleet of this size.
 fn swim_config(settings: &Settings) -> Config {
     let size = f64::from(settings.expected.max(2));
     let period = span(settings.period);
     let log = size.log10().max(1.0);
     let least = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
-    let copies = (RETRANSMIT * (size + 1.0).log10().ceil()).clamp(1.0, 255.0) as u8;
     Config {
         probe_period: period,
         probe_rtt: period / RTT_PART,
         num_indirect_probes: least(INDIRECT),
-        max_transmissions: NonZeroU8::new(copies).unwrap_or(NonZeroU8::MIN),
+        max_transmissions: copies(settings),
         suspect_to_down_after: period.mul_f64(SUSPICION * log),
         remove_down_after: Some(span(settings.remember)),
         max_packet_size: least(LONGEST - OVERHEAD),
@@ -479,7 +485,7 @@
     /// Hands news on to a few that live, at once when it is new and then with each round of updates until it was told often
     /// enough for all to have heard.
     fn hand_on(&mut self) {
-        let most = u32::from(swim_config(&self.settings).max_transmissions.get());
+        let most = u32::from(copies(&self.settings).get());
         let living: Vec<SocketAddr> =
             self.known.values().filter(|k| k.active).map(|k| k.member.addr).collect();
         let to: Vec<SocketAddr> = living.sample(&mut self.random, GOSSIP).copied().collect();
@@ -583,9 +589,7 @@
     /// Asks one whose view differs for what it knows: what was not handed on often enough to reach all is mended by that.
     fn mend(&mut self) {
         self.mend_at = self.now + self.settings.period;
-        let window = SETTLE * self.settings.period;
-        let differs =
-            |k: &&Known| k.active && k.heard.is_some_and(|h| h.0 + window > self.now && h.1 != self.digest);
+        let differs = |k: &&Known| self.lately(k).is_some_and(|digest| digest != self.digest);
         let others: Vec<Member> = self.known.values().filter(differs).map(|k| k.member.clone()).collect();
         if let Some(other) = others.choose(&mut self.random).filter(|_| self.stand == Stand::In) {
             let _ = self.swim.announce(other.clone(), &mut self.runtime);
@@ -597,11 +601,9 @@
     /// nobody is heard those that seem to be there: two that took another turn at once each know the other's former one.
     fn call(&mut self) {
         let lot = self.random.random_range(0..=CALL_ALONE / 2);
-        let window = SETTLE * self.settings.period;
-        let heard = |k: &Known| k.heard.is_some_and(|h| h.0 + window > self.now);
-        let alone = !self.known.values().any(|k| k.active && heard(k));
+        let alone = !self.known.values().any(|k| self.lately(k).is_some());
         self.call_at = self.now + lot + if alone { CALL_ALONE } else { CALL };
-        let there = self.known.values().filter(|k| k.active && (heard(k) || !alone));
+        let there = self.known.values().filter(|k| k.active && !alone);
         let there: BTreeSet<SocketAddr> = there.map(|k| k.member.addr).chain([self.me.addr]).collect();
         let remembered = |k: &&Known| {
             let (gone, left) = (!k.active || alone, k.member.leaving);
@@ -884,6 +886,12 @@
 
     // ----- settled
 
+    /// The digest that came with a member's last word, if it lives and that was lately.
+    fn lately(&self, known: &Known) -> Option<u64> {
+        let window = SETTLE * self.settings.period;
+        known.heard.filter(|h| known.active && h.0 + window > self.now).map(|h| h.1)
+    }
+
     /// Whether the view is settled, and why not.
     pub fn settled(&self) -> Result<(), Unsettled> {
         if self.stand != Stand::In {
@@ -898,9 +906,7 @@
         if alone && expected {
             return Err(Unsettled::Nobody);
         }
-        let lately = self.known.values().filter(|k| k.active);
-        let mut lately =
-            lately.filter_map(|k| Some((k, k.heard.filter(|h| h.0 + window > self.now)?.1))).peekable();
+        let mut lately = self.known.values().filter_map(|k| Some((k, self.lately(k)?))).peekable();
         if !alone && lately.peek().is_none() {
             return Err(Unsettled::Nobody);
         }
