A lot for each cold server is drawn once a window: a crowd's onset pushed servers over

Change: one lot a server and window, drawn when somebody asks, good until the next; the book of recent requests goes.

--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,4 @@
+//! Laboratory: whole fleets in virtual time, the decision module and membership as they run. What it finds is simulated.
+#![warn(missing_docs)]
+
+pub mod fleet;
--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -26,10 +26,9 @@
 const TRY_PART: f64 = 0.5;
 /// Part of the cold budget that is used: chance and other fronts' uneven shares take the rest.
 const COLD_PART: f64 = 0.8;
-/// Deviations of chance that the sum of all fronts' lots for a cold server leaves free.
-const SPREAD: f64 = 3.0;
-/// Windows of the cold budget over which own requests are counted and a lot is good for.
-const COLD_SPAN: f64 = 1.0;
+/// Deviations of chance that the sum of all fronts' lots for a cold server leaves free: hundreds of servers
+/// return at once, each for tens of windows; three would let one window in 300 through, five one in 20,000.
+const SPREAD: f64 = 5.0;
 /// Use of links while none was heard of: silence is not emptiness, and this has room for the middle rung.
 const UNSEEN: f64 = 0.8;
 /// Own sessions at a server that tell of others' streams there.
@@ -215,6 +214,8 @@
     cold_since: Nanos,
     /// Set-ups sent to it while cold.
     cold_sends: VecDeque<Nanos>,
+    /// While it is cold: when this front last drew a lot for it, and what it drew.
+    lot: (Nanos, f64),
     /// What it gives over what its account says, at the time beside it.
     gives: (f64, Nanos),
     /// News of it that all fronts with sessions there have heard waits for an answer.
@@ -228,8 +229,19 @@
 impl Server {
     fn new(entry: ServerEntry) -> Self {
         let (link, cold_since, cold_sends) = (Pool::default(), entry.started_at, VecDeque::new());
-        let (gives, reach) = ((1.0, 0), Reach::Closed);
-        Server { entry, link, streams: 0, cold_since, cold_sends, gives, told: false, reach, failed_at: 0 }
+        let (gives, reach, lot) = ((1.0, 0), Reach::Closed, (0, 1.0));
+        Server {
+            entry,
+            link,
+            streams: 0,
+            cold_since,
+            cold_sends,
+            lot,
+            gives,
+            told: false,
+            reach,
+            failed_at: 0,
+        }
     }
 
     fn rack(&self, racks: u32) -> u32 {
@@ -300,8 +312,6 @@
     seats: BTreeMap<(TitleId, usize), u32>,
     pricing: Pricing,
     taken: VecDeque<Nanos>,
-    /// Requests of late: when, and the cells that hold the title.
-    recent: VecDeque<(Nanos, u32, u32)>,
     further: VecDeque<Nanos>,
     /// The part of cold budgets that was told: always, leased, until then.
     part: Option<(f64, f64, Nanos)>,
@@ -635,9 +645,7 @@
         }
         self.arrived += usize::from(!wish.again);
         self.taken.extend(self.s.retry_budget.map(|_| self.now));
-        self.recent.push_back((self.now, wish.base, wish.spread));
-        let since = self.now.saturating_sub((COLD_SPAN * self.s.fall_window as f64) as Nanos);
-        self.recent.retain(|r| r.0 > since);
+        self.draw(&wish);
         self.sample(&wish);
         self.sessions.insert(id, self.session(wish));
         self.place(id, out);
@@ -692,10 +700,22 @@
         told.unwrap_or(1.0 / f64::from(self.s.fronts))
     }
 
-    /// Whether the cold budget allows this set-up now. The sum over all fronts must hold in every window: a
-    /// front whose part is a set-up or more counts its own; where parts are smaller, a lot is drawn with this
-    /// front's part over its own requests of late for that server, so uneven shares add up to the same sum.
-    fn cold_room(&self, server: &Server, id: SessionId) -> bool {
+    /// Draws a lot for each cold server that holds what is wanted, once in a window at the most.
+    fn draw(&mut self, wish: &SessionRequest) {
+        let due = self.now.saturating_sub(self.s.fall_window);
+        let cold =
+            |h: &&Server| h.lot.0 <= due && self.cold(h) && self.holds(&h.entry, wish.base, wish.spread);
+        let ids: Vec<ServerId> = self.servers.values().filter(cold).map(|h| h.entry.server).collect();
+        for id in ids {
+            let lot = (self.now, self.chance());
+            self.servers.get_mut(&id).into_iter().for_each(|h| h.lot = lot);
+        }
+    }
+
+    /// Whether the cold budget allows a set-up now. The sum over all fronts must hold in every window: a
+    /// front whose part is a set-up or more counts its own; where parts are smaller, the lot drawn for the
+    /// window must be under its part. However many ask, and how suddenly, the mean of the sum is the same.
+    fn cold_room(&self, server: &Server) -> bool {
         if !self.cold(server) {
             return true;
         }
@@ -710,9 +730,7 @@
         }
         // Sums of many small lots spread like their root: the mean leaves SPREAD deviations free.
         let mean = ((budget + SPREAD * SPREAD / 4.0).sqrt() - SPREAD / 2.0).powi(2);
-        let asked = self.recent.iter().filter(|r| self.holds(&server.entry, r.1, r.2)).count().max(1);
-        let draw = mix(self.random ^ id.0.wrapping_mul(31) ^ u64::from(server.entry.server.0));
-        sent < 1.0 && draw < mean * COLD_SPAN * self.part() / asked as f64
+        sent < 1.0 && server.lot.1 < mean * self.part()
     }
 
     /// Whether a server holds the titles of these cells.
@@ -739,7 +757,7 @@
             && self.holds(e, s.wish.base, s.wish.spread)
             && scope
             && !s.tried.contains(&e.server)
-            && self.cold_room(server, s.wish.session)
+            && self.cold_room(server)
     }
 
     /// Whether a further attempt is within what the site allows.
--- a/crates/micadyke/tests/failures.rs
+++ b/crates/micadyke/tests/failures.rs
@@ -589,3 +589,33 @@
         assert_eq!(sent(&f.request(20, 0, "a")).map(|s| s.0), Some(bad), "{outcome:?}");
     }
 }
+
+/// Set-ups that many fronts send to many cold servers within the first window of a crowd, over what chance allows them on
+/// average: of a budget `b` the mean leaves five deviations free.
+#[test]
+fn a_crowd_that_comes_at_once_draws_no_more_lots_than_one_that_was_there() {
+    const FRONTS: u32 = 100;
+    const SERVERS: u32 = 40;
+    let mut s = settings(vec![class(Effect::Idempotent, 0, 0)]);
+    (s.fronts, s.streams_by_kind, s.max_attempts) = (FRONTS, vec![40], 1);
+    let (window, at) = (s.fall_window, START + 10 * SECOND);
+    let budget =
+        f64::from(s.streams_by_kind[0]) / s.cold_for as f64 * s.cold_from * s.fall_multiple * window as f64;
+    let mean = ((budget + 25.0 / 4.0).sqrt() - 2.5).powi(2) * f64::from(SERVERS);
+    let mut sent = 0;
+    for n in 0..FRONTS {
+        let mut c = Controller::new(s.clone(), u64::from(n) << 20, START).expect("sound settings");
+        let entries = (0..SERVERS).map(|n| entry(n, ServerState::Ready, at)).collect();
+        let mut out = Vec::new();
+        c.handle(at, Event::List { kind: ListKind::Full, entries }, &mut out);
+        // Nobody asked before; now two hundred do within one window, evenly.
+        for i in 0..200 {
+            let now = at + window * i / 200;
+            c.handle(now, Event::Request(wish(i + 1, 0, "t", now)), &mut out);
+        }
+        sent += out.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+    }
+    // Five deviations of the sum over all fronts and servers.
+    assert!((sent as f64) < mean + 5.0 * mean.sqrt(), "{sent} sent, {mean} on average");
+    assert!(sent as f64 > mean / 2.0, "{sent} sent, {mean} on average");
+}
