Ways between nodes, servers and the bus are under the tests' hand; 60 processes measured

Change: a relay for one way (each direction through, late or cut; reset) as a stand-in; two tests of three nodes, two servers and a bus, each node with ways of its own: a node whose way to a server is broken one way costs the others nothing, ways late, cut and reset by turns break no rule; the verdict was seen to fail on a node that stands still. A command measures how long processes take to settle.

--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -339,6 +339,35 @@
     }
 }
 
+/// `MICADYKE_MEASURE=60`: how long the fleet takes to settle after each fault, in periods of 100 ms, printed; else a run of
+/// four that only shows that the command works.
+#[tokio::test(flavor = "current_thread")]
+async fn how_long_processes_take_to_settle() {
+    let n: usize = std::env::var("MICADYKE_MEASURE").ok().and_then(|n| n.parse().ok()).unwrap_or(4);
+    let mut f = Fleet::new("measure", n, 7);
+    let mut took = Vec::new();
+    let mut settle = async |f: &Fleet, what: &'static str| {
+        let start = Instant::now();
+        f.settles().await;
+        took.push((what, start.elapsed().as_secs_f64()));
+    };
+    (0..n).for_each(|i| f.start(i));
+    settle(&f, "started").await;
+    f.kill(n / 2);
+    settle(&f, "one killed").await;
+    let many: Vec<usize> = f.running.keys().copied().filter(|i| i % 10 < 7 && n > 4).collect();
+    many.iter().for_each(|i| f.kill(*i));
+    settle(&f, "seven in ten killed").await;
+    many.iter().chain(&[n / 2]).for_each(|i| f.start(*i));
+    settle(&f, "back").await;
+    f.network.set(|i| i % 2 == 0, |j| j % 2 == 1, Way { cut: true, ..Way::default() });
+    f.network.set(|i| i % 2 == 1, |j| j % 2 == 0, Way { cut: true, ..Way::default() });
+    tokio::time::sleep(ms(6000)).await;
+    f.network.heal();
+    settle(&f, "cut in two for 6 s").await;
+    println!("{n} processes: {took:.1?}");
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn people_see_the_view_and_nothing_is_opened_where_no_membership_is_named() {
     let mut f = Fleet::new("people", 3, 3);
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -3,6 +3,7 @@
 use micadyke_isup::{Frame, Message, Parser, code, kind};
 use micadyke_standin::platform::{MediaServer, Seen, Treat, verdict};
 use micadyke_standin::platform_net::{Bus, Listening, Scene};
+use micadyke_standin::relay::{Flow, Relay};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -410,3 +411,134 @@
         assert_eq!(node.ends().await, Some(0));
     });
 }
+
+/// Three nodes, each with a way of its own to each of two servers and to the bus, all under the test's hand.
+struct Ways {
+    scene: Scene,
+    nodes: Vec<Running>,
+    viewers: Vec<Viewer>,
+    /// By node: to server a, to server b, to the bus.
+    ways: Vec<[Rc<Relay>; 3]>,
+    _servers: [Rc<Listening>; 2],
+    bus: Rc<Bus>,
+}
+
+impl Ways {
+    async fn new(tag: &str) -> Self {
+        let scene = Scene::default();
+        let (a, b) = (server(&scene, "a", 60_000).await, server(&scene, "b", 60_000).await);
+        let bus = Bus::start(Vec::new()).await.expect("a bus");
+        let at: Vec<SocketAddr> = (0..3)
+            .map(|_| std::net::UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port"))
+            .collect();
+        let (mut nodes, mut ways) = (Vec::new(), Vec::new());
+        for i in 0..3 {
+            let way = [a.addr, b.addr, bus.addr].map(Relay::start);
+            let [a, b, bus] = way;
+            let way = [a.await.expect("a way"), b.await.expect("a way"), bus.await.expect("a way")];
+            let row = |way: &Relay, id: &str| {
+                let addr = way.addr;
+                format!(
+                    r#"{{"id":"{id}","addr":"{addr}","zone":"z","kind":"k","cell":0,"state":"up","weight":1,"started_ms":0}}"#
+                )
+            };
+            let rows = format!("{},{}", row(&way[0], "a"), row(&way[1], "b"));
+            let text = format!("(name \"n{i}\") (listen \"{}\") (seeds \"{}\") (expected 3)", at[i], at[0]);
+            nodes.push(start_with(&format!("{tag}-{i}"), free_port(), way[2].addr, &rows, Some(&text)));
+            ways.push(way);
+        }
+        let mut viewers = Vec::new();
+        for node in &nodes {
+            let mut v = Viewer::connect(node.listen).await;
+            assert_eq!(v.test().await, Some(1));
+            viewers.push(v);
+        }
+        Ways { scene, nodes, viewers, ways, _servers: [a, b], bus }
+    }
+
+    /// Asks each node so often, and says for each how many of its set-ups reached server a.
+    async fn ask(&mut self, from: u64, times: u64) -> [usize; 3] {
+        for n in 0..3 * times {
+            self.viewers[n as usize % 3].ask(&self.scene, from + n, "free").await;
+        }
+        let record = self.scene.record.borrow();
+        let sent =
+            |r: &&(u64, Seen)| matches!(&r.1, Seen::Sent { id, server, .. } if *id >= from && server == "a");
+        let mut there = [0; 3];
+        record.iter().filter(sent).for_each(|r| {
+            if let Seen::Sent { id, .. } = r.1 {
+                there[((id - from) % 3) as usize] += 1;
+            }
+        });
+        there
+    }
+
+    fn broken(&self) -> Vec<String> {
+        verdict(&self.scene.record.borrow(), self.scene.now())
+    }
+}
+
+#[test]
+fn a_node_whose_way_to_a_server_is_broken_costs_the_others_nothing_but_calls() {
+    on_one_thread(async {
+        let mut w = Ways::new("ways").await;
+        let before = w.ask(1000, 10).await;
+        assert!(before.iter().all(|n| *n > 0), "{before:?}");
+        // What the first says arrives at server a, and no answer comes back; after a while its connections break.
+        w.ways[0][0].set(Flow::Through, Flow::Cut);
+        w.ask(2000, 10).await;
+        w.ways[0][0].reset();
+        let during = w.ask(3000, 20).await;
+        // It knows by then, and has told the others, who found out that it is not so.
+        assert!(during[0] <= 3 && during[1] > 0 && during[2] > 0, "{during:?}");
+        w.ways[0][0].set(Flow::Through, Flow::Through);
+        let mut after = [0; 3];
+        for round in 0..20 {
+            after = w.ask(10_000 + 1000 * round, 5).await;
+            if after[0] > 0 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        assert!(after[0] > 0, "the way is whole again, and used");
+        assert_eq!(w.broken(), Vec::<String>::new());
+        // The verdict sees a program that answers nobody: one that stands still.
+        w.nodes[1].signal("-STOP");
+        w.scene.note(Seen::Asked { id: 9, patience: 4000 * MS, paid: false, floor: 0 });
+        w.viewers[1].send(&set_up(9, "free")).await;
+        tokio::time::sleep(Duration::from_millis(4300)).await;
+        assert!(w.broken().iter().any(|b| b.contains('9')), "{:?}", w.broken());
+        w.nodes[1].signal("-CONT");
+    });
+}
+
+#[test]
+fn ways_that_are_late_cut_and_reset_by_turns_break_no_rule() {
+    on_one_thread(async {
+        let mut w = Ways::new("turns").await;
+        w.ask(1000, 3).await;
+        let late = Flow::Late(Duration::from_millis(120));
+        let turns: [(usize, usize, Flow, Flow); 6] = [
+            (0, 0, late, Flow::Through),
+            (1, 1, Flow::Cut, Flow::Through),
+            (2, 2, Flow::Cut, Flow::Cut),
+            (0, 1, Flow::Through, late),
+            (1, 0, Flow::Cut, Flow::Cut),
+            (2, 0, late, late),
+        ];
+        for (turn, (node, way, there, back)) in turns.into_iter().enumerate() {
+            w.ways[node][way].set(there, back);
+            w.ask(2000 + 1000 * turn as u64, 4).await;
+            if turn % 2 == 1 {
+                w.ways[node][way].reset();
+            }
+        }
+        // The bus tells of a drain: one way to it is cut, and its node hears from the others.
+        let calls = w.bus.calls.borrow().len();
+        assert!(calls >= 3, "{calls}");
+        w.ways.iter().flatten().for_each(|way| way.set(Flow::Through, Flow::Through));
+        let there = w.ask(20_000, 10).await;
+        assert!(there.iter().sum::<usize>() > 0, "{there:?}");
+        assert_eq!(w.broken(), Vec::<String>::new());
+    });
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod platform_net;
 pub mod player;
 pub mod record;
+pub mod relay;
 pub mod server;
 pub mod viewer;
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,131 @@
+//! A way between two processes that a test owns: connections are carried byte for byte, each direction by itself, and can be
+//! held up as by a network that loses packets, delayed, or reset. For a `LocalSet`.
+
+use crate::server::bind;
+use micadyke_http::client::read_some;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, spawn_local};
+
+/// Bytes that wait on a direction that is cut, at most: what a sender's and a receiver's buffers would hold.
+const HELD: usize = 256 << 10;
+
+/// What becomes of the bytes of one direction.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Flow {
+    /// They arrive.
+    #[default]
+    Through,
+    /// They arrive so much later.
+    Late(Duration),
+    /// They arrive when the cut is over, as what TCP sends again does.
+    Cut,
+}
+
+/// A way to one address, under an address of its own.
+pub struct Relay {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    to: SocketAddr,
+    flows: [Cell<Flow>; 2],
+    changed: Notify,
+    /// Connections carried so far.
+    pub carried: Cell<usize>,
+    open: RefCell<Vec<AbortHandle>>,
+}
+
+impl Relay {
+    /// A way to `to`.
+    pub async fn start(to: SocketAddr) -> std::io::Result<Rc<Self>> {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let addr = listener.local_addr()?;
+        let me = Rc::new(Relay {
+            addr,
+            to,
+            flows: Default::default(),
+            changed: Notify::new(),
+            carried: Cell::new(0),
+            open: RefCell::default(),
+        });
+        let accepting = me.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                accepting.carried.set(accepting.carried.get() + 1);
+                let task = spawn_local(accepting.clone().carry(stream));
+                let mut open = accepting.open.borrow_mut();
+                open.retain(|t| !t.is_finished());
+                open.push(task.abort_handle());
+            }
+        });
+        Ok(me)
+    }
+
+    /// What becomes of bytes there, and of those back, from now on.
+    pub fn set(&self, there: Flow, back: Flow) {
+        self.flows[0].set(there);
+        self.flows[1].set(back);
+        self.changed.notify_waiters();
+    }
+
+    /// Breaks all connections that are carried; new ones come up.
+    pub fn reset(&self) {
+        self.open.borrow_mut().drain(..).for_each(|t| t.abort());
+    }
+
+    async fn carry(self: Rc<Self>, from: TcpStream) {
+        // A connection comes up when its handshake gets through; the caller's own kernel has said yes before that.
+        self.let_through(0).await;
+        self.let_through(1).await;
+        let Ok(to) = TcpStream::connect(self.to).await else { return };
+        let _ = (from.set_nodelay(true), to.set_nodelay(true));
+        let ((from_read, from_write), (to_read, to_write)) = (from.into_split(), to.into_split());
+        tokio::join!(self.one(0, from_read, to_write), self.one(1, to_read, from_write));
+    }
+
+    /// Waits until a direction is not cut.
+    async fn let_through(&self, way: usize) {
+        loop {
+            let changed = self.changed.notified();
+            if self.flows[way].get() != Flow::Cut {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    async fn one(
+        &self, way: usize, from: tokio::net::tcp::OwnedReadHalf, mut to: tokio::net::tcp::OwnedWriteHalf,
+    ) {
+        let (send, mut receive) = mpsc::channel::<(tokio::time::Instant, Vec<u8>)>(HELD / 4096);
+        let read = async move {
+            loop {
+                let mut taken = Vec::new();
+                match read_some(from.as_ref(), |bytes| taken.extend_from_slice(bytes)).await {
+                    Ok(1..) => {}
+                    _ => return,
+                }
+                let late = if let Flow::Late(by) = self.flows[way].get() { by } else { Duration::ZERO };
+                if send.send((tokio::time::Instant::now() + late, taken)).await.is_err() {
+                    return;
+                }
+            }
+        };
+        let write = async move {
+            while let Some((at, bytes)) = receive.recv().await {
+                tokio::time::sleep_until(at).await;
+                self.let_through(way).await;
+                if to.write_all(&bytes).await.is_err() {
+                    return;
+                }
+            }
+            self.let_through(way).await;
+            let _ = to.shutdown().await;
+        };
+        tokio::join!(read, write);
+    }
+}
