A node with a store comes back by phases: no server is named to its module before they are over

Need: a node that returns from a power loss trusted the list it was given, sent to servers that were all cold, and could not say whether it or all had fallen.

The start is counted on the disk before anybody hears of it, lists and settled views are kept by a thread of its own (a sync may take longer than a viewer waits). While phases last the module is told of no server, so that it refuses by itself at once; the platform's test fails; sessions handed over are told of afterwards. Where nobody lives under the start that was kept, eight servers by lot are asked, a lease is waited for, and each server counts as started with the service. Drains that were kept count until the own list speaks. A bus whose stream opens with nothing new confirms the list.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -10,6 +10,10 @@
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
 use micadyke_front::shell::{Extras, Questions, serve};
+use micadyke_node::shell::Recovers;
+use micadyke_recovery::keeper::Keeper;
+use micadyke_recovery::record::{Kept, Record as Keep};
+use micadyke_recovery::store::{Fault, Store};
 use micadyke_rehearse::replay::{self, Line, Via};
 use micadyke_rehearse::run::{Post, Program, play_with};
 use micadyke_rehearse::sabotage::Break;
@@ -107,7 +111,7 @@
 }
 
 /// Runs a front node as the platform starts it.
-pub fn node(membership: Option<&Path>) -> Result<ExitCode, Failure> {
+pub fn node(membership: Option<&Path>, store: Option<&Path>) -> Result<ExitCode, Failure> {
     let path = std::env::var_os("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set: it names the configuration")?;
     let path = PathBuf::from(path);
     let config = micadyke_node::shell::load(&path)?;
@@ -116,12 +120,53 @@
     let (settings, seed) = (config.site.settings.clone(), config.seed);
     settings.check().map_err(|e| format!("{}: settings: {e}", path.display()))?;
     let module = move |now| Controller::new(settings, seed, now).expect("settings were checked");
-    let member = membership.map(|file| Member::load(file, Some(&config.name))).transpose()?;
-    let (neighbours, others) = crate::members::others(member.as_ref());
-    run(with_member(member, neighbours, micadyke_node::shell::run(path, config, module, others)))???;
+    let mut member = membership.map(|file| Member::load(file, Some(&config.name))).transpose()?;
+    let name = member.as_ref().map_or(config.name.as_str(), |m| m.name()).to_owned();
+    let back = store.map(|file| comes_back(file, &name)).transpose()?.flatten();
+    let (mut neighbours, others) = crate::members::others(member.as_ref());
+    let back = back.map(|(kept, start, keeper)| {
+        let keeper = Rc::new(keeper);
+        member.iter_mut().for_each(|m| m.starts(start));
+        neighbours.keeps(keeper.clone());
+        Recovers { kept, start, keeper }
+    });
+    run(with_member(member, neighbours, micadyke_node::shell::run(path, config, module, others, back)))???;
     Ok(ExitCode::SUCCESS)
 }
 
+/// Opens a store and counts this start in it, on the disk before anybody hears of it. A store that another process holds is
+/// an error; without a disk the process starts as if it had none.
+fn comes_back(file: &Path, name: &str) -> Result<Option<(Kept, u64, Keeper)>, Failure> {
+    let opened = match Store::open(file) {
+        Ok(opened) => opened,
+        Err(held @ Fault::Held) => return Err(format!("{}: {held}", file.display()).into()),
+        Err(e) => {
+            tracing::warn!("{}: {e}; this start is as the first", file.display());
+            return Ok(None);
+        }
+    };
+    if let Some((to, why)) = &opened.aside {
+        tracing::warn!(
+            "{}: {why}; set aside as {}, this start is as the first",
+            file.display(),
+            to.display()
+        );
+    }
+    // What another name kept is not this process's.
+    let own = opened.kept.start.as_ref().is_none_or(|s| s.0 == name);
+    if !own {
+        tracing::warn!("{}: kept by another name; this start is as the first", file.display());
+    }
+    let kept = if own { opened.kept } else { Kept::default() };
+    let clock = micadyke_membership::shell::by_clock();
+    let start = kept.start.as_ref().map_or(clock, |s| clock.max(s.1.saturating_add(1)));
+    let record = Keep::Start { name: name.to_owned(), start, at: clock.saturating_mul(1_000_000) };
+    if let Err(e) = opened.store.keep(&[record]) {
+        tracing::warn!("{}: {e}; this start is not counted", file.display());
+    }
+    Ok(Some((kept, start, Keeper::start(opened.store))))
+}
+
 pub fn front(
     file: &Path, addr: Option<SocketAddr>, record: Option<&Path>, membership: Option<&Path>,
 ) -> Result<ExitCode, Failure> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -67,6 +67,9 @@
         /// Keep a view of the other nodes, by these settings; without it nothing is opened for that.
         #[arg(long, value_name = "FILE")]
         membership: Option<PathBuf>,
+        /// Keep in this file what the next start needs, and come back by it; without it each start is the first.
+        #[arg(long, value_name = "FILE")]
+        store: Option<PathBuf>,
     },
     /// Show a member's view of its fleet.
     Members {
@@ -207,7 +210,7 @@
         Command::Front { config, listen, record, membership } => {
             commands::front(&config, listen, record.as_deref(), membership.as_deref())
         }
-        Command::Node { membership } => commands::node(membership.as_deref()),
+        Command::Node { membership, store } => commands::node(membership.as_deref(), store.as_deref()),
         Command::Members { at, membership, json, watch, wait } => {
             members::members(at, &membership, json, watch, &wait)
         }
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -7,13 +7,18 @@
 use micadyke_membership::news::News;
 use micadyke_membership::shell::Part;
 use micadyke_membership::status::{Row, Summary};
-use micadyke_membership::{Change, Settings, shell};
+use micadyke_membership::{Change, MOST_MEMBERS, Settings, shell};
 use micadyke_node::shell::Others;
+use micadyke_recovery::keeper::Keeper;
+use micadyke_recovery::phases::Fleet;
+use micadyke_recovery::record::Record;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -24,6 +29,16 @@
 }
 
 impl Member {
+    /// Its name.
+    pub fn name(&self) -> &str {
+        &self.settings.name
+    }
+
+    /// Takes this for its start: a store has counted it.
+    pub fn starts(&mut self, start: u64) {
+        self.settings.start = Some(start);
+    }
+
     /// Reads both; `name` stands in where the settings give none.
     pub fn load(file: &Path, name: Option<&str>) -> Result<Self, Failure> {
         let read = |text: &str, file: &str| micadyke_membership::settings::read(text, file, name);
@@ -48,11 +63,24 @@
     parts: Option<watch::Sender<Option<Part>>>,
     heard: Option<mpsc::Sender<News>>,
     tell: Option<mpsc::Receiver<News>>,
+    fleet: Option<mpsc::Sender<Fleet>>,
+    keeper: Option<Rc<Keeper>>,
+}
+
+impl Neighbours {
+    /// Each settled view is kept for the next start.
+    pub fn keeps(&mut self, keeper: Rc<Keeper>) {
+        self.keeper = Some(keeper);
+    }
 }
 
 /// Pieces of news that wait between member and node; more are lost, as datagrams may be.
 const NEWS: usize = 256;
 
+/// Changes of the view that wait between member and node: all members, with room for each to change its mind. Recovery
+/// that misses one waits to its limit.
+const FACTS: usize = 2 * MOST_MEMBERS;
+
 /// Both sides of what a member and a node tell each other; none where there is no member.
 pub fn others(member: Option<&Member>) -> (Neighbours, Option<Others>) {
     let Some(member) = member else { return (Neighbours::default(), None) };
@@ -60,8 +88,15 @@
     let (told, heard) = mpsc::channel(NEWS);
     let (tell, news) = mpsc::channel(NEWS);
     let shares = member.settings.shares.is_some();
-    let neighbours = Neighbours { parts: Some(part), heard: Some(told), tell: Some(news) };
-    (neighbours, Some(Others { parts: shares.then_some(parts), heard, tell }))
+    let (seen, fleet) = mpsc::channel(FACTS);
+    let neighbours = Neighbours {
+        parts: Some(part),
+        heard: Some(told),
+        tell: Some(news),
+        fleet: Some(seen),
+        ..Neighbours::default()
+    };
+    (neighbours, Some(Others { parts: shares.then_some(parts), heard, tell, fleet }))
 }
 
 /// Runs a member beside `work`, where one is to run: it takes its leave when the work is over. Where it cannot listen,
@@ -71,16 +106,36 @@
 ) -> Result<T, Failure> {
     let Some(Member { settings, seal }) = member else { return Ok(work.await) };
     let (stop, stopped) = oneshot::channel();
-    let Neighbours { parts, heard, tell } = neighbours;
-    let told = move |change: &Change, zero: Instant| match change {
-        Change::Part(p) => {
-            // Without a lease there is no end to tell of.
-            let until = if p.leased > 0.0 { zero + Duration::from_nanos(p.until) } else { zero };
-            let part = Part { always: p.always, leased: p.leased, until };
-            let _ = parts.as_ref().map(|to| to.send(Some(part)));
+    let Neighbours { parts, heard, tell, fleet, keeper } = neighbours;
+    let mut living = BTreeMap::from([(settings.name.clone(), settings.start.unwrap_or_default())]);
+    let mut epoch = 0;
+    let told = move |change: &Change, zero: Instant| {
+        let mut facts = Vec::new();
+        match change {
+            Change::Up(m) | Change::Renewed { new: m, .. } => {
+                living.insert(m.name.clone(), m.start);
+                facts.push(Fleet::Lives(m.name.clone(), m.start));
+            }
+            Change::Rejoined(m) => drop(living.insert(m.name.clone(), m.start)),
+            Change::Down(m) | Change::Left(m) => {
+                living.remove(&m.name);
+                facts.push(Fleet::Gone(m.name.clone()));
+            }
+            Change::Settled { .. } => {
+                let at = Duration::from_millis(shell::by_clock()).as_nanos() as u64;
+                let view = Record::View { at, members: living.clone(), epoch };
+                keeper.iter().for_each(|k| k.keep(view.clone()));
+                facts.push(Fleet::Settled(true));
+            }
+            Change::Unsettled(_) => facts.push(Fleet::Settled(false)),
+            Change::Part(p) if p.leased > 0.0 => {
+                epoch = p.epoch;
+                facts.push(Fleet::Leased);
+            }
+            _ => {}
         }
-        Change::Heard { news, .. } => drop(heard.as_ref().map(|to| to.try_send(news.clone()))),
-        _ => {}
+        facts.into_iter().for_each(|f| drop(fleet.as_ref().map(|to| to.try_send(f))));
+        hand_over(change, zero, parts.as_ref(), heard.as_ref());
     };
     // Where nobody tells anything, the channel is closed and never heard of.
     let tell = tell.unwrap_or_else(|| mpsc::channel(1).1);
@@ -99,6 +154,23 @@
     }
 }
 
+/// Hands parts and news from a member's side to its node's.
+fn hand_over(
+    change: &Change, zero: Instant, parts: Option<&watch::Sender<Option<Part>>>,
+    heard: Option<&mpsc::Sender<News>>,
+) {
+    match change {
+        Change::Part(p) => {
+            // Without a lease there is no end to tell of.
+            let until = if p.leased > 0.0 { zero + Duration::from_nanos(p.until) } else { zero };
+            let part = Part { always: p.always, leased: p.leased, until };
+            let _ = parts.map(|to| to.send(Some(part)));
+        }
+        Change::Heard { news, .. } => drop(heard.map(|to| to.try_send(news.clone()))),
+        _ => {}
+    }
+}
+
 /// Shows a member's view.
 pub fn members(
     address: SocketAddr, membership: &Path, json: bool, watch: bool, wait: &str,
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -53,6 +53,8 @@
     pub rate: u64,
     /// How parts of a common budget are shared out; `None`: each has its part by the configured number.
     pub shares: Option<Terms>,
+    /// This start, where a store has counted it; `None`: by the clock, in milliseconds of Unix time.
+    pub start: Option<u64>,
 }
 
 impl Settings {
@@ -70,6 +72,7 @@
             remember: 24 * 3600 * SECOND,
             rate: RATE,
             shares: None,
+            start: None,
         }
     }
 }
@@ -147,6 +150,7 @@
         });
         Some(Settings {
             shares,
+            start: None,
             expected,
             fleet: form.word_of("fleet", None).to_owned(),
             name: name.to_owned(),
--- a/crates/membership/src/share.rs
+++ b/crates/membership/src/share.rs
@@ -129,6 +129,8 @@
     pub leased: f64,
     /// Members of the epoch that it is leased by.
     pub members: Option<u32>,
+    /// The epoch's number; 0: none.
+    pub epoch: u64,
     /// The end of the lease; [`Nanos::MAX`] where there is none.
     pub until: Nanos,
 }
@@ -190,11 +192,11 @@
         let whole = self.terms.always.min(1000) as f64 / 1000.0;
         let always = whole / f64::from(self.terms.fronts.max(1));
         match &self.held {
-            Some((_, members, until)) if now < *until => {
+            Some((epoch, members, until)) if now < *until => {
                 let leased = (1.0 - whole) / f64::from((*members).max(1));
-                Part { always, leased, members: Some(*members), until: *until }
+                Part { always, leased, members: Some(*members), epoch: epoch.number, until: *until }
             }
-            _ => Part { always, leased: 0.0, members: None, until: Nanos::MAX },
+            _ => Part { always, leased: 0.0, members: None, epoch: 0, until: Nanos::MAX },
         }
     }
 
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -49,6 +49,11 @@
     }
 }
 
+/// The start of a process by its clock: milliseconds of Unix time.
+pub fn by_clock() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 /// Runs a member until `stop` is told or dropped; then it takes its leave. Changes go to `told`, in order, with the
 /// moment from which the view's time counts; what `news` brings is told to the others.
 ///
@@ -62,7 +67,7 @@
     let listen = settings.listen;
     let socket =
         UdpSocket::bind(listen).await.map_err(|e| format!("membership cannot listen on {listen}: {e}"))?;
-    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let started = settings.start.unwrap_or_else(by_clock);
     let clock = Instant::now();
     let now = || clock.elapsed().as_nanos() as Nanos;
     info!(name = settings.name, %listen, advertise = %settings.advertise, fleet = settings.fleet, "a member");
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -5,6 +5,7 @@
 use crate::care;
 use crate::io::{ConnId, Output};
 use crate::list::{Numbers, Row};
+use crate::recovering::Recovering;
 use micadyke::interface::*;
 use micadyke_isup as isup;
 use micadyke_rtsp::{Message, Parser};
@@ -140,6 +141,12 @@
     pub(crate) version: u64,
     /// Servers that take nothing new by what others say alone, and the version of the list that said so.
     pub(crate) hearsay: BTreeMap<ServerId, u64>,
+    /// It comes back from before: its module is told of no server yet.
+    pub(crate) recovering: Option<Recovering>,
+    /// It keeps lists for its next start.
+    pub(crate) keeps: bool,
+    /// Servers count as started then at the earliest.
+    pub(crate) cold_from: Nanos,
     /// Looks at servers for what others found: how many are left, as of then.
     pub(crate) looks: (f64, Nanos),
     pub(crate) stopping: Option<Nanos>,
--- a/crates/node/src/bus.rs
+++ b/crates/node/src/bus.rs
@@ -17,6 +17,8 @@
     /// Number of the last event that was applied.
     last: u64,
     conn: Option<ConnId>,
+    /// Since when its stream is open.
+    open: Option<Nanos>,
     parser: sse::Parser,
     /// Last time that anything came, or that it was asked.
     heard: Nanos,
@@ -43,7 +45,7 @@
     /// A follower that holds all events up to `last`, and is to ask at once.
     pub fn new(addr: SocketAddr, last: u64, now: Nanos) -> Self {
         let parser = sse::Parser::new(EVENT);
-        Follower { addr, last, conn: None, parser, heard: now, failed: 0, ask_at: now, gap: None }
+        Follower { addr, last, conn: None, open: None, parser, heard: now, failed: 0, ask_at: now, gap: None }
     }
 
     /// Where the bus is.
@@ -72,26 +74,31 @@
 
     /// It was asked on this connection.
     pub fn asked(&mut self, conn: ConnId, now: Nanos) {
-        (self.conn, self.heard) = (Some(conn), now);
+        (self.conn, self.open, self.heard) = (Some(conn), None, now);
         self.parser = sse::Parser::new(EVENT);
     }
 
     /// The stream is open.
     pub fn opened(&mut self, now: Nanos) {
-        self.heard = now;
+        (self.open, self.heard) = (Some(now), now);
+    }
+
+    /// Whether all that it had to tell when its stream opened has been told.
+    pub fn caught_up(&self, now: Nanos) -> bool {
+        self.open.is_some_and(|since| now >= since + care::CAUGHT_UP)
     }
 
     /// The connection is over: at once again after a stream that told something, else after a pause that grows.
     /// `lot` is a number from 0 to 1.
     pub fn closed(&mut self, now: Nanos, lot: f64) {
-        self.conn = None;
+        (self.conn, self.open) = (None, None);
         self.ask_at = now + care::bus_pause(self.failed, lot);
         self.failed = self.failed.saturating_add(1);
     }
 
     /// The bus is elsewhere; the number stays.
     pub fn moved(&mut self, addr: SocketAddr, now: Nanos) -> Option<ConnId> {
-        (self.addr, self.failed, self.ask_at) = (addr, 0, now);
+        (self.addr, self.failed, self.ask_at, self.open) = (addr, 0, now, None);
         self.conn.take()
     }
 
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -3,6 +3,7 @@
 //! and at which rung are the module's, never chosen here.
 
 use micadyke::interface::Nanos;
+use micadyke_recovery::phases::Limits;
 
 /// A millisecond.
 pub const MS: Nanos = 1_000_000;
@@ -19,6 +20,9 @@
 /// Longest pause: well within the time after which a listing counts as told.
 const BUS_PAUSE_MOST: Nanos = 500 * MS;
 
+/// The bus tells what was missed with the opening of its stream: nothing by then, and the list held is its own word.
+pub const CAUGHT_UP: Nanos = 100 * MS;
+
 /// How long to wait after `failed` calls in a row; `lot` from 0 to 1 keeps the fronts apart.
 pub fn bus_pause(failed: u32, lot: f64) -> Nanos {
     if failed == 0 {
@@ -41,6 +45,16 @@
 /// Bytes that wait to be written to a server at most; a server that lets more pile up reads nothing.
 pub const LINK_BACKLOG: usize = 256 << 10;
 
+// ----- recovery
+
+/// How long a node that comes back waits at most: for the bus, which tells all within its own pause of half a second once it
+/// is back; for the others, whose views settle within twenty (`docs/results.md`); for servers as long as for one that is
+/// called; for a lease two of its usual length.
+pub const RECOVERY: Limits =
+    Limits { list: 10 * SECOND, view: 20 * SECOND, servers: 2 * SECOND, parts: 6 * SECOND };
+/// Servers that one node asks whether they live: hundreds of nodes ask at once, and tell each other what they find.
+pub const ASKED: usize = 8;
+
 // ----- whether a server lives
 
 /// A server with sessions tells something at least as often as its notes come; silent for longer than this, it is
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -6,7 +6,7 @@
 use crate::care::{self, SECOND};
 use crate::config::Config;
 use crate::io::{ConnId, Input, Output};
-use crate::list::{Change, Numbers, Row, entry};
+use crate::list::{Change, Numbers, Row};
 use micadyke::interface::*;
 use micadyke_front::core::Decide;
 use micadyke_isup as isup;
@@ -56,6 +56,9 @@
             others: false,
             version: 0,
             hearsay: BTreeMap::new(),
+            recovering: None,
+            keeps: false,
+            cold_from: 0,
             looks: (care::LOOKS, now),
             follower: Follower::new(config.bus, config.offset, now),
             stopping: None,
@@ -131,6 +134,7 @@
                 self.events.push_back(Event::Part { always, leased, until });
             }
             Input::Heard(news) => self.heard_of(news),
+            Input::Fleet(fact) => self.recover(fact.heard()),
             Input::Stop => {
                 if self.stopping.is_none() {
                     info!(owed = self.held().0, "stopping: what is owed is answered first");
@@ -168,6 +172,7 @@
     pub(crate) fn settle(&mut self) {
         let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
+            let Some(event) = self.held_back(event) else { continue };
             tracing::trace!(?event, "told");
             self.decide.handle(self.now, event, &mut actions);
             for action in actions.drain(..) {
@@ -285,7 +290,7 @@
                 rows.push((self.numbers.number(&row.id), row.clone()));
             }
         }
-        let entries = rows.iter().map(|(n, row)| entry(row, *n, &self.names)).collect();
+        let entries = rows.iter().map(|(n, row)| self.entry(row, *n)).collect();
         if change.full {
             let gone: Vec<ServerId> =
                 self.servers.keys().filter(|s| rows.iter().all(|r| r.0 != **s)).copied().collect();
@@ -300,6 +305,9 @@
         }
         self.version = self.version.max(change.version);
         self.own_word();
+        if kind != ListKind::Cached {
+            self.listed(change.version);
+        }
         if !self.ready {
             self.ready = true;
             info!(servers = self.servers.len(), offset = change.offset, "the list stands");
@@ -308,7 +316,7 @@
 
     /// Whether list and module stand, so that set-ups can be taken.
     pub fn ready(&self) -> bool {
-        self.ready
+        self.ready && self.recovering.is_none()
     }
 
     // ----- the event bus
@@ -353,6 +361,7 @@
                     self.tidy_viewers();
                     self.tidy_servers();
                     self.tidy_releases();
+                    self.tidy_recovery();
                     self.report();
                 }
             }
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -2,6 +2,8 @@
 
 use micadyke::interface::Nanos;
 use micadyke_membership::news::News;
+use micadyke_recovery::phases::Fleet;
+use micadyke_recovery::record::Record;
 use std::net::SocketAddr;
 
 /// A connection; never used twice. The shell numbers those of viewers, the core all others, so that one side's numbers
@@ -23,6 +25,8 @@
     },
     /// Another node tells of a server: see [`Output::Tell`].
     Heard(&'a News),
+    /// The view of the fleet tells this.
+    Fleet(&'a Fleet),
     /// A viewer connected.
     ViewerOpened {
         /// Its connection.
@@ -61,10 +65,12 @@
 }
 
 /// Something to be done.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Output {
     /// The other nodes should hear this; only where the node was told that there are others ([`crate::Node::has_others`]).
     Tell(News),
+    /// This is to be kept for the next start; only where there is a store ([`crate::Node::recovers`]).
+    Keep(Record),
     /// Write to a connection.
     Write {
         /// The connection.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod io;
 pub mod list;
 mod others;
+mod recovering;
 mod servers;
 pub mod shell;
 mod viewers;
--- a/crates/node/src/others.rs
+++ b/crates/node/src/others.rs
@@ -4,7 +4,6 @@
 use crate::books::{Node, Session, Stage};
 use crate::care;
 use crate::io::Output;
-use crate::list::entry;
 use micadyke::interface::*;
 use micadyke_front::core::Decide;
 use micadyke_membership::news::News;
@@ -72,7 +71,8 @@
     fn set_state(&mut self, id: ServerId, state: ServerState) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         (server.row.state, server.hearsay) = (state, state == ServerState::Draining);
-        let entries = vec![entry(&server.row, id, &self.names)];
+        let row = server.row.clone();
+        let entries = vec![self.entry(&row, id)];
         self.events.push_back(Event::List { kind: ListKind::Delta, entries });
     }
 
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -13,6 +13,9 @@
 use micadyke_http::{Limits, Method, Request};
 use micadyke_membership::news::News;
 use micadyke_membership::shell::{Parts, next_part};
+use micadyke_recovery::keeper::Keeper;
+use micadyke_recovery::phases::{Fleet, Phases};
+use micadyke_recovery::record::Kept;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -98,6 +101,8 @@
     armed: Cell<Nanos>,
     /// To the other nodes, where there are any.
     tell: Option<mpsc::Sender<News>>,
+    /// To the store, where there is one.
+    keeper: Option<Rc<Keeper>>,
 }
 
 /// The way to the other nodes, by whoever keeps the view of them.
@@ -109,6 +114,19 @@
     pub heard: mpsc::Receiver<News>,
     /// What this node tells of servers; what does not fit is lost.
     pub tell: mpsc::Sender<News>,
+    /// Who is there.
+    pub fleet: mpsc::Receiver<Fleet>,
+}
+
+/// What a node that keeps a store comes back with.
+#[derive(Debug)]
+pub struct Recovers {
+    /// What was kept.
+    pub kept: Kept,
+    /// This start, as the others know it.
+    pub start: u64,
+    /// Where it is kept for the next time.
+    pub keeper: Rc<Keeper>,
 }
 
 /// Runs a node by its configuration until SIGTERM; then answers what it owes and returns.
@@ -118,6 +136,7 @@
 /// Where it cannot listen.
 pub async fn run<D: Decide + 'static>(
     path: PathBuf, config: Config, decide: impl FnOnce(Nanos) -> D, others: Option<Others>,
+    recovers: Option<Recovers>,
 ) -> Result<Counts, String> {
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let failed = |e: std::io::Error| format!("no signals: {e}");
@@ -129,6 +148,12 @@
     if others.is_some() {
         node.has_others();
     }
+    let keeper = recovers.map(|Recovers { kept, start, keeper }| {
+        let leases = others.as_ref().is_some_and(|o| o.parts.is_some());
+        let me = (config.name.as_str(), start);
+        node.recovers(Phases::new(care::RECOVERY, me, &kept, epoch, leases, others.is_none(), epoch), &kept);
+        keeper
+    });
     let shell = Rc::new(Shell {
         core: RefCell::new(node),
         start: Instant::now(),
@@ -139,12 +164,13 @@
         wake: Notify::new(),
         armed: Cell::new(Nanos::MAX),
         tell: others.as_ref().map(|o| o.tell.clone()),
+        keeper,
     });
     info!(name = config.name, listen = %config.listen, sockets = config.sockets, "serving");
     drop(config);
     let reload = spawn_local(shell.clone().reload(path, hup));
     let timers = spawn_local(shell.clone().timers());
-    let others = others.map(|o| spawn_local(shell.clone().others(o.parts, o.heard)));
+    let others = others.map(|o| spawn_local(shell.clone().others(o)));
     shell.feed(Input::Wake);
     let accept = spawn_local(shell.clone().accept(listener));
     tokio::select! {
@@ -212,6 +238,9 @@
                     c.changed.notify_one();
                 }
             }
+            Output::Keep(record) => {
+                self.keeper.iter().for_each(|k| k.keep(record.clone()));
+            }
             Output::Tell(news) => {
                 let _ = self.tell.as_ref().map(|t| t.try_send(news));
             }
@@ -239,12 +268,17 @@
     }
 
     /// Hands over what the view of the other nodes brings.
-    async fn others(self: Rc<Self>, parts: Option<Parts>, mut heard: mpsc::Receiver<News>) {
+    async fn others(self: Rc<Self>, others: Others) {
+        let Others { parts, mut heard, mut fleet, .. } = others;
         if let Some(parts) = parts {
             spawn_local(self.clone().parts(parts));
         }
-        while let Some(news) = heard.recv().await {
-            self.feed(Input::Heard(&news));
+        loop {
+            tokio::select! {
+                Some(news) = heard.recv() => self.feed(Input::Heard(&news)),
+                Some(fact) = fleet.recv() => self.feed(Input::Fleet(&fact)),
+                else => return,
+            }
         }
     }
 
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -7,6 +7,7 @@
 use micadyke_membership::news::News;
 use micadyke_node::config::{Config, read};
 use micadyke_node::{ConnId, Input, Node, Output};
+use micadyke_recovery::record::Kept;
 use micadyke_standin::platform::{Act, MediaServer, Record, Seen, Treat, bus_event, verdict};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -81,6 +82,8 @@
     pub record: Record,
     /// What the node would have the others hear.
     pub news: Vec<News>,
+    /// What it would have kept.
+    pub kept: Kept,
     pub servers: BTreeMap<SocketAddr, MediaServer>,
     /// Nothing listens there.
     pub refusing: BTreeSet<SocketAddr>,
@@ -127,6 +130,7 @@
             now: START,
             node: Node::new(&config, module, START),
             news: Vec::new(),
+            kept: Kept::default(),
             record: Vec::new(),
             servers: made.collect(),
             refusing: BTreeSet::new(),
@@ -354,6 +358,7 @@
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Tell(news) => self.news.push(news),
+            Output::Keep(record) => self.kept.take(record),
             Output::Write { conn, mut bytes } => {
                 if let Some(link) = self.links.get_mut(&conn.0) {
                     link.2 += bytes.len() as u64;
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -5,6 +5,7 @@
 //! phases are over it is told of no server, and refuses by itself.
 #![warn(missing_docs)]
 
+pub mod keeper;
 pub mod phases;
 pub mod record;
 pub mod store;
--- a/crates/recovery/src/phases.rs
+++ b/crates/recovery/src/phases.rs
@@ -79,6 +79,31 @@
     Wake,
 }
 
+/// What the view of the fleet tells, as it is handed from its side to recovery's.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fleet {
+    /// A member lives, under this start.
+    Lives(String, u64),
+    /// A member is gone.
+    Gone(String),
+    /// The view is settled, or no longer.
+    Settled(bool),
+    /// A part of the cold budgets is leased.
+    Leased,
+}
+
+impl Fleet {
+    /// The same, to be handed to [`Phases::handle`].
+    pub fn heard(&self) -> Heard<'_> {
+        match self {
+            Fleet::Lives(name, start) => Heard::Lives { name, start: *start },
+            Fleet::Gone(name) => Heard::Gone { name },
+            Fleet::Settled(settled) => Heard::Settled(*settled),
+            Fleet::Leased => Heard::Leased,
+        }
+    }
+}
+
 /// What recovery asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Asks {
