--- /dev/null
+++ b/crates/cli/tests/platform/mod.rs
@@ -0,0 +1,195 @@
+//! `micadyke node` as the platform starts it, between stand-in servers, a bus and viewers on loopback.
+#![allow(dead_code)]
+
+use micadyke_isup::{Frame, Message, Parser, code, kind};
+use micadyke_standin::platform::{MediaServer, Seen, Treat};
+use micadyke_standin::platform_net::{Listening, Scene};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+pub const BINARY: &str = env!("CARGO_BIN_EXE_micadyke");
+pub const SETTINGS: &str = include_str!("../../../../fixtures/node/settings.json");
+pub const MS: u64 = 1_000_000;
+
+pub struct Running {
+    pub child: Child,
+    pub config: PathBuf,
+    pub listen: SocketAddr,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        for with in ["json", "sexp", "key"] {
+            let _ = std::fs::remove_file(self.config.with_extension(with));
+        }
+    }
+}
+
+pub fn row(server: &Listening, id: &str, state: &str) -> String {
+    let addr = server.addr;
+    format!(
+        r#"{{"id":"{id}","addr":"{addr}","zone":"z","kind":"k","cell":0,"state":"{state}","weight":1,"started_ms":0}}"#
+    )
+}
+
+pub fn write_config(path: &std::path::Path, listen: SocketAddr, bus: SocketAddr, rows: &str) {
+    let text = format!(
+        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"bus":"{bus}","known":{{"offset":1,"batch":[{{"offset":1,"topology":{{"version":1,"full":true,"servers":[{rows}]}}}}]}},"settings":{SETTINGS}}}"#
+    );
+    std::fs::write(path, text).expect("written");
+}
+
+pub fn start(name: &str, listen: SocketAddr, bus: SocketAddr, rows: &str) -> Running {
+    start_with(name, listen, bus, rows, None)
+}
+
+pub fn start_with(
+    name: &str, listen: SocketAddr, bus: SocketAddr, rows: &str, membership: Option<&str>,
+) -> Running {
+    start_and_keep(name, listen, bus, rows, membership, None)
+}
+
+/// With a store too.
+pub fn start_and_keep(
+    name: &str, listen: SocketAddr, bus: SocketAddr, rows: &str, membership: Option<&str>,
+    store: Option<&Path>,
+) -> Running {
+    let config = std::env::temp_dir().join(format!("micadyke-node-{name}-{}.json", std::process::id()));
+    write_config(&config, listen, bus, rows);
+    let membership = membership.map(|text| {
+        std::fs::write(config.with_extension("key"), "a key of the test's own").expect("written");
+        let file = config.with_extension("sexp");
+        let key = config.with_extension("key");
+        let text =
+            format!("(membership (fleet \"t\") (key-file \"{}\") (period 100ms) {text})", key.display());
+        std::fs::write(&file, text).expect("written");
+        ["--membership".into(), file.into_os_string()]
+    });
+    let child = Command::new(BINARY)
+        .arg("node")
+        .args(membership.into_iter().flatten())
+        .args(store.into_iter().flat_map(|s| [std::ffi::OsStr::new("--store"), s.as_os_str()]))
+        .env("EDGE_CONFIG", &config)
+        .env("EDGE_NAME", "n0")
+        .env("EDGE_LISTEN", listen.to_string())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    Running { child, config, listen }
+}
+
+impl Running {
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub async fn ends(&mut self) -> Option<i32> {
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child") {
+                return status.code();
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+}
+
+/// A viewer's connection.
+pub struct Viewer {
+    pub stream: TcpStream,
+    parser: Parser,
+}
+
+impl Viewer {
+    pub async fn connect(to: SocketAddr) -> Self {
+        // Ample, so that a node that never listens fails a test in place of holding it up.
+        let start = std::time::Instant::now();
+        while start.elapsed() < Duration::from_secs(60) {
+            if let Ok(stream) = TcpStream::connect(to).await {
+                return Viewer { stream, parser: Parser::default() };
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("nobody listens at {to}");
+    }
+
+    pub async fn send(&mut self, message: &Message) {
+        self.stream.write_all(&message.encode().expect("it fits")).await.expect("written");
+    }
+
+    /// The next message; `None`: closed.
+    pub async fn next(&mut self) -> Option<Message> {
+        loop {
+            match self.parser.poll().expect("the node's messages can be read") {
+                Some(Frame::Message(m)) => return Some(m),
+                Some(other) => panic!("{other:?}"),
+                None => {}
+            }
+            let mut bytes = [0u8; 1024];
+            match self.stream.read(&mut bytes).await {
+                Ok(n @ 1..) => self.parser.feed(&bytes[..n]),
+                _ => return None,
+            }
+        }
+    }
+
+    pub async fn test(&mut self) -> Option<u8> {
+        self.send(&Message::new(kind::TEST, 1).cause(0)).await;
+        self.next().await.filter(|m| m.kind == kind::TESTED).and_then(|m| m.stated_cause())
+    }
+
+    pub async fn ask(&mut self, scene: &Scene, id: u64, class: &str) -> Message {
+        let (paid, floor) = (class == "paid", usize::from(class == "paid"));
+        scene.note(Seen::Asked { id, patience: 4000 * MS, paid, floor });
+        self.send(&set_up(id, class)).await;
+        self.answer(scene, id).await
+    }
+
+    pub async fn answer(&mut self, scene: &Scene, id: u64) -> Message {
+        loop {
+            let m = self.next().await.expect("an answer");
+            if m.session == id {
+                let description =
+                    (m.kind == kind::ANSWER).then(|| m.get(code::DESCRIPTION).unwrap_or_default().to_vec());
+                let refused = description.is_none() && matches!(m.stated_cause(), Some(34 | 42 | 102));
+                scene.note(Seen::Answered { id, description, refused });
+                return m;
+            }
+        }
+    }
+}
+
+pub fn set_up(id: u64, class: &str) -> Message {
+    Message::new(kind::SETUP, id)
+        .with(code::CLASS, class)
+        .with(code::PATIENCE, "4000")
+        .with(code::TITLE, "7f3a9c21e0b4d655")
+        .with(code::HINT, "8200.0")
+        .with(code::FIGURES, "home:0;copies:1;top:2;viewer:00000000b4d65521")
+        .with(code::DESCRIPTION, "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n")
+}
+
+pub fn free_port() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+pub async fn server(scene: &Scene, id: &str, life_ms: u64) -> Rc<Listening> {
+    let model = MediaServer::new(id, 5 * MS, Treat::Serve(life_ms * MS));
+    Listening::start(SocketAddr::from(([127, 0, 0, 1], 0)), model, scene.clone()).await.expect("it listens")
+}
+
+pub fn on_one_thread<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let test =
+        async { tokio::time::timeout(Duration::from_secs(60), test).await.expect("it comes to an end") };
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
