--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -422,6 +422,13 @@
     f.start_plain(2);
     tokio::time::sleep(ms(500)).await;
     assert_eq!(udp(&f.plain[&2]), 0);
+    // Nor a thread beside its own, nor a file: recovery keeps nothing where no store is named.
+    let pid = f.plain[&2].id();
+    assert_eq!(std::fs::read_dir(format!("/proc/{pid}/task")).expect("it lives").count(), 1);
+    let links = std::fs::read_dir(format!("/proc/{pid}/fd")).expect("it lives").flatten();
+    let links = links.filter_map(|l| std::fs::read_link(l.path()).ok());
+    let files: Vec<PathBuf> = links.filter(|l| l.starts_with("/") && !l.starts_with("/dev")).collect();
+    assert_eq!(files, Vec::<PathBuf>::new());
 }
 
 #[tokio::test(flavor = "current_thread")]
