--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -33,7 +33,7 @@
     /// taken what was kept.
     pub fn recovers(&mut self, phases: Phases, kept: &Kept) {
         self.keeps = true;
-        info!(waits_for = phases.waits_for(0), "recovery begins");
+        info!(waits_for = phases.waits_for(self.now), "recovery begins");
         self.recovering =
             Some(Recovering { told: phases.phase(), phases, asked: Vec::new(), adopted: Vec::new() });
         let Some((version, _, at, servers)) = &kept.list else { return };
