Read once more: no list is copied on its way to the store, who is back is counted in one place

A record handed to the keeper was cloned though nobody else needs it, and a settled view was copied where no store is named; the members that are back were counted twice in the phases. Behaviour as it was; tests of recovery, node and the power cuts pass.

--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -122,9 +122,10 @@
                 facts.push(Fleet::Gone(m.name.clone()));
             }
             Change::Settled { .. } => {
-                let at = Duration::from_millis(shell::by_clock()).as_nanos() as u64;
-                let view = Record::View { at, members: living.clone(), epoch };
-                keeper.iter().for_each(|k| k.keep(view.clone()));
+                if let Some(keeper) = &keeper {
+                    let at = Duration::from_millis(shell::by_clock()).as_nanos() as u64;
+                    keeper.keep(Record::View { at, members: living.clone(), epoch });
+                }
                 facts.push(Fleet::Settled(true));
             }
             Change::Unsettled(_) => facts.push(Fleet::Settled(false)),
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -110,7 +110,9 @@
                 self.connect(*id, "after a power loss");
             }
         }
-        self.recovering.iter_mut().for_each(|r| r.asked = asked.clone());
+        if let Some(r) = &mut self.recovering {
+            r.asked = asked;
+        }
     }
 
     /// Service begins: the module is told of all servers, and then of what plays there.
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -239,7 +239,9 @@
                 }
             }
             Output::Keep(record) => {
-                self.keeper.iter().for_each(|k| k.keep(record.clone()));
+                if let Some(keeper) = &self.keeper {
+                    keeper.keep(record);
+                }
             }
             Output::Tell(news) => {
                 let _ = self.tell.as_ref().map(|t| t.try_send(news));
--- a/crates/recovery/src/phases.rs
+++ b/crates/recovery/src/phases.rs
@@ -202,8 +202,12 @@
 
     /// More than half of those before are there, under whatever start.
     fn enough(&self) -> bool {
-        let back = self.before.keys().filter(|name| self.living.contains_key(*name)).count();
-        self.settled && (self.before.is_empty() || 2 * back > self.before.len())
+        self.settled && (self.before.is_empty() || 2 * self.back() > self.before.len())
+    }
+
+    /// How many of those before are there.
+    fn back(&self) -> usize {
+        self.before.keys().filter(|name| self.living.contains_key(*name)).count()
     }
 
     /// When [`Heard::Wake`] is due.
@@ -283,7 +287,7 @@
                 None => "a list from the bus".to_owned(),
             },
             Phase::View => {
-                let back = self.before.keys().filter(|n| self.living.contains_key(*n)).count();
+                let back = self.back();
                 let settled = if self.settled { "settled" } else { "not settled" };
                 format!("the others: {back} of {} from before, the view is {settled}", self.before.len())
             }
