--- /dev/null
+++ b/crates/deadline/src/lib.rs
@@ -0,0 +1,73 @@
+//! How long the gatherer of a question to many waits for those that have not answered yet.
+//!
+//! No I/O and no clock: what was asked and what has arrived in, the moment out at which the wait is over.
+#![warn(missing_docs)]
+
+/// A point in time or a span of it, in nanoseconds of one clock that never runs backwards.
+pub type Nanos = u64;
+
+/// One that was asked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Waited {
+    /// Its name in the view.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its part of a whole answer.
+    pub weight: f64,
+    /// The chance that it lives: 1, or less while the view suspects it.
+    pub lives: f64,
+    /// When its answer came.
+    pub arrived: Option<Nanos>,
+}
+
+/// A question that is open.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Open {
+    /// Its kind: each kind learns for itself.
+    pub kind: u8,
+    /// When it was asked.
+    pub asked_at: Nanos,
+    /// It is over then whatever is missing: the asker's patience.
+    pub limit: Nanos,
+    /// Who was asked.
+    pub waited: Vec<Waited>,
+}
+
+/// Why a wait ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// All answered.
+    Whole,
+    /// What is missing is not worth the wait.
+    NotWorth,
+    /// The asker's patience is over.
+    Patience,
+}
+
+/// Decides how long to wait.
+pub trait Deadline {
+    /// When the wait is over if nothing more arrives; asked at the start and after each arrival.
+    fn until(&mut self, now: Nanos, open: &Open) -> Nanos;
+
+    /// An answer came `took` after it was asked for, in time or late; `own_delay` is how late the gatherer's own loop was
+    /// in that span.
+    fn arrived(&mut self, kind: u8, name: &str, zone: &str, took: Nanos, own_delay: Nanos);
+
+    /// One that was asked never answered, and was not given up by the view: known `after` so long.
+    fn missed(&mut self, kind: u8, name: &str, zone: &str, after: Nanos);
+}
+
+/// The same deadline for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fixed(pub Nanos);
+
+impl Deadline for Fixed {
+    fn until(&mut self, _: Nanos, open: &Open) -> Nanos {
+        open.asked_at.saturating_add(self.0).min(open.limit)
+    }
+
+    fn arrived(&mut self, _: u8, _: &str, _: &str, _: Nanos, _: Nanos) {}
+
+    fn missed(&mut self, _: u8, _: &str, _: &str, _: Nanos) {}
+}
