One mechanism of keeping: seats of a front lie in the recovery store, old logs read once

Two mechanisms kept things over a restart: redb for recovery, a log of its own for seats, with its own compaction, checksums and damage.

The store keeps the last record of each key instead of each kind; epoch and seats are kinds of it, sessions and what is owed to boxes have their formats. Kinds of before are written in their format, so an older program reads such a store. A log of seats is read once into a store and set aside as FILE.log-N, never deleted; torn ones claim nothing, as before. The log's code but for its reader is gone.

Tests of recovery (cuts over the new kinds), tokens, front and the kills of fronts pass. The thousand restarts were seen to fail where a kill loses 60 records instead of the last two: seats that nobody claims then fill the issuer, and no session was granted one.

--- a/crates/bench/src/seats.rs
+++ b/crates/bench/src/seats.rs
@@ -1,9 +1,10 @@
 //! Seats: the timer wheel beside a sorted map and a heap, the ledger's rate, memory a lease, what a seat adds.
 
+use micadyke_recovery::store::Store;
 use micadyke_tokens::holder::{Holder, Output, Terms as HolderTerms, User};
 use micadyke_tokens::ledger::{Ledger, Terms};
 use micadyke_tokens::message::{Key, LeaseId};
-use micadyke_tokens::store::{Record, encode, read};
+use micadyke_tokens::store::State;
 use micadyke_tokens::wheel::Wheel;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -114,14 +115,18 @@
     line.trim().trim_end_matches("kB").trim().parse().unwrap_or(0.0)
 }
 
-/// Reading a log of held leases, and taking them up with an issuer that has lost its books; milliseconds.
+/// Reading a store of held leases, and taking them up with an issuer that has lost its books; milliseconds.
 fn recovery(leases: u64) -> (f64, f64) {
     let key = |n: u64| Key { title: format!("t{}", n % 1_000).as_str().into(), class: "c".into() };
-    let records = (0..leases).map(|n| Record::Held(LeaseId(n), key(n)));
-    let bytes: Vec<u8> = std::iter::once(Record::Epoch(1)).chain(records).flat_map(|r| encode(&r)).collect();
+    let held = (0..leases).map(|n| (LeaseId(n), key(n))).collect();
+    let file = std::env::temp_dir().join(format!("micadyke-seats-{}.store", std::process::id()));
+    let store = Store::open(&file).expect("a store").store;
+    store.keep(&State { epoch: 1, held, damaged_at: None }.changes()).expect("kept");
+    drop(store);
     let began = Instant::now();
-    let state = read(&bytes);
+    let state = State::from(&Store::open(&file).expect("the store").kept);
     let reading = began.elapsed().as_secs_f64() * 1e3;
+    let _ = std::fs::remove_file(&file);
     let (ttl, seats) = (30_000 * MS, [("c".into(), 1_000_000)].into());
     let mut ledger =
         Ledger::recovering(Terms { ttl, seats, most_holders: 10, most_leases: 10_000_000 }, 0, 0.01);
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -25,7 +25,6 @@
 use micadyke_tokens::bearer::{Checker, TokenKey};
 use micadyke_tokens::bound::SharedKey;
 use micadyke_tokens::ledger::Terms as SeatTerms;
-use micadyke_tokens::store::File;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -161,7 +160,7 @@
     let clock = micadyke_membership::shell::by_clock();
     let start = kept.start.as_ref().map_or(clock, |s| clock.max(s.1.saturating_add(1)));
     let record = Keep::Start { name: name.to_owned(), start, at: clock.saturating_mul(1_000_000) };
-    if let Err(e) = opened.store.keep(&[record]) {
+    if let Err(e) = opened.store.keep(&[record.into()]) {
         tracing::warn!("{}: {e}; this start is not counted", file.display());
     }
     Ok(Some((kept, start, Keeper::start(opened.store))))
@@ -179,7 +178,8 @@
         None => None,
         Some(i) => {
             let path = beside(file, &i.state);
-            Some(File::open(&path).map_err(at(&path))?)
+            let opened = micadyke_front::keeping::open(&path).map_err(at(&path))?;
+            Some((opened.seats, Rc::new(Keeper::start(opened.store))))
         }
     };
     let entitlements = config.entitlements.as_ref().map(|e| checker(e, file)).transpose()?;
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -146,7 +146,7 @@
     },
     /// Ask the source of the list for changes.
     Subscribe,
-    /// Append this to the log of seats, before anything that follows is done.
+    /// Keep this; an epoch before anything that follows is done.
     Record(Record),
     /// Write this down, where questions are recorded (see [`crate::Front::record_questions`]).
     Taken(Taken),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 mod endpoint;
 mod hints;
 pub mod io;
+pub mod keeping;
 pub mod list;
 mod media;
 mod notes;
--- a/crates/front/src/seating.rs
+++ b/crates/front/src/seating.rs
@@ -11,7 +11,7 @@
 use tracing::{debug, warn};
 
 impl Front {
-    /// Takes up the seats of a former start, as its log has them. Must be called before the first input where the
+    /// Takes up the seats of a former start, as its store has them. Must be called before the first input where the
     /// settings name an issuer. `key`: the secret shared with boxes that bound sessions by themselves.
     pub fn with_seats(&mut self, state: State, key: Option<SharedKey>, seed: u64, out: &mut Vec<Output>) {
         self.seats = Seats::new(&self.config, state, key, seed, self.now).map(Box::new);
--- a/crates/front/src/seats.rs
+++ b/crates/front/src/seats.rs
@@ -39,7 +39,7 @@
 /// Something that the front does for its seats.
 #[derive(Debug)]
 pub(crate) enum Deed {
-    /// Append this to the log.
+    /// Keep this.
     Record(Record),
     /// Send this to the issuer.
     Issuer(SocketAddr, Request),
@@ -89,7 +89,7 @@
 }
 
 impl Seats {
-    /// Takes up the seats of a former start, as its log has them; `None` where the settings name no issuer.
+    /// Takes up the seats of a former start, as its store has them; `None` where the settings name no issuer.
     pub(crate) fn new(
         config: &Config, state: State, key: Option<SharedKey>, seed: u64, now: Nanos,
     ) -> Option<Self> {
@@ -116,9 +116,6 @@
             reserve: true,
             spread: 0.2,
         };
-        if let Some(at) = state.damaged_at {
-            warn!(at, "the log of seats is damaged: none of a former start is claimed");
-        }
         let mut held = Vec::new();
         let holder = Holder::new(terms, state.epoch, state.held.into_iter().collect(), seed, now, &mut held);
         let mut seats = Seats {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -11,9 +11,10 @@
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
 use micadyke_membership::shell::{Parts, next_part};
+use micadyke_recovery::keeper::Keeper;
 use micadyke_tokens::bearer::Checker;
 use micadyke_tokens::bound::SharedKey;
-use micadyke_tokens::store::{File, Record, State};
+use micadyke_tokens::store::{Record, State};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -45,8 +46,8 @@
 /// What a front is given beside its settings.
 #[derive(Default)]
 pub struct Extras {
-    /// What its log of seats says, and the log; due where the settings name an issuer.
-    pub seats: Option<(State, File)>,
+    /// What its store says of seats, and the way to the store; due where the settings name an issuer.
+    pub seats: Option<(State, Rc<Keeper>)>,
     /// The secret shared with boxes that bound seated sessions by themselves; due where the settings name one.
     pub bound: Option<SharedKey>,
     /// What checks signed tokens; due where a route asks for them.
@@ -105,8 +106,8 @@
     /// Unix time of the front's time zero.
     epoch: u64,
     source: RefCell<Box<dyn Source>>,
-    /// The log of seats.
-    log: RefCell<Option<File>>,
+    /// The way to the store.
+    keeper: RefCell<Option<Rc<Keeper>>>,
     questions: RefCell<Option<Questions>>,
     polled: Cell<Instant>,
     /// When the front last found that it had stood still, and for how long.
@@ -135,7 +136,7 @@
         start: awake(),
         epoch: unix.saturating_sub(ZERO),
         source: RefCell::new(source),
-        log: RefCell::new(None),
+        keeper: RefCell::new(None),
         questions: RefCell::new(None),
         polled: Cell::new(start),
         stood: Cell::new((start, Duration::ZERO)),
@@ -155,8 +156,8 @@
         shell.core.borrow_mut().record_questions();
         *shell.questions.borrow_mut() = Some(questions);
     }
-    if let Some((state, file)) = extras.seats {
-        *shell.log.borrow_mut() = Some(file);
+    if let Some((state, keeper)) = extras.seats {
+        *shell.keeper.borrow_mut() = Some(keeper);
         let mut out = Vec::new();
         let seed = rand::random();
         shell.core.borrow_mut().with_seats(state, extras.bound, seed, &mut out);
@@ -240,14 +241,18 @@
         }
     }
 
-    /// Appends to the log of seats.
+    /// Has records kept; an epoch is on the disk before this returns.
     fn write_down(&self, records: &[Record]) {
         if records.is_empty() {
             return;
         }
-        let written = self.log.borrow_mut().as_mut().map(|l| l.append(records));
-        if let Some(Err(e)) = written {
-            warn!("the log of seats cannot be written: {e}");
+        let Some(keeper) = self.keeper.borrow().clone() else { return };
+        let changes = records.iter().cloned().map(Into::into);
+        if !records.iter().any(|r| matches!(r, Record::Epoch(_))) {
+            return keeper.keep_all(changes);
+        }
+        if let Err(e) = keeper.keep_now(changes) {
+            warn!("seats cannot be kept: {e}");
             records.iter().for_each(|r| self.core.borrow_mut().not_recorded(r));
         }
     }
--- a/crates/node/tests/recovery.rs
+++ b/crates/node/tests/recovery.rs
@@ -26,6 +26,7 @@
         start: Some(("n0".into(), 10, START - SECOND)),
         list: Some((version, 1, START - SECOND, (0..4).map(server).collect())),
         view: Some((START - SECOND, members, 1)),
+        ..Kept::default()
     }
 }
 
--- a/crates/recovery/src/record.rs
+++ b/crates/recovery/src/record.rs
@@ -1,12 +1,14 @@
-//! What is kept: one record of each kind, the last one written.
+//! What is kept: the last record written of each [`Key`]. Some kinds have one record, some one for each seat or session.
 
 use crate::Nanos;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Format of all records; a store of a newer one is set aside unread.
-pub const FORMAT: u8 = 1;
+/// Newest format of records; a store of a newer one is set aside unread. Starts, lists and views are written in format 1,
+/// so that a program which knows no more than those reads a store that holds no more.
+pub const FORMAT: u8 = 2;
 /// Bytes of a record at most: a list of 4,096 servers takes a quarter of it.
 pub const LONGEST: usize = 2 << 20;
 
@@ -55,22 +57,143 @@
         /// Number of the epoch that parts were leased in; 0: none.
         epoch: u64,
     },
+    /// The epoch under which a front asks for seats. It is on the disk before anything is sent under it. Lost: the issuer
+    /// fences the next start, which goes on above.
+    Epoch(u64),
+    /// A seat that a front may hold. Lost: it runs out at the issuer by itself.
+    Seat {
+        /// Number of its lease.
+        lease: u64,
+        /// Its title.
+        title: String,
+        /// Its class.
+        class: String,
+    },
+    /// A session that plays. Lost: its box ends it by itself, its viewer asks anew.
+    Session(Box<Session>),
+    /// A session that a box was told to end and has not confirmed. Lost: its box ends it by itself.
+    Owed {
+        /// Its box.
+        addr: SocketAddr,
+        /// Its path there.
+        path: String,
+    },
+}
+
+/// A session that plays, as a front keeps it: enough to end it, to change it and to hear of it after a start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Session {
+    /// Random name of its resource at the front.
+    pub name: u128,
+    /// Path of its route.
+    pub route: String,
+    /// Name of its class.
+    pub class: String,
+    /// Its title.
+    pub title: String,
+    /// Media section whose layers are chosen.
+    pub media: String,
+    /// The rung that was wanted.
+    pub rung: u32,
+    /// Number of its box.
+    pub server: u64,
+    /// Where the box listened.
+    pub addr: SocketAddr,
+    /// Path of the session at the box.
+    pub resource: String,
+    /// Entity tag of its ICE session.
+    pub etag: String,
+    /// Path that sets its layer.
+    pub layer: String,
+    /// Path that opens its event stream.
+    pub events: String,
+}
+
+/// What a record is of.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    /// The start.
+    Start,
+    /// The list.
+    List,
+    /// The view.
+    View,
+    /// The epoch of seats.
+    Epoch,
+    /// A seat, by its lease.
+    Seat(u64),
+    /// A session, by its name.
+    Session(u128),
+    /// A session that is to end, by its box and path.
+    Owed(SocketAddr, String),
+}
+
+impl Key {
+    /// The key in the store.
+    pub fn text(&self) -> Cow<'static, str> {
+        match self {
+            Key::Start => "start".into(),
+            Key::List => "list".into(),
+            Key::View => "view".into(),
+            Key::Epoch => "epoch".into(),
+            Key::Seat(lease) => format!("seat/{lease:016x}").into(),
+            Key::Session(name) => format!("session/{name:032x}").into(),
+            Key::Owed(addr, path) => format!("owed/{addr}{path}").into(),
+        }
+    }
+}
+
+/// Something that is to be kept from now on, or no longer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// This, in place of what was kept of the same.
+    Keep(Record),
+    /// Nothing of this.
+    Gone(Key),
+}
+
+impl From<Record> for Change {
+    fn from(record: Record) -> Self {
+        Change::Keep(record)
+    }
+}
+
+impl Change {
+    /// What it is of.
+    pub fn key(&self) -> Key {
+        match self {
+            Change::Keep(record) => record.key(),
+            Change::Gone(key) => key.clone(),
+        }
+    }
 }
 
 impl Record {
-    /// The kind's key in the store.
-    pub fn key(&self) -> &'static str {
+    /// What it is of.
+    pub fn key(&self) -> Key {
+        match self {
+            Record::Start { .. } => Key::Start,
+            Record::List { .. } => Key::List,
+            Record::View { .. } => Key::View,
+            Record::Epoch(_) => Key::Epoch,
+            Record::Seat { lease, .. } => Key::Seat(*lease),
+            Record::Session(s) => Key::Session(s.name),
+            Record::Owed { addr, path } => Key::Owed(*addr, path.clone()),
+        }
+    }
+
+    /// The format that it is written in: the oldest that has it.
+    fn format(&self) -> u8 {
         match self {
-            Record::Start { .. } => "start",
-            Record::List { .. } => "list",
-            Record::View { .. } => "view",
+            Record::Start { .. } | Record::List { .. } | Record::View { .. } => 1,
+            _ => FORMAT,
         }
     }
 
     /// The record with format and checksum; `None` where it is longer than [`LONGEST`].
     pub fn encode(&self) -> Option<Vec<u8>> {
         let body = postcard::to_allocvec(self).ok()?;
-        let mut bytes = vec![FORMAT];
+        let mut bytes = vec![self.format()];
         bytes.extend(crc32fast::hash(&body).to_be_bytes());
         bytes.extend(body);
         (bytes.len() <= LONGEST).then_some(bytes)
@@ -112,10 +235,18 @@
     pub list: Option<(u64, u64, Nanos, Vec<Server>)>,
     /// When, name and start of all that lived, and the epoch.
     pub view: Option<(Nanos, BTreeMap<String, u64>, u64)>,
+    /// The epoch of seats.
+    pub epoch: Option<u64>,
+    /// Title and class of the seats that may be held, by lease.
+    pub seats: BTreeMap<u64, (String, String)>,
+    /// Sessions that played, by name.
+    pub sessions: BTreeMap<u128, Session>,
+    /// Box and path of sessions that were to end.
+    pub owed: BTreeSet<(SocketAddr, String)>,
 }
 
 impl Kept {
-    /// Takes a record as the last of its kind.
+    /// Takes a record as the last of its key.
     pub fn take(&mut self, record: Record) {
         match record {
             Record::Start { name, start, at } => self.start = Some((name, start, at)),
@@ -123,6 +254,10 @@
                 self.list = Some((version, offset, at, servers));
             }
             Record::View { at, members, epoch } => self.view = Some((at, members, epoch)),
+            Record::Epoch(n) => self.epoch = Some(n),
+            Record::Seat { lease, title, class } => drop(self.seats.insert(lease, (title, class))),
+            Record::Session(s) => drop(self.sessions.insert(s.name, *s)),
+            Record::Owed { addr, path } => drop(self.owed.insert((addr, path))),
         }
     }
 }
--- a/crates/recovery/src/store.rs
+++ b/crates/recovery/src/store.rs
@@ -1,4 +1,4 @@
-//! The durable store: the last record of each kind, in one file.
+//! The durable store: the last record of each key, in one file.
 //!
 //! On `redb`, which commits by checksummed pages: after a cut at any write it opens to the last commit that was synced, or
 //! to a later one. Its storage sits behind a trait, so that tests play cuts (`tests/cuts.rs`). What it does not find by
@@ -6,7 +6,7 @@
 //!
 //! A store that can't be read is set aside whole under another name, with a message; the process starts without.
 
-use crate::record::{Kept, LONGEST, Record, Unreadable};
+use crate::record::{Change, Kept, Key, LONGEST, Record, Unreadable};
 use redb::{Builder, Database, Durability, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use std::path::{Path, PathBuf};
 
@@ -28,7 +28,7 @@
     /// What is there can't be read.
     Unreadable(String),
     /// A record is longer than may be.
-    TooLong(&'static str),
+    TooLong(Key),
 }
 
 impl std::fmt::Display for Fault {
@@ -37,7 +37,19 @@
             Fault::Disk(e) => write!(f, "{e}"),
             Fault::Held => f.write_str("another process holds it"),
             Fault::Unreadable(what) => write!(f, "it can't be read: {what}"),
-            Fault::TooLong(kind) => write!(f, "a record of kind {kind} is longer than {LONGEST} bytes"),
+            Fault::TooLong(key) => write!(f, "record {} is longer than {LONGEST} bytes", key.text()),
+        }
+    }
+}
+
+impl Fault {
+    /// What an operator can do.
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Fault::Disk(_) => "make room on the disk, or let this process write there",
+            Fault::Held => "end the other process, or name another file",
+            Fault::Unreadable(_) => "see to the disk; the file lies beside, under another name",
+            Fault::TooLong(_) => "keep the list shorter: the former record stays",
         }
     }
 }
@@ -119,19 +131,37 @@
         Ok((Store { db }, kept))
     }
 
-    /// Keeps records, all or none of them. On return they are on the disk.
+    /// Makes changes, all or none of them. On return they are on the disk.
     ///
     /// # Errors
     ///
     /// Where the disk refuses (it is full, say): what was kept before stays.
-    pub fn keep(&self, records: &[Record]) -> Result<(), Fault> {
+    ///
+    /// ```
+    /// use micadyke_recovery::record::{Change, Key, Record};
+    /// use micadyke_recovery::store::Store;
+    ///
+    /// let (store, kept) = Store::open_over(redb::backends::InMemoryBackend::new())?;
+    /// assert!(kept.epoch.is_none() && kept.seats.is_empty());
+    /// let seat = Record::Seat { lease: 7, title: "t".into(), class: "c".into() };
+    /// store.keep(&[Record::Epoch(1).into(), seat.into()])?;
+    /// store.keep(&[Change::Gone(Key::Seat(7))])?;
+    /// # Ok::<(), micadyke_recovery::store::Fault>(())
+    /// ```
+    pub fn keep(&self, changes: &[Change]) -> Result<(), Fault> {
         let mut write = self.db.begin_write().map_err(disk)?;
         write.set_durability(Durability::Immediate).map_err(disk)?;
         {
             let mut table = write.open_table(RECORDS).map_err(disk)?;
-            for record in records {
-                let bytes = record.encode().ok_or(Fault::TooLong(record.key()))?;
-                table.insert(record.key(), bytes.as_slice()).map_err(disk)?;
+            for change in changes {
+                let key = change.key();
+                match change {
+                    Change::Keep(record) => {
+                        let bytes = record.encode().ok_or_else(|| Fault::TooLong(key.clone()))?;
+                        table.insert(&*key.text(), bytes.as_slice()).map_err(disk)?;
+                    }
+                    Change::Gone(_) => drop(table.remove(&*key.text()).map_err(disk)?),
+                }
             }
         }
         write.commit().map_err(disk)
@@ -168,6 +198,22 @@
     matches!(e.kind(), UnexpectedEof | InvalidData)
 }
 
+/// Renames a file that is no store out of the way, under the first free name with this ending: it is never deleted.
+///
+/// # Errors
+///
+/// Where the file system refuses.
+pub fn put_aside(path: &Path, ending: &str) -> std::io::Result<PathBuf> {
+    let name = |n: u32| {
+        let mut name = path.as_os_str().to_owned();
+        name.push(format!(".{ending}-{n}"));
+        PathBuf::from(name)
+    };
+    let to = (1..u32::MAX).map(name).find(|to| !to.exists()).ok_or(std::io::ErrorKind::AlreadyExists)?;
+    std::fs::rename(path, &to)?;
+    Ok(to)
+}
+
 /// Renames a store that can't be read; at most so many are left.
 fn set_aside(path: &Path) -> std::io::Result<PathBuf> {
     let name = |n: u32| {
--- a/crates/recovery/tests/phases.rs
+++ b/crates/recovery/tests/phases.rs
@@ -17,6 +17,7 @@
         start: Some(("n0".into(), 7, at)),
         list: Some((version, 1, at, Vec::new())),
         view: Some((at, members, 3)),
+        ..Kept::default()
     }
 }
 
--- a/crates/tokens/src/store.rs
+++ b/crates/tokens/src/store.rs
@@ -1,18 +1,18 @@
-//! What a front keeps of its seats over a restart: a log of records with checksums.
+//! What a front keeps of its seats over a restart, in [`micadyke_recovery::store`]: its epoch, and the leases that it may
+//! hold.
 //!
-//! Each record is one line: a checksum of what follows it, and the record as JSON. A torn tail, a flipped bit or a
-//! line that is no record ends the reading there: what was read before it counts, and the epoch grows by more than the
-//! records lost could have raised it. Losing a record of a lease costs time, not safety: a lease that is not resumed
-//! runs out at the issuer by itself.
+//! An epoch is on the disk before anything is sent under it; leases follow within milliseconds. Losing a lease's record
+//! costs time, not safety: a lease that is not resumed runs out at the issuer by itself.
+//!
+//! Until it kept a store, a front kept a log: lines of a checksum and a record as JSON. [`read_log`] still reads one, once.
 
 use crate::message::{Key, LeaseId};
+use micadyke_recovery::record::{self, Change, Kept};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::io::{Seek, SeekFrom, Write};
-use std::path::{Path, PathBuf};
 
 /// One record.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Record {
     /// A new epoch is in force.
@@ -23,21 +23,50 @@
     Gone(LeaseId),
 }
 
-/// What a log says.
+impl From<Record> for Change {
+    fn from(record: Record) -> Self {
+        match record {
+            Record::Epoch(n) => Change::Keep(record::Record::Epoch(n)),
+            Record::Held(lease, key) => Change::Keep(record::Record::Seat {
+                lease: lease.0,
+                title: key.title.to_string(),
+                class: key.class.to_string(),
+            }),
+            Record::Gone(lease) => Change::Gone(record::Key::Seat(lease.0)),
+        }
+    }
+}
+
+/// What is kept.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct State {
     /// The last epoch.
     pub epoch: u64,
     /// Leases that may be held.
     pub held: BTreeMap<LeaseId, Key>,
-    /// Where the log stopped making sense, if it did.
+    /// Where an old log stopped making sense, if it did; 0 where a store could not be read at all.
     pub damaged_at: Option<usize>,
 }
 
 /// Epochs that may lie behind a damaged place: restarts whose records were lost.
 const SKIP: u64 = 1 << 16;
 
+impl From<&Kept> for State {
+    fn from(kept: &Kept) -> Self {
+        let held = kept.seats.iter().map(|(lease, (title, class))| {
+            (LeaseId(*lease), Key { title: title.as_str().into(), class: class.as_str().into() })
+        });
+        State { epoch: kept.epoch.unwrap_or(0), held: held.collect(), damaged_at: None }
+    }
+}
+
 impl State {
+    /// The state after damage at a place: what lies behind it may have raised the epoch, and may have freed leases, so none
+    /// is claimed.
+    pub fn damaged(self, at: usize) -> Self {
+        State { epoch: self.epoch + SKIP, held: BTreeMap::new(), damaged_at: Some(at) }
+    }
+
     /// Takes a record.
     pub fn apply(&mut self, record: Record) {
         match record {
@@ -46,12 +75,12 @@
             Record::Gone(lease) => drop(self.held.remove(&lease)),
         }
     }
-}
 
-/// A record as it is written.
-pub fn encode(record: &Record) -> Vec<u8> {
-    let body = serde_json::to_string(record).unwrap_or_default();
-    format!("{:08x} {body}\n", crc32fast::hash(body.as_bytes())).into_bytes()
+    /// The same as changes of a store.
+    pub fn changes(&self) -> Vec<Change> {
+        let held = self.held.iter().map(|(lease, key)| Record::Held(*lease, key.clone()).into());
+        std::iter::once(Record::Epoch(self.epoch).into()).chain(held).collect()
+    }
 }
 
 fn decode(line: &[u8]) -> Option<Record> {
@@ -61,85 +90,26 @@
     (line[8] == b' ' && due.as_bytes() == sum).then(|| serde_json::from_slice(body).ok())?
 }
 
-/// Reads a log.
-pub fn read(bytes: &[u8]) -> State {
+/// Reads a log of old. A torn tail, a flipped bit or a line that is no record ends the reading there.
+///
+/// ```
+/// use micadyke_tokens::store::read_log;
+///
+/// let whole = read_log(b"e44cf0fb {\"epoch\":3}\n");
+/// assert_eq!((whole.epoch, whole.damaged_at), (3, None));
+/// let torn = read_log(b"e44cf0fb {\"epoch\":3");
+/// assert_eq!((torn.epoch > 3, torn.damaged_at), (true, Some(0)));
+/// ```
+pub fn read_log(bytes: &[u8]) -> State {
     let (mut state, mut at) = (State::default(), 0);
     while at < bytes.len() {
         let end = bytes[at..].iter().position(|&b| b == b'\n').map(|n| at + n);
         let record = end.and_then(|end| decode(&bytes[at..end]));
         let (Some(end), Some(record)) = (end, record) else {
-            state.damaged_at = Some(at);
-            // What lies behind may have raised the epoch, and may have freed leases: none is claimed.
-            state.epoch += SKIP;
-            state.held.clear();
-            return state;
+            return state.damaged(at);
         };
         state.apply(record);
         at = end + 1;
     }
     state
 }
-
-/// The log as a file.
-#[derive(Debug)]
-pub struct File {
-    path: PathBuf,
-    file: std::fs::File,
-    bytes: u64,
-}
-
-/// A log larger than this is written anew.
-const COMPACT: u64 = 1 << 20;
-
-impl File {
-    /// Opens the log, or begins one; what it says, and the log for further records.
-    pub fn open(path: &Path) -> std::io::Result<(State, Self)> {
-        let bytes = match std::fs::read(path) {
-            Ok(bytes) => bytes,
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Vec::new(),
-            Err(e) => return Err(e),
-        };
-        let state = read(&bytes);
-        let file = Self::rewrite(path, &state)?;
-        Ok((state, file))
-    }
-
-    /// A log over a file that is open already: for tests of a disk that is full.
-    #[doc(hidden)]
-    pub fn over(file: std::fs::File) -> Self {
-        File { path: PathBuf::new(), file, bytes: 0 }
-    }
-
-    /// Writes a log that says the same beside the old one, and puts it in its place.
-    fn rewrite(path: &Path, state: &State) -> std::io::Result<Self> {
-        let next = path.with_extension("next");
-        let mut file = std::fs::File::create(&next)?;
-        file.write_all(&encode(&Record::Epoch(state.epoch)))?;
-        for (lease, key) in &state.held {
-            file.write_all(&encode(&Record::Held(*lease, key.clone())))?;
-        }
-        file.sync_all()?;
-        std::fs::rename(&next, path)?;
-        if let Some(dir) = path.parent().filter(|d| !d.as_os_str().is_empty()) {
-            std::fs::File::open(dir)?.sync_all()?;
-        }
-        let bytes = file.seek(SeekFrom::End(0))?;
-        Ok(File { path: path.into(), file, bytes })
-    }
-
-    /// Appends records. With a new epoch among them it returns when they are on the disk; others survive the end of
-    /// the process, and cost no more than time where the machine loses power.
-    pub fn append(&mut self, records: &[Record]) -> std::io::Result<()> {
-        let bytes: Vec<u8> = records.iter().flat_map(encode).collect();
-        self.file.write_all(&bytes)?;
-        self.bytes += bytes.len() as u64;
-        if records.iter().any(|r| matches!(r, Record::Epoch(_))) {
-            self.file.sync_all()?;
-        }
-        if self.bytes > COMPACT {
-            *self = Self::rewrite(&self.path, &read(&std::fs::read(&self.path)?))?;
-            self.bytes = 0;
-        }
-        Ok(())
-    }
-}
