An issuer keeps its ledger; it grants nothing until no lease of before can live

An issuer that started anew waited for the lease time of its own settings; where that had been cut short, leases of before lived on while their seats were granted again. It also knew nothing of holders' former starts.

Its store holds the longest lease time (on the disk before anything is granted), holders' epochs and leases. After a start new grants wait by that time and the clock's drift, whatever the disk says; leases that it names count meanwhile, former starts are fenced, what holders say they hold is believed as far as there is room.

A table tells former starts, copies, claims of others and messages in the midst of an epoch apart. Not covered: a disk older than a cut of the lease time.

--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod keeper;
 pub mod phases;
 pub mod record;
+pub mod spread;
 pub mod store;
 pub mod trust;
 
--- a/crates/recovery/src/record.rs
+++ b/crates/recovery/src/record.rs
@@ -78,6 +78,28 @@
         /// Its path there.
         path: String,
     },
+    /// How long leases of an issuer's seats may live at most, in nanoseconds. It is on the disk before any is granted by it.
+    Ttl(Nanos),
+    /// A holder of seats, as its issuer knows it. Lost: a former start of it is not told apart until this one is heard.
+    Holder {
+        /// Its name.
+        name: String,
+        /// Its epoch.
+        epoch: u64,
+        /// Drawn at its start.
+        start: u64,
+    },
+    /// A lease of a seat, as its issuer counts it. Lost: its holder tells of it.
+    Lease {
+        /// Its holder's name.
+        holder: String,
+        /// Its number.
+        lease: u64,
+        /// Its title.
+        title: String,
+        /// Its class.
+        class: String,
+    },
 }
 
 /// A session that plays, as a front keeps it: enough to end it, to change it and to hear of it after a start.
@@ -93,6 +115,8 @@
     pub title: String,
     /// Media section whose layers are chosen.
     pub media: String,
+    /// The highest rung that its viewer can use.
+    pub top: u32,
     /// The rung that was wanted.
     pub rung: u32,
     /// Number of its box.
@@ -126,6 +150,12 @@
     Session(u128),
     /// A session that is to end, by its box and path.
     Owed(SocketAddr, String),
+    /// How long leases may live.
+    Ttl,
+    /// A holder, by its name.
+    Holder(String),
+    /// A lease, by its holder and number.
+    Lease(String, u64),
 }
 
 impl Key {
@@ -139,6 +169,9 @@
             Key::Seat(lease) => format!("seat/{lease:016x}").into(),
             Key::Session(name) => format!("session/{name:032x}").into(),
             Key::Owed(addr, path) => format!("owed/{addr}{path}").into(),
+            Key::Ttl => "ttl".into(),
+            Key::Holder(name) => format!("holder/{name}").into(),
+            Key::Lease(holder, lease) => format!("lease/{lease:016x}/{holder}").into(),
         }
     }
 }
@@ -179,6 +212,9 @@
             Record::Seat { lease, .. } => Key::Seat(*lease),
             Record::Session(s) => Key::Session(s.name),
             Record::Owed { addr, path } => Key::Owed(*addr, path.clone()),
+            Record::Ttl(_) => Key::Ttl,
+            Record::Holder { name, .. } => Key::Holder(name.clone()),
+            Record::Lease { holder, lease, .. } => Key::Lease(holder.clone(), *lease),
         }
     }
 
@@ -243,6 +279,12 @@
     pub sessions: BTreeMap<u128, Session>,
     /// Box and path of sessions that were to end.
     pub owed: BTreeSet<(SocketAddr, String)>,
+    /// How long leases may live that an issuer granted.
+    pub ttl: Option<Nanos>,
+    /// Epoch and start of an issuer's holders, by name.
+    pub holders: BTreeMap<String, (u64, u64)>,
+    /// Title and class of an issuer's leases, by holder and number.
+    pub leases: BTreeMap<(String, u64), (String, String)>,
 }
 
 impl Kept {
@@ -258,6 +300,28 @@
             Record::Seat { lease, title, class } => drop(self.seats.insert(lease, (title, class))),
             Record::Session(s) => drop(self.sessions.insert(s.name, *s)),
             Record::Owed { addr, path } => drop(self.owed.insert((addr, path))),
+            Record::Ttl(ttl) => self.ttl = Some(ttl),
+            Record::Holder { name, epoch, start } => drop(self.holders.insert(name, (epoch, start))),
+            Record::Lease { holder, lease, title, class } => {
+                self.leases.insert((holder, lease), (title, class));
+            }
+        }
+    }
+
+    /// Makes a change, as a store does.
+    pub fn change(&mut self, change: Change) {
+        match change {
+            Change::Keep(record) => self.take(record),
+            Change::Gone(Key::Start) => self.start = None,
+            Change::Gone(Key::List) => self.list = None,
+            Change::Gone(Key::View) => self.view = None,
+            Change::Gone(Key::Epoch) => self.epoch = None,
+            Change::Gone(Key::Seat(lease)) => drop(self.seats.remove(&lease)),
+            Change::Gone(Key::Session(name)) => drop(self.sessions.remove(&name)),
+            Change::Gone(Key::Owed(addr, path)) => drop(self.owed.remove(&(addr, path))),
+            Change::Gone(Key::Ttl) => self.ttl = None,
+            Change::Gone(Key::Holder(name)) => drop(self.holders.remove(&name)),
+            Change::Gone(Key::Lease(holder, lease)) => drop(self.leases.remove(&(holder, lease))),
         }
     }
 }
--- a/crates/standin/src/issuer.rs
+++ b/crates/standin/src/issuer.rs
@@ -5,6 +5,8 @@
 
 use crate::server::{Chance, bind, next_request};
 use micadyke_http::{Limits, Method, Request, RequestParser, Response};
+use micadyke_recovery::keeper::Keeper;
+use micadyke_recovery::store::{Fault, Opened};
 use micadyke_tokens::ledger::{Ledger, Terms};
 use micadyke_tokens::message::{self, Key};
 use std::cell::{Cell, RefCell};
@@ -44,13 +46,36 @@
     addr: Cell<Option<SocketAddr>>,
     tasks: RefCell<Vec<AbortHandle>>,
     chance: Chance,
+    /// Where its books are kept, if they are.
+    keeper: Option<Keeper>,
 }
 
+/// What an issuer allows for its own clock, as a share: it is waited for so much longer after a start.
+const DRIFT: f64 = 0.01;
+
 impl Issuer {
     /// An issuer whose clock runs at a rate of true time.
     pub fn new(terms: Terms, rate: f64, seed: u64) -> Self {
-        let ledger = RefCell::new(Ledger::new(terms.clone(), 0));
+        let ledger = Ledger::new(terms.clone(), 0);
+        Self::with(terms, ledger, None, rate, seed)
+    }
+
+    /// An issuer that keeps its books in a store, and goes on by what was kept.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk does not take how long its leases live: nothing may be granted by it then.
+    pub fn keeping(terms: Terms, rate: f64, seed: u64, opened: Opened) -> Result<Self, Fault> {
+        let mut ledger = Ledger::kept(terms.clone(), &opened.kept, 0, DRIFT);
+        let keeper = Keeper::start(opened.store);
+        keeper.keep_now(ledger.changes())?;
+        Ok(Self::with(terms, ledger, Some(keeper), rate, seed))
+    }
+
+    fn with(terms: Terms, ledger: Ledger, keeper: Option<Keeper>, rate: f64, seed: u64) -> Self {
+        let ledger = RefCell::new(ledger);
         Issuer(Rc::new(Inner {
+            keeper,
             terms,
             ledger,
             trouble: RefCell::default(),
@@ -104,7 +129,7 @@
     pub fn kill(&self, books_lost: bool) {
         self.0.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
         if books_lost {
-            *self.0.ledger.borrow_mut() = Ledger::recovering(self.0.terms.clone(), self.now(), 0.01);
+            *self.0.ledger.borrow_mut() = Ledger::recovering(self.0.terms.clone(), self.now(), DRIFT);
         }
     }
 
@@ -155,7 +180,14 @@
             Ok(m) => m,
             Err(e) => return Response::problem(400, &format!("no message of a holder: {e}")),
         };
-        let reply = self.0.ledger.borrow_mut().handle(self.now(), &message);
+        let reply = {
+            let mut ledger = self.0.ledger.borrow_mut();
+            let reply = ledger.handle(self.now(), &message);
+            if let Some(keeper) = &self.0.keeper {
+                keeper.keep_all(ledger.changes());
+            }
+            reply
+        };
         let body = serde_json::to_vec(&reply).unwrap_or_default();
         Response::new(200).content("application/json", body)
     }
--- a/crates/tokens/src/ledger.rs
+++ b/crates/tokens/src/ledger.rs
@@ -3,6 +3,7 @@
 use crate::Nanos;
 use crate::message::{Key, LeaseId, MAX_OPS, MAX_RESUME, Op, Refusal, Reply, Request, Verdict};
 use crate::wheel::Wheel;
+use micadyke_recovery::record::{self, Change, Kept, Record};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -25,6 +26,8 @@
     start: u64,
     seq: u64,
     last: Option<Reply>,
+    /// Known from the disk alone: only its epoch counts, and what it held.
+    unheard: bool,
     leases: BTreeMap<LeaseId, (Key, Nanos)>,
 }
 
@@ -39,6 +42,8 @@
     /// Started without its books: until then nothing new is granted, and what holders resume is believed.
     recovering: Option<Nanos>,
     expired: Vec<(Arc<str>, LeaseId)>,
+    /// What is to be kept, where anything is.
+    changes: Option<Vec<Change>>,
 }
 
 impl Ledger {
@@ -52,6 +57,68 @@
             leases: 0,
             recovering: None,
             expired: Vec::new(),
+            changes: None,
+        }
+    }
+
+    /// The books of an issuer that keeps them, after a start; [`Ledger::changes`] is on the disk before the first message is
+    /// taken. Nothing new is granted until no lease of before can live, by the longest time that any was granted for. What
+    /// was kept counts until then: a former start of a holder is told apart by it, and a seat of before is not another's. A
+    /// disk that is old in part, or altogether, costs seats that stand idle for that time; what holders say they hold is
+    /// believed as far as there is room beside.
+    ///
+    /// ```
+    /// use micadyke_recovery::record::Kept;
+    /// use micadyke_tokens::ledger::{Ledger, Terms};
+    /// use micadyke_tokens::message::{Key, LeaseId, Op, Request, Verdict};
+    ///
+    /// let seats = [("c".into(), 1)].into();
+    /// let terms = Terms { ttl: 1_000, seats, most_holders: 9, most_leases: 9 };
+    /// // Its leases ran for longer before: that is waited for.
+    /// let mut ledger = Ledger::kept(terms, &Kept { ttl: Some(5_000), ..Kept::default() }, 0, 0.0);
+    /// let key = Key { title: "t".into(), class: "c".into() };
+    /// let mut ask = |now, seq| {
+    ///     let ops = vec![Op::Grant(LeaseId(seq), key.clone())];
+    ///     let request = Request { holder: "f".into(), epoch: 1, start: 1, seq, resume: vec![], ops };
+    ///     ledger.handle(now, &request).result
+    /// };
+    /// assert_eq!(ask(4_999, 1), Ok(vec![Verdict::Wait]));
+    /// assert_eq!(ask(5_000, 2), Ok(vec![Verdict::Held]));
+    /// ```
+    pub fn kept(terms: Terms, kept: &Kept, now: Nanos, drift: f64) -> Self {
+        let ttl = terms.ttl.max(kept.ttl.unwrap_or(0));
+        let until = now + ttl + (ttl as f64 * 2.0 * drift) as Nanos;
+        let mut ledger = Ledger { recovering: Some(until), ..Self::new(terms, now) };
+        for (name, (epoch, start)) in &kept.holders {
+            let holder = Holder { epoch: *epoch, start: *start, unheard: true, ..Holder::default() };
+            ledger.holders.insert(name.as_str().into(), holder);
+        }
+        for ((name, lease), (title, class)) in &kept.leases {
+            let key = Key { title: title.as_str().into(), class: class.as_str().into() };
+            let name: Arc<str> = name.as_str().into();
+            ledger
+                .holders
+                .entry(name.clone())
+                .or_insert_with(|| Holder { unheard: true, ..Holder::default() });
+            ledger.count(until, &name, LeaseId(*lease), &key);
+        }
+        ledger.changes = Some(vec![Change::Keep(Record::Ttl(ttl))]);
+        ledger
+    }
+
+    /// What is to be kept since the last call.
+    pub fn changes(&mut self) -> Vec<Change> {
+        self.changes.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// Until when nothing new is granted, if that is so.
+    pub fn recovers_until(&self) -> Option<Nanos> {
+        self.recovering
+    }
+
+    fn note(&mut self, change: impl FnOnce() -> Change) {
+        if let Some(changes) = &mut self.changes {
+            changes.push(change());
         }
     }
 
@@ -90,11 +157,15 @@
             }
         }
         self.expired = out;
-        self.recovering = self.recovering.filter(|until| *until > now);
+        if self.recovering.take_if(|until| *until <= now).is_some() {
+            let ttl = self.terms.ttl;
+            self.note(|| Change::Keep(Record::Ttl(ttl)));
+        }
     }
 
     fn free(&mut self, name: &str, lease: LeaseId) {
         let Some((key, _)) = self.holders.get_mut(name).and_then(|h| h.leases.remove(&lease)) else { return };
+        self.note(|| Change::Gone(record::Key::Lease(name.to_owned(), lease.0)));
         self.leases -= 1;
         if let Some(n) = self.counts.get_mut(&key) {
             *n -= 1;
@@ -111,9 +182,18 @@
         if request.ops.len() > MAX_OPS || request.resume.len() > MAX_RESUME || request.holder.len() > 256 {
             return reply(Err(Refusal::Bounds));
         }
-        let known = self.holders.get(request.holder.as_str());
+        let there = self.holders.get(request.holder.as_str());
+        // Of one that only the disk knows, epoch and start count: which of its messages was the last is not kept.
+        if let Some(h) = there.filter(|h| h.unheard)
+            && (h.epoch > request.epoch || (h.epoch == request.epoch && h.start != request.start))
+        {
+            return reply(Err(Refusal::Fenced { epoch: h.epoch }));
+        }
+        let known = there.filter(|h| !h.unheard);
         match known {
-            None if self.holders.len() >= self.terms.most_holders => return reply(Err(Refusal::Bounds)),
+            None if there.is_none() && self.holders.len() >= self.terms.most_holders => {
+                return reply(Err(Refusal::Bounds));
+            }
             // The same epoch twice: what was answered to the one is not the other's, nor are its seats.
             Some(h) if h.epoch == request.epoch && h.start != request.start => {
                 return reply(Err(Refusal::Fenced { epoch: h.epoch }));
@@ -135,7 +215,13 @@
         }
         let name: Arc<str> = request.holder.as_str().into();
         let holder = self.holders.entry(name.clone()).or_default();
+        let renamed = (holder.epoch, holder.start) != (request.epoch, request.start);
         (holder.epoch, holder.start, holder.seq) = (request.epoch, request.start, request.seq);
+        holder.unheard = false;
+        if renamed {
+            let (name, epoch, start) = (request.holder.clone(), request.epoch, request.start);
+            self.note(|| Change::Keep(Record::Holder { name, epoch, start }));
+        }
         let mut verdicts = Vec::with_capacity(request.resume.len() + request.ops.len());
         for (lease, key) in &request.resume {
             verdicts.push(self.renew(now, &name, *lease, key));
@@ -171,13 +257,25 @@
 
     fn hold(&mut self, now: Nanos, name: &Arc<str>, lease: LeaseId, key: &Key) -> Verdict {
         let until = now + self.terms.ttl;
-        let Some(holder) = self.holders.get_mut(name) else { return Verdict::Gone };
+        if !self.holders.contains_key(name) {
+            return Verdict::Gone;
+        }
+        self.count(until, name, lease, key);
+        self.note(|| {
+            let (title, class) = (key.title.to_string(), key.class.to_string());
+            Change::Keep(Record::Lease { holder: name.to_string(), lease: lease.0, title, class })
+        });
+        Verdict::Held
+    }
+
+    /// Counts a lease as held until then.
+    fn count(&mut self, until: Nanos, name: &Arc<str>, lease: LeaseId, key: &Key) {
+        let Some(holder) = self.holders.get_mut(name) else { return };
         if holder.leases.insert(lease, (key.clone(), until)).is_none() {
             *self.counts.entry(key.clone()).or_default() += 1;
             self.leases += 1;
             self.expiries.insert(until, (name.clone(), lease));
         }
-        Verdict::Held
     }
 
     /// A longer time for a lease. One that is resumed and unknown is believed while the books are being recovered,
--- a/crates/tokens/tests/seats.rs
+++ b/crates/tokens/tests/seats.rs
@@ -1,5 +1,6 @@
 //! Seats under loss, doubling, reordering, restarts and clocks that disagree: never more in use than there are.
 
+use micadyke_recovery::record::Kept;
 use micadyke_tokens::Nanos;
 use micadyke_tokens::holder::{Holder, Output, Terms as HolderTerms, User};
 use micadyke_tokens::ledger::{Ledger, Terms as LedgerTerms};
@@ -342,6 +343,85 @@
     }
 }
 
+/// An issuer that keeps its books, ended and begun anew with a disk of any age: the last one, one of long ago, none.
+/// `careless`: it grants at once; the worst that was seen in use.
+fn issuer_ends(seed: u64, careless: bool) -> usize {
+    let mut world = World::new(seed, 3);
+    (world.loss, world.lost_disks) = (0.1, 0.2);
+    let mut disks = vec![Kept::default()];
+    let mut disk = Kept::default();
+    world.ledger = Ledger::kept(ledger_terms(), &disk, world.issuer_now(), DRIFT);
+    for n in 0..2_400u32 {
+        world.step(50 * MS);
+        world.act();
+        for change in world.ledger.changes() {
+            disk.change(change);
+        }
+        if n % 50 == 0 {
+            disks.push(disk.clone());
+        }
+        if n % 300 == 299 {
+            disk = disks[world.random.random_range(0..disks.len())].clone();
+            if careless {
+                world.ledger = Ledger::new(ledger_terms(), world.issuer_now());
+            } else {
+                world.ledger = Ledger::kept(ledger_terms(), &disk, world.issuer_now(), DRIFT);
+            }
+        }
+        if n % 170 == 77 {
+            let (i, tear) = (world.random.random_range(0..3), world.random.random_range(0..20));
+            world.restart(i, tear, n % 3 == 0);
+        }
+    }
+    let granted: u64 = world.fronts.iter().map(|f| f.granted).sum();
+    assert!(granted > 0, "seats were used");
+    world.worst
+}
+
+#[test]
+fn an_issuer_gives_no_seat_twice_however_old_its_disk_is() {
+    for seed in 0..40 {
+        let worst = issuer_ends(seed, false);
+        assert!(worst <= SEATS as usize, "seed {seed}: {worst} in use");
+    }
+    assert!((0..20).any(|seed| issuer_ends(seed, true) > SEATS as usize), "one that does not wait is seen");
+}
+
+#[test]
+fn what_an_issuer_kept_tells_starts_apart_and_holds_seats_for_those_who_had_them() {
+    let mut ledger = Ledger::kept(ledger_terms(), &Kept::default(), 0, 0.0);
+    let mut disk = Kept::default();
+    let grants = |n: u64| (0..n).map(|n| Op::Grant(LeaseId(n), key("t"))).collect();
+    let ask = |holder: &str, epoch, start, seq, resume, ops| Request {
+        holder: holder.into(),
+        epoch,
+        start,
+        seq,
+        resume,
+        ops,
+    };
+    ledger.tick(TTL);
+    let had = ledger.handle(TTL, &ask("a", 4, 7, 1, Vec::new(), grants(u64::from(SEATS))));
+    assert_eq!(had.result, Ok(vec![Verdict::Held; SEATS as usize]));
+    ledger.changes().into_iter().for_each(|c| disk.change(c));
+    assert_eq!((disk.ttl, disk.leases.len(), disk.holders["a"]), (Some(TTL), SEATS as usize, (4, 7)));
+    let mut ledger = Ledger::kept(ledger_terms(), &disk, 0, 0.0);
+    let claim = || vec![(LeaseId(0), key("t"))];
+    // Former starts, a copy of this one, another's claim, its own, in the midst of its epoch.
+    let table = [
+        (ask("a", 3, 1, 1, claim(), Vec::new()), Err(Refusal::Fenced { epoch: 4 })),
+        (ask("a", 4, 8, 1, claim(), Vec::new()), Err(Refusal::Fenced { epoch: 4 })),
+        (ask("b", 1, 1, 1, claim(), Vec::new()), Ok(vec![Verdict::Gone])),
+        (ask("a", 4, 7, 9, claim(), grants(1)), Ok(vec![Verdict::Held, Verdict::Wait])),
+    ];
+    for (n, (request, due)) in table.into_iter().enumerate() {
+        assert_eq!(ledger.handle(1, &request).result, due, "case {n}");
+    }
+    // What nobody claimed is free when no lease of before can live.
+    ledger.tick(TTL);
+    assert_eq!((ledger.leases(), ledger.recovers_until()), (1, None));
+}
+
 #[test]
 fn a_front_that_does_not_stop_in_time_is_seen() {
     let mut world = World::new(5, 3);
