A front keeps its sessions and comes back by the phases; advice spread over a crowd

A front that was killed knew nothing of its sessions: viewers could not end them, boxes ended them when their event streams had been closed for long enough. Viewers refused while a process came back were all given the same second.

At the start the sessions are in its books, its module knows no box until the phases are over, then boxes are asked for the sessions' events, 4,000 a second. Classes with seats and plays over HTTP are not kept. Refusals meanwhile, of fronts and of nodes with a store, bear times one after the other as far apart as servers bear new sessions.

The spread's test has 37 viewers at 37 times, and the module's own advice once it knows servers.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -56,6 +56,12 @@
     },
     /// Timer wheel beside map and heap, grants a second, memory a lease; what a seat adds to a set-up.
     Seats,
+    /// What the book of sessions on the disk costs a set-up: a front that keeps it beside one that does not, in turn.
+    Store {
+        /// Times that both are measured in turn; the middle one counts.
+        #[arg(long, default_value_t = 15)]
+        rounds: usize,
+    },
     /// Times of set-ups in the first second after a front with seats, stopped under load, is let go.
     Wake {
         /// How many stops.
@@ -96,6 +102,7 @@
         What::Memory { sessions } => memory(sessions),
         What::Drains { drains } => drain_times(drains),
         What::Wake { stops, seconds } => wake(stops, Duration::from_secs(seconds)),
+        What::Store { rounds } => store_cost(rounds),
         What::Seats => {
             seats::measure();
             seat_cost()
@@ -279,6 +286,45 @@
     std::process::exit(0);
 }
 
+/// Set-ups with the book of sessions on the disk, beside the same without.
+fn store_cost(rounds: usize) -> Result<(), Failure> {
+    const TIME: Duration = Duration::from_secs(1);
+    let (plain, names) = (lean_box(true), ["without a store", "with its book in a store"]);
+    let mut fronts = Vec::new();
+    for (n, name) in names.into_iter().enumerate() {
+        let dir = folder(&format!("store-{n}"))?;
+        write_list(&dir, &rows(&[plain.addr]))?;
+        let file = dir.join("front.store");
+        fronts.push((name, peers::front_keeping(&dir, SETTINGS, (n == 1).then_some(&*file)), dir));
+    }
+    // The one that keeps comes back by its phases first.
+    std::thread::sleep(Duration::from_secs(4));
+    let (mut wall, mut ran) = (vec![Vec::new(); 2], vec![Vec::new(); 2]);
+    for _ in 0..rounds {
+        for (n, (_, front, _)) in fronts.iter().enumerate() {
+            let before = front.ran();
+            let rate = closed(front.addr, 32, TIME)?;
+            wall[n].push(rate);
+            ran[n].push(rate * TIME.as_secs_f64() / (front.ran() - before));
+        }
+    }
+    let middle = |v: &[f64]| {
+        let mut v = v.to_vec();
+        v.sort_by(f64::total_cmp);
+        v[v.len() / 2]
+    };
+    println!(
+        "the middle of {rounds} rounds, in turn; set-ups a second, and for each second that the front's thread ran:"
+    );
+    for (n, (name, _, dir)) in fronts.iter().enumerate() {
+        let (w, r) = (middle(&wall[n]), middle(&ran[n]));
+        let (of_w, of_r) = (w / middle(&wall[0]), r / middle(&ran[0]));
+        println!("  {name:<26} {w:>8.0} ({of_w:.3}) {r:>8.0} ({of_r:.3})");
+        let _ = std::fs::remove_dir_all(dir);
+    }
+    std::process::exit(0);
+}
+
 fn with_issuer(addr: SocketAddr, bound: &str) -> String {
     let tokens = "(effect idempotent) (tokens (unreachable refuse)))";
     SETTINGS.replace("(effect idempotent))", tokens)
--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -9,7 +9,7 @@
 use micadyke_config::read_config;
 use micadyke_front::Front;
 use micadyke_front::list::WatchedFile;
-use micadyke_front::shell::{Extras, serve};
+use micadyke_front::shell::{Extras, Recovers, serve};
 use micadyke_http::client::read_some;
 use micadyke_http::fields::Link;
 use micadyke_http::{Limits, Method, Request, RequestParser, Response};
@@ -192,6 +192,12 @@
 
 /// The front with settings, by the list in a folder; with an issuer its log of seats lies there too.
 pub fn front_with(folder: &Path, settings: &str) -> Peer {
+    front_keeping(folder, settings, None)
+}
+
+/// The same; with `store` it keeps its book of sessions there.
+pub fn front_keeping(folder: &Path, settings: &str, store: Option<&Path>) -> Peer {
+    let store = store.map(Path::to_owned);
     let list = folder.join("boxes.sexp");
     let (log, settings) = (folder.join("seats.log"), settings.to_owned());
     start("front", move |listener, _| async move {
@@ -201,7 +207,12 @@
             (opened.seats, Rc::new(Keeper::start(opened.store)))
         });
         let bound = SharedKey::new("k", SECRET);
-        let extras = Extras { seats, bound, ..Extras::default() };
+        let recovers = store.map(|file| {
+            let opened = micadyke_front::keeping::open(&file).expect("a store");
+            let keeper = Rc::new(Keeper::start(opened.store));
+            Recovers { kept: opened.kept, start: 1, keeper, fleet: None }
+        });
+        let extras = Extras { seats, recovers, bound, ..Extras::default() };
         let source = Box::new(WatchedFile::new(list, config.clone()));
         let made = config.clone();
         let front = move |now| Front::new(made, [9; 32], now).expect("sound settings");
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -8,9 +8,10 @@
 use micadyke_config::units::{Unit, quantity};
 use micadyke_config::{BoundConfig, BoxRow, Config, Diagnostic, Entitlements, read_boxes, read_config};
 use micadyke_front::Front;
+use micadyke_front::keeping;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
-use micadyke_front::shell::{Extras, Questions, serve};
-use micadyke_node::shell::Recovers;
+use micadyke_front::shell::{Extras, Questions, Recovers, serve};
+use micadyke_node::shell::Recovers as NodeRecovers;
 use micadyke_recovery::keeper::Keeper;
 use micadyke_recovery::record::{Kept, Record as Keep};
 use micadyke_recovery::store::{Fault, Store};
@@ -25,6 +26,7 @@
 use micadyke_tokens::bearer::{Checker, TokenKey};
 use micadyke_tokens::bound::SharedKey;
 use micadyke_tokens::ledger::Terms as SeatTerms;
+use micadyke_tokens::store::State;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -127,7 +129,7 @@
         let keeper = Rc::new(keeper);
         member.iter_mut().for_each(|m| m.starts(start));
         neighbours.keeps(keeper.clone());
-        Recovers { kept, start, keeper }
+        NodeRecovers { kept, start, keeper }
     });
     run(with_member(member, neighbours, micadyke_node::shell::run(path, config, module, others, back)))???;
     Ok(ExitCode::SUCCESS)
@@ -151,37 +153,56 @@
             to.display()
         );
     }
+    let (kept, start) = counted(&opened.store, opened.kept, name, file);
+    Ok(Some((kept, start, Keeper::start(opened.store))))
+}
+
+/// Counts this start in an open store; what was kept under this name, and the start's number.
+fn counted(store: &Store, kept: Kept, name: &str, file: &Path) -> (Kept, u64) {
     // What another name kept is not this process's.
-    let own = opened.kept.start.as_ref().is_none_or(|s| s.0 == name);
+    let own = kept.start.as_ref().is_none_or(|s| s.0 == name);
     if !own {
         tracing::warn!("{}: kept by another name; this start is as the first", file.display());
     }
-    let kept = if own { opened.kept } else { Kept::default() };
+    let kept = if own { kept } else { Kept::default() };
     let clock = micadyke_membership::shell::by_clock();
     let start = kept.start.as_ref().map_or(clock, |s| clock.max(s.1.saturating_add(1)));
     let record = Keep::Start { name: name.to_owned(), start, at: clock.saturating_mul(1_000_000) };
-    if let Err(e) = opened.store.keep(&[record.into()]) {
+    if let Err(e) = store.keep(&[record.into()]) {
         tracing::warn!("{}: {e}; this start is not counted", file.display());
     }
-    Ok(Some((kept, start, Keeper::start(opened.store))))
+    (kept, start)
+}
+
+/// What a front keeps, opened: its seats and the way to the store, and what it comes back with where it keeps its sessions.
+type Keeps = (Option<(State, Rc<Keeper>)>, Option<Recovers>);
+
+/// Opens what a front keeps: `--store` holds all of it; without that, the file that the issuer's settings name holds seats.
+fn keeps(config: &Config, file: &Path, store: Option<&Path>) -> Result<Keeps, Failure> {
+    let seats = config.issuer.as_ref().map(|i| beside(file, &i.state));
+    let Some(path) = store else {
+        let opened = seats.map(|path| keeping::open(&path).map_err(at(&path))).transpose()?;
+        return Ok((opened.map(|o| (o.seats, Rc::new(Keeper::start(o.store)))), None));
+    };
+    let opened = keeping::open_with(path, seats.as_deref()).map_err(at(path))?;
+    let own = opened.kept.start.as_ref().is_none_or(|s| s.0 == config.name);
+    let (kept, start) = counted(&opened.store, opened.kept, &config.name, path);
+    let keeper = Rc::new(Keeper::start(opened.store));
+    let state = if own { opened.seats } else { State::default() };
+    let seats = config.issuer.as_ref().map(|_| (state, keeper.clone()));
+    Ok((seats, Some(Recovers { kept, start, keeper, fleet: None })))
 }
 
 pub fn front(
     file: &Path, addr: Option<SocketAddr>, record: Option<&Path>, membership: Option<&Path>,
+    store: Option<&Path>,
 ) -> Result<ExitCode, Failure> {
     let config = Rc::new(load(file)?);
     if config.boxes.is_empty() {
         return Err("the settings name no list of boxes: (front (boxes \"FILE\"))".into());
     }
     let source = Box::new(WatchedFile::new(beside(file, &config.boxes), config.clone()));
-    let seats = match &config.issuer {
-        None => None,
-        Some(i) => {
-            let path = beside(file, &i.state);
-            let opened = micadyke_front::keeping::open(&path).map_err(at(&path))?;
-            Some((opened.seats, Rc::new(Keeper::start(opened.store))))
-        }
-    };
+    let (seats, mut recovers) = keeps(&config, file, store)?;
     let entitlements = config.entitlements.as_ref().map(|e| checker(e, file)).transpose()?;
     let bound = config.issuer.as_ref().and_then(|i| i.bound.as_ref());
     let bound = bound.map(|b| shared_key(b, file)).transpose()?;
@@ -189,10 +210,15 @@
         tracing::warn!("{note}");
     }
     let questions = record.map(|path| Questions::append(path).map_err(at(path))).transpose()?;
-    let member = membership.map(|file| Member::load(file, None)).transpose()?;
-    let (neighbours, others) = crate::members::others(member.as_ref());
-    let parts = others.and_then(|o| o.parts);
-    let extras = Extras { seats, bound, entitlements, questions, parts };
+    let mut member = membership.map(|file| Member::load(file, None)).transpose()?;
+    let (mut neighbours, others) = crate::members::others(member.as_ref());
+    let (parts, fleet) = others.map_or((None, None), |o| (o.parts, Some(o.fleet)));
+    if let Some(r) = &mut recovers {
+        member.iter_mut().for_each(|m| m.starts(r.start));
+        neighbours.keeps(r.keeper.clone());
+        r.fleet = fleet;
+    }
+    let extras = Extras { seats, recovers, bound, entitlements, questions, parts };
     run(with_member(member, neighbours, async {
         let (listener, addr) = listen(addr.unwrap_or(config.listen)).await?;
         ready(addr)?;
@@ -290,7 +316,9 @@
 }
 
 /// A stand-in issuer of seats, until interrupted.
-pub fn issuer(at: SocketAddr, seats: &[String], ttl: &str) -> Result<ExitCode, Failure> {
+pub fn issuer(
+    at: SocketAddr, seats: &[String], ttl: &str, store: Option<&Path>,
+) -> Result<ExitCode, Failure> {
     if !at.ip().is_loopback() {
         return Err(format!("stand-ins run on loopback only, not on {at}").into());
     }
@@ -302,7 +330,17 @@
     let seats = seats.iter().map(one).collect::<Result<_, Failure>>()?;
     run(async {
         let terms = SeatTerms { ttl, seats, most_holders: 10_000, most_leases: 10_000_000 };
-        let issuer = Issuer::new(terms, 1.0, 1);
+        let issuer = match store {
+            None => Issuer::new(terms, 1.0, 1),
+            Some(file) => {
+                let opened =
+                    Store::open(file).map_err(|e| format!("{}: {e}; {}", file.display(), e.advice()))?;
+                if let Some((to, why)) = &opened.aside {
+                    tracing::warn!("{}: {why}; set aside as {}", file.display(), to.display());
+                }
+                Issuer::keeping(terms, 1.0, 1, opened).map_err(|e| format!("{}: {e}", file.display()))?
+            }
+        };
         let addr = issuer.open(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
         ready(addr)?;
         signalled().await?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -61,6 +61,10 @@
         /// Keep a view of the other fronts, by these settings.
         #[arg(long, value_name = "FILE")]
         membership: Option<PathBuf>,
+        /// Keep in this file the book of sessions, and seats if there are any, and come back by it; without it each start
+        /// is the first.
+        #[arg(long, value_name = "FILE")]
+        store: Option<PathBuf>,
     },
     /// Run a front node on the platform by the configuration that EDGE_CONFIG names, until SIGTERM.
     Node {
@@ -112,6 +116,9 @@
         /// How long a lease holds, with its unit.
         #[arg(long, default_value = "30s")]
         ttl: String,
+        /// Keep its books in this file, and go on by them; without it they are lost with the process.
+        #[arg(long, value_name = "FILE")]
+        store: Option<PathBuf>,
     },
     /// Play scenarios through real fronts and judge the six rules from the traffic: exit 0 kept, 1 broken, 2 could
     /// not run.
@@ -207,8 +214,8 @@
         LogForm::Json => builder.json().init(),
     }
     let result = match cli.command {
-        Command::Front { config, listen, record, membership } => {
-            commands::front(&config, listen, record.as_deref(), membership.as_deref())
+        Command::Front { config, listen, record, membership, store } => {
+            commands::front(&config, listen, record.as_deref(), membership.as_deref(), store.as_deref())
         }
         Command::Node { membership, store } => commands::node(membership.as_deref(), store.as_deref()),
         Command::Members { at, membership, json, watch, wait } => {
@@ -216,7 +223,9 @@
         }
         Command::Demo { listen } => commands::demo(listen),
         Command::Standin { config } => commands::standin(&config),
-        Command::Issuer { listen, seats, ttl } => commands::issuer(listen, &seats, &ttl),
+        Command::Issuer { listen, seats, ttl, store } => {
+            commands::issuer(listen, &seats, &ttl, store.as_deref())
+        }
         Command::Rehearse { scenarios, how, require } => {
             let required: Vec<usize> = require.into_iter().map(usize::from).collect();
             commands::rehearse(&scenarios, how.as_deref(), &required)
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -20,6 +20,7 @@
 };
 use micadyke_config::{BoxRow, Config, RouteKind};
 use micadyke_http::{Method, Request, Response};
+use micadyke_recovery::phases::Heard;
 use micadyke_tokens::bearer::Checker;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -86,6 +87,10 @@
             entitlements: None,
             seats: None,
             counts: Counts::default(),
+            keeping: false,
+            returning: None,
+            spread: None,
+            cold_from: 0,
             out: Vec::new(),
             overlap: false,
             recording: false,
@@ -102,7 +107,7 @@
     pub fn deadline(&self) -> Option<Nanos> {
         let timer = self.timers.peek().map(|Reverse((at, ..))| *at);
         let seats = self.seats.as_ref().and_then(|s| s.deadline());
-        timer.into_iter().chain(seats).min()
+        timer.into_iter().chain(seats).chain(self.returning_deadline()).min()
     }
 
     /// Requests that still wait for their answer.
@@ -138,7 +143,12 @@
         match input {
             Input::Request { conn, request, peer, waited } => self.request(conn, request, peer, waited),
             Input::Gone { conn } => self.gone(conn),
-            Input::List { rows, epoch } => self.list(rows, epoch),
+            Input::List { rows, epoch } => {
+                if let Some((rows, epoch)) = self.hold_back(rows, epoch) {
+                    self.list(rows, epoch);
+                }
+            }
+            Input::Fleet(fact) => self.recover(fact.heard()),
             Input::Part { always, leased, span } => {
                 let until = self.now.saturating_add(span);
                 self.events.push_back(Event::Part { always, leased, until });
@@ -197,7 +207,11 @@
         match action {
             Action::SetRung { session, rung } => self.set_rung(session, rung),
             Action::Send { session, server, timeout } => self.send(session, server, timeout),
-            Action::Refuse { session, come_back } => self.refuse(session, come_back),
+            Action::Refuse { session, come_back } => {
+                // While the front comes back, all are refused: not all of them are told to come at once.
+                let spread = self.spread.as_mut().map(|s| s.advise(self.now));
+                self.refuse(session, spread.unwrap_or(come_back));
+            }
             Action::Fail { session } => self.fail(session),
             Action::SetTimer { after, token } => self.timer(after, Timer::Module(token)),
             Action::Subscribe => self.out.push(Output::Subscribe),
@@ -205,6 +219,7 @@
     }
 
     fn tick(&mut self) {
+        self.recover(Heard::Wake);
         while self.timers.peek().is_some_and(|Reverse((at, ..))| *at <= self.now) {
             let Some(Reverse((_, _, timer))) = self.timers.pop() else { return };
             match timer {
@@ -227,11 +242,12 @@
 
     // ----- the list
 
-    fn list(&mut self, rows: Vec<BoxRow>, epoch: u64) {
+    pub(crate) fn list(&mut self, rows: Vec<BoxRow>, epoch: u64) {
         let mut entries = Vec::with_capacity(rows.len());
         let mut named = BTreeSet::new();
         let mut restarted = Vec::new();
-        for row in rows {
+        for mut row in rows {
+            row.started_at = row.started_at.max(self.cold_from);
             let server = ServerId(row.id);
             if self.boxes.get(&server).is_some_and(|b| b.row.started_at < row.started_at) {
                 restarted.push(server);
@@ -279,6 +295,7 @@
     pub(crate) fn forget(&mut self, id: SessionId) -> Option<Session> {
         let (session, stream) = self.sessions.close(id, self.config.bounds.ended)?;
         self.seats(|s, now| s.closed(now, id, &session));
+        self.keep_no_more(&session);
         if let Phase::Playing(p) = &session.phase
             && let Some(b) = self.boxes.get_mut(&p.place.server)
         {
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -5,6 +5,8 @@
 use micadyke_config::BoxRow;
 use micadyke_http::client::CallError;
 use micadyke_http::{Request, Response, sse};
+use micadyke_recovery::phases::Fleet;
+use micadyke_recovery::record::Change;
 use micadyke_tokens::store::Record;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -57,6 +59,8 @@
         /// How long.
         span: Nanos,
     },
+    /// The view of the other fronts changed.
+    Fleet(Fleet),
     /// A call came to its end. Each [`Output::Call`] comes back as exactly one of this and [`Input::Closed`].
     Reply {
         /// Which call.
@@ -146,6 +150,8 @@
     },
     /// Ask the source of the list for changes.
     Subscribe,
+    /// Keep this, or keep it no longer: it is written soon, nothing waits for it.
+    Keep(Change),
     /// Keep this; an epoch before anything that follows is done.
     Record(Record),
     /// Write this down, where questions are recorded (see [`crate::Front::record_questions`]).
@@ -180,6 +186,8 @@
     Clock { server: ServerId },
     /// A renewal of sessions' time at a box.
     Renew { server: ServerId },
+    /// A box asked whether it lives.
+    Alive,
     /// A manifest of a play, asked for at its box.
     Manifest { play: u128, session: SessionId, conn: ConnId, path: Box<str> },
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod list;
 mod media;
 mod notes;
+mod returning;
 mod seating;
 mod seats;
 mod session;
--- a/crates/front/src/session.rs
+++ b/crates/front/src/session.rs
@@ -106,6 +106,8 @@
     pub name: u128,
     /// Media section whose layers are chosen.
     pub media: Box<str>,
+    /// The highest rung that its viewer can use.
+    pub top: Rung,
     /// The rung that the module wants, and the one that the box has confirmed.
     pub rung: Rung,
     pub in_force: Option<Rung>,
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -6,12 +6,15 @@
 use crate::core::{Counts, Front};
 use crate::io::{CallId, ConnId, Input, Output, StreamId, Taken};
 use crate::list::{News, Source};
+use crate::returning::RECOVERY;
 use micadyke::interface::Nanos;
 use micadyke_config::{Config, RouteKind};
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request, RequestParser, Response, sse};
 use micadyke_membership::shell::{Parts, next_part};
 use micadyke_recovery::keeper::Keeper;
+use micadyke_recovery::phases::{Fleet, Phases};
+use micadyke_recovery::record::{Change, Kept};
 use micadyke_tokens::bearer::Checker;
 use micadyke_tokens::bound::SharedKey;
 use micadyke_tokens::store::{Record, State};
@@ -22,7 +25,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::spawn_local;
 use tracing::{debug, info, warn};
 
@@ -48,6 +51,8 @@
 pub struct Extras {
     /// What its store says of seats, and the way to the store; due where the settings name an issuer.
     pub seats: Option<(State, Rc<Keeper>)>,
+    /// What was kept of sessions, where they are kept; without it each start is the first.
+    pub recovers: Option<Recovers>,
     /// The secret shared with boxes that bound seated sessions by themselves; due where the settings name one.
     pub bound: Option<SharedKey>,
     /// What checks signed tokens; due where a route asks for them.
@@ -58,6 +63,22 @@
     pub parts: Option<Parts>,
 }
 
+/// What a front that keeps its sessions comes back with.
+#[derive(Debug)]
+pub struct Recovers {
+    /// What was kept.
+    pub kept: Kept,
+    /// This start, as the other fronts know it.
+    pub start: u64,
+    /// Where it is kept for the next time.
+    pub keeper: Rc<Keeper>,
+    /// Who else is there, where fronts know of each other.
+    pub fleet: Option<mpsc::Receiver<Fleet>>,
+}
+
+/// The list is kept so often: by its age the next start knows how old all else is.
+const KEEP_LIST: Duration = Duration::from_secs(10);
+
 /// A list of the questions that a front took, as `micadyke replay` reads it.
 #[derive(Debug)]
 pub struct Questions {
@@ -108,6 +129,8 @@
     source: RefCell<Box<dyn Source>>,
     /// The way to the store.
     keeper: RefCell<Option<Rc<Keeper>>>,
+    /// When the list was kept last, where sessions are kept.
+    listed: Cell<Option<Option<Instant>>>,
     questions: RefCell<Option<Questions>>,
     polled: Cell<Instant>,
     /// When the front last found that it had stood still, and for how long.
@@ -137,6 +160,7 @@
         epoch: unix.saturating_sub(ZERO),
         source: RefCell::new(source),
         keeper: RefCell::new(None),
+        listed: Cell::new(None),
         questions: RefCell::new(None),
         polled: Cell::new(start),
         stood: Cell::new((start, Duration::ZERO)),
@@ -170,6 +194,8 @@
             out.for_each(|o| shell.carry_out(o));
         }
     }
+    let fleet = extras.recovers.and_then(|r| shell.comes_back(r, extras.parts.is_some(), unix));
+    let fleet = fleet.map(|fleet| spawn_local(shell.clone().fleet(fleet)));
     let parts = extras.parts.map(|parts| spawn_local(shell.clone().parts(parts)));
     shell.poll_list();
     let timers = spawn_local(shell.clone().timers());
@@ -190,7 +216,7 @@
     tokio::time::sleep(Duration::from_millis(20)).await;
     timers.abort();
     lists.abort();
-    parts.into_iter().for_each(|p| p.abort());
+    parts.into_iter().chain(fleet).for_each(|p| p.abort());
     let counts = shell.core.borrow().counts();
     info!(?counts, "stopped");
     counts
@@ -233,6 +259,14 @@
             .filter_map(|o| if let Output::Record(r) = o { Some(r) } else { None })
             .collect();
         self.write_down(&records);
+        let is_kept = |o: &mut Output| matches!(o, Output::Keep(_));
+        let changes: Vec<Change> = out
+            .extract_if(.., is_kept)
+            .filter_map(|o| if let Output::Keep(c) = o { Some(c) } else { None })
+            .collect();
+        if let Some(keeper) = self.keeper.borrow().as_ref().filter(|_| !changes.is_empty()) {
+            keeper.keep_all(changes);
+        }
         for output in out {
             self.carry_out(output);
         }
@@ -283,6 +317,11 @@
                 self.listens.borrow_mut().remove(&stream);
             }
             Output::Record(record) => self.write_down(&[record]),
+            Output::Keep(change) => {
+                if let Some(keeper) = &*self.keeper.borrow() {
+                    keeper.keep(change);
+                }
+            }
             Output::Taken(taken) => {
                 let class = &self.config.classes[taken.class].name;
                 let written = self.questions.borrow_mut().as_mut().map(|q| q.write(&taken, class));
@@ -314,6 +353,34 @@
 
     // ----- the list
 
+    /// Takes up what was kept; who tells of other fronts.
+    fn comes_back(&self, r: Recovers, leases: bool, unix: u64) -> Option<mpsc::Receiver<Fleet>> {
+        let (me, alone, now) = ((self.config.name.as_str(), r.start), r.fleet.is_none(), self.now());
+        let phases = Phases::new(RECOVERY, me, &r.kept, unix, leases, alone, now);
+        self.core.borrow_mut().comes_back(phases, &r.kept, unix);
+        *self.keeper.borrow_mut() = Some(r.keeper);
+        self.listed.set(Some(None));
+        r.fleet
+    }
+
+    async fn fleet(self: Rc<Self>, mut fleet: mpsc::Receiver<Fleet>) {
+        while let Some(fact) = fleet.recv().await {
+            self.feed(Input::Fleet(fact));
+        }
+    }
+
+    /// Has the list kept, now and then.
+    fn keep_list(&self) {
+        let due = self.listed.get().is_some_and(|at| at.is_none_or(|at| at.elapsed() >= KEEP_LIST));
+        if !due || self.core.borrow().comes_back_still() {
+            return;
+        }
+        self.listed.set(Some(Some(Instant::now())));
+        if let Some(keeper) = &*self.keeper.borrow() {
+            keeper.keep(self.core.borrow().kept_list(self.epoch.saturating_add(self.now())));
+        }
+    }
+
     async fn parts(self: Rc<Self>, mut parts: Parts) {
         while let Some((always, leased, span)) = next_part(&mut parts).await {
             self.feed(Input::Part { always, leased, span });
@@ -336,6 +403,7 @@
             warn!(?gap, "the front stood still");
             self.stood.set((now, gap));
         }
+        self.keep_list();
         let news = self.source.borrow_mut().poll();
         match news {
             Some(News::Full(rows)) => {
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -174,8 +174,18 @@
             offer_at_fault: false,
         });
         let rung = self.config.settings.classes[class].floor;
-        let session =
-            Session { kind, route, class, title: title.clone(), name, media, rung, in_force: None, phase };
+        let session = Session {
+            kind,
+            route,
+            class,
+            title: title.clone(),
+            name,
+            media,
+            top,
+            rung,
+            in_force: None,
+            phase,
+        };
         self.sessions.open(id, session);
         self.owed.offer(conn, id);
         if kind == RouteKind::Publish {
@@ -348,6 +358,7 @@
             p.patching = false;
             if let Some(tag) = response.headers.get("etag") {
                 p.place.etag = tag.into();
+                self.keep_session(id);
             }
         } else if response.status < 300 {
             response = Response::problem(404, "the session has ended");
@@ -452,6 +463,7 @@
             }
             Some(Purpose::Subscribe { session }) => self.subscribed(session, result),
             Some(Purpose::Patch { session, conn }) => self.patched(session, conn, result),
+            Some(Purpose::Alive) => self.is_alive(),
             Some(Purpose::Issuer) => drop(self.seats(|s, now| s.issuer_replied(now, result))),
             Some(Purpose::Clock { server }) => {
                 self.seats(|s, now| s.box_replied(now, server, false, result));
@@ -465,6 +477,9 @@
             Some(Purpose::Withdraw { session, addr, path, tries }) => {
                 // 404 and 410: it is gone already.
                 let done = result.is_ok_and(|r| r.status < 300 || r.status == 404 || r.status == 410);
+                if done || tries + 1 >= WITHDRAWALS {
+                    self.keep_owed(addr, &path, false);
+                }
                 if done && self.sessions.get(session).is_none() {
                     self.free_seat(session);
                 } else if done {
@@ -480,6 +495,9 @@
 
     /// Ends a session at its box.
     pub(crate) fn withdraw(&mut self, session: SessionId, addr: SocketAddr, path: Box<str>, tries: u8) {
+        if tries == 0 {
+            self.keep_owed(addr, &path, true);
+        }
         let request = match media::ended(&path) {
             Some(report) => self.passed_on(report),
             None => self.to_box(Method::Delete, &*path),
@@ -602,6 +620,7 @@
                 self.publications.publish(title, id, place);
             }
         }
+        self.keep_session(id);
         self.tell(Event::Started { session: id });
         self.tell_load(id, server, reports);
         self.settle();
@@ -670,6 +689,7 @@
         p.changing = false;
         let server = p.place.server;
         if done {
+            self.keep_session(id);
             return self.change_layer(id);
         }
         // The module is told what really plays; its next choice is tried again.
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -4,11 +4,13 @@
 use crate::books::{Calls, Owed, Plays, Publications, Sessions, Visits};
 use crate::hints::Ladder;
 use crate::io::{Output, Timer};
+use crate::returning::Returning;
 use crate::seats::Seats;
 use crate::session::Asked;
 use micadyke::decide::Controller;
 use micadyke::interface::{Action, Event, Nanos, Rung, ServerId, SessionId};
 use micadyke_config::{BoxRow, Config, Title};
+use micadyke_recovery::spread::Spread;
 use micadyke_tokens::bearer::Checker;
 use rand::rngs::StdRng;
 use std::cmp::Reverse;
@@ -82,6 +84,14 @@
     /// Seats of the issuer, where the settings name one.
     pub(crate) seats: Option<Box<Seats>>,
     pub(crate) counts: Counts,
+    /// The book of sessions is kept.
+    pub(crate) keeping: bool,
+    /// The front comes back from before, until it serves.
+    pub(crate) returning: Option<Box<Returning>>,
+    /// When those that are refused meanwhile are told to come back.
+    pub(crate) spread: Option<Spread>,
+    /// After a power loss no box is warmer than one that started at this Unix time.
+    pub(crate) cold_from: u64,
     pub(crate) out: Vec<Output>,
     /// The next attempt goes out without waiting for the last one to close: a front broken on purpose.
     pub(crate) overlap: bool,
--- a/crates/front/tests/bench/mod.rs
+++ b/crates/front/tests/bench/mod.rs
@@ -105,7 +105,7 @@
                 Output::Unlisten { stream } => {
                     self.streams.remove(&stream);
                 }
-                Output::Subscribe | Output::Record(_) => {}
+                Output::Subscribe | Output::Record(_) | Output::Keep(_) => {}
                 Output::Taken(taken) => self.taken.push(taken),
             }
         }
--- /dev/null
+++ b/crates/node/src/advice.rs
@@ -0,0 +1,83 @@
+//! Advice to a crowd while its node comes back: the module knows no server then and refuses each viewer, with the same
+//! advice to all. Told to all at once, they would all come back in the same second.
+
+use micadyke::interface::{Action, Event, Nanos, Settings};
+use micadyke_front::core::Decide;
+use micadyke_recovery::record::Kept;
+use micadyke_recovery::spread::{Spread, borne};
+
+/// A decision module whose advice is spread until it is told of servers.
+pub(crate) struct Advised<D> {
+    module: D,
+    spread: Option<Spread>,
+}
+
+impl<D> Advised<D> {
+    /// The module as it is; with what was kept its first advice is spread, where clients may be advised at all.
+    pub(crate) fn new(module: D, settings: &Settings, kept: Option<&Kept>) -> Self {
+        let spread = kept.filter(|_| settings.may_advise).map(|kept| {
+            let servers = kept.list.as_ref().map_or(settings.cells as usize, |l| l.3.len()).max(1);
+            // Which kind each was is not kept: the smallest bears the least.
+            let each = settings.streams_by_kind.iter().min().copied().unwrap_or(1);
+            let part = 1.0 / f64::from(settings.fronts.max(1));
+            let rate = borne(servers as f64 * f64::from(each), settings.cold_from, settings.cold_for, part);
+            Spread::new(rate, settings.max_come_back)
+        });
+        Advised { module, spread }
+    }
+}
+
+impl<D: Decide> Decide for Advised<D> {
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+        // Its first list begins its service.
+        if matches!(event, Event::List { .. }) {
+            self.spread = None;
+        }
+        let from = out.len();
+        self.module.handle(now, event, out);
+        let Some(spread) = &mut self.spread else { return };
+        for action in &mut out[from..] {
+            if let Action::Refuse { come_back, .. } = action {
+                *come_back = spread.advise(now);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use micadyke::interface::{ListKind, SessionId};
+    use std::collections::BTreeSet;
+
+    /// Refuses whatever comes, with the same advice.
+    struct Refuses;
+
+    impl Decide for Refuses {
+        fn handle(&mut self, _: Nanos, _: Event, out: &mut Vec<Action>) {
+            out.push(Action::Refuse { session: SessionId(1), come_back: 7 });
+        }
+    }
+
+    #[test]
+    fn a_crowd_is_spread_until_the_module_knows_servers() {
+        let spread = Some(Spread::new(4.0, 10_000_000_000));
+        let mut module = Advised { module: Refuses, spread };
+        let mut ask = |event: Event| {
+            let mut out = Vec::new();
+            module.handle(5, event, &mut out);
+            let [Action::Refuse { come_back, .. }] = out[..] else { panic!("{out:?}") };
+            come_back
+        };
+        let left = || Event::Left { session: SessionId(1) };
+        let told: BTreeSet<Nanos> = (0..37).map(|_| ask(left())).collect();
+        // Four in each second from the first to the tenth, each at a time of its own.
+        assert_eq!(
+            (told.len(), told.first(), told.last()),
+            (37, Some(&1_000_000_000), Some(&10_000_000_000))
+        );
+        assert!(told.iter().zip(told.iter().skip(1)).all(|(a, b)| b - a == 250_000_000));
+        assert_eq!(ask(Event::List { kind: ListKind::Full, entries: Vec::new() }), 7);
+        assert_eq!(ask(left()), 7);
+    }
+}
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -3,6 +3,7 @@
 //! Everything runs on one thread, as tasks of a `LocalSet`. A task that brings an input calls [`Shell::feed`], which
 //! hands it to the core with one reading of the clock and carries the outputs out before it returns.
 
+use crate::advice::Advised;
 use crate::books::{Counts, Node};
 use crate::care;
 use crate::config::{Config, LONGEST, read};
@@ -144,7 +145,9 @@
     let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
     let hup = signal(SignalKind::hangup()).map_err(failed)?;
     let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
-    let mut node = Node::new(&config, decide(epoch), epoch);
+    let kept = recovers.as_ref().map(|r| &r.kept);
+    let module = Advised::new(decide(epoch), &config.site.settings, kept);
+    let mut node = Node::new(&config, module, epoch);
     if others.is_some() {
         node.has_others();
     }
