Sample settings name no class of a deployment: paid-spot

A search for the names and constants of both deployments' settings in sources, deploy file and tests found one: the sample settings, scenarios and lists of the general front bore a class name of one of them.

--- a/crates/rehearse/src/replay.rs
+++ b/crates/rehearse/src/replay.rs
@@ -98,7 +98,7 @@
             n => format!("title-{}", n % TITLES),
         };
         let ceiling = [None, Some(1_200), Some(3_000), Some(20_000)][random.random_range(0..4)];
-        let class = if random.random_bool(0.3) { "sponsor-spot" } else { "recorded-play" };
+        let class = if random.random_bool(0.3) { "paid-spot" } else { "recorded-play" };
         lines.push(Line::Ask(Question {
             title,
             class: class.into(),
--- a/crates/rehearse/src/replay.sexp
+++ b/crates/rehearse/src/replay.sexp
@@ -10,7 +10,7 @@
   (rung (rate 1790kB/s) (worth 1)))
 
 (class recorded-play (worth 1) (aim 800ms) (patience 3s) (effect idempotent))
-(class sponsor-spot (worth 2) (aim 800ms) (patience 3s) (effect at-most-once) (floor 1) )
+(class paid-spot (worth 2) (aim 800ms) (patience 3s) (effect at-most-once) (floor 1) )
 
 (kind box (streams 40))
 (fleet (cells 12) (racks 4) (link-per-weight 20MB/s) (uplink 60MB/s) (weights sizes)
@@ -19,6 +19,6 @@
 (come-back (most 2s))
 
 (route "/whep/" (kind whep) (class recorded-play))
-(route "/spot/" (kind whep) (class sponsor-spot) (bearer "spot-token"))
+(route "/spot/" (kind whep) (class paid-spot) (bearer "spot-token"))
 (route "/watch/" (kind media) (class recorded-play) (silence 2s))
-(route "/show/" (kind media) (class sponsor-spot) (bearer "spot-token") (silence 2s))
+(route "/show/" (kind media) (class paid-spot) (bearer "spot-token") (silence 2s))
--- a/scenarios/front-seats.sexp
+++ b/scenarios/front-seats.sexp
@@ -10,7 +10,7 @@
   (rung (rate 1790kB/s) (worth 1)))
 
 (class recorded-play (worth 1) (aim 800ms) (patience 3s) (effect idempotent))
-(class sponsor-spot (worth 2) (aim 800ms) (patience 3s) (effect at-most-once) (scale 1.4) (floor 1) (tokens (unreachable use-held) (lost end)))
+(class paid-spot (worth 2) (aim 800ms) (patience 3s) (effect at-most-once) (scale 1.4) (floor 1) (tokens (unreachable use-held) (lost end)))
 (class publish (worth 1) (aim 800ms) (patience 3s) (effect at-most-once))
 
 (kind box (streams 40))
@@ -21,7 +21,7 @@
 (come-back (most 2s))
 
 (route "/whep/" (kind whep) (class recorded-play))
-(route "/spot/" (kind whep) (class sponsor-spot) (bearer "spot-token"))
+(route "/spot/" (kind whep) (class paid-spot) (bearer "spot-token"))
 (route "/whip/" (kind whip) (class publish))
 
 (issuer (address "127.0.0.1:1") (state "seats.log") (wait 400ms) (drift 1%) (stop 1500ms) (retry 60ms) (keep 500ms)
