--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -42,6 +42,8 @@
 pub const HALF_MESSAGE: Nanos = 250 * MS;
 /// A connection that does not come up within this, where the settings state nothing.
 pub const CONNECT: Nanos = 250 * MS;
+/// A longer time-out is taken for this one: a call to a machine that has vanished holds a descriptor and a timer.
+pub const CONNECT_MOST: Nanos = 3 * SECOND;
 /// Bytes that wait to be written to a server at most; a server that lets more pile up reads nothing.
 pub const LINK_BACKLOG: usize = 256 << 10;
 
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -211,7 +211,8 @@
     pub(crate) fn connect(&mut self, to: ServerId, why: &'static str) -> ConnId {
         let conn = self.number();
         let now = self.now;
-        let timeout = if self.terms.connect_timeout > 0 { self.terms.connect_timeout } else { care::CONNECT };
+        let stated = Some(self.terms.connect_timeout).filter(|t| *t > 0);
+        let timeout = stated.unwrap_or(care::CONNECT).min(care::CONNECT_MOST);
         let Some(server) = self.servers.get_mut(&to) else { return conn };
         server.links.push(conn);
         debug!(server = server.row.id, conn = conn.0, why, "a server is called");
