Room that all hear of counts as filled, the unknown as fuller: fewer stalls

A node hears of 22 to 35 of 171 servers.

Cause: Pool::usage held a low figure for six note periods (decide.rs, 'old'), while some sixty nodes hear the same figure and fill the room within a second or two; and what nobody told of counted as the mean, where an overload costs five to ten times what room earns.

--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -29,12 +29,20 @@
 /// Deviations of chance that the sum of all fronts' lots for a cold server leaves free: hundreds of servers
 /// return at once, each for tens of windows; three would let one window in 300 through, five one in 20,000.
 const SPREAD: f64 = 5.0;
+/// What the platform leaves to chance beyond a cold budget of N: so many times the root of N, and as many.
+const CHANCE: f64 = 3.0;
 /// Use of links while none was heard of: silence is not emptiness, and this has room for the middle rung.
 const UNSEEN: f64 = 0.8;
 /// Own sessions at a server that tell of others' streams there.
 const FEW: u32 = 3;
 /// The note at set-up follows the start within this: on sockets they are two messages. Under any tick.
 const FRESH: Nanos = 5 * MS;
+/// A figure under the mean is taken for the mean by this age: all that hear of room fill it at once, long
+/// before the next note tells of it.
+const ROOM: Nanos = 2 * SECOND;
+/// What is not known is taken to lie so many deviations of the known over their mean: a missing point costs five
+/// to ten times what a point of room earns, and one deviation leaves one in six over.
+const UNSURE: f64 = 1.0;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found short is trusted again over this time, in seconds.
@@ -133,7 +141,7 @@
 }
 
 // ===== Accounts: what is asked of a link or an uplink over what it gives.
-/// What accounts are read against; a figure fades from age `fade` on to the `mean` use heard of lately.
+/// What accounts are read against; a figure fades from age `fade` on to the use of the unknown, `mean`.
 #[derive(Debug, Clone, Copy)]
 struct View {
     now: Nanos,
@@ -164,14 +172,20 @@
         self.keeps = 1.0 - GRAIN / sessions.sqrt();
     }
 
-    /// Use now: the last figure heard and the changes since; an old one fades to the mean of those heard of.
+    /// Use now: the last figure heard and the changes since; an old one fades to what is taken for the unknown,
+    /// one under that within ROOM.
     fn usage(&self, view: View) -> f64 {
         // Never heard of: the others are taken to ask what they ask elsewhere.
         let own = if self.size > 0.0 { self.own / self.size } else { 0.0 };
         let Some((value, as_of)) = self.heard else { return own + view.mean * (1.0 - 1.0 / view.fronts) };
-        let old = view.now.saturating_sub(as_of) as f64 / view.fade.max(1) as f64 - 1.0;
-        let base = value + (view.mean - value) * old.clamp(0.0, 1.0);
-        (base + self.log.iter().map(|l| l.1).sum::<f64>()).max(0.0)
+        let age = view.now.saturating_sub(as_of) as f64;
+        let old = if value < view.mean { age / ROOM as f64 } else { age / view.fade.max(1) as f64 - 1.0 };
+        self.since(value + (view.mean - value) * old.clamp(0.0, 1.0))
+    }
+
+    /// A figure and this front's changes since.
+    fn since(&self, value: f64) -> f64 {
+        (value + self.log.iter().map(|l| l.1).sum::<f64>()).max(0.0)
     }
 
     /// This front's share of what is asked.
@@ -196,11 +210,12 @@
     }
 }
 
-/// Mean use of the pools that were heard of lately: a surge shows within two note periods.
-fn mean<'a>(pools: impl Iterator<Item = &'a Pool>, view: View) -> Option<f64> {
-    let lately = pools.filter(|p| p.heard.is_some_and(|h| h.1 + view.fade / 3 >= view.now));
-    let (sum, n) = lately.fold((0.0, 0.0), |a, p| (a.0 + p.usage(view), a.1 + 1.0));
-    (n > 0.0).then(|| sum / n)
+/// Mean use of the pools that were heard of lately, and its deviation: a surge shows within two note periods.
+fn mean<'a>(pools: impl Iterator<Item = &'a Pool>, view: View) -> Option<(f64, f64)> {
+    let lately = |p: &&Pool| p.heard.is_some_and(|h| h.1 + view.fade / 3 >= view.now);
+    let known = pools.filter(lately).map(|p| p.since(p.heard.map_or(0.0, |h| h.0)));
+    let (n, sum, squares) = known.fold((0.0, 0.0, 0.0), |a, u| (a.0 + 1.0, a.1 + u, a.2 + u * u));
+    (n > 0.0).then(|| (sum / n, (squares / n - (sum / n).powi(2)).max(0.0).sqrt()))
 }
 
 // ===== Servers and sessions.
@@ -300,6 +315,7 @@
     born: Nanos,
     arrived: usize,
     mean: f64,
+    spread: f64,
     rack_mean: f64,
     ticking: bool,
     gap: Nanos,
@@ -384,14 +400,16 @@
 
     fn view(&self) -> View {
         let fade = self.s.note_delay + 6 * self.s.note_period.max(SECOND);
-        View { now: self.now, fronts: f64::from(self.s.fronts), mean: self.mean, fade }
+        let mean = self.mean + UNSURE * self.spread;
+        View { now: self.now, fronts: f64::from(self.s.fronts), mean, fade }
     }
 
     /// Mean use of links and of uplinks heard of lately; while notes stay out the last ones stand.
     fn average(&mut self) {
         let view = self.view();
-        self.mean = mean(self.servers.values().map(|s| &s.link), view).unwrap_or(self.mean);
-        self.rack_mean = mean(self.racks.values(), view).unwrap_or(self.rack_mean);
+        let links = mean(self.servers.values().map(|s| &s.link), view);
+        (self.mean, self.spread) = links.unwrap_or((self.mean, self.spread));
+        self.rack_mean = mean(self.racks.values(), view).map_or(self.rack_mean, |m| m.0);
     }
 
     fn rate(&self, class: ClassId, rung: Rung) -> f64 {
@@ -441,6 +459,8 @@
                 // A new process: what was known of the old one says nothing.
                 s.cold_since = s.cold_since.max(entry.started_at);
                 s.gives = (1.0, 0);
+                s.link.heard = None;
+                s.link.log.clear();
             }
             s.entry = entry;
         }
@@ -494,7 +514,13 @@
         let rack = self.racks.get(&server.rack(self.s.racks));
         let racks = View { mean: self.rack_mean, ..self.view() };
         let rack = rack.filter(|_| self.rack_mean > 0.0).map_or(0.0, |r| r.usage(racks) / r.keeps);
-        (server.link.usage(self.view()) / server.link.keeps).max(rack) / server.gives(self.now).max(0.01)
+        // A process that has just started fills from nothing, until something is heard of it.
+        let since = server.entry.started_at;
+        let unheard = since > 0 && server.link.heard.is_none_or(|h| h.1 < since);
+        let age = self.now.saturating_sub(since) as f64 / self.s.cold_for.max(1) as f64;
+        let view = self.view();
+        let view = View { mean: view.mean * if unheard { age.min(1.0) } else { 1.0 }, ..view };
+        (server.link.usage(view) / server.link.keeps).max(rack) / server.gives(self.now).max(0.01)
     }
 
     /// How much use a rate adds at a server.
@@ -728,8 +754,10 @@
         if part >= 1.0 {
             return sent < part.floor();
         }
-        // Sums of many small lots spread like their root: the mean leaves SPREAD deviations free.
-        let mean = ((budget + SPREAD * SPREAD / 4.0).sqrt() - SPREAD / 2.0).powi(2);
+        // Sums of many small lots spread like their root: the mean leaves SPREAD deviations free of what a
+        // server bears, chance included.
+        let bears = COLD_PART * (budget + CHANCE * (budget.sqrt() + 1.0));
+        let mean = ((bears + SPREAD * SPREAD / 4.0).sqrt() - SPREAD / 2.0).powi(2);
         sent < 1.0 && server.lot.1 < mean * self.part()
     }
 
