Letters: payloads of other packages in membership's frame and on its budget of bytes

A session directory is to stand on the view without a socket, key or book of addresses of its own. New kind of datagram Topic(n), at the end, so that all others keep their bytes; Input::Send takes a letter for a member by name (oneself too), Output::Letter hands one up with its sender's name and start, and only from whom the view holds for living by that start. 1,224 bytes at most, at once or never, counted by cause (View::letters). Letters leave 32 KiB of the budget, half of a burst, to membership's own words. The shell has a pair of ends (Post) for it; no socket more, and nobody uses it yet: the command drops the other end.

So that the coming split of the view can be compared, the world of members in virtual time keeps a digest of all that views say (when, whose, each byte) and of their pages.

--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -7,7 +7,7 @@
 use micadyke_membership::news::News;
 use micadyke_membership::shell::Part;
 use micadyke_membership::status::{Row, Summary};
-use micadyke_membership::{Change, MOST_MEMBERS, Settings, shell};
+use micadyke_membership::{Change, MOST_MEMBERS, Post, Settings, shell};
 use micadyke_node::shell::Others;
 use micadyke_recovery::keeper::Keeper;
 use micadyke_recovery::phases::Fleet;
@@ -140,7 +140,10 @@
     };
     // Where nobody tells anything, the channel is closed and never heard of.
     let tell = tell.unwrap_or_else(|| mpsc::channel(1).1);
-    let view = tokio::task::spawn_local(shell::run(settings, seal, rand::random(), tell, stopped, told));
+    // Nothing stands on the view yet that would send letters.
+    let (post, _) = Post::pair();
+    let view =
+        tokio::task::spawn_local(shell::run(settings, seal, rand::random(), tell, post, stopped, told));
     tokio::pin!(view, work);
     tokio::select! {
         ended = &mut view => {
--- a/crates/membership/src/frame.rs
+++ b/crates/membership/src/frame.rs
@@ -16,6 +16,8 @@
 pub const LONGEST: usize = 1400;
 /// Bytes that frame and head take at most.
 pub const OVERHEAD: usize = 176;
+/// Bytes that are left for a payload.
+pub const ROOM: usize = LONGEST - OVERHEAD;
 /// Bytes of a key at least.
 pub const KEY: usize = 16;
 const MAGIC: &[u8; 3] = b"mdy";
@@ -58,6 +60,8 @@
     Page,
     /// Members that went are named in the payload, to one whose view differs.
     Gone,
+    /// The payload is another package's, under its number.
+    Topic(u8),
 }
 
 /// What stands ahead of each payload.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -6,11 +6,13 @@
 //! its user: starts of one name that outrank each other without clocks, a node that stood still and accuses nobody (after
 //! the local health of Lifeguard, 2018), members that were given up and are called again, a digest of the view and the
 //! word *settled*, bounds. [`frame`] keeps out what is not of this fleet; [`share`] gives each a part of a
-//! common budget, so that all parts together never pass it; [`shell`] is the UDP around it.
+//! common budget, so that all parts together never pass it; [`letter`] carries the words of other packages; [`shell`] is
+//! the UDP around it.
 #![warn(missing_docs)]
 
 pub mod frame;
 mod identity;
+pub mod letter;
 pub mod news;
 pub mod settings;
 pub mod share;
@@ -19,6 +21,7 @@
 mod view;
 
 pub use identity::{Member, NAME};
+pub use letter::{Letter, Letters, Post};
 pub use settings::Settings;
 #[doc(hidden)]
 pub use view::Feature;
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -2,6 +2,7 @@
 
 use crate::frame::{LONGEST, Seal};
 use crate::identity::Member;
+use crate::letter::{Letter, Post};
 use crate::news::News;
 use crate::settings::Settings;
 use crate::status::{self, Page, Row, Summary};
@@ -13,7 +14,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{info, warn};
 
-/// Datagrams that are taken before a timer's turn comes.
+/// Datagrams, or letters, that are taken before a timer's turn comes.
 const AT_A_TIME: usize = 256;
 /// Proofs that may wait to be taken; those beyond are asked for again in the next round.
 const PROOFS: usize = 4096;
@@ -55,13 +56,14 @@
 }
 
 /// Runs a member until `stop` is told or dropped; then it takes its leave. Changes go to `told`, in order, with the
-/// moment from which the view's time counts; what `news` brings is told to the others.
+/// moment from which the view's time counts; what `news` brings is told to the others, and `post` takes and brings letters
+/// of what stands on the view. Those that it has no room for are lost, as datagrams may be.
 ///
 /// # Errors
 ///
 /// Where it cannot listen.
 pub async fn run(
-    settings: Settings, seal: Seal, seed: u64, mut news: mpsc::Receiver<News>,
+    settings: Settings, seal: Seal, seed: u64, mut news: mpsc::Receiver<News>, mut post: Post,
     mut stop: oneshot::Receiver<()>, mut told: impl FnMut(&Change, Instant),
 ) -> Result<(), String> {
     let listen = settings.listen;
@@ -77,7 +79,7 @@
     let (proved, mut proofs) = mpsc::channel(PROOFS);
     view.handle(now(), Input::Wake, &mut out);
     loop {
-        for (name, to) in carry_out(&socket, &mut out, &mut |c| told(c, clock)) {
+        for (name, to) in carry_out(&socket, &mut out, &post.send, &mut |c| told(c, clock)) {
             tokio::task::spawn_local(prove(name, to, now(), proved.clone()));
         }
         let span = Duration::from_nanos(view.wake_at().saturating_sub(now()).min(SECOND));
@@ -92,6 +94,13 @@
                 view.handle(now(), Input::Refused { name: &name, called }, &mut out);
             }
             Some(news) = news.recv() => view.handle(now(), Input::Tell(&news), &mut out),
+            Some(letter) = post.take.recv() => {
+                view.handle(now(), Input::Send(&letter), &mut out);
+                for _ in 1..AT_A_TIME {
+                    let Ok(letter) = post.take.try_recv() else { break };
+                    view.handle(now(), Input::Send(&letter), &mut out);
+                }
+            }
             () = tokio::time::sleep(span) => {}
         }
         for _ in 0..AT_A_TIME {
@@ -107,7 +116,7 @@
         }
     }
     view.handle(now(), Input::Leave, &mut out);
-    carry_out(&socket, &mut out, &mut |c| told(c, clock));
+    carry_out(&socket, &mut out, &post.send, &mut |c| told(c, clock));
     Ok(())
 }
 
@@ -126,7 +135,7 @@
 
 /// Carries out what the view says; who is to be called for a proof is returned.
 fn carry_out(
-    socket: &UdpSocket, out: &mut Vec<Output>, told: &mut impl FnMut(&Change),
+    socket: &UdpSocket, out: &mut Vec<Output>, post: &mpsc::Sender<Letter>, told: &mut impl FnMut(&Change),
 ) -> Vec<(String, SocketAddr)> {
     let mut proofs = Vec::new();
     for output in out.drain(..) {
@@ -138,6 +147,7 @@
                 told(&change);
             }
             Output::Prove { name, to } => proofs.push((name, to)),
+            Output::Letter(letter) => drop(post.try_send(letter)),
         }
     }
     proofs
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -1,7 +1,8 @@
 //! The view: who is there, as far as this member knows, and whether the others see the same.
 
-use crate::frame::{Dropped, Head, Kind, LONGEST, OVERHEAD, Seal};
+use crate::frame::{Dropped, Head, Kind, ROOM, Seal};
 use crate::identity::Member;
+use crate::letter::{Letter, Letters, RESERVE};
 use crate::news::{Aged, Board, News};
 use crate::settings::Settings;
 use crate::share::{Part, Share, Word};
@@ -55,7 +56,7 @@
 /// Looks in a period at whether the view is settled.
 const SETTLE_LOOKS: u64 = 5;
 /// Bytes that may be sent beyond the rate at one time.
-const BURST: u64 = 64 << 10;
+pub(crate) const BURST: u64 = 64 << 10;
 
 /// Something that happened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -80,6 +81,9 @@
         /// When the call was made.
         called: Nanos,
     },
+    /// A letter to the member that it names, on whatever stands on the view. It goes at once or never: as any datagram it
+    /// may be lost, and [`View::letters`] counts what was not sent, and why.
+    Send(&'a Letter),
 }
 
 /// Something to be done, or told.
@@ -101,6 +105,8 @@
     },
     /// The view changed.
     Told(Change),
+    /// A letter came from the member that it names, which this view holds for living by that start.
+    Letter(Letter),
 }
 
 /// A change of the view.
@@ -275,6 +281,7 @@
     /// Bytes that may be sent now, and when that was reckoned.
     room: (u64, Nanos),
     counts: Counts,
+    letters: Letters,
     /// What tests and measurements take out.
     without: Option<Feature>,
     out: Vec<Output>,
@@ -318,7 +325,7 @@
         max_transmissions: copies(settings),
         suspect_to_down_after: period.mul_f64(SUSPICION * log),
         remove_down_after: Some(span(settings.remember)),
-        max_packet_size: least(LONGEST - OVERHEAD),
+        max_packet_size: least(ROOM),
         notify_down_members: true,
         periodic_announce: Some(PeriodicParams { frequency: span(ANNOUNCE), num_members: least(1) }),
         // Calls of our own find them, also where nobody is left to hand anything on.
@@ -370,6 +377,7 @@
             settle_at: now,
             stand: Stand::In,
             counts: Counts::default(),
+            letters: Letters::default(),
             without: None,
             out: Vec::new(),
         }
@@ -385,6 +393,11 @@
         self.counts
     }
 
+    /// What became of the letters of other packages.
+    pub fn letters(&self) -> Letters {
+        self.letters
+    }
+
     /// Digest of those that live, this member included.
     pub fn digest(&self) -> u64 {
         self.digest
@@ -449,6 +462,7 @@
                     let words = self.share.as_mut().map(|s| s.refused(now, name, called));
                     self.say(words.unwrap_or_default());
                 }
+                Input::Send(letter) => self.post(letter),
             }
             self.settle();
             self.tell_part();
@@ -623,7 +637,7 @@
             // Names may be long.
             while !gone.is_empty() {
                 match postcard::to_allocvec(&gone) {
-                    Ok(payload) if payload.len() <= LONGEST - OVERHEAD => {
+                    Ok(payload) if payload.len() <= ROOM => {
                         return self.send(other.addr, Kind::Gone, &payload);
                     }
                     _ => gone.truncate(gone.len() / 2),
@@ -684,11 +698,51 @@
         called.into_iter().for_each(|to| self.send(to, Kind::Hello, &[]));
     }
 
+    // ----- letters of other packages
+
+    fn post(&mut self, letter: &Letter) {
+        let to = self.known.get(&letter.name).filter(|k| k.active).map(|k| k.member.addr);
+        if letter.payload.len() > ROOM {
+            self.letters.too_long += 1;
+        } else if self.stand != Stand::In {
+            self.letters.nobody += 1;
+        } else if letter.name == self.me.name {
+            self.letters.sent += 1;
+            self.deliver(letter.topic, self.me.start, letter.name.clone(), &letter.payload);
+        } else if let Some(to) = to {
+            let sent = self.put(to, Kind::Topic(letter.topic), &letter.payload, RESERVE);
+            *if sent { &mut self.letters.sent } else { &mut self.letters.held_back } += 1;
+        } else {
+            self.letters.nobody += 1;
+        }
+    }
+
+    fn deliver(&mut self, topic: u8, start: u64, name: String, payload: &[u8]) {
+        self.letters.taken += 1;
+        self.out.push(Output::Letter(Letter { topic, name, start, payload: payload.to_vec() }));
+    }
+
+    /// A letter is handed up where an answer to it could be sent: its sender lives by this view, by the same start.
+    fn letter(&mut self, topic: u8, sender: Member, payload: &[u8]) {
+        let known = self.known.get(&sender.name).filter(|k| k.active && k.member.start == sender.start);
+        match known.is_some() && payload.len() <= ROOM {
+            true => self.deliver(topic, sender.start, sender.name, payload),
+            false => self.letters.strangers += 1,
+        }
+    }
+
     // ----- sending
 
     fn send(&mut self, to: SocketAddr, kind: Kind, payload: &[u8]) {
+        if !self.put(to, kind, payload, 0) {
+            self.counts.held_back += 1;
+        }
+    }
+
+    /// Sends where that leaves `reserve` bytes of the budget; whether it did.
+    fn put(&mut self, to: SocketAddr, kind: Kind, payload: &[u8], reserve: u64) -> bool {
         let head = Head { kind, sender: self.me.clone(), digest: self.digest, members: self.living() as u32 };
-        let Some(bytes) = self.seal.close(&head, payload) else { return };
+        let Some(bytes) = self.seal.close(&head, payload) else { return true };
         let gained =
             u128::from(self.now.saturating_sub(self.room.1)) * u128::from(self.settings.rate) / 1_000_000_000;
         let room = u64::try_from(gained).unwrap_or(BURST).saturating_add(self.room.0).min(BURST);
@@ -696,14 +750,14 @@
         if gained > 0 {
             self.room = (room, self.now);
         }
-        if self.room.0 < size {
-            self.counts.held_back += 1;
-            return;
+        if self.room.0 < size + reserve {
+            return false;
         }
         self.room.0 -= size;
         self.counts.sent += 1;
         self.counts.sent_bytes += size;
         self.out.push(Output::Send { to, bytes });
+        true
     }
 
     /// Carries out what the library asked for.
@@ -867,6 +921,7 @@
                 }
                 Err(_) => self.counts.dropped[5] += 1,
             },
+            Kind::Topic(topic) if self.stand == Stand::In => self.letter(topic, head.sender, payload),
             Kind::Hello => {
                 self.send(sender.addr, Kind::Welcome, &[]);
                 if self.stand == Stand::In
@@ -892,6 +947,7 @@
             | Kind::News
             | Kind::Gone
             | Kind::Share
+            | Kind::Topic(_)
             | Kind::Ask { .. }
             | Kind::Page => {}
         }
@@ -1044,7 +1100,7 @@
     }
 
     fn asked(&mut self, from: SocketAddr, page: u16) {
-        let payload = status::page(&self.summary(), &self.rows(), page, LONGEST - OVERHEAD);
+        let payload = status::page(&self.summary(), &self.rows(), page, ROOM);
         self.send(from, Kind::Page, &payload);
     }
 }
--- a/crates/membership/tests/settles.rs
+++ b/crates/membership/tests/settles.rs
@@ -251,8 +251,9 @@
     w.until_settled(10);
 }
 
-/// A fleet of `n` through `faults` faults drawn from a seed; after the last one it settles, and holds no dead start.
-fn script(seed: u64, n: usize, faults: usize) {
+/// A fleet of `n` through `faults` faults drawn from a seed; after the last one it settles, and holds no dead start. The
+/// digest of all that was said is returned.
+fn script(seed: u64, n: usize, faults: usize) -> u64 {
     let mut w = World::settled(seed, n);
     for _ in 0..faults {
         let (i, j) = (w.lot(n), w.lot(n));
@@ -290,12 +291,14 @@
     w.until_settled(240);
     let books = w.processes.values().map(|p| p.view.books());
     assert!(books.into_iter().all(|b| b[0] < n + 2 && b[1] < 4 * n + 20), "seed {seed}");
+    w.digest()
 }
 
 #[test]
 fn scripts_of_faults_by_seed_all_settle() {
     let scripts = std::env::var("MICADYKE_SCRIPTS").ok().and_then(|n| n.parse().ok()).unwrap_or(24);
-    (0..scripts).for_each(|seed| script(1000 + seed, 5 + (seed as usize % 6), 12));
+    let digests = (0..scripts).map(|seed| script(1000 + seed, 5 + (seed as usize % 6), 12));
+    println!("digest of {scripts} scripts: {:016x}", digests.fold(0u64, |all, d| all.rotate_left(1) ^ d));
 }
 
 #[test]
@@ -320,6 +323,7 @@
         // Everybody once, the older version nobody; an age within what it took.
         assert_eq!(heard.len(), n - 1, "{loss}");
         assert!(heard.iter().all(|h| h.1 == drain(7) && h.2 < 3 * SECOND));
+        println!("digest of news with {loss} lost: {:016x}", w.digest());
     }
     // The board: bounded, a finding again after a while, old news is none.
     let found = |n: usize| News::Found { server: format!("s-{n}"), what: Finding::Silent };
--- a/crates/membership/tests/shares.rs
+++ b/crates/membership/tests/shares.rs
@@ -59,6 +59,7 @@
 #[test]
 fn scripts_of_faults_never_bring_more_than_the_whole() {
     let scripts = std::env::var("MICADYKE_SCRIPTS").ok().and_then(|n| n.parse().ok()).unwrap_or(12);
+    let mut digest = 0u64;
     for seed in 0..scripts {
         let n = 4 + seed as usize % 7;
         let mut w = fleet(2000 + seed, n);
@@ -85,5 +86,7 @@
             w.run(span);
         }
         assert!(w.most < 1.0 + 1e-9, "seed {seed}: {}", w.most);
+        digest = digest.rotate_left(1) ^ w.digest();
     }
+    println!("digest of {scripts} scripts: {digest:016x}");
 }
--- a/crates/standin/src/members.rs
+++ b/crates/standin/src/members.rs
@@ -3,10 +3,13 @@
 use micadyke_membership::frame::Seal;
 use micadyke_membership::news::News;
 use micadyke_membership::share::{Part, Terms};
-use micadyke_membership::{Change, Feature, Input, MS, Member, Nanos, Output, SECOND, Settings, View};
+use micadyke_membership::{
+    Change, Feature, Input, Letter, MS, Member, Nanos, Output, SECOND, Settings, View,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hasher};
 use std::net::SocketAddr;
 
 /// The fleet's name.
@@ -62,6 +65,8 @@
     at: BTreeMap<SocketAddr, usize>,
     /// What each view told, and when.
     pub told: Vec<(Nanos, usize, Change)>,
+    /// Letters that were handed up to each, and when.
+    pub letters: Vec<(Nanos, usize, Letter)>,
     /// Bytes that each sent.
     pub bytes: BTreeMap<usize, u64>,
     random: StdRng,
@@ -89,6 +94,8 @@
     pub most: f64,
     /// What the views of those that start lack.
     pub without: Option<Feature>,
+    /// All that views said so far: when, whose, each byte.
+    trace: DefaultHasher,
 }
 
 /// What a process sees that is not so.
@@ -112,6 +119,7 @@
             processes: BTreeMap::new(),
             at: BTreeMap::new(),
             told: Vec::new(),
+            letters: Vec::new(),
             bytes: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
             events: BTreeMap::new(),
@@ -127,6 +135,7 @@
             shares: None,
             most: 0.0,
             without: None,
+            trace: DefaultHasher::new(),
         }
     }
 
@@ -179,6 +188,13 @@
         self.carry_out(n, out);
     }
 
+    /// Has a member send a letter.
+    pub fn send(&mut self, n: usize, letter: &Letter) {
+        let (mut out, now) = (Vec::new(), self.now);
+        self.processes.get_mut(&n).expect("it runs").view.handle(now, Input::Send(letter), &mut out);
+        self.carry_out(n, out);
+    }
+
     /// Kills a process.
     pub fn kill(&mut self, n: usize) {
         if let Some(p) = self.processes.remove(&n) {
@@ -226,6 +242,7 @@
     fn carry_out(&mut self, n: usize, out: Vec<Output>) {
         let Some(from) = self.processes.get(&n).map(|p| p.at) else { return };
         for output in out {
+            self.trace.write(format!("{} {n} {output:?}", self.now).as_bytes());
             match output {
                 Output::Prove { name, to } => {
                     // A machine that lives says so where no process listens; one that is cut off says nothing.
@@ -238,6 +255,7 @@
                 Output::Told(Change::Part(part)) => {
                     self.processes.get_mut(&n).into_iter().for_each(|p| p.part = Some(part));
                 }
+                Output::Letter(letter) => self.letters.push((self.now, n, letter)),
                 Output::Told(change) => self.told.push((self.now, n, change)),
                 Output::Send { to, bytes } => {
                     *self.bytes.entry(n).or_default() += bytes.len() as u64;
@@ -362,6 +380,16 @@
         }
     }
 
+    /// Digest of all that was said in this world, and of the first page of each view as it now stands: the same for the
+    /// same seed as long as nothing behaves differently.
+    pub fn digest(&mut self) -> u64 {
+        let asker = Member::new("asker", addr(2500), 0);
+        let ask = micadyke_membership::status::ask(&seal(), &asker, 0).expect("it fits");
+        let all: Vec<usize> = self.processes.keys().copied().collect();
+        all.into_iter().for_each(|n| self.feed(n, Some((asker.addr, ask.clone()))));
+        self.trace.finish()
+    }
+
     /// Who was given up by whom.
     pub fn given_up(&self) -> Vec<(usize, String)> {
         let downs = self.told.iter().filter_map(|(_, n, c)| match c {
