Membership's view split: a carrier, and topics on it with one small face

The view was one room of 1,061 lines in which probes, mending, news, shares, pages and the budget of bytes reached into each other; a directory as a further knot would have made it unlivable.

Now carrier.rs (frame, budget, counts, what goes out) with book.rs (names, addresses, what was heard when, digest, settled), and topics that hear, say when they are due, and say (topic.rs): who lives (lives.rs, 460 lines), shares (parts.rs), news (spread.rs), letters (posts.rs). What goes in and out stands in io.rs, so settings, status and view import each other in no circle any more.

Of the letters' checks, seen to fail: start of the sender not looked at; a payload of two datagrams let through.

--- a/crates/membership/src/identity.rs
+++ b/crates/membership/src/identity.rs
@@ -6,6 +6,8 @@
 
 /// Bytes of a name at most.
 pub const NAME: usize = 64;
+/// Members known at most, those that are gone included; what names more is dropped.
+pub const MOST_MEMBERS: usize = 4096;
 
 /// A process that takes part. Of two under one name the later start wins, whatever their clocks say: a start that finds
 /// a later one known counts on from there.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -10,22 +10,31 @@
 //! the UDP around it.
 #![warn(missing_docs)]
 
+mod book;
+mod carrier;
 pub mod frame;
 mod identity;
+mod io;
 pub mod letter;
+mod lives;
 pub mod news;
+mod parts;
+mod posts;
 pub mod settings;
 pub mod share;
 pub mod shell;
+mod spread;
 pub mod status;
+mod topic;
 mod view;
 
-pub use identity::{Member, NAME};
+pub use identity::{MOST_MEMBERS, Member, NAME};
+#[doc(hidden)]
+pub use io::Feature;
+pub use io::{Change, Counts, Input, Output, State, Unsettled};
 pub use letter::{Letter, Letters, Post};
 pub use settings::Settings;
-#[doc(hidden)]
-pub use view::Feature;
-pub use view::{Change, Counts, Input, MOST_MEMBERS, Output, State, Unsettled, View};
+pub use view::View;
 
 /// A point in time or a span of it, in nanoseconds of one clock that never runs backwards.
 pub type Nanos = u64;
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -15,14 +15,20 @@
 //!   (shares (always 50%) (lease 3s) (drift 1%)))  ; off where not given; for fleets of members alone
 //! ```
 
-use crate::identity::{Member, NAME};
+use crate::identity::{MOST_MEMBERS, Member, NAME};
 use crate::share::Terms;
-use crate::view::MOST_MEMBERS;
 use crate::{MS, Nanos, SECOND};
 use micadyke_config::units::Unit;
 use micadyke_config::{Diagnostic, Form, read_file};
 use std::net::SocketAddr;
+use std::num::NonZeroU8;
 
+/// An update is handed on so many times the logarithm of the fleet's size (memberlist's retransmit multiplier).
+const RETRANSMIT: f64 = 4.0;
+/// Updates are handed on beside probes to so many members at a time, after this part of a period (memberlist: 200 ms,
+/// three members, beside a period of 1 s).
+pub(crate) const GOSSIP: usize = 3;
+pub(crate) const GOSSIP_PART: (u32, u32) = (2, 5);
 /// Seeds at most.
 const SEEDS: usize = 64;
 /// Rate of sending where none is stated, in bytes a second.
@@ -75,6 +81,13 @@
             start: None,
         }
     }
+
+    /// How often news of any kind is handed on in a fleet of this size.
+    pub(crate) fn copies(&self) -> NonZeroU8 {
+        let size = f64::from(self.expected.max(2));
+        let copies = (RETRANSMIT * (size + 1.0).log10().ceil()).clamp(1.0, 255.0) as u8;
+        NonZeroU8::new(copies).unwrap_or(NonZeroU8::MIN)
+    }
 }
 
 fn address(text: &str, form: &Form) -> Option<SocketAddr> {
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -2,11 +2,12 @@
 
 use crate::frame::{LONGEST, Seal};
 use crate::identity::Member;
+use crate::io::{Change, Input, Output};
 use crate::letter::{Letter, Post};
 use crate::news::News;
 use crate::settings::Settings;
 use crate::status::{self, Page, Row, Summary};
-use crate::view::{Change, Input, Output, View};
+use crate::view::View;
 use crate::{Nanos, SECOND};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
--- a/crates/membership/src/status.rs
+++ b/crates/membership/src/status.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::{Head, Kind, Seal};
 use crate::identity::Member;
-use crate::view::{Counts, State};
+use crate::io::{Counts, State};
 use serde::{Deserialize, Serialize};
 
 /// A member as the table shows it.
--- a/crates/membership/tests/letters.rs
+++ b/crates/membership/tests/letters.rs
@@ -63,8 +63,11 @@
     w.bytes.clear();
     let mut tried = 0;
     for _ in 0..span * 100 {
-        (0..20).for_each(|_| w.send(0, &Letter::to("n1", 1, vec![7; ROOM])));
-        tried += 20;
+        // Long ones, and short ones that take what those leave.
+        for size in [ROOM, 0] {
+            (0..20).for_each(|_| w.send(0, &Letter::to("n1", 1, vec![7; size])));
+            tried += 20;
+        }
         w.run(10 * MS);
     }
     let view: &View = &w.processes[&0].view;
