Decide beneath both programs, five circles of imports gone, membership's example to lab

`node` stood above `front` for the trait Decide alone: it is in micadyke::module now, beside the interface and outside the module's own file, and node depends on front no more.

Circles: cli commands-members (what both stand on is ground.rs), http head-parse (bounds and refusal are bounds.rs; parse gives their names as before), node books-recovering (the struct is with the books), standin media-media_box (requests for lists are lists.rs); membership's went with the split.

Moves alone, no line of behaviour.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,5 +1,6 @@
 //! What each command does.
 
+use crate::ground::{Failure, at, beside, checked, run, told};
 use crate::members::{Member, with_member};
 use micadyke::decide::Controller;
 use micadyke::interface::ServerState;
@@ -34,43 +35,12 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-pub(crate) type Failure = Box<dyn std::error::Error>;
-
 const DEMO: &str = include_str!("demo.sexp");
 
-pub(crate) fn told(faults: Vec<Diagnostic>) -> Failure {
-    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    lines.join("\n").into()
-}
-
-/// A failure at a file.
-pub(crate) fn at<E: std::fmt::Display>(path: &Path) -> impl Fn(E) -> String + '_ {
-    move |e| format!("{}: {e}", path.display())
-}
-
-/// A file that is named relative to another one.
-pub(crate) fn beside(file: &Path, name: &str) -> PathBuf {
-    file.parent().unwrap_or(Path::new("")).join(name)
-}
-
-/// Reads a file and checks it: the outer failure where it cannot be read, the inner one where it is refused.
-pub(crate) fn checked<T>(
-    path: &Path, check: impl FnOnce(&str, &str) -> Result<T, Vec<Diagnostic>>,
-) -> Result<Result<T, Vec<Diagnostic>>, Failure> {
-    let text = std::fs::read_to_string(path).map_err(at(path))?;
-    Ok(check(&text, &path.display().to_string()))
-}
-
 fn load(file: &Path) -> Result<Config, Failure> {
     checked(file, read_config)?.map_err(told)
 }
 
-/// Runs a future on one thread, as a task of a `LocalSet`.
-pub(crate) fn run<T>(future: impl Future<Output = T>) -> Result<T, Failure> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    Ok(tokio::task::LocalSet::new().block_on(&runtime, future))
-}
-
 /// Resolves at SIGTERM or SIGINT; a second signal ends the process at once.
 async fn signalled() -> Result<(), std::io::Error> {
     use tokio::signal::unix::{SignalKind, signal};
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command `micadyke`: the front, its stand-ins, the check of settings.
 
 mod commands;
+mod ground;
 mod members;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -1,6 +1,6 @@
 //! Membership of a process, and the command that shows a member's view.
 
-use crate::commands::{Failure, at, beside, checked, run, told};
+use crate::ground::{Failure, at, beside, checked, run, told};
 use micadyke_config::sexp;
 use micadyke_config::units::{Unit, quantity};
 use micadyke_membership::frame::{KEY, Seal};
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -13,11 +13,12 @@
 use crate::seats::Permitted;
 use crate::session::{Asked, Phase, Session, SettingUp};
 use crate::state::MediaBox;
-pub use crate::state::{Counts, Decide, Front};
+pub use crate::state::{Counts, Front};
 use micadyke::decide::Controller;
 use micadyke::interface::{
     Action, Event, ListKind, Nanos, Outcome, ServerEntry, ServerId, ServerState, SessionId, SettingsError,
 };
+use micadyke::module::Decide;
 use micadyke_config::{BoxRow, Config, RouteKind};
 use micadyke_http::{Method, Request, Response};
 use micadyke_tokens::bearer::Checker;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -20,5 +20,5 @@
 mod signalling;
 mod state;
 
-pub use crate::core::{Counts, Decide, Front};
+pub use crate::core::{Counts, Front};
 pub use crate::io::{CallId, ConnId, Input, Output, StreamId, Taken};
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -6,8 +6,8 @@
 use crate::io::{Output, Timer};
 use crate::seats::Seats;
 use crate::session::Asked;
-use micadyke::decide::Controller;
 use micadyke::interface::{Action, Event, Nanos, Rung, ServerId, SessionId};
+use micadyke::module::Decide;
 use micadyke_config::{BoxRow, Config, Title};
 use micadyke_tokens::bearer::Checker;
 use rand::rngs::StdRng;
@@ -16,18 +16,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// The decision module as the core sees it.
-pub trait Decide {
-    /// Takes one event; what is to be done is appended to `out`.
-    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>);
-}
-
-impl Decide for Controller {
-    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
-        Controller::handle(self, now, event, out);
-    }
-}
-
 /// A box as the list names it, and the sessions there.
 #[derive(Debug)]
 pub(crate) struct MediaBox {
--- a/crates/front/tests/core.rs
+++ b/crates/front/tests/core.rs
@@ -878,7 +878,7 @@
     use micadyke::interface::{Action, Event, Nanos};
     use std::cell::RefCell;
     struct Ear(Rc<RefCell<Vec<Event>>>);
-    impl micadyke_front::core::Decide for Ear {
+    impl micadyke::module::Decide for Ear {
         fn handle(&mut self, _: Nanos, event: Event, _: &mut Vec<Action>) {
             self.0.borrow_mut().push(event);
         }
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -1,8 +1,8 @@
 //! Heads of messages as HTTP/1.1 and RTSP share them: lines that end in CRLF, fields of a name and a value, an empty
 //! line. Incremental, bounded and strict.
 
+use crate::bounds::{Fault, Limits};
 use crate::message::Headers;
-use crate::parse::{Fault, Limits};
 
 /// A refusal.
 pub fn fault<T>(status: u16, what: &'static str) -> Result<T, Fault> {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 //! never a silent cut.
 #![warn(missing_docs)]
 
+pub mod bounds;
 pub mod client;
 pub mod fields;
 pub mod head;
@@ -13,5 +14,6 @@
 pub mod sse;
 pub mod structured;
 
+pub use bounds::{Fault, Limits};
 pub use message::{Headers, Method, Request, Response, reason};
-pub use parse::{Fault, Limits, RequestParser, ResponseParser};
+pub use parse::{RequestParser, ResponseParser};
--- a/crates/membership/examples/measure.rs
+++ b/crates/lab/examples/measure.rs
@@ -1,5 +1,5 @@
-//! What the view costs and how soon it knows, in virtual time: `cargo run --release -p micadyke-membership --example measure
-//! -- 60 300 2400`, a row for each size; with `--features`, a row for each feature taken out of the first size too. No
+//! What the view costs and how soon it knows, in virtual time: `cargo run --release -p micadyke-lab --example measure --
+//! 60 300 2400`, a row for each size; with `--features`, a row for each feature taken out of the first size too. No
 //! part of CI.
 
 use micadyke_membership::{Change, Feature, MS, SECOND};
--- a/crates/micadyke/src/lib.rs
+++ b/crates/micadyke/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod decide;
 pub mod interface;
+pub mod module;
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -5,9 +5,9 @@
 use crate::care;
 use crate::io::{ConnId, Output};
 use crate::list::{Numbers, Row};
-use crate::recovering::Recovering;
 use micadyke::interface::*;
 use micadyke_isup as isup;
+use micadyke_recovery::phases::{Phase, Phases};
 use micadyke_rtsp::{Message, Parser};
 use micadyke_settings::{Names, Terms};
 use rand::rngs::StdRng;
@@ -155,6 +155,17 @@
     pub(crate) told_at: Nanos,
 }
 
+/// A node's recovery.
+#[derive(Debug)]
+pub(crate) struct Recovering {
+    pub(crate) phases: Phases,
+    /// The phase that was last told of.
+    pub(crate) told: Phase,
+    /// Servers that were asked whether they live.
+    pub(crate) asked: Vec<ServerId>,
+    pub(crate) adopted: Vec<Event>,
+}
+
 /// A connection to a server.
 #[derive(Debug)]
 pub(crate) struct Link {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -8,7 +8,7 @@
 use crate::io::{ConnId, Input, Output};
 use crate::list::{Change, Numbers, Row};
 use micadyke::interface::*;
-use micadyke_front::core::Decide;
+use micadyke::module::Decide;
 use micadyke_isup as isup;
 use micadyke_membership::news::News;
 use rand::rngs::StdRng;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,4 +21,4 @@
 
 pub use crate::books::{Counts, Node};
 pub use crate::io::{ConnId, Input, Output};
-pub use micadyke_front::core::Decide;
+pub use micadyke::module::Decide;
--- a/crates/node/src/others.rs
+++ b/crates/node/src/others.rs
@@ -5,7 +5,7 @@
 use crate::care;
 use crate::io::Output;
 use micadyke::interface::*;
-use micadyke_front::core::Decide;
+use micadyke::module::Decide;
 use micadyke_membership::news::News;
 use tracing::{info, warn};
 
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -1,12 +1,12 @@
 //! While a node comes back from before, its module is told of no server: it refuses by itself, at once and with its advice,
 //! and the platform's test fails. What is waited for is [`micadyke_recovery::phases`]' to say.
 
-use crate::books::Node;
+use crate::books::{Node, Recovering};
 use crate::care;
 use crate::io::Output;
 use crate::list::{Row, entry};
 use micadyke::interface::*;
-use micadyke_front::core::Decide;
+use micadyke::module::Decide;
 use micadyke_membership::news::News;
 use micadyke_recovery::phases::{Asks, Heard, Phase, Phases, Serve};
 use micadyke_recovery::record::{Kept, Record, Server};
@@ -17,17 +17,6 @@
 /// Sessions that play and are handed over meanwhile, at most; the module is told of them when it knows the servers.
 const ADOPTED: usize = 4096;
 
-/// A node's recovery.
-#[derive(Debug)]
-pub(crate) struct Recovering {
-    phases: Phases,
-    /// The phase that was last told of.
-    told: Phase,
-    /// Servers that were asked whether they live.
-    asked: Vec<ServerId>,
-    adopted: Vec<Event>,
-}
-
 impl<D: Decide> Node<D> {
     /// The node comes back, and keeps what it will need the next time. To be called before its first input; `phases` has
     /// taken what was kept.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -5,7 +5,7 @@
 use crate::io::{ConnId, Output};
 use crate::list::Row;
 use micadyke::interface::*;
-use micadyke_front::core::Decide;
+use micadyke::module::Decide;
 use micadyke_isup as isup;
 use micadyke_membership::news::{Finding, News};
 use micadyke_rtsp::{Message, Parser, Start};
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -8,7 +8,7 @@
 use crate::config::{Config, LONGEST, read};
 use crate::io::{ConnId, Input, Output};
 use micadyke::interface::Nanos;
-use micadyke_front::core::Decide;
+use micadyke::module::Decide;
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request};
 use micadyke_membership::news::News;
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -4,7 +4,7 @@
 use crate::care;
 use crate::io::{ConnId, Output};
 use micadyke::interface::*;
-use micadyke_front::core::Decide;
+use micadyke::module::Decide;
 use micadyke_isup::{Frame, Message, Parser, code, kind};
 use micadyke_settings::position;
 use std::collections::BTreeSet;
--- a/crates/rehearse/src/sabotage.rs
+++ b/crates/rehearse/src/sabotage.rs
@@ -2,8 +2,9 @@
 
 use micadyke::decide::Controller;
 use micadyke::interface::{Action, Effect, Event, Nanos, ServerState, Settings};
+use micadyke::module::Decide;
 use micadyke_config::Config;
-use micadyke_front::{Decide, Front};
+use micadyke_front::Front;
 use std::rc::Rc;
 
 /// What is broken.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod issuer;
 pub mod link;
+mod lists;
 pub mod media;
 pub mod media_box;
 pub mod members;
--- a/crates/standin/src/media.rs
+++ b/crates/standin/src/media.rs
@@ -5,6 +5,7 @@
 //! answered by 410. A report (`/cmcd`) with `sta=e` ends a play, unless it tells of an earlier attempt than the one that
 //! stands. So does silence.
 
+use crate::lists::{is_list, named};
 use crate::media_box::Fleet;
 use crate::model::{Held, HttpPlay, SetUp};
 use crate::record::Deed;
@@ -22,24 +23,6 @@
 /// A play is over when nothing was asked for this much longer than a session of WHEP may be without an event stream.
 pub const SILENCE: u64 = 3_000_000_000;
 
-fn is_list(file: &str) -> bool {
-    file.ends_with(".m3u8") || file.ends_with(".mpd")
-}
-
-/// The title and the file that a path names.
-fn named(path: &str) -> Option<(&str, &str)> {
-    path.strip_prefix("/media/")?.split_once('/')
-}
-
-/// Whether a request sets a play up.
-pub(crate) fn sets_up(request: &Request) -> bool {
-    let list = named(request.path()).is_some_and(|(_, file)| is_list(file));
-    request.method == Method::Get
-        && list
-        && request.headers.get("via").is_some()
-        && Cmcd::of(&request.headers, &request.target).flag("su")
-}
-
 /// The lists of a title, made up from the rates of its rungs in kB a second.
 pub fn list(file: &str, rates: &[f64]) -> Option<(&'static str, String)> {
     let bits = |r: &f64| (r * 8_000.0).round() as u64;
--- a/crates/standin/src/media_box.rs
+++ b/crates/standin/src/media_box.rs
@@ -1,6 +1,7 @@
 //! Media boxes over sockets: WHIP and WHEP endpoints with trickle ICE, the layer and the server-sent events
 //! extension, and load reports; with troubles on demand.
 
+use crate::lists::sets_up;
 use crate::model::{SetUp, World};
 use crate::record::{Deed, End, Record, What};
 use crate::server::{Chance, bind, next_request};
@@ -277,7 +278,7 @@
             }
             let set_up = request.method == Method::Post
                 && (request.path().starts_with("/whep/") || request.path().starts_with("/whip/"));
-            let play = crate::media::sets_up(&request);
+            let play = sets_up(&request);
             if !set_up && !play {
                 let bytes = self.answer(id, &request).encode(false);
                 self.write(&mut stream, conn, id, &bytes).await?;
