Working subsets, turns and damped answers to shared figures; a fleet's choices in the lab

Need: 300 nodes choose servers each for itself; each finds each dead server alone, and a figure told to all is followed by all at once.

Not wired to a program.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,4 +1,5 @@
 //! Laboratory: whole fleets in virtual time, the decision module and membership as they run. What it finds is simulated.
 #![warn(missing_docs)]
 
+pub mod choices;
 pub mod fleet;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
-//! `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`: what parts of cold budgets are good for, as a table.
+//! Tables: `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`, what parts of cold budgets are good for; `subsets [SEEDS]`, ways
+//! to draw working subsets; `turns [SEEDS]`, who looks at a silent server; `damped [SEEDS]`, shared figures and who answers.
 
+use micadyke_lab::choices::{self, DRAWS, Followed, Follows};
 use micadyke_lab::fleet::{Fleet, Parts, Plan, SECOND};
 
 /// A run is watched for so long after its fault.
@@ -79,13 +81,128 @@
     }
 }
 
+/// The columns of a row, each with its mean and interval over the seeds, side by side on all cores.
+fn row<const N: usize>(seeds: u64, one: impl Fn(u64) -> [f64; N] + Sync) -> String {
+    let runs: Vec<[f64; N]> = std::thread::scope(|s| {
+        let all: Vec<_> = (1..=seeds)
+            .map(|seed| {
+                s.spawn({
+                    let one = &one;
+                    move || one(seed)
+                })
+            })
+            .collect();
+        all.into_iter().filter_map(|r| r.join().ok()).collect()
+    });
+    let columns = (0..N).map(|i| {
+        let (mean, half) = mean(&runs.iter().map(|r| r[i]).collect::<Vec<_>>());
+        format!("{mean:.2} ± {half:.2}")
+    });
+    columns.collect::<Vec<_>>().join(" | ")
+}
+
+fn head(columns: &str) {
+    println!("| {columns} |");
+    println!("|{}", " --- |".repeat(columns.split(" | ").count()));
+}
+
+const SIZES: [usize; 3] = [60, 300, 2_400];
+const SERVERS: usize = 200;
+
+fn subsets(seeds: u64) {
+    head(
+        "nodes | subsets | servers a node: mean | most | load, most over mean | p99 over mean | own zone | join moves, over least | 7 in 10 killed move, of what stays | most over mean then",
+    );
+    for nodes in SIZES {
+        for draw in DRAWS {
+            let columns = row(seeds, |seed| {
+                let c = choices::compare(draw, seed, nodes, SERVERS);
+                [
+                    c.connections,
+                    c.connections_most,
+                    c.most,
+                    c.p99,
+                    c.own_zone,
+                    c.join,
+                    c.killed,
+                    c.most_killed,
+                ]
+            });
+            println!("| {nodes} | {} | {columns} |", draw.name());
+        }
+    }
+    println!();
+    head("nodes | servers of one zone gone | its traffic that spills | load, most over mean");
+    for nodes in SIZES {
+        for gone in [0.0, 0.2, 0.5, 1.0] {
+            let columns = row(seeds, |seed| {
+                let (spill, most) = choices::short_zone(seed, nodes, SERVERS, gone);
+                [spill, most]
+            });
+            println!("| {nodes} | {gone} | {columns} |");
+        }
+    }
+}
+
+fn turns(seeds: u64) {
+    head(
+        "nodes | gone, still in the view | who looks | calls a second while silent | s until the first knows | s until 99 in 100 know",
+    );
+    for nodes in SIZES {
+        for gone in [0, 7] {
+            for (by_turns, who) in [(false, "each by itself"), (true, "by turns")] {
+                let columns = row(seeds, |seed| {
+                    let l = choices::look(by_turns, seed, nodes, gone);
+                    [l.calls, l.first, l.known]
+                });
+                println!("| {nodes} | {gone} in 10 | {who} | {columns} |");
+            }
+        }
+    }
+}
+
+fn damped(seeds: u64) {
+    head("session, s | lag, s | figures are answered | by | load, most over share | swing");
+    let law = micadyke_subset::Law::default();
+    for (life, lags) in [(60.0, vec![1, 16]), (5.0, vec![1, 4, 8, 16])] {
+        for lag in lags.into_iter().map(|quarters| quarters * SECOND / 4) {
+            let rows = [
+                (Follows::Nobody, 1.0, law),
+                (Follows::Whole, 1.0, law),
+                (Follows::Own, 1.0, law),
+                (Follows::Own, 0.7, law),
+                (Follows::Own, 0.3, law),
+                (Follows::Own, 1.0, micadyke_subset::Law { gain: 30.0, ..law }),
+            ];
+            for (follows, part, law) in rows {
+                let columns = row(seeds, |seed| {
+                    let run = Followed { follows, part, lag, life, law };
+                    let s = choices::follow(&run, seed, 300, SERVERS);
+                    [s.most, s.swing]
+                });
+                let what = match follows {
+                    Follows::Nobody => "not".to_owned(),
+                    Follows::Whole => "whole, at once".to_owned(),
+                    Follows::Own => format!("own part, gain {}", law.gain),
+                };
+                println!("| {life} | {} | {what} | {part} | {columns} |", lag as f64 / SECOND as f64);
+            }
+        }
+    }
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let number = |i: usize, usual: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(usual);
     match args.first().map(String::as_str) {
         Some("parts") => parts(number(1, 60) as usize, number(2, 40) as u32, number(3, 10)),
+        Some("subsets") => subsets(number(1, 10)),
+        Some("turns") => turns(number(1, 10)),
+        Some("damped") => damped(number(1, 10)),
         _ => {
-            eprintln!("micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]");
+            eprintln!(
+                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS]"
+            );
             std::process::exit(2);
         }
     }
