--- a/crates/subset/src/working.rs
+++ b/crates/subset/src/working.rs
@@ -20,6 +20,8 @@
 /// With each e-fold that a zone's traffic is above its servers, its nodes hold this part of a subset elsewhere. However short
 /// a zone is, one node more there costs the others this part of a subset and no more.
 const SPILL: f64 = 1.0 / 6.0;
+/// In fleets smaller than this, more in proportion: a pair of one of few nodes carries much, and too few lead out of a zone.
+const SMALL: f64 = 24.0;
 
 /// What subsets are drawn by.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -218,7 +220,8 @@
                     (1, _) => usable,
                     (_, 0) => size,
                     _ => {
-                        let fold = -(1.0 - short).ln() * SPILL * size as f64;
+                        let spill = SPILL * (SMALL / self.nodes.len() as f64).max(1.0);
+                        let fold = -(1.0 - short).ln() * spill * size as f64;
                         ((fold + hash::unit(hash::pair(key, 2))) as usize).min(size)
                     }
                 };
