Learned deadlines: whether what is missing is worth the wait, at each arrival anew

Change: crates/deadline learns for each kind, zone and member how often each span was seen (fading, bounded), weighs in each question the scale it runs at by what has arrived and what has not, and ends where the mean worth less the price of the time is greatest. Late answers, members given up or suspected, slow member, zone and self, weight, changes and two levels under one budget (split) are told apart; asking is bounded (asking). Settings with typed faults and advice, read from a form. The trait's face is unchanged. crates/lab: worth beside an oracle and rules that do not learn, in virtual time.

--- a/crates/deadline/src/lib.rs
+++ b/crates/deadline/src/lib.rs
@@ -1,11 +1,34 @@
 //! How long the gatherer of a question to many waits for those that have not answered yet.
 //!
 //! No I/O and no clock: what was asked and what has arrived in, the moment out at which the wait is over.
+//!
+//! [`Learned`] learns for each kind of question when members answer, and decides at each arrival whether what is missing is
+//! worth the wait ([`decide`]); [`split`] shares a budget of time between two levels; [`asking`] bounds what is asked.
 #![warn(missing_docs)]
 
+pub mod asking;
+mod decide;
+mod law;
+mod learned;
+pub mod settings;
+
+pub use decide::{decide, split};
+pub use law::Law;
+#[doc(hidden)]
+pub use learned::Feature;
+pub use learned::{Learned, MOST_MEMBERS, MOST_ZONES};
+pub use settings::{Error, Settings, Worth};
+
 /// A point in time or a span of it, in nanoseconds of one clock that never runs backwards.
 pub type Nanos = u64;
 
+/// A millisecond.
+const MS: Nanos = 1_000_000;
+
+/// A chance to live of a part that is owed and will not come: it counts in the whole and is not waited for. Where a member
+/// or gatherer answers with a part of what it owes, that part is one [`Waited`] that has arrived and the rest one with this.
+pub const LOST: f64 = f64::MIN_POSITIVE;
+
 /// One that was asked.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Waited {
@@ -15,7 +38,7 @@
     pub zone: String,
     /// Its part of a whole answer.
     pub weight: f64,
-    /// The chance that it lives: 1, or less while the view suspects it.
+    /// The chance that it lives: 1, or less while the view suspects it; 0: given up, no part of the whole; [`LOST`].
     pub lives: f64,
     /// When its answer came.
     pub arrived: Option<Nanos>,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,9 @@
 //! `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`: what parts of cold budgets are good for, as a table.
+//! `micadyke-lab waits [SEEDS [PRICE]]`: how much of an oracle's worth learned deadlines reach, as a table;
+//! the price of a second in whole answers.
 
 use micadyke_lab::fleet::{Fleet, Parts, Plan, SECOND};
+use micadyke_lab::waits::{self, Times};
 
 /// A run is watched for so long after its fault.
 const WATCHED: usize = 60;
@@ -79,13 +82,40 @@
     }
 }
 
+fn waits(seeds: u64, price: f64) {
+    println!(
+        "| members | times | rule | steady | 1st hundred after all took thrice | 2nd hundred | 2nd hundred after the return | whole run |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for members in [60, 300] {
+        for times in Times::ALL {
+            let runs: Vec<_> = std::thread::scope(|s| {
+                let all: Vec<_> = (1..=seeds)
+                    .map(|seed| s.spawn(move || waits::shares(members, times, price, seed)))
+                    .collect();
+                all.into_iter().filter_map(|r| r.join().ok()).collect()
+            });
+            for (i, rule) in waits::Rule::ALL.iter().enumerate() {
+                let of = |column: usize| {
+                    let (mean, half) =
+                        mean(&runs.iter().map(|r: &Vec<[f64; 5]>| r[i][column]).collect::<Vec<_>>());
+                    format!("{mean:.3} ± {half:.3}")
+                };
+                let columns: Vec<String> = (0..5).map(of).collect();
+                println!("| {members} | {times:?} | {rule} | {} |", columns.join(" | "));
+            }
+        }
+    }
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let number = |i: usize, usual: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(usual);
     match args.first().map(String::as_str) {
         Some("parts") => parts(number(1, 60) as usize, number(2, 40) as u32, number(3, 10)),
+        Some("waits") => waits(number(1, 10), number(2, 1) as f64 / 1e3),
         _ => {
-            eprintln!("micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]");
+            eprintln!("micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | waits [SEEDS [PRICE]]");
             std::process::exit(2);
         }
     }
