Laws of a question are worked out once in it: nothing is learned while it is the latest

Change: laws are kept for the latest question, worked out further where its list grows. Tests of the hard points and of the bounds as before.

--- a/crates/deadline/src/decide.rs
+++ b/crates/deadline/src/decide.rs
@@ -88,7 +88,7 @@
 /// Either all zones share one (the asker's way, a heavy question), or each has its own (a slow zone); the two are weighed
 /// by their evidence. `laws` go with `open.waited`, `common` are the chances of a shared scale so far.
 pub(crate) fn scales(
-    now: Nanos, open: &Open, laws: &[Law], common: &Scales,
+    now: Nanos, open: &Open, laws: &[&Law], common: &Scales,
 ) -> (BTreeMap<String, Vec<(isize, f64)>>, Scales) {
     let here = bin(now.saturating_sub(open.asked_at));
     let mut zones: Vec<(&str, Scales)> = Vec::new();
@@ -193,6 +193,11 @@
 /// assert_eq!(decide(&Worth::default(), 9 * ms, &open, &[soon, late]), 9 * ms);
 /// ```
 pub fn decide(worth: &Worth, now: Nanos, open: &Open, laws: &[Law]) -> Nanos {
+    decide_by(worth, now, open, &laws.iter().collect::<Vec<_>>())
+}
+
+/// See [`decide`].
+pub(crate) fn decide_by(worth: &Worth, now: Nanos, open: &Open, laws: &[&Law]) -> Nanos {
     let now = now.max(open.asked_at);
     if now >= open.limit {
         return open.limit;
--- a/crates/deadline/src/learned.rs
+++ b/crates/deadline/src/learned.rs
@@ -1,6 +1,6 @@
 //! Learns when members answer, and waits by it.
 
-use crate::decide::{Scales, decide, in_steps, likeliest, recentre, scales, split, usual};
+use crate::decide::{Scales, decide_by, in_steps, likeliest, recentre, scales, split, usual};
 use crate::law::{BINS, bin};
 use crate::settings::MOST_KINDS;
 use crate::{Deadline, Error, Law, Nanos, Open, Settings, Worth};
@@ -104,7 +104,7 @@
 struct Kind {
     /// Questions of this kind so far.
     asked: u64,
-    /// The last one was asked then.
+    /// The latest one was asked then.
     last: Option<Nanos>,
     /// The last wait was so long.
     span: Nanos,
@@ -114,6 +114,8 @@
     blurred: bool,
     /// Scales at which questions ran, older ones for less.
     ran: Scales,
+    /// Laws of those that are waited for in the last question, in their order: nothing is learned while it is the last.
+    laws: Vec<(String, Law)>,
     /// What was heard since the last question was asked; learned from when the next is, at its scale.
     pending: Vec<Heard>,
     guess: [f64; BINS + 1],
@@ -149,6 +151,7 @@
             scale: usual(),
             blurred: false,
             ran: [0.0; _],
+            laws: Vec::new(),
             pending: Vec::new(),
             guess,
             all: Seen::new(0),
@@ -178,6 +181,7 @@
     /// Learns from what was heard in the last question, at its scale.
     fn digest(&mut self, keep: f64, order: bool) {
         let clear = order && !self.blurred && self.last.is_some();
+        self.laws.clear();
         let (steps, now) = (if clear { likeliest(&self.scale) } else { 0 }, self.asked);
         for h in std::mem::take(&mut self.pending) {
             let mut one = [0.0; BINS + 1];
@@ -335,27 +339,30 @@
         ends.max().unwrap_or((0, budget))
     }
 
-    /// The laws of all that are waited for.
-    fn laws(&self, open: &Open) -> Vec<Law> {
-        let Some(kind) = self.kinds.get(&open.kind) else {
-            return vec![self.law(open.kind); open.waited.len()];
-        };
-        let all = kind.all.beside(&kind.guess, GUESS, kind.asked, self.keep);
+    /// The laws of all that are waited for, as far as they were not worked out for this question before.
+    fn laws(&mut self, open: &Open) {
+        let (keep, by_zone, by_member) = (self.keep, self.has(Feature::Zones), self.has(Feature::Members));
+        let Some(kind) = self.kind(open.kind) else { return };
+        let same = kind.laws.iter().zip(&open.waited).take_while(|(l, w)| l.0 == w.name).count();
+        kind.laws.truncate(same);
+        if same == open.waited.len() {
+            return;
+        }
+        let all = kind.all.beside(&kind.guess, GUESS, kind.asked, keep);
         let mut zones: BTreeMap<&str, [f64; BINS + 1]> = BTreeMap::new();
-        let of = open.waited.iter().map(|w| {
+        for w in &open.waited[same..] {
             let zone = zones.entry(&w.zone).or_insert_with(|| match kind.zones.get(&w.zone) {
-                Some(z) if self.has(Feature::Zones) => z.beside(&all, ABOVE, kind.asked, self.keep),
+                Some(z) if by_zone => z.beside(&all, ABOVE, kind.asked, keep),
                 _ => all,
             });
             let mut mass = match kind.members.get(&w.name) {
-                Some(m) if self.has(Feature::Members) => m.beside(zone, ABOVE, kind.asked, self.keep),
+                Some(m) if by_member => m.beside(zone, ABOVE, kind.asked, keep),
                 _ => *zone,
             };
             mass.iter_mut().for_each(|m| *m *= 1.0 - MAY_BE_LOST);
             mass[BINS] += MAY_BE_LOST;
-            Law::from(&mass)
-        });
-        of.collect()
+            kind.laws.push((w.name.clone(), Law::from(&mass)));
+        }
     }
 
     fn heard(&mut self, kind: u8, heard: Heard) {
@@ -372,11 +379,12 @@
     fn until(&mut self, now: Nanos, open: &Open) -> Nanos {
         let (keep, order) = (self.keep, self.has(Feature::Order));
         if let Some(kind) = self.kind(open.kind)
-            && kind.last != Some(open.asked_at)
+            && kind.last < Some(open.asked_at)
         {
             kind.digest(keep, order);
             (kind.last, kind.scale, kind.blurred) = (Some(open.asked_at), kind.scales(), false);
             kind.asked += 1;
+            kind.laws.clear();
         }
         let mut changed;
         let mut open = open;
@@ -388,22 +396,29 @@
             }
             open = &changed;
         }
-        let mut laws = self.laws(open);
-        if order && let Some(kind) = self.kind(open.kind) {
+        self.laws(open);
+        let worth = self.settings.worth(open.kind);
+        let Some(kind) = self.kinds.get_mut(&open.kind) else {
+            // One kind too many: by the first guess.
+            let law = Kind::new(worth).law(keep);
+            return decide_by(worth, now, open, &vec![&law; open.waited.len()]);
+        };
+        let mut laws: Vec<&Law> = kind.laws.iter().map(|l| &l.1).collect();
+        let mut mixed: Vec<(usize, Law)> = Vec::new();
+        if order {
             let (zones, scale) = scales(now, open, &laws, &kind.scales());
             kind.scale = scale;
-            for (w, law) in open.waited.iter().zip(&mut laws).filter(|(w, _)| w.arrived.is_none()) {
+            for (i, w) in open.waited.iter().enumerate().filter(|(_, w)| w.arrived.is_none()) {
                 if let Some(of) = zones.get(&w.zone)
                     && of.iter().any(|s| s.0 != 0)
                 {
-                    *law = law.mixed(of);
+                    mixed.push((i, laws[i].mixed(of)));
                 }
             }
         }
-        let until = decide(self.settings.worth(open.kind), now, open, &laws);
-        if let Some(kind) = self.kind(open.kind) {
-            kind.span = until.saturating_sub(open.asked_at);
-        }
+        mixed.iter().for_each(|(i, law)| laws[*i] = law);
+        let until = decide_by(worth, now, open, &laws);
+        kind.span = until.saturating_sub(open.asked_at);
         until
     }
 
