--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`: what parts of cold budgets are good for, as a table.
-//! `micadyke-lab waits [SEEDS [PRICE]]`: how much of an oracle's worth learned deadlines reach, as a table;
-//! the price of a second in whole answers.
+//! `micadyke-lab waits [SEEDS [PRICE [MEMBERS [TIMES]]]]`: how much of an oracle's worth learned deadlines reach, as a table;
+//! the price of a second in whole answers, with 60 and 300 members or one of them alone, and
+//! one kind of times alone.
 
 use micadyke_lab::fleet::{Fleet, Parts, Plan, SECOND};
 use micadyke_lab::waits::{self, Times};
@@ -82,13 +83,13 @@
     }
 }
 
-fn waits(seeds: u64, price: f64) {
+fn waits(seeds: u64, price: f64, only: u64, like: &str) {
     println!(
         "| members | times | rule | steady | 1st hundred after all took thrice | 2nd hundred | 2nd hundred after the return | whole run |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
-    for members in [60, 300] {
-        for times in Times::ALL {
+    for members in [60, 300].into_iter().filter(|m| only == 0 || *m as u64 == only) {
+        for times in Times::ALL.into_iter().filter(|t| format!("{t:?}").starts_with(like)) {
             let runs: Vec<_> = std::thread::scope(|s| {
                 let all: Vec<_> = (1..=seeds)
                     .map(|seed| s.spawn(move || waits::shares(members, times, price, seed)))
@@ -113,9 +114,16 @@
     let number = |i: usize, usual: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(usual);
     match args.first().map(String::as_str) {
         Some("parts") => parts(number(1, 60) as usize, number(2, 40) as u32, number(3, 10)),
-        Some("waits") => waits(number(1, 10), number(2, 1) as f64 / 1e3),
+        Some("waits") => waits(
+            number(1, 10),
+            number(2, 1) as f64 / 1e3,
+            number(3, 0),
+            args.get(4).map_or("", String::as_str),
+        ),
         _ => {
-            eprintln!("micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | waits [SEEDS [PRICE]]");
+            eprintln!(
+                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | waits [SEEDS [PRICE [MEMBERS [TIMES]]]]"
+            );
             std::process::exit(2);
         }
     }
