--- a/crates/deadline/tests/hard_points.rs
+++ b/crates/deadline/tests/hard_points.rs
@@ -234,5 +234,7 @@
             assert!(a.learned.until(now, &open) <= open.limit.max(open.asked_at), "{now} {open:?}");
         }
     }
-    assert!(a.learned.books() <= (16, 16 * 2048, 16 * 64), "{:?}", a.learned.books());
+    // Half of the 6,000 names are of one kind, the others of 39.
+    let (kinds, members, zones) = a.learned.books();
+    assert!(kinds == 16 && members < 2048 + 1500 && zones <= 16 * 64, "{kinds} {members} {zones}");
 }
