--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod choices;
 pub mod fleet;
+pub mod waits;
