--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,3 +2,4 @@
 #![warn(missing_docs)]
 
 pub mod fleet;
+pub mod splits;
--- /dev/null
+++ b/crates/lab/src/splits.rs
@@ -0,0 +1,888 @@
+//! Splits under load in virtual time: map, owners, writers and readers as they run (`crates/shards`), with faults. One seed,
+//! one range that splits.
+
+use crate::fleet::{MS, SECOND};
+use micadyke_directory::{Key, Nanos};
+use micadyke_shards::compare::{Answer, Next, Side, Twice, compare};
+use micadyke_shards::index::{Book, Id, Index, To, Write, Writer};
+use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms, Weighed, Word};
+use micadyke_shards::map::{Group, Map, State};
+use micadyke_shards::split::{Cause, Mover, Report, Rules, What};
+use micadyke_shards::{Feature, Range};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What goes wrong in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// A twentieth of all words between members.
+    Loss,
+    /// A new owner crashes while it is copied or read twice, and starts anew.
+    NewOwner,
+    /// An old owner does.
+    OldOwner,
+    /// The leader does; another leads after it.
+    Leader,
+    /// Two members stop for 2 s, among them an old owner, and go on by the map of before.
+    Asleep,
+    /// A member joins and another leaves.
+    Members,
+    /// Copying loses one entry in ten thousand.
+    Loses,
+    /// A new owner says that it has a write, and takes it with the next.
+    HoldsBack,
+    /// Both halves hold the border, and a key lies on it.
+    Border,
+}
+
+/// All of them.
+pub const FAULTS: [Fault; 10] = [
+    Fault::None,
+    Fault::Loss,
+    Fault::NewOwner,
+    Fault::OldOwner,
+    Fault::Leader,
+    Fault::Asleep,
+    Fault::Members,
+    Fault::Loses,
+    Fault::HoldsBack,
+    Fault::Border,
+];
+
+/// A run before it runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// What chance is drawn from.
+    pub seed: u64,
+    /// What goes wrong.
+    pub fault: Fault,
+    /// Entries before the split.
+    pub entries: usize,
+    /// Questions a second.
+    pub asked: u64,
+    /// Writes a second.
+    pub written: u64,
+    /// What is taken out, to see the check fail.
+    pub without: Option<Feature>,
+}
+
+/// What a run came to.
+#[derive(Debug, Default, Clone)]
+pub struct Outcome {
+    /// Time from the change's beginning until new owners served alone.
+    pub through: Option<Nanos>,
+    /// Why changes went back.
+    pub back: Vec<Cause>,
+    /// Entries that a fault took from a new owner, or made it hold twice or late, while a change was under way.
+    pub harmed: u32,
+    /// Acknowledged entries that a serving owner lacked at the cut-over.
+    pub missing: u32,
+    /// Whole answers that lacked an entry acknowledged before they were asked.
+    pub wrong: u32,
+    /// Whole answers.
+    pub whole: u32,
+    /// Answers that were partial by the deadline.
+    pub partial: u32,
+    /// Askers turned away for an older map.
+    pub turned_away: u32,
+    /// Reads compared equal; not comparable within their budget.
+    pub equal: u32,
+    /// See `equal`.
+    pub open: u32,
+    /// Time to the old result by state: whole, copying, read twice.
+    pub took: [Vec<Nanos>; 3],
+}
+
+impl Outcome {
+    /// Times that the change went back because of a difference.
+    pub fn flags(&self) -> usize {
+        self.back.iter().filter(|c| matches!(c, Cause::Flagged(_) | Cause::Digests(_))).count()
+    }
+}
+
+/// Members; the range begins with the first two as owners.
+const MEMBERS: usize = 12;
+/// One way between members, and as much again on average by chance.
+const WAY: Nanos = MS;
+/// An owner takes so long for a question or a write; and for an entry that it hands over.
+const TAKES: Nanos = 100_000;
+const HANDS: Nanos = 5_000;
+/// The leader's round.
+const ROUND: Nanos = SECOND / 2;
+/// A lease, and how long a member serves by a map unconfirmed.
+const LEASE: Nanos = 3 * SECOND;
+/// Owners report so often.
+const REPORT: Nanos = SECOND;
+/// Partial results are merged after this.
+const DEADLINE: Nanos = 200 * MS;
+/// What could not be compared is asked again after this, so often.
+const AGAIN: Nanos = 50 * MS;
+const BUDGET: u32 = 3;
+/// What is not acknowledged is told again after this.
+const RETELL: Nanos = 100 * MS;
+/// The split may begin then; the fault comes up to 2 s after it began.
+const FROM: Nanos = 3 * SECOND;
+/// A run ends then, through or not.
+const END: Nanos = 60 * SECOND;
+
+const RULES: Rules = Rules {
+    entries: 1_000,
+    rate: u64::MAX,
+    per_1000: 0,
+    merge: 0,
+    at_once: 1,
+    slices: 4,
+    reads: 20,
+    copy_for: 10 * SECOND,
+    twice_for: 15 * SECOND,
+    again_after: 2 * SECOND,
+    again_most: 16 * SECOND,
+    gone_for: 60 * SECOND,
+};
+
+enum Ev {
+    Word(usize, usize, Word),
+    Round,
+    Report,
+    Write,
+    Told(usize, usize, u64, To, Write),
+    Took(usize, usize, Range, u64),
+    Gap(usize, Range, Writer),
+    Older(usize, Map),
+    Retell,
+    Copy(usize, Range, Vec<Writer>),
+    Ask,
+    Asked(usize, u64, u32, Range, u64),
+    Answer(u64, u32, Answer, bool),
+    Deadline(u64, u32),
+    Again(u64),
+    Fault,
+    Returns(usize),
+}
+
+/// A write as it was told, and who has not taken it yet.
+type Waits = (Vec<(To, Write)>, BTreeSet<(usize, Range)>);
+
+struct Member {
+    keeper: Keeper,
+    mover: Mover,
+    indexes: BTreeMap<Range, Index>,
+    filled: BTreeSet<Range>,
+    /// A write that is held back, by range.
+    back: BTreeMap<Range, Write>,
+    book: Book,
+    busy: Nanos,
+    up: bool,
+    /// Told and not counted yet.
+    waits: Vec<Waits>,
+    number: u64,
+    starts: u64,
+}
+
+struct Question {
+    asker: usize,
+    key: Key,
+    number: u64,
+    state: usize,
+    at: Nanos,
+    asking: u32,
+    served: bool,
+    old: Side,
+    new: Side,
+    twice: Twice,
+    due: Vec<Id>,
+}
+
+/// A range that splits.
+pub struct Splits {
+    plan: Plan,
+    now: Nanos,
+    events: BTreeMap<(Nanos, u64), Ev>,
+    number: u64,
+    random: StdRng,
+    members: Vec<Member>,
+    living: BTreeSet<usize>,
+    leader: usize,
+    epoch: u64,
+    leads_at: Nanos,
+    questions: BTreeMap<u64, Question>,
+    /// Entries that count: when, and at which sequence.
+    counts: BTreeMap<Id, (Nanos, u64)>,
+    live: Vec<Id>,
+    began: Option<Nanos>,
+    fault_due: bool,
+    border: Option<Key>,
+    out: Outcome,
+}
+
+fn name(n: usize) -> String {
+    format!("f{n}")
+}
+
+fn of(name: &str) -> usize {
+    name[1..].parse().unwrap_or(0)
+}
+
+impl Splits {
+    /// A fleet with a range that has grown too large.
+    pub fn new(mut plan: Plan) -> Self {
+        if plan.fault == Fault::Border {
+            plan.without = Some(Feature::Border);
+        }
+        let terms = Terms { fronts: MEMBERS as u32, serve: LEASE, drift: 10 };
+        let owners = [name(0), name(1)];
+        let member = |n: usize| Member {
+            keeper: Keeper::new(terms, &name(n), 1).without(plan.without),
+            mover: Mover::new(RULES).without(plan.without),
+            indexes: BTreeMap::new(),
+            filled: BTreeSet::new(),
+            back: BTreeMap::new(),
+            book: Book::new(&name(n), 1),
+            busy: 0,
+            up: true,
+            waits: Vec::new(),
+            number: 0,
+            starts: 1,
+        };
+        let mut s = Splits {
+            plan,
+            now: 0,
+            events: BTreeMap::new(),
+            number: 0,
+            random: StdRng::seed_from_u64(plan.seed),
+            members: (0..MEMBERS).map(member).collect(),
+            living: (0..MEMBERS).collect(),
+            leader: 2,
+            epoch: 1,
+            leads_at: 0,
+            questions: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            live: Vec::new(),
+            began: None,
+            fault_due: true,
+            border: None,
+            out: Outcome::default(),
+        };
+        // Filled before the run, as if by their books.
+        let map = Map::founded(2, &[&owners[0], &owners[1]]);
+        let mut index = Index::new(Range::RING);
+        for i in 0..plan.entries {
+            let (key, by) = (
+                Key::Title(format!("t{}", i % (plan.entries / 2).max(1))),
+                s.random.random_range(0..MEMBERS),
+            );
+            for (_, write) in s.members[by].book.write(&map, key, i as u64, Some(format!("s{}", i % 7))) {
+                index.apply(&write).ok();
+                if let Some(e) = write.entry {
+                    s.counts.insert(e.id.clone(), (0, e.sequence));
+                    s.live.push(e.id);
+                }
+            }
+        }
+        for n in 0..2 {
+            s.members[n].indexes.insert(Range::RING, index.clone());
+            s.members[n].filled.insert(Range::RING);
+        }
+        if plan.fault == Fault::Border {
+            s.border = s.live.first().map(|id| id.key.clone());
+        }
+        s.at(0, Ev::Round);
+        s.at(FROM, Ev::Report);
+        s.at(FROM, Ev::Ask);
+        s.at(FROM, Ev::Write);
+        s.at(RETELL, Ev::Retell);
+        s
+    }
+
+    fn at(&mut self, at: Nanos, ev: Ev) {
+        self.number += 1;
+        self.events.insert((at, self.number), ev);
+    }
+
+    /// Sends between members: late by chance, lost by the fault.
+    fn send(&mut self, from: usize, to: usize, ev: Ev) {
+        let lost =
+            self.plan.fault == Fault::Loss && self.began.is_some() && self.random.random_range(0..20) == 0;
+        if from != to && lost {
+            return;
+        }
+        let late = -(1.0 - self.random.random::<f64>()).ln() * WAY as f64;
+        let way = if from == to { 0 } else { WAY + late as Nanos };
+        self.at(self.now + way, ev);
+    }
+
+    fn words(&mut self, from: usize, words: Vec<(String, Word)>) {
+        for (to, word) in words {
+            self.send(from, of(&to), Ev::Word(of(&to), from, word));
+        }
+    }
+
+    /// Runs until the range has split and two seconds more, or the end.
+    pub fn run(mut self) -> Outcome {
+        let mut until = END;
+        while let Some(((at, _), ev)) = self.events.pop_first() {
+            if at >= until {
+                break;
+            }
+            self.now = at;
+            self.handle(ev);
+            if self.out.through.is_some() && until == END {
+                until = self.now + 2 * SECOND;
+            }
+        }
+        self.out
+    }
+
+    fn handle(&mut self, ev: Ev) {
+        match ev {
+            Ev::Word(to, from, word) if self.members[to].up => {
+                let words = self.members[to].keeper.handle(self.now, &name(from), word);
+                self.words(to, words);
+                self.moved(to);
+            }
+            Ev::Round => self.round(),
+            Ev::Report => self.reports(),
+            Ev::Write => self.write(),
+            Ev::Told(to, from, number, whom, write) if self.members[to].up => {
+                self.told(to, from, number, whom, write)
+            }
+            Ev::Took(writer, owner, range, sequence) if self.members[writer].up => {
+                self.took(writer, owner, range, sequence)
+            }
+            Ev::Gap(owner, range, writer) => self.gap(owner, range, writer),
+            Ev::Older(at, map) if self.members[at].up => {
+                self.out.turned_away += 1;
+                self.members[at].keeper.learn(&map);
+                self.moved(at);
+            }
+            Ev::Retell => {
+                (0..MEMBERS)
+                    .filter(|n| self.members[*n].up)
+                    .collect::<Vec<_>>()
+                    .into_iter()
+                    .for_each(|n| self.retell(n));
+                self.at(self.now + RETELL, Ev::Retell);
+            }
+            Ev::Copy(owner, range, writers) => self.copy(owner, range, writers),
+            Ev::Ask => self.ask(),
+            Ev::Asked(to, q, asking, range, number) if self.members[to].up => {
+                self.asked(to, q, asking, range, number)
+            }
+            Ev::Answer(q, asking, answer, new) => self.answer(q, asking, answer, new),
+            Ev::Deadline(q, asking) if self.questions.get(&q).is_some_and(|x| x.asking == asking) => {
+                self.judge(q);
+            }
+            Ev::Again(q) => self.put(q),
+            Ev::Fault => self.fault(),
+            Ev::Returns(n) => {
+                self.members[n].up = true;
+                self.living.insert(n);
+            }
+            _ => {}
+        }
+    }
+
+    fn living(&self) -> BTreeSet<String> {
+        self.living.iter().map(|n| name(*n)).collect()
+    }
+
+    fn round(&mut self) {
+        let (now, n) = (self.now, self.leader);
+        self.at(now + ROUND, Ev::Round);
+        if !self.members[n].up || now < self.leads_at {
+            return;
+        }
+        let lease = Lease {
+            epoch: Epoch { number: self.epoch, leader: name(n), start: self.members[n].starts },
+            until: now + LEASE,
+        };
+        let all = (0..MEMBERS).map(name).collect();
+        let words = self.members[n].keeper.lead(now, &lease, &all);
+        self.words(n, words);
+        if now < FROM {
+            return;
+        }
+        let living = self.living();
+        let m = &mut self.members[n];
+        let Some(map) = m.keeper.leads(now).cloned() else { return };
+        if self.out.through.is_some() {
+            return;
+        }
+        let lag = m.keeper.may_lag(now);
+        let Some(step) = m.mover.next(now, &map, &living, lag) else { return };
+        let mut to = step.map;
+        if let (What::Begin, Some(key)) = (&step.what, &self.border) {
+            // The border lies on a key, and both halves hold it.
+            for g in to.groups.iter_mut() {
+                if let Some(c) = g.change.as_mut().filter(|c| c.parts.len() == 2) {
+                    c.parts[0].range.last = key.point();
+                    c.parts[1].range.first = key.point();
+                }
+            }
+        }
+        let Ok(words) = self.members[n].keeper.propose(now, to) else { return };
+        match step.what {
+            What::Begin => {
+                self.began.get_or_insert(now);
+                self.out.harmed += u32::from(self.plan.fault == Fault::Border);
+                if std::mem::take(&mut self.fault_due) {
+                    let after = self.random.random_range(0..2 * SECOND);
+                    self.at(now + after, Ev::Fault);
+                }
+            }
+            What::Back(cause) => self.out.back.push(cause),
+            _ => {}
+        }
+        self.words(n, words);
+    }
+
+    /// A member may know another map than before.
+    fn moved(&mut self, n: usize) {
+        let m = &mut self.members[n];
+        let Some(map) = m.keeper.map().cloned().filter(|map| map.number > m.number) else { return };
+        m.number = map.number;
+        let me = name(n);
+        let mine = |r: &Range| {
+            map.groups.iter().flat_map(Group::all).any(|p| p.range == *r && p.owners.contains(&me))
+        };
+        m.indexes.retain(|r, _| mine(r));
+        m.filled.retain(|r| mine(r));
+        m.back.retain(|r, _| mine(r));
+        let ticks = m.book.tick(&map);
+        m.waits.iter_mut().for_each(|(told, waits)| {
+            *told = Book::again(&map, told);
+            *waits = Self::needed(told);
+        });
+        if !ticks.is_empty() {
+            let waits = Self::needed(&ticks);
+            m.waits.push((ticks, waits));
+        }
+        let all = map.groups.iter().flat_map(Group::all);
+        let new: Vec<Range> = all.filter(|p| p.owners.contains(&me)).map(|p| p.range).collect();
+        for range in new {
+            if self.members[n].indexes.contains_key(&range) {
+                continue;
+            }
+            self.members[n].indexes.insert(range, Index::new(range));
+            let writers = (0..MEMBERS).map(|w| Writer { node: name(w), start: 1 }).collect();
+            self.at(self.now + MS, Ev::Copy(n, range, writers));
+        }
+        self.retell(n);
+        // The truth, as soon as anybody knows that the new serve alone.
+        if self.out.through.is_none() && map.groups.len() > 1 && map.changing() == 0 {
+            self.out.through = Some(self.now - self.began.unwrap_or(self.now));
+            self.out.missing = self.missing(&map);
+        }
+    }
+
+    /// Entries that count and that a serving owner lacks.
+    fn missing(&self, map: &Map) -> u32 {
+        let lacks = |(id, (_, sequence)): (&Id, &(Nanos, u64))| {
+            let point = id.key.point();
+            let parts = map.group(point).into_iter().flat_map(|g| &g.parts).filter(|p| p.range.has(point));
+            let mut owners = parts.flat_map(|p| p.owners.iter().map(move |o| (of(o), p.range)));
+            owners.any(|(o, range)| {
+                let m = &self.members[o];
+                m.filled.contains(&range)
+                    && !m.indexes[&range].find(&id.key).iter().any(|e| e.id == *id && e.sequence >= *sequence)
+            })
+        };
+        self.counts.iter().filter(|e| lacks(*e)).count() as u32
+    }
+
+    fn needed(told: &[(To, Write)]) -> BTreeSet<(usize, Range)> {
+        let needed = told.iter().filter(|(to, _)| to.needed);
+        needed.flat_map(|(to, _)| to.owners.iter().map(|o| (of(o), to.range))).collect()
+    }
+
+    fn write(&mut self) {
+        let gap = self.gap_of(self.plan.written);
+        self.at(self.now + gap, Ev::Write);
+        let by = self.random.random_range(0..MEMBERS);
+        let mine: Vec<usize> = (0..8).map(|_| self.random.random_range(0..self.live.len())).collect();
+        let old = mine.into_iter().find(|i| self.live[*i].writer.node == name(by));
+        let fresh = self.number;
+        let m = &mut self.members[by];
+        let Some(map) = m.keeper.map().filter(|_| m.up).cloned() else { return };
+        let (key, slot, value) = match old {
+            Some(i) if fresh.is_multiple_of(2) => {
+                let id = self.live.swap_remove(i);
+                self.counts.remove(&id);
+                (id.key, id.slot, None)
+            }
+            _ => (
+                Key::Title(format!("t{}", fresh % 1_000)),
+                1_000_000 + fresh,
+                Some(format!("s{}", fresh % 7)),
+            ),
+        };
+        let told = m.book.write(&map, key, slot, value);
+        let waits = Self::needed(&told);
+        m.waits.push((told.clone(), waits));
+        self.tell(by, &told, None);
+    }
+
+    fn gap_of(&mut self, rate: u64) -> Nanos {
+        (-(1.0 - self.random.random::<f64>()).ln() * SECOND as f64 / rate as f64) as Nanos
+    }
+
+    fn tell(&mut self, by: usize, told: &[(To, Write)], only: Option<&BTreeSet<(usize, Range)>>) {
+        let number = self.members[by].number;
+        for (to, write) in told {
+            for o in to.owners.iter().map(|o| of(o)) {
+                if only.is_none_or(|w| w.contains(&(o, to.range)) || !to.needed) {
+                    self.send(by, o, Ev::Told(o, by, number, to.clone(), write.clone()));
+                }
+            }
+        }
+    }
+
+    fn retell(&mut self, by: usize) {
+        for (told, waits) in self.members[by].waits.clone() {
+            self.tell(by, &told, Some(&waits));
+        }
+    }
+
+    fn busy(&mut self, n: usize, takes: Nanos) -> Nanos {
+        let m = &mut self.members[n];
+        m.busy = m.busy.max(self.now) + takes;
+        m.busy - self.now
+    }
+
+    fn told(&mut self, to: usize, from: usize, number: u64, whom: To, write: Write) {
+        let wait = self.busy(to, TAKES);
+        let m = &mut self.members[to];
+        match m.keeper.weigh(self.now, number) {
+            Weighed::Older(map) => {
+                let map = map.clone();
+                return self.send(to, from, Ev::Older(from, map));
+            }
+            Weighed::Newer => {
+                if let Some(map) = self.members[from].keeper.map().cloned() {
+                    self.members[to].keeper.learn(&map);
+                    self.moved(to);
+                }
+                return;
+            }
+            Weighed::Stale => return,
+            Weighed::Same(_) => {}
+        }
+        let Some(index) = m.indexes.get_mut(&whom.range) else { return };
+        let sequence = write.sequence;
+        let mut took = true;
+        let new = whom.range != Range::RING;
+        if self.plan.fault == Fault::HoldsBack
+            && new
+            && to.is_multiple_of(2)
+            && m.filled.contains(&whom.range)
+        {
+            // It says that it has it, and takes the one before.
+            if let Some(before) = m.back.insert(whom.range, write) {
+                let _ = index.apply(&before);
+            }
+            self.out.harmed += 1;
+        } else {
+            took = match index.apply(&write) {
+                Ok(()) => true,
+                Err(_) => {
+                    self.at(self.now + wait, Ev::Gap(to, whom.range, write.writer));
+                    false
+                }
+            };
+        }
+        if took {
+            let at = Ev::Took(from, to, whom.range, sequence);
+            self.send(to, from, at);
+        }
+    }
+
+    /// What a range lacks is copied once more.
+    fn gap(&mut self, owner: usize, range: Range, writer: Writer) {
+        if self.members[owner].filled.contains(&range) {
+            self.at(self.now + 20 * MS, Ev::Copy(owner, range, vec![writer]));
+        }
+    }
+
+    fn took(&mut self, writer: usize, owner: usize, range: Range, sequence: u64) {
+        let now = self.now;
+        let m = &mut self.members[writer];
+        let mut done = Vec::new();
+        m.waits.retain_mut(|(told, waits)| {
+            if told.iter().any(|(to, w)| to.range == range && w.sequence == sequence) {
+                waits.remove(&(owner, range));
+            }
+            if waits.is_empty() {
+                done.extend(told.iter().find_map(|(_, w)| w.entry.clone()));
+            }
+            !waits.is_empty()
+        });
+        for e in done.into_iter().filter(|e| e.value.is_some()) {
+            self.counts.insert(e.id.clone(), (now, e.sequence));
+            self.live.push(e.id);
+        }
+    }
+
+    fn copy(&mut self, owner: usize, range: Range, mut writers: Vec<Writer>) {
+        let Some(writer) = writers.pop() else {
+            let whole = self.members[owner].indexes.contains_key(&range) && self.members[owner].up;
+            if whole {
+                self.members[owner].filled.insert(range);
+            }
+            return;
+        };
+        let m = &self.members[owner];
+        let Some(group) = m.keeper.map().and_then(|map| map.group(range.first)).filter(|_| m.up) else {
+            return;
+        };
+        if !m.indexes.contains_key(&range) {
+            return;
+        }
+        let from = |p: &micadyke_shards::map::Part| {
+            let full = |o: &usize| self.members[*o].up && self.members[*o].filled.contains(&p.range);
+            p.owners.iter().map(|o| of(o)).filter(full).min_by_key(|o| (o + owner) % 2).map(|o| (o, p.range))
+        };
+        // Of a range that serves, the other owner has it too.
+        let from: Option<Vec<_>> = group.parts.iter().map(from).collect();
+        let Some(from) = from else {
+            return self.at(self.now + SECOND, Ev::Copy(owner, range, [writers, vec![writer]].concat()));
+        };
+        let mut pages: Vec<_> =
+            from.iter().map(|(o, r)| self.members[*o].indexes[r].page(&writer, range)).collect();
+        if self.plan.fault == Fault::Loses {
+            for p in &mut pages {
+                let all = p.entries.len();
+                p.entries.retain(|_| self.random.random_range(0..10_000) > 0);
+                self.out.harmed += (all - p.entries.len()) as u32;
+            }
+        }
+        let entries: usize = pages.iter().map(|p| p.entries.len()).sum();
+        for (o, _) in from {
+            self.busy(o, HANDS * entries as Nanos);
+        }
+        if let Some(index) = self.members[owner].indexes.get_mut(&range) {
+            index.take(&pages);
+        }
+        let takes = self.busy(owner, HANDS * entries as Nanos);
+        self.at(self.now + takes + 10 * MS, Ev::Copy(owner, range, writers));
+    }
+
+    fn reports(&mut self) {
+        self.at(self.now + REPORT, Ev::Report);
+        let (now, n) = (self.now, self.leader);
+        let Some(map) = self.members[n].keeper.leads(now).cloned().filter(|_| self.members[n].up) else {
+            return;
+        };
+        let mut reports = Vec::new();
+        for (o, m) in self.members.iter().enumerate().filter(|(_, m)| m.up) {
+            for (range, index) in &m.indexes {
+                reports.push(Report {
+                    member: name(o),
+                    number: m.number,
+                    range: *range,
+                    entries: index.len() as u64,
+                    rate: 0,
+                    filled: m.filled.contains(range),
+                    stand: index.stand(),
+                });
+            }
+        }
+        for r in reports {
+            if self.plan.fault != Fault::Loss || self.random.random_range(0..20) > 0 {
+                self.members[n].mover.report(now, &map, r);
+            }
+        }
+    }
+
+    fn ask(&mut self) {
+        let gap = self.gap_of(self.plan.asked);
+        self.at(self.now + gap, Ev::Ask);
+        let asker = self.random.random_range(0..MEMBERS);
+        let border = self.border.clone().filter(|_| self.random.random_range(0..50) == 0);
+        let any = self.random.random_range(0..self.live.len());
+        if !self.members[asker].up {
+            return;
+        }
+        let key = border.unwrap_or_else(|| self.live[any].key.clone());
+        let q = self.number;
+        let question = Question {
+            asker,
+            key,
+            number: 0,
+            state: 0,
+            at: self.now,
+            asking: 0,
+            served: false,
+            old: Side::default(),
+            new: Side::default(),
+            twice: Twice::new(BUDGET),
+            due: Vec::new(),
+        };
+        self.questions.insert(q, question);
+        self.put(q);
+    }
+
+    /// Asks, or asks again.
+    fn put(&mut self, q: u64) {
+        let Some(x) = self.questions.get_mut(&q) else { return };
+        let m = &self.members[x.asker];
+        let (Some(map), true) = (m.keeper.map(), m.up) else { return drop(self.questions.remove(&q)) };
+        let point = x.key.point();
+        let Some(group) = map.group(point) else { return };
+        let twice = group.state() == Some(State::Twice);
+        x.asking += 1;
+        x.number = map.number;
+        x.state = group.state().map_or(0, |s| 1 + s as usize);
+        let side = |parts: Vec<&micadyke_shards::map::Part>| Side {
+            asked: parts.iter().flat_map(|p| p.owners.iter().map(|o| (o.clone(), p.range))).collect(),
+            answers: Vec::new(),
+        };
+        // The new side answers as a whole: a key that two of its ranges hold is seen.
+        x.old = side(group.parts.iter().filter(|p| p.range.has(point)).collect());
+        x.new = side(group.change.iter().filter(|_| twice).flat_map(|c| &c.parts).collect());
+        if !x.served {
+            x.at = self.now;
+            let least = Writer { node: String::new(), start: 0 };
+            let from = Id { key: x.key.clone(), writer: least, slot: 0 };
+            let under = self.counts.range(from..).take_while(|(id, _)| id.key == x.key);
+            let due = under.map(|(id, _)| id.clone()).collect();
+            x.due = due;
+        }
+        let (asker, asking, number) = (x.asker, x.asking, x.number);
+        let to: Vec<_> = x.old.asked.iter().chain(&x.new.asked).cloned().collect();
+        for (o, range) in to {
+            self.send(asker, of(&o), Ev::Asked(of(&o), q, asking, range, number));
+        }
+        self.at(self.now + DEADLINE, Ev::Deadline(q, asking));
+    }
+
+    fn asked(&mut self, to: usize, q: u64, asking: u32, range: Range, number: u64) {
+        let wait = self.busy(to, TAKES);
+        let Some(x) = self.questions.get(&q) else { return };
+        let (asker, key, new) = (x.asker, x.key.clone(), !x.old.asked.contains(&(name(to), range)));
+        let m = &self.members[to];
+        match m.keeper.weigh(self.now, number) {
+            Weighed::Older(map) => {
+                let map = map.clone();
+                self.send(to, asker, Ev::Older(asker, map));
+                // Asked anew by the new map.
+                if let Some(x) = self.questions.get_mut(&q).filter(|x| x.asking == asking) {
+                    x.asking += 1;
+                    let at = self.now + 4 * WAY;
+                    self.at(at, Ev::Again(q));
+                }
+            }
+            Weighed::Newer => {
+                if let Some(map) = self.members[asker].keeper.map().cloned() {
+                    self.members[to].keeper.learn(&map);
+                    self.moved(to);
+                }
+            }
+            Weighed::Same(_) if m.filled.contains(&range) => {
+                let Some(index) = m.indexes.get(&range) else { return };
+                let answer = Answer::of(&name(to), index, &key, asking > 1);
+                let late = -(1.0 - self.random.random::<f64>()).ln() * WAY as f64;
+                self.at(self.now + wait + WAY + late as Nanos, Ev::Answer(q, asking, answer, new));
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, q: u64, asking: u32, answer: Answer, new: bool) {
+        let Some(x) = self.questions.get_mut(&q).filter(|x| x.asking == asking) else { return };
+        if new {
+            x.new.answers.push(answer)
+        } else {
+            x.old.answers.push(answer)
+        }
+        if x.old.whole() && !x.served {
+            x.served = true;
+            self.out.took[x.state].push(self.now - x.at);
+            self.out.whole += 1;
+            let merged = x.old.merged();
+            let lacks =
+                |id: &&Id| self.counts.contains_key(id) && merged.get(id).is_none_or(|s| s.value.is_none());
+            self.out.wrong += u32::from(x.due.iter().any(|id| lacks(&id)));
+        }
+        if x.old.whole() && (x.new.asked.is_empty() || x.new.whole()) {
+            self.judge(q);
+        }
+    }
+
+    fn judge(&mut self, q: u64) {
+        let Some(x) = self.questions.get_mut(&q) else { return };
+        if !x.served {
+            x.served = true;
+            self.out.partial += 1;
+        }
+        if x.new.asked.is_empty() {
+            self.questions.remove(&q);
+            return;
+        }
+        let next = x.twice.next(compare(&x.old, &x.new, self.plan.without));
+        let (number, point, now, n) = (x.number, x.key.point(), self.now, self.leader);
+        if next == Next::Again {
+            x.asking += 1;
+            return self.at(now + AGAIN, Ev::Again(q));
+        }
+        self.questions.remove(&q);
+        let Some(map) = self.members[n].keeper.leads(now).cloned() else { return };
+        let mover = &mut self.members[n].mover;
+        match next {
+            Next::Count => {
+                self.out.equal += 1;
+                mover.equal(now, &map, number, point, 1);
+            }
+            Next::Flag(found) => mover.flag(now, &map, number, point, found),
+            _ => self.out.open += 1,
+        }
+    }
+
+    fn fault(&mut self) {
+        let map = self.members[self.leader].keeper.map().cloned();
+        let new = map.iter().flat_map(|m| &m.groups).filter_map(|g| g.change.as_ref()).flat_map(|c| &c.parts);
+        let new: Vec<usize> = new.flat_map(|p| &p.owners).map(|o| of(o)).collect();
+        match self.plan.fault {
+            Fault::NewOwner if !new.is_empty() => {
+                let n = new[self.random.random_range(0..new.len())];
+                self.crash(n, 5 * SECOND);
+            }
+            Fault::OldOwner => self.crash(1, 5 * SECOND),
+            Fault::Leader => {
+                let n = self.leader;
+                self.crash(n, 8 * SECOND);
+                (self.leader, self.epoch) = (3, 1);
+                self.leads_at = self.now + LEASE;
+            }
+            Fault::Asleep => {
+                for n in [0, 11] {
+                    self.members[n].up = false;
+                    self.at(self.now + 2 * SECOND, Ev::Returns(n));
+                }
+            }
+            Fault::Members => {
+                self.crash(10, 2 * SECOND);
+                self.living.remove(&9);
+                self.at(self.now + 10 * SECOND, Ev::Returns(9));
+            }
+            _ => {}
+        }
+    }
+
+    /// A member's process ends, and starts anew without memory. Its writer's entries stay, as if its book had lived.
+    fn crash(&mut self, n: usize, span: Nanos) {
+        let m = &mut self.members[n];
+        m.starts += 1;
+        let terms = Terms { fronts: MEMBERS as u32, serve: LEASE, drift: 10 };
+        m.keeper = Keeper::new(terms, &name(n), m.starts).without(self.plan.without);
+        m.mover = Mover::new(RULES).without(self.plan.without);
+        (m.number, m.up) = (0, false);
+        m.indexes.clear();
+        m.filled.clear();
+        m.back.clear();
+        self.living.remove(&n);
+        self.at(self.now + span, Ev::Returns(n));
+    }
+}
--- /dev/null
+++ b/crates/shards/src/index.rs
@@ -0,0 +1,418 @@
+//! What one owner holds of one range, and the writer's side of it.
+//!
+//! A writer numbers its writes. Of each write every part of the group that it falls into is told, the parts that do not hold
+//! the key by a bare number; so the mark of an owner says: all that this writer wrote into the range up to there is in,
+//! and nothing later. Two owners of one range at one mark hold the same, or one of them is wrong.
+
+use crate::Range;
+use crate::map::{Group, Map, Part};
+use micadyke_directory::Key;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Marks and their digests that an owner remembers for each writer, so that two that are a few writes apart find one that
+/// both have passed.
+pub const RECENT: usize = 32;
+/// Removed entries that are remembered in a range.
+pub const GONE: usize = 1_024;
+
+/// A node's start: its entries die with it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Writer {
+    /// Name of the node.
+    pub node: String,
+    /// Its start.
+    pub start: u64,
+}
+
+/// What an entry is, whatever it says.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    /// The key that it stands under.
+    pub key: Key,
+    /// Whose entry.
+    pub writer: Writer,
+    /// The writer's own number for it: of a session, say.
+    pub slot: u64,
+}
+
+/// An entry as it was last written.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    /// Which.
+    pub id: Id,
+    /// Sequence of the write.
+    pub sequence: u64,
+    /// What it says; `None`: it was removed.
+    pub value: Option<String>,
+}
+
+/// A write as an owner hears it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Write {
+    /// Who writes.
+    pub writer: Writer,
+    /// Its number; it grows with each write of the writer.
+    pub sequence: u64,
+    /// Number of the writer's write into this range before.
+    pub before: u64,
+    /// What is written; `None`: nothing in this range.
+    pub entry: Option<Entry>,
+}
+
+/// A write came before one that has to come first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("writes after {have} are missing")]
+pub struct Gap {
+    /// All up to here is in.
+    pub have: u64,
+}
+
+impl Gap {
+    /// What an operator can do.
+    ///
+    /// ```
+    /// assert!(micadyke_shards::index::Gap { have: 3 }.advice().starts_with("Nothing"));
+    /// ```
+    pub fn advice(&self) -> &'static str {
+        "Nothing: the writer sends what is missing, or the range is copied once more; see the links if it stays."
+    }
+}
+
+/// How far an owner is with a writer.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Mark {
+    /// All up to here is in.
+    pub seen: u64,
+    /// Removals up to here may be forgotten.
+    pub forgot: u64,
+}
+
+/// All that an owner holds of one writer in a range.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Page {
+    /// The writer.
+    pub writer: Writer,
+    /// The mark.
+    pub seen: u64,
+    /// Its entries.
+    pub entries: Vec<Entry>,
+}
+
+/// Marks and digests of each writer that an owner has passed lately, the newest last.
+pub type Stand = BTreeMap<Writer, Vec<(u64, u64)>>;
+
+#[derive(Debug, Default, Clone, PartialEq, Eq, Hash)]
+struct Row {
+    mark: Mark,
+    digest: u64,
+    recent: VecDeque<(u64, u64)>,
+}
+
+impl Row {
+    fn at(&mut self, seen: u64) {
+        self.mark.seen = seen;
+        self.recent.push_back((seen, self.digest));
+        if self.recent.len() > RECENT {
+            self.recent.pop_front();
+        }
+    }
+}
+
+/// One owner's side of one range. Bounded by who splits it; see [`crate::split::Rules`].
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Index {
+    range: Range,
+    entries: BTreeMap<Id, (u64, String)>,
+    rows: BTreeMap<Writer, Row>,
+    gone: BTreeMap<Id, u64>,
+    order: VecDeque<Id>,
+}
+
+/// FNV-1a with the finish of splitmix64: members of all versions have to agree, and sums of it are compared.
+fn hash(entry: &Id, sequence: u64, value: &str) -> u64 {
+    let mut h = 0xcbf2_9ce4_8422_2325u64;
+    let mut eat = |bytes: &[u8]| {
+        for b in (bytes.len() as u64).to_le_bytes().iter().chain(bytes) {
+            h = (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+        }
+    };
+    eat(&entry.key.point().to_le_bytes());
+    eat(entry.writer.node.as_bytes());
+    [entry.writer.start, entry.slot, sequence].iter().for_each(|n| eat(&n.to_le_bytes()));
+    eat(value.as_bytes());
+    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
+
+impl Index {
+    /// Of a range, with nothing in it yet.
+    ///
+    /// ```
+    /// use micadyke_directory::Key;
+    /// use micadyke_shards::{Range, index::*, map::Map};
+    /// let map = Map::founded(1, &["f1", "f2"]);
+    /// let mut book = Book::new("f9", 1);
+    /// let key = Key::Title("t".into());
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// let mut index = Index::new(Range::RING);
+    /// index.apply(&told[0].1).unwrap();
+    /// assert_eq!(index.find(&key).len(), 1);
+    /// ```
+    pub fn new(range: Range) -> Self {
+        let (entries, rows, gone, order) =
+            (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), VecDeque::new());
+        Index { range, entries, rows, gone, order }
+    }
+
+    /// The range.
+    pub fn range(&self) -> Range {
+        self.range
+    }
+
+    /// Entries that stand.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether none stands.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes a write; one that is in already is taken again without effect.
+    ///
+    /// # Errors
+    /// [`Gap`] where a write before it is missing: nothing is taken.
+    pub fn apply(&mut self, write: &Write) -> Result<(), Gap> {
+        let row = self.rows.entry(write.writer.clone()).or_default();
+        let have = row.mark.seen;
+        if write.sequence <= have {
+            return Ok(());
+        }
+        if write.before > have {
+            return Err(Gap { have });
+        }
+        if let Some(e) = write.entry.as_ref().filter(|e| self.range.has(e.id.key.point())) {
+            self.put(e);
+        }
+        if let Some(row) = self.rows.get_mut(&write.writer) {
+            row.at(write.sequence);
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, e: &Entry) {
+        let Some(row) = self.rows.get_mut(&e.id.writer) else { return };
+        if let Some((sequence, value)) = self.entries.remove(&e.id) {
+            row.digest = row.digest.wrapping_sub(hash(&e.id, sequence, &value));
+        }
+        match &e.value {
+            Some(v) => {
+                row.digest = row.digest.wrapping_add(hash(&e.id, e.sequence, v));
+                self.entries.insert(e.id.clone(), (e.sequence, v.clone()));
+            }
+            None => {
+                if self.gone.insert(e.id.clone(), e.sequence).is_none() {
+                    self.order.push_back(e.id.clone());
+                }
+            }
+        }
+        while self.order.len() > GONE {
+            let Some(id) = self.order.pop_front() else { return };
+            let sequence = self.gone.remove(&id).unwrap_or(0);
+            if let Some(row) = self.rows.get_mut(&id.writer) {
+                row.mark.forgot = row.mark.forgot.max(sequence);
+            }
+        }
+    }
+
+    /// A writer's start is over: its entries go, and whatever it may still say counts for nothing.
+    pub fn over(&mut self, writer: &Writer) {
+        self.entries.retain(|id, _| id.writer != *writer);
+        let row = self.rows.entry(writer.clone()).or_default();
+        (row.digest, row.mark.forgot) = (0, u64::MAX);
+        row.recent.clear();
+        row.at(u64::MAX);
+    }
+
+    /// What stands under a key, and what was removed there lately.
+    pub fn find(&self, key: &Key) -> Vec<Entry> {
+        let least = Writer { node: String::new(), start: 0 };
+        let from = Id { key: key.clone(), writer: least, slot: 0 };
+        let entry = |id: &Id, sequence, value| Entry { id: id.clone(), sequence, value };
+        let live = self.entries.range(from.clone()..).take_while(|(id, _)| id.key == *key);
+        let live = live.map(|(id, (s, v))| entry(id, *s, Some(v.clone())));
+        let gone = self.gone.range(from..).take_while(|(id, _)| id.key == *key);
+        let gone = gone.filter(|(id, _)| !self.entries.contains_key(id)).map(|(id, s)| entry(id, *s, None));
+        live.chain(gone).collect()
+    }
+
+    /// Entries that stand, in order.
+    pub fn entries(&self) -> impl Iterator<Item = (&Id, u64, &str)> {
+        self.entries.iter().map(|(id, (s, v))| (id, *s, v.as_str()))
+    }
+
+    /// How far it is with each writer.
+    pub fn marks(&self) -> BTreeMap<Writer, Mark> {
+        self.rows.iter().map(|(w, r)| (w.clone(), r.mark)).collect()
+    }
+
+    /// Marks and digests that it has passed lately.
+    pub fn stand(&self) -> Stand {
+        self.rows.iter().map(|(w, r)| (w.clone(), r.recent.iter().copied().collect())).collect()
+    }
+
+    /// All of one writer's entries that lie in `range`, for an owner to come.
+    pub fn page(&self, writer: &Writer, range: Range) -> Page {
+        let seen = self.rows.get(writer).map_or(0, |r| r.mark.seen);
+        let mine = self.entries.iter().filter(|(id, _)| id.writer == *writer && range.has(id.key.point()));
+        let entry = |(id, (s, v)): (&Id, &(u64, String))| Entry {
+            id: id.clone(),
+            sequence: *s,
+            value: Some(v.clone()),
+        };
+        Page { writer: writer.clone(), seen, entries: mine.map(entry).collect() }
+    }
+
+    /// Takes a writer's pages, one from each range that serves: at one mark, and beyond what is here. Returns whether
+    /// they were.
+    pub fn take(&mut self, pages: &[Page]) -> bool {
+        let Some(first) = pages.first() else { return false };
+        let writer = &first.writer;
+        let row = self.rows.entry(writer.clone()).or_default();
+        if pages.iter().any(|p| p.seen != first.seen || p.writer != *writer) || first.seen <= row.mark.seen {
+            return first.seen == 0;
+        }
+        (row.digest, row.mark.forgot) = (0, first.seen);
+        row.recent.clear();
+        self.entries.retain(|id, _| id.writer != *writer);
+        let entries = pages.iter().flat_map(|p| &p.entries);
+        let range = self.range;
+        entries.filter(|e| range.has(e.id.key.point())).for_each(|e| self.put(e));
+        if let Some(row) = self.rows.get_mut(writer) {
+            row.at(first.seen);
+        }
+        true
+    }
+
+    /// Takes an entry out and says nothing of it: a fault, for tests and measurements.
+    #[doc(hidden)]
+    pub fn lose(&mut self, id: &Id) {
+        if let (Some((sequence, value)), Some(row)) = (self.entries.remove(id), self.rows.get_mut(&id.writer))
+        {
+            row.digest = row.digest.wrapping_sub(hash(id, sequence, &value));
+            if let Some(last) = row.recent.back_mut() {
+                last.1 = row.digest;
+            }
+        }
+    }
+}
+
+/// A writer's side: numbers its writes and says who is to be told what. A write counts once all owners that
+/// [`Book::write`] names as needed have taken it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Book {
+    writer: Writer,
+    sequence: u64,
+    /// The last write told to each part.
+    last: BTreeMap<Range, u64>,
+}
+
+/// Whom a write is told to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct To {
+    /// The range.
+    pub range: Range,
+    /// Its owners.
+    pub owners: Vec<String>,
+    /// The write counts only once they have it.
+    pub needed: bool,
+}
+
+impl Book {
+    /// Of a start of a node.
+    pub fn new(node: &str, start: u64) -> Self {
+        Book { writer: Writer { node: node.into(), start }, sequence: 0, last: BTreeMap::new() }
+    }
+
+    /// Who writes.
+    pub fn writer(&self) -> &Writer {
+        &self.writer
+    }
+
+    /// Writes an entry, or removes it where `value` is `None`; by the map that the node knows.
+    pub fn write(&mut self, map: &Map, key: Key, slot: u64, value: Option<String>) -> Vec<(To, Write)> {
+        self.sequence += 1;
+        let id = Id { key, writer: self.writer.clone(), slot };
+        let Some(group) = map.group(id.key.point()) else { return Vec::new() };
+        let entry = Entry { id, sequence: self.sequence, value };
+        self.tell(map, group, Some(entry))
+    }
+
+    /// Numbers without a write for all ranges that change: due when the map has moved, so that parts that are to become
+    /// one are at one mark.
+    pub fn tick(&mut self, map: &Map) -> Vec<(To, Write)> {
+        let changing = map.groups.iter().filter(|g| g.change.is_some());
+        let mut told = Vec::new();
+        for group in changing {
+            self.sequence += 1;
+            told.extend(self.tell(map, group, None));
+        }
+        told
+    }
+
+    /// A write that does not count yet, as it is to be told by the map that stands now: to the parts that it was told to, and
+    /// to those that have taken their place or are to.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, index::Book, map::{Map, Part}};
+    /// use micadyke_directory::Key;
+    /// let map = Map::founded(1, &["f1", "f2"]);
+    /// let told = Book::new("f9", 1).write(&map, Key::Title("t".into()), 7, None);
+    /// let part = Part { range: Range::RING, owners: vec!["f3".into(), "f4".into()] };
+    /// let twice = map.begin(Range::RING, vec![part]).unwrap().read_twice(Range::RING).unwrap();
+    /// let again = Book::again(&twice, &told);
+    /// assert!(again.iter().any(|(to, _)| to.needed && to.owners == ["f3", "f4"]));
+    /// ```
+    pub fn again(map: &Map, told: &[(To, Write)]) -> Vec<(To, Write)> {
+        let Some(group) = told.first().and_then(|(to, _)| map.group(to.range.first)) else {
+            return Vec::new();
+        };
+        let entry = told.iter().find_map(|(_, w)| w.entry.clone());
+        // The part that an entry falls into says which of the parts come of a split are meant.
+        let at = entry.as_ref().map(|e| e.id.key.point());
+        let group = at.and_then(|p| map.group(p)).unwrap_or(group);
+        let twice = group.state() == Some(crate::map::State::Twice);
+        let tell = |(i, p): (usize, &Part)| {
+            let over = |r: &Range| r.first <= p.range.last && p.range.first <= r.last;
+            let same = told.iter().find(|(to, _)| to.range == p.range);
+            let forerunner = told.iter().filter(|(to, _)| over(&to.range)).max_by_key(|(_, w)| w.before);
+            let write = &same.or(forerunner)?.1;
+            let entry = entry.clone().filter(|e| p.range.has(e.id.key.point()));
+            let to = To { range: p.range, owners: p.owners.clone(), needed: i < group.parts.len() || twice };
+            Some((to, Write { entry, ..write.clone() }))
+        };
+        group.all().enumerate().filter_map(tell).collect()
+    }
+
+    fn tell(&mut self, map: &Map, group: &Group, entry: Option<Entry>) -> Vec<(To, Write)> {
+        let known: BTreeMap<Range, u64> = self.last.clone();
+        self.last.retain(|r, _| map.group(r.first).is_some_and(|g| g.all().any(|p| p.range == *r)));
+        let twice = group.state() == Some(crate::map::State::Twice);
+        let told = |(i, p): (usize, &Part)| {
+            // A part that was not told before begins with what its forerunners were told.
+            let over = |r: &Range| r.first <= p.range.last && p.range.first <= r.last;
+            let forerunners = known.iter().filter(|(r, _)| over(r)).map(|(_, s)| *s).max();
+            let before = known.get(&p.range).copied().or(forerunners).unwrap_or(0);
+            let entry = entry.clone().filter(|e| p.range.has(e.id.key.point()));
+            let needed = i < group.parts.len() || twice;
+            let to = To { range: p.range, owners: p.owners.clone(), needed };
+            (to, Write { writer: self.writer.clone(), sequence: self.sequence, before, entry })
+        };
+        let told: Vec<_> = group.all().enumerate().map(told).collect();
+        self.last.extend(told.iter().map(|(to, w)| (to.range, w.sequence)));
+        told
+    }
+}
--- /dev/null
+++ b/crates/shards/src/split.rs
@@ -0,0 +1,501 @@
+//! When a range splits, merges or moves to other owners, and when those serve alone. What a leader decides; see
+//! [`crate::keep`] for how the move is made.
+//!
+//! A change goes from whole to copying once it is begun, to being read twice once each new owner says it is filled, and
+//! from there to new when old and new owners have shown equal digests of the whole range and enough comparable reads in
+//! each slice of it were equal; or back: when a difference stays, when digests differ, when a new owner is gone, or when it takes too
+//! long. What went back is tried again after a wait that doubles.
+
+use crate::compare::Difference;
+use crate::index::Stand;
+use crate::map::{Group, Map, Part, State};
+use crate::{Feature, Range};
+use micadyke_directory::{Nanos, Point};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// When ranges change, by the settings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Rules {
+    /// A range splits beyond so many entries.
+    pub entries: u64,
+    /// Or beyond so many questions and writes a second.
+    pub rate: u64,
+    /// Or while the map has fewer ranges than this for a thousand members.
+    pub per_1000: u64,
+    /// Two neighbours merge while they come to less than this of `entries` and of `rate` together, per mille; and the map
+    /// has more than twice the ranges of `per_1000`.
+    pub merge: u64,
+    /// So many ranges change at once at most.
+    pub at_once: usize,
+    /// Slices of each new range, and equal reads needed in each.
+    pub slices: usize,
+    /// See `slices`.
+    pub reads: u32,
+    /// A change that is not copied by then goes back.
+    pub copy_for: Nanos,
+    /// A change that is not through by then goes back.
+    pub twice_for: Nanos,
+    /// What went back is tried again after this, doubled with each try.
+    pub again_after: Nanos,
+    /// But not after more than this.
+    pub again_most: Nanos,
+    /// An owner that is missing for so long is replaced.
+    pub gone_for: Nanos,
+}
+
+/// What an owner tells the leader of one of its ranges, each second or so.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Report {
+    /// Name of the owner.
+    pub member: String,
+    /// Number of the map that it goes by: it takes no write of a lower one.
+    pub number: u64,
+    /// The range.
+    pub range: Range,
+    /// Entries.
+    pub entries: u64,
+    /// Questions and writes a second.
+    pub rate: u64,
+    /// Everything was copied that the old owners had.
+    pub filled: bool,
+    /// How far it is.
+    pub stand: Stand,
+}
+
+/// Why a change went back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Cause {
+    /// A difference stayed.
+    Flagged(Vec<Difference>),
+    /// Digests at one mark differ, of this node's entries.
+    Digests(String),
+    /// A new owner is gone, or has started anew.
+    OwnerGone(String),
+    /// Not copied in time.
+    CopySlow,
+    /// Copied, and not through in time: slices that lack reads, and nodes whose digests could not be compared.
+    TwiceSlow {
+        /// Slices.
+        slices: usize,
+        /// Nodes.
+        nodes: usize,
+    },
+}
+
+impl Cause {
+    /// What an operator can do.
+    ///
+    /// ```
+    /// assert!(micadyke_shards::split::Cause::CopySlow.advice().contains("links"));
+    /// ```
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Cause::Flagged(_) => {
+                "Compare the flagged keys with the book of the node that wrote them; if one new owner comes up again, restart it."
+            }
+            Cause::Digests(_) => {
+                "An owner holds other entries than the rest; if it is the same one again, restart it: it is filled anew."
+            }
+            Cause::OwnerGone(_) => "See why that member went; the range is given to others at the next try.",
+            Cause::CopySlow => {
+                "See the links and load of the new owners, or let ranges split at fewer entries, so that less is copied."
+            }
+            Cause::TwiceSlow { .. } => {
+                "See whether old and new owners lag or drop words; with few questions, lower the number of reads needed."
+            }
+        }
+    }
+}
+
+/// A move that the leader is to make.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Step {
+    /// The map to propose.
+    pub map: Map,
+    /// The range that it is about.
+    pub range: Range,
+    /// What is done.
+    pub what: What,
+}
+
+/// What a move does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum What {
+    /// A change begins.
+    Begin,
+    /// It is read twice from now.
+    Twice,
+    /// The new owners serve alone from now.
+    New,
+    /// It goes back.
+    Back(Cause),
+}
+
+/// How far digests of a change agree.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Digests {
+    Equal,
+    /// Of this node they differ.
+    Differ(String),
+    /// Of so many nodes there is no common mark yet.
+    Open(usize),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+struct Watch {
+    state: Option<State>,
+    began: Nanos,
+    /// By slice over all new parts.
+    reads: Vec<u32>,
+    /// The last report under this state from each owner.
+    reports: BTreeMap<(String, Range), Report>,
+    flagged: Vec<Difference>,
+}
+
+/// Decides the map's moves. It has forgotten everything when another member leads: reads and digests begin anew.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Mover {
+    rules: Rules,
+    watches: BTreeMap<Range, Watch>,
+    /// Not tried before, by the first point.
+    waits: BTreeMap<Point, Nanos>,
+    /// Owners that are missing, and since when.
+    missing: BTreeMap<String, Nanos>,
+    sizes: BTreeMap<(String, Range), (u64, u64)>,
+    without: Option<Feature>,
+}
+
+impl Mover {
+    /// With these rules.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Map;
+    /// use micadyke_shards::split::{Mover, Rules, What};
+    /// let rules = Rules {
+    ///     entries: 10_000, rate: 1_000, per_1000: 500, merge: 250, at_once: 2, slices: 4, reads: 20,
+    ///     copy_for: 60_000_000_000, twice_for: 60_000_000_000, again_after: 30_000_000_000,
+    ///     again_most: 3_600_000_000_000, gone_for: 10_000_000_000,
+    /// };
+    /// // Four members and one range: the fleet has grown beyond it.
+    /// let living = ["f1", "f2", "f3", "f4"].map(String::from).into();
+    /// let step = Mover::new(rules).next(0, &Map::founded(1, &["f1", "f2"]), &living, false).unwrap();
+    /// assert_eq!((step.what, step.map.changing()), (What::Begin, 1));
+    /// ```
+    pub fn new(rules: Rules) -> Self {
+        let (watches, waits, missing, sizes) =
+            (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Mover { rules, watches, waits, missing, sizes, without: None }
+    }
+
+    /// Takes a feature out, for tests and measurements that show what it is good for.
+    #[doc(hidden)]
+    pub fn without(mut self, feature: Option<Feature>) -> Self {
+        self.without = feature;
+        self
+    }
+
+    /// The map that stands was confirmed: what is no longer in it is forgotten, what is new in it is watched.
+    fn follow(&mut self, now: Nanos, map: &Map) {
+        let state = |r: &Range| map.group(r.first).filter(|g| g.range() == *r).and_then(Group::state);
+        self.watches.retain(|r, w| w.state.is_some() && state(r) == w.state);
+        let owned = |m: &str, r: &Range| {
+            map.group(r.first)
+                .is_some_and(|g| g.all().any(|p| p.range == *r && p.owners.iter().any(|o| o == m)))
+        };
+        self.sizes.retain(|(m, r), _| owned(m, r));
+        for g in map.groups.iter().filter(|g| g.change.is_some()) {
+            let slices = g.change.as_ref().map_or(0, |c| c.parts.len()) * self.rules.slices;
+            let fresh = Watch { state: g.state(), began: now, reads: vec![0; slices], ..Watch::default() };
+            self.watches.entry(g.range()).or_insert(fresh);
+        }
+    }
+
+    /// An owner's report.
+    pub fn report(&mut self, now: Nanos, map: &Map, report: Report) {
+        self.follow(now, map);
+        let Some(group) = map.group(report.range.first) else { return };
+        let owns = |p: &Part| p.range == report.range && p.owners.contains(&report.member);
+        if report.number != map.number || !group.all().any(owns) {
+            return;
+        }
+        let key = (report.member.clone(), report.range);
+        self.sizes.insert(key.clone(), (report.entries, report.rate));
+        if let Some(w) = self.watches.get_mut(&group.range()) {
+            w.reports.insert(key, report);
+        }
+    }
+
+    /// A reader's count of equal reads of a point under a map's number.
+    pub fn equal(&mut self, now: Nanos, map: &Map, number: u64, point: Point, reads: u32) {
+        self.follow(now, map);
+        let group = map.group(point).filter(|g| g.state() == Some(State::Twice) && number == map.number);
+        let Some(group) = group else { return };
+        let parts = group.change.as_ref().map_or(&[][..], |c| &c.parts);
+        let Some(i) = parts.iter().position(|p| p.range.has(point)) else { return };
+        let slice = i * self.rules.slices + parts[i].range.slice(point, self.rules.slices);
+        if let Some(n) = self.watches.get_mut(&group.range()).and_then(|w| w.reads.get_mut(slice)) {
+            *n = n.saturating_add(reads);
+        }
+    }
+
+    /// A reader's flag: differences that stayed in a question about a point under a map's number.
+    pub fn flag(&mut self, now: Nanos, map: &Map, number: u64, point: Point, found: Vec<Difference>) {
+        self.follow(now, map);
+        let group = map.group(point).filter(|g| g.state() == Some(State::Twice) && number == map.number);
+        if let Some(w) = group.and_then(|g| self.watches.get_mut(&g.range())) {
+            w.flagged.extend(found);
+        }
+    }
+
+    /// Slices that lack reads: whoever has nobody who asks about them asks itself.
+    pub fn lacking(&self, map: &Map) -> Vec<Range> {
+        let mut lack = Vec::new();
+        for g in map.groups.iter().filter(|g| g.state() == Some(State::Twice)) {
+            let Some(w) = self.watches.get(&g.range()) else { continue };
+            let parts = g.change.iter().flat_map(|c| &c.parts);
+            for (part, reads) in parts.zip(w.reads.chunks(self.rules.slices.max(1))) {
+                let size = (u128::from(part.range.last - part.range.first) + 1) / reads.len() as u128;
+                let short = reads.iter().enumerate().filter(|(_, n)| **n < self.rules.reads);
+                lack.extend(short.map(|(i, _)| {
+                    let first = part.range.first + (size * i as u128) as u64;
+                    let last =
+                        (u128::from(first) + size.saturating_sub(1)).min(u128::from(part.range.last)) as u64;
+                    Range { first, last }
+                }));
+            }
+        }
+        lack
+    }
+
+    /// The next move, if one is due. `living`: members of the settled view; `lag`: whether an owner that has not
+    /// reported under the map of now may still serve by the one before, see [`crate::keep::Keeper::may_lag`].
+    pub fn next(&mut self, now: Nanos, map: &Map, living: &BTreeSet<String>, lag: bool) -> Option<Step> {
+        self.follow(now, map);
+        self.missing.retain(|m, _| !living.contains(m));
+        let owners = map.groups.iter().flat_map(Group::all).flat_map(|p| &p.owners);
+        for o in owners.filter(|o| !living.contains(*o)) {
+            self.missing.entry(o.clone()).or_insert(now);
+        }
+        let steps = map.groups.iter().filter(|g| g.change.is_some());
+        steps
+            .filter_map(|g| self.goes_on(now, map, g, living, lag))
+            .next()
+            .or_else(|| self.begins(now, map, living))
+    }
+
+    fn goes_on(
+        &self, now: Nanos, map: &Map, g: &Group, living: &BTreeSet<String>, lag: bool,
+    ) -> Option<Step> {
+        let (range, change, w) = (g.range(), g.change.as_ref()?, self.watches.get(&g.range())?);
+        let back = |cause| {
+            let map = map.back(range).ok()?;
+            Some(Step { map, range, what: What::Back(cause) })
+        };
+        let new = || change.parts.iter().flat_map(|p| p.owners.iter().map(move |o| (o.clone(), p.range)));
+        if let Some((gone, _)) = new().find(|(o, _)| !living.contains(o)) {
+            return back(Cause::OwnerGone(gone));
+        }
+        let over = now.saturating_sub(w.began);
+        match change.state {
+            State::Copying if new().all(|k| w.reports.get(&k).is_some_and(|r| r.filled)) => {
+                let map = map.read_twice(range).ok()?;
+                Some(Step { map, range, what: What::Twice })
+            }
+            State::Copying if over >= self.rules.copy_for => back(Cause::CopySlow),
+            State::Copying => None,
+            State::Twice => {
+                if !w.flagged.is_empty() {
+                    return back(Cause::Flagged(w.flagged.clone()));
+                }
+                // Filled once, empty now: it has started anew.
+                if let Some((gone, _)) = new().find(|k| w.reports.get(k).is_some_and(|r| !r.filled)) {
+                    return back(Cause::OwnerGone(gone));
+                }
+                let short = w.reads.iter().filter(|n| **n < self.rules.reads).count();
+                let digests = self.digests(g, w, lag);
+                let equal = digests == Digests::Equal || self.without == Some(Feature::Digests);
+                match digests {
+                    Digests::Differ(node) if self.without != Some(Feature::Digests) => {
+                        back(Cause::Digests(node))
+                    }
+                    _ if equal && (short == 0 || self.without == Some(Feature::Reads)) => {
+                        let map = map.cut_over(range).ok()?;
+                        Some(Step { map, range, what: What::New })
+                    }
+                    d if over >= self.rules.twice_for => {
+                        let nodes = if let Digests::Open(n) = d { n } else { 0 };
+                        back(Cause::TwiceSlow { slices: short, nodes })
+                    }
+                    _ => None,
+                }
+            }
+        }
+    }
+
+    /// Compares the last reports of old and new owners, writer by writer, at the highest mark that all have passed: every
+    /// owner of a part says the same, and the parts of both sides come to the same sum. The mark is not below what an
+    /// old owner had seen, so that what it had taken before it went by this map is in, and holding back does not help: the leader
+    /// is to hear old owners first, then the new.
+    fn digests(&self, g: &Group, w: &Watch, lag: bool) -> Digests {
+        // An old owner that says nothing, or forgot, has no say: each entry that counts is at the others. But until its time
+        // is over it may take writes by the map before, so that it has to be heard.
+        let side = |parts: &[Part], all: bool, full: bool| -> Option<Vec<Vec<&Report>>> {
+            let of = |p: &Part| {
+                let got: Vec<&Report> =
+                    p.owners.iter().filter_map(|o| w.reports.get(&(o.clone(), p.range))).collect();
+                let missing = got.len() < p.owners.len();
+                let says: Vec<&Report> = got.into_iter().filter(|r| r.filled).collect();
+                let least = if full { p.owners.len() } else { 1 };
+                let enough = says.len() >= least.max(1) && (!all || !missing);
+                enough.then_some(says)
+            };
+            parts.iter().map(of).collect()
+        };
+        let change = g.change.as_ref().map_or(&[][..], |c| &c.parts);
+        let (Some(old), Some(new)) = (side(&g.parts, lag, false), side(change, true, true)) else {
+            return Digests::Open(0);
+        };
+        let all = || old.iter().chain(&new).flatten();
+        let writers: BTreeSet<_> = all().flat_map(|r| r.stand.keys()).collect();
+        let mut open = 0;
+        for writer in writers {
+            let at = |r: &Report, mark: u64| {
+                let stand = r.stand.get(writer);
+                let none = (mark == 0 && stand.is_none()).then_some(0);
+                stand.and_then(|s| s.iter().find(|m| m.0 == mark)).map(|m| m.1).or(none)
+            };
+            let marks = all().next().and_then(|r| r.stand.get(writer)).into_iter().flatten().map(|m| m.0);
+            let common = marks.rev().find(|m| all().all(|r| at(r, *m).is_some()));
+            let newest = |r: &&Report| r.stand.get(writer).and_then(|m| m.last()).map_or(0, |m| m.0);
+            let floor = old.iter().flatten().map(newest).max().unwrap_or(0);
+            let Some(mark) = common.filter(|m| *m >= floor) else {
+                open += 1;
+                continue;
+            };
+            let sum = |side: &[Vec<&Report>]| {
+                let part = |p: &Vec<&Report>| {
+                    let mut of = p.iter().filter_map(|r| at(r, mark));
+                    let first = of.next()?;
+                    of.all(|d| d == first).then_some(first)
+                };
+                side.iter().try_fold(0u64, |sum, p| part(p).map(|d| sum.wrapping_add(d)))
+            };
+            match (sum(&old), sum(&new)) {
+                (Some(o), Some(n)) if o == n => {}
+                _ => return Digests::Differ(writer.node.clone()),
+            }
+        }
+        if open > 0 { Digests::Open(open) } else { Digests::Equal }
+    }
+
+    /// The wait after a try that went back.
+    fn wait(&self, tries: u32) -> Nanos {
+        let doubled = self
+            .rules
+            .again_after
+            .saturating_mul(1u64.checked_shl(tries.saturating_sub(1)).unwrap_or(u64::MAX));
+        doubled.min(self.rules.again_most)
+    }
+
+    /// What is to begin: first what lacks an owner, then what is too large, then what is too small.
+    fn begins(&mut self, now: Nanos, map: &Map, living: &BTreeSet<String>) -> Option<Step> {
+        self.waits.retain(|p, _| map.groups.iter().any(|g| g.tries > 0 && g.range().first == *p));
+        for g in map.groups.iter().filter(|g| g.tries > 0 && g.change.is_none()) {
+            let until = now.saturating_add(self.wait(g.tries));
+            self.waits.entry(g.range().first).or_insert(until);
+        }
+        // While it changes its wait is over; the next one is longer.
+        for g in map.groups.iter().filter(|g| g.change.is_some()) {
+            self.waits.remove(&g.range().first);
+        }
+        if map.changing() >= self.rules.at_once || living.is_empty() {
+            return None;
+        }
+        let may = |g: &&Group| {
+            let wait = self.waits.get(&g.range().first).is_some_and(|until| now < *until);
+            g.change.is_none() && !wait
+        };
+        let step = |range: Range, parts| {
+            let map = map.begin_without(range, parts, self.without).ok()?;
+            Some(Step { map, range, what: What::Begin })
+        };
+        let whole: Vec<&Group> = map.groups.iter().filter(may).collect();
+        let gone = |o: &String| self.missing.get(o).is_some_and(|s| now >= s + self.rules.gone_for);
+        for g in &whole {
+            let Some(p) = g.parts.first().filter(|p| p.owners.iter().any(gone)) else { continue };
+            let stay: Vec<String> = p.owners.iter().filter(|o| !gone(o)).cloned().collect();
+            let owners = self.owners(map, living, &stay, &[], p.range);
+            if owners.len() > stay.len() {
+                return step(p.range, vec![Part { range: p.range, owners }]);
+            }
+        }
+        let size = |g: &Group| {
+            let of = g.parts.iter().flat_map(|p| p.owners.iter().map(move |o| (o.clone(), p.range)));
+            let sizes = of.filter_map(|k| self.sizes.get(&k));
+            sizes.fold((0, 0), |max: (u64, u64), s| (max.0.max(s.0), max.1.max(s.1)))
+        };
+        let ranges = |per_1000: u64| per_1000.saturating_mul(living.len() as u64) / 1000;
+        let grown = (map.groups.len() as u64) < ranges(self.rules.per_1000);
+        // Per mille of what a range may hold or bear.
+        let large = |g: &Group| {
+            let (entries, rate) = size(g);
+            let part = |of: u64, most: u64| of.saturating_mul(1000) / most.max(1);
+            part(entries, self.rules.entries).max(part(rate, self.rules.rate))
+        };
+        let widest = |a: &&&Group, b: &&&Group| {
+            let span = |g: &Group| g.range().last - g.range().first;
+            large(a).cmp(&large(b)).then(span(a).cmp(&span(b)))
+        };
+        if let Some(g) = whole.iter().max_by(widest).filter(|g| large(g) > 1000 || grown) {
+            let old = g.parts.first()?;
+            let mut parts: Vec<Part> = Vec::new();
+            for range in g.range().halves()? {
+                let taken: Vec<String> =
+                    old.owners.iter().chain(parts.iter().flat_map(|p| &p.owners)).cloned().collect();
+                let owners = self.owners(map, living, &[], &taken, range);
+                parts.push(Part { range, owners });
+            }
+            return step(g.range(), parts);
+        }
+        let few = ranges(self.rules.per_1000.saturating_mul(2)).max(1);
+        let pair = whole.windows(2).find(|p| {
+            let next = p[0].range().last.checked_add(1) == Some(p[1].range().first);
+            next && large(p[0]) + large(p[1]) < self.rules.merge && map.groups.len() as u64 > few
+        })?;
+        let range = Range { first: pair[0].range().first, last: pair[1].range().last };
+        let taken: Vec<String> = pair.iter().flat_map(|g| g.all()).flat_map(|p| p.owners.clone()).collect();
+        let owners = self.owners(map, living, &[], &taken, range);
+        step(range, vec![Part { range, owners }])
+    }
+
+    /// Two owners: who stays, then who owns least, not of `taken` if there are others; ties are drawn by the range.
+    fn owners(
+        &self, map: &Map, living: &BTreeSet<String>, stay: &[String], taken: &[String], range: Range,
+    ) -> Vec<String> {
+        let owns =
+            |m: &String| map.groups.iter().flat_map(Group::all).filter(|p| p.owners.contains(m)).count();
+        // Others at each try.
+        let tries = map.group(range.first).map_or(0, |g| g.tries);
+        let draw = |m: &String| {
+            let bytes = m.bytes().chain(range.first.to_le_bytes()).chain(tries.to_le_bytes());
+            bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+        };
+        let mut all: Vec<&String> = living.iter().filter(|m| !stay.contains(m)).collect();
+        all.sort_by_cached_key(|m| (taken.contains(m), owns(m), draw(m)));
+        stay.iter().chain(all).take(2).cloned().collect()
+    }
+}
+
+impl From<&Cause> for String {
+    fn from(c: &Cause) -> String {
+        match c {
+            Cause::Flagged(d) => format!("a difference stayed in {} entries", d.len()),
+            Cause::Digests(n) => format!("digests of {n}'s entries differ"),
+            Cause::OwnerGone(o) => format!("new owner {o} is gone"),
+            Cause::CopySlow => "not copied in time".into(),
+            Cause::TwiceSlow { slices, nodes } => {
+                format!("not through in time: {slices} slices lack reads, {nodes} nodes' digests are open")
+            }
+        }
+    }
+}
