--- a/crates/shards/src/index.rs
+++ b/crates/shards/src/index.rs
@@ -342,6 +342,13 @@
         &self.writer
     }
 
+    /// The last write told to a range, or to what it comes of. An owner that has started anew is filled only once it has
+    /// passed what each writer told after that start: its former start may have taken a write that is nowhere else yet.
+    pub fn told(&self, range: Range) -> u64 {
+        let over = |r: &Range| r.first <= range.last && range.first <= r.last;
+        self.last.iter().filter(|(r, _)| over(r)).map(|(_, s)| *s).max().unwrap_or(0)
+    }
+
     /// Writes an entry, or removes it where `value` is `None`; by the map that the node knows.
     pub fn write(&mut self, map: &Map, key: Key, slot: u64, value: Option<String>) -> Vec<(To, Write)> {
         self.sequence += 1;
