--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod choices;
 pub mod fleet;
+pub mod splits;
 pub mod waits;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,8 +7,8 @@
 
 use micadyke_lab::choices::{self, DRAWS, Followed, Follows};
 use micadyke_lab::fleet::{Fleet, MS, Parts, Plan, SECOND};
-use micadyke_lab::waits::{self, Times};
 use micadyke_lab::splits::{self, FAULTS, Outcome, Splits};
+use micadyke_lab::waits::{self, Times};
 
 /// A run is watched for so long after its fault.
 const WATCHED: usize = 60;
