--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,4 +22,4 @@
 
 pub use crate::books::{Counts, Node};
 pub use crate::io::{ConnId, Input, Output};
-pub use micadyke_front::core::Decide;
+pub use micadyke::module::Decide;
