--- a/crates/node/src/advice.rs
+++ b/crates/node/src/advice.rs
@@ -2,7 +2,7 @@
 //! advice to all. Told to all at once, they would all come back in the same second.
 
 use micadyke::interface::{Action, Event, Nanos, Settings};
-use micadyke_front::core::Decide;
+use micadyke::module::Decide;
 use micadyke_recovery::record::Kept;
 use micadyke_recovery::spread::{Spread, borne};
 
