--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -41,8 +41,8 @@
 /// before the next note tells of it.
 const ROOM: Nanos = 2 * SECOND;
 /// What is not known is taken to lie so many deviations of the known over their mean: a missing point costs five
-/// to ten times what a point of room earns, and one deviation leaves one in six over.
-const UNSURE: f64 = 1.0;
+/// to ten times what a point of room earns. A whole one would be right for stalls alone, and costs rungs.
+const UNSURE: f64 = 0.5;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
 /// A pool found short is trusted again over this time, in seconds.
