Errors of membership and of quantities are types with advice, printed under the error

An operator read what was wrong and not what to do. membership::Error (5 kinds) takes the place of strings in run and look; config's units::Fault (7 kinds) in quantity; a Diagnostic has advice too. Each has advice(), a sentence; the command prints it under the error. Exit codes and the errors' own words stay. One test each goes over all kinds, and one over the program.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,12 +1,12 @@
 //! What each command does.
 
-use crate::ground::{Failure, at, beside, checked, run, told};
+use crate::ground::{Failure, at, beside, checked, given, run, told};
 use crate::members::{Member, with_member};
 use micadyke::decide::Controller;
 use micadyke::interface::ServerState;
 use micadyke_client::net::Client;
 use micadyke_client::retry::Rule;
-use micadyke_config::units::{Unit, quantity};
+use micadyke_config::units::Unit;
 use micadyke_config::{BoundConfig, BoxRow, Config, Diagnostic, Entitlements, read_boxes, read_config};
 use micadyke_front::Front;
 use micadyke_front::list::{Fixed, News, Source, WatchedFile};
@@ -264,7 +264,7 @@
     if !at.ip().is_loopback() {
         return Err(format!("stand-ins run on loopback only, not on {at}").into());
     }
-    let ttl = quantity(ttl, Unit::Time).map_err(|e| format!("--ttl: {e}"))? as u64;
+    let ttl = given("--ttl", ttl, Unit::Time)? as u64;
     let one = |s: &String| -> Result<(std::sync::Arc<str>, u32), Failure> {
         let (class, n) = s.split_once('=').ok_or_else(|| format!("'{s}' is not CLASS=SEATS"))?;
         Ok((class.into(), n.parse().map_err(|_| format!("'{n}' is no number of seats"))?))
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -245,6 +245,9 @@
         Ok(code) => code,
         Err(e) => {
             eprintln!("micadyke: {e}");
+            if let Some(advice) = ground::advice(&*e) {
+                eprintln!("{advice}");
+            }
             ExitCode::from(2)
         }
     }
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -1,8 +1,8 @@
 //! Membership of a process, and the command that shows a member's view.
 
-use crate::ground::{Failure, at, beside, checked, run, told};
+use crate::ground::{Failure, at, beside, checked, given, run, told};
 use micadyke_config::sexp;
-use micadyke_config::units::{Unit, quantity};
+use micadyke_config::units::Unit;
 use micadyke_membership::frame::{KEY, Seal};
 use micadyke_membership::news::News;
 use micadyke_membership::shell::Part;
@@ -181,7 +181,7 @@
 ) -> Result<ExitCode, Failure> {
     // Any member's name does: only fleet and key are used.
     let Member { seal, .. } = Member::load(membership, Some("asker"))?;
-    let wait = Duration::from_nanos(quantity(wait, Unit::Time).map_err(|e| format!("--wait: {e}"))? as u64);
+    let wait = Duration::from_nanos(given("--wait", wait, Unit::Time)? as u64);
     loop {
         let (summary, rows) = run(shell::look(address, &seal, wait))??;
         match json {
--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -212,7 +212,7 @@
         for &i in self.running.keys().filter(|i| !self.stopped.contains(i)) {
             let (summary, rows) = match look(self.listen[i], &self.seal, Duration::from_secs(2)).await {
                 Ok(view) => view,
-                Err(e) => return Some(e),
+                Err(e) => return Some(e.to_string()),
             };
             let alive = rows.iter().filter(|r| format!("{:?}", r.state) == "Alive").map(|r| &r.member);
             let alive: Vec<_> = alive.chain([&summary.me]).collect();
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -134,3 +134,23 @@
     assert_eq!(refused.status.code(), Some(2));
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+#[test]
+fn a_failure_says_beneath_it_what_can_be_done() {
+    let issuer = ["issuer", "--seats", "film=1", "--listen", "127.0.0.1:0", "--ttl", "250"];
+    let dir = std::env::temp_dir().join(format!("micadyke-advice-{}", std::process::id()));
+    std::fs::write(&dir, "(membership (fleet \"f\") (name \"n\") (key-file \"k\"))").expect("it is written");
+    let file = dir.to_str().expect("a path");
+    let ill = ["members", "--at", "127.0.0.1:9", "--membership", file];
+    for (args, what, advice) in [
+        (&issuer[..], "micadyke: --ttl: '250' has no unit", "Write one of the units named"),
+        (&ill[..], "lacks its 'listen'", "micadyke check FILE"),
+    ] {
+        let out = Command::new(BINARY).args(args).output().expect("it runs");
+        let told = String::from_utf8_lossy(&out.stderr);
+        let lines: Vec<&str> = told.lines().collect();
+        assert!(out.status.code() == Some(2) && lines[0].contains(what), "{out:?}");
+        assert!(lines.last().is_some_and(|l| l.contains(advice)), "{out:?}");
+    }
+    std::fs::remove_file(&dir).expect("it was written");
+}
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -24,6 +24,13 @@
 
 impl std::error::Error for Diagnostic {}
 
+impl Diagnostic {
+    /// What an operator can do.
+    pub fn advice(&self) -> &'static str {
+        "Correct the file at the place named; 'micadyke check FILE' reads it through and starts nothing."
+    }
+}
+
 /// The faults found so far in one file.
 #[derive(Debug)]
 pub struct Faults {
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -197,3 +197,24 @@
         assert!(said.iter().zip(notes).all(|(s, n)| s.contains(n)), "{said:?}");
     }
 }
+
+#[test]
+fn every_fault_of_a_quantity_says_what_would_do() {
+    use micadyke_config::units::{Unit, quantity};
+    // Each kind once.
+    let table = [
+        ("soon", Unit::Time, "'soon' is not a time", "as in 250ms"),
+        ("-1s", Unit::Time, "below 0", "0 or more"),
+        ("250", Unit::Time, "'250ms' or '250s'?", "units named"),
+        ("250", Unit::Rate, "has no unit (units: B/s", "units named"),
+        ("2s", Unit::Number, "has a unit ('s')", "Leave the unit away"),
+        ("2kB", Unit::Time, "'kB' is no unit of a time", "large and small letters"),
+        ("999999999999d", Unit::Time, "too large", "Write less"),
+    ];
+    let mut kinds = std::collections::HashSet::new();
+    for (text, unit, what, advice) in table {
+        let fault = quantity(text, unit).expect_err(text);
+        assert!(fault.to_string().contains(what) && fault.advice().contains(advice), "{fault}");
+        assert!(kinds.insert(std::mem::discriminant(&fault)), "{fault}: a kind of its own");
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod book;
 mod carrier;
+mod error;
 pub mod frame;
 mod identity;
 mod io;
@@ -28,6 +29,7 @@
 mod topic;
 mod view;
 
+pub use error::Error;
 pub use identity::{MOST_MEMBERS, Member, NAME};
 #[doc(hidden)]
 pub use io::Feature;
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -1,5 +1,6 @@
 //! The UDP around a view: a socket, a clock and a word when it changes; no choices.
 
+use crate::error::Error;
 use crate::frame::{LONGEST, Seal};
 use crate::identity::Member;
 use crate::io::{Change, Input, Output};
@@ -66,10 +67,9 @@
 pub async fn run(
     settings: Settings, seal: Seal, seed: u64, mut news: mpsc::Receiver<News>, mut post: Post,
     mut stop: oneshot::Receiver<()>, mut told: impl FnMut(&Change, Instant),
-) -> Result<(), String> {
+) -> Result<(), Error> {
     let listen = settings.listen;
-    let socket =
-        UdpSocket::bind(listen).await.map_err(|e| format!("membership cannot listen on {listen}: {e}"))?;
+    let socket = UdpSocket::bind(listen).await.map_err(|why| Error::Listen { at: listen, why })?;
     let started = settings.start.unwrap_or_else(by_clock);
     let clock = Instant::now();
     let now = || clock.elapsed().as_nanos() as Nanos;
@@ -199,24 +199,23 @@
 /// # Errors
 ///
 /// Where nobody answers within `limit`, or what answers is not of this fleet.
-pub async fn look(at: SocketAddr, seal: &Seal, limit: Duration) -> Result<(Summary, Vec<Row>), String> {
+pub async fn look(at: SocketAddr, seal: &Seal, limit: Duration) -> Result<(Summary, Vec<Row>), Error> {
     let any: SocketAddr = if at.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
-    let socket = UdpSocket::bind(any).await.map_err(|e| format!("no socket: {e}"))?;
-    socket.connect(at).await.map_err(|e| format!("{at}: {e}"))?;
+    let socket = UdpSocket::bind(any).await.map_err(Error::Socket)?;
+    socket.connect(at).await.map_err(|why| Error::NoWay { at, why })?;
     let asker = Member::new("asker", any, 0);
     let until = Instant::now() + limit;
     let (mut summary, mut rows) = (None, Vec::new());
     for number in 0..PAGES {
-        let Page { more, summary: first, rows: some, .. } = page(&socket, seal, &asker, number, until)
-            .await
-            .ok_or_else(|| format!("{at} does not answer: no member there, or of another fleet or key"))?;
+        let Page { more, summary: first, rows: some, .. } =
+            page(&socket, seal, &asker, number, until).await.ok_or(Error::Silent { at })?;
         summary = summary.or(first);
         rows.extend(some);
         if !more {
             break;
         }
     }
-    let summary = summary.ok_or_else(|| format!("{at} sent no first page"))?;
+    let summary = summary.ok_or(Error::NoSummary { at })?;
     Ok((summary, rows))
 }
 
--- a/crates/membership/tests/settings.rs
+++ b/crates/membership/tests/settings.rs
@@ -50,3 +50,22 @@
         assert!(faults.iter().any(|f| f.to_string().contains(what)), "{text}: {faults:?}");
     }
 }
+
+#[test]
+fn every_error_says_what_can_be_done() {
+    use micadyke_membership::Error;
+    let at = ([10, 0, 0, 4], 7946).into();
+    let why = || std::io::Error::from(std::io::ErrorKind::AddrInUse);
+    let all = [
+        (Error::Listen { at, why: why() }, "cannot listen on 10.0.0.4:7946", "'listen'"),
+        (Error::Socket(why()), "no socket", "descriptors"),
+        (Error::NoWay { at, why: why() }, "10.0.0.4:7946: ", "way"),
+        (Error::Silent { at }, "does not answer", "'key-file'"),
+        (Error::NoSummary { at }, "no first page", "another member"),
+    ];
+    let mut kinds = std::collections::HashSet::new();
+    for (error, what, advice) in all {
+        assert!(error.to_string().contains(what) && error.advice().contains(advice), "{error}");
+        assert!(kinds.insert(std::mem::discriminant(&error)), "{error}: a kind of its own");
+    }
+}
