--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,14 @@
-//! `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`: what parts of cold budgets are good for, as a table.
+//! Tables: `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`, what parts of cold budgets are good for; `subsets [SEEDS]`, ways
+//! to draw working subsets; `turns [SEEDS]`, who looks at a silent server; `damped [SEEDS]`, shared figures and who answers.
+//! `micadyke-lab waits [SEEDS [PRICE [MEMBERS [TIMES]]]]`: how much of an oracle's worth learned deadlines reach, as a table;
+//! the price of a second in whole answers, with 60 and 300 members or one of them alone, and
+//! one kind of times alone.
+//! `micadyke-lab splits [SPLITS]`: splits under load with faults, as a table.
 
-use micadyke_lab::fleet::{Fleet, Parts, Plan, SECOND};
+use micadyke_lab::choices::{self, DRAWS, Followed, Follows};
+use micadyke_lab::fleet::{Fleet, MS, Parts, Plan, SECOND};
+use micadyke_lab::splits::{self, FAULTS, Outcome, Splits};
+use micadyke_lab::waits::{self, Times};
 
 /// A run is watched for so long after its fault.
 const WATCHED: usize = 60;
@@ -79,13 +87,221 @@
     }
 }
 
+/// The columns of a row, each with its mean and interval over the seeds, side by side on all cores.
+fn row<const N: usize>(seeds: u64, one: impl Fn(u64) -> [f64; N] + Sync) -> String {
+    let runs: Vec<[f64; N]> = std::thread::scope(|s| {
+        let all: Vec<_> = (1..=seeds)
+            .map(|seed| {
+                s.spawn({
+                    let one = &one;
+                    move || one(seed)
+                })
+            })
+            .collect();
+        all.into_iter().filter_map(|r| r.join().ok()).collect()
+    });
+    let columns = (0..N).map(|i| {
+        let (mean, half) = mean(&runs.iter().map(|r| r[i]).collect::<Vec<_>>());
+        format!("{mean:.2} ± {half:.2}")
+    });
+    columns.collect::<Vec<_>>().join(" | ")
+}
+
+fn head(columns: &str) {
+    println!("| {columns} |");
+    println!("|{}", " --- |".repeat(columns.split(" | ").count()));
+}
+
+const SIZES: [usize; 3] = [60, 300, 2_400];
+const SERVERS: usize = 200;
+
+fn subsets(seeds: u64) {
+    head(
+        "nodes | subsets | servers a node: mean | most | load, most over mean | p99 over mean | own zone | join moves, over least | 7 in 10 killed move, of what stays | most over mean then",
+    );
+    for nodes in SIZES {
+        for draw in DRAWS {
+            let columns = row(seeds, |seed| {
+                let c = choices::compare(draw, seed, nodes, SERVERS);
+                [
+                    c.connections,
+                    c.connections_most,
+                    c.most,
+                    c.p99,
+                    c.own_zone,
+                    c.join,
+                    c.killed,
+                    c.most_killed,
+                ]
+            });
+            println!("| {nodes} | {} | {columns} |", draw.name());
+        }
+    }
+    println!();
+    head("nodes | servers of one zone gone | its traffic that spills | load, most over mean");
+    for nodes in SIZES {
+        for gone in [0.0, 0.2, 0.5, 1.0] {
+            let columns = row(seeds, |seed| {
+                let (spill, most) = choices::short_zone(seed, nodes, SERVERS, gone);
+                [spill, most]
+            });
+            println!("| {nodes} | {gone} | {columns} |");
+        }
+    }
+}
+
+fn turns(seeds: u64) {
+    head(
+        "nodes | gone, still in the view | who looks | calls a second while silent | s until the first knows | s until 99 in 100 know",
+    );
+    for nodes in SIZES {
+        for gone in [0, 7] {
+            for (by_turns, who) in [(false, "each by itself"), (true, "by turns")] {
+                let columns = row(seeds, |seed| {
+                    let l = choices::look(by_turns, seed, nodes, gone);
+                    [l.calls, l.first, l.known]
+                });
+                println!("| {nodes} | {gone} in 10 | {who} | {columns} |");
+            }
+        }
+    }
+}
+
+fn damped(seeds: u64) {
+    head("session, s | lag, s | figures are answered | by | load, most over share | swing");
+    let law = micadyke_subset::Law::default();
+    for (life, lags) in [(60.0, vec![1, 16]), (5.0, vec![1, 4, 8, 16])] {
+        for lag in lags.into_iter().map(|quarters| quarters * SECOND / 4) {
+            let rows = [
+                (Follows::Nobody, 1.0, law),
+                (Follows::Whole, 1.0, law),
+                (Follows::Own, 1.0, law),
+                (Follows::Own, 0.7, law),
+                (Follows::Own, 0.3, law),
+                (Follows::Own, 1.0, micadyke_subset::Law { gain: 30.0, ..law }),
+            ];
+            for (follows, part, law) in rows {
+                let columns = row(seeds, |seed| {
+                    let run = Followed { follows, part, lag, life, law };
+                    let s = choices::follow(&run, seed, 300, SERVERS);
+                    [s.most, s.swing]
+                });
+                let what = match follows {
+                    Follows::Nobody => "not".to_owned(),
+                    Follows::Whole => "whole, at once".to_owned(),
+                    Follows::Own => format!("own part, gain {}", law.gain),
+                };
+                println!("| {life} | {} | {what} | {part} | {columns} |", lag as f64 / SECOND as f64);
+            }
+        }
+    }
+}
+
+fn waits(seeds: u64, price: f64, only: u64, like: &str) {
+    println!(
+        "| members | times | rule | steady | 1st hundred after all took thrice | 2nd hundred | 2nd hundred after the return | whole run |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for members in [60, 300].into_iter().filter(|m| only == 0 || *m as u64 == only) {
+        for times in Times::ALL.into_iter().filter(|t| format!("{t:?}").starts_with(like)) {
+            let runs: Vec<_> = std::thread::scope(|s| {
+                let all: Vec<_> = (1..=seeds)
+                    .map(|seed| s.spawn(move || waits::shares(members, times, price, seed)))
+                    .collect();
+                all.into_iter().filter_map(|r| r.join().ok()).collect()
+            });
+            for (i, rule) in waits::Rule::ALL.iter().enumerate() {
+                let of = |column: usize| {
+                    let (mean, half) =
+                        mean(&runs.iter().map(|r: &Vec<[f64; 5]>| r[i][column]).collect::<Vec<_>>());
+                    format!("{mean:.3} ± {half:.3}")
+                };
+                let columns: Vec<String> = (0..5).map(of).collect();
+                println!("| {members} | {times:?} | {rule} | {} |", columns.join(" | "));
+            }
+        }
+    }
+}
+
+/// One hundredth, and half, of what was measured is at least so much, in units of `unit`.
+fn quantiles(mut all: Vec<u64>, unit: u64) -> [f64; 2] {
+    all.sort_unstable();
+    [0.5, 0.99].map(|q| {
+        all.get(((all.len() as f64 * q) as usize).min(all.len().saturating_sub(1)))
+            .map_or(f64::NAN, |t| *t as f64 / unit as f64)
+    })
+}
+
+fn splits(count: u64) {
+    println!(
+        "| fault | splits | harmed | through | went back | flagged | false flags | missed faults | whole answers | wrong | turned away | s to cut over p50, p99 | ms whole p50, p99 | ms read twice p50, p99 | slower |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let each = count.div_ceil(FAULTS.len() as u64);
+    for fault in FAULTS {
+        let plan =
+            |seed| splits::Plan { seed, fault, entries: 2_000, asked: 300, written: 60, without: None };
+        let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64).min(each.max(1));
+        let runs: Vec<Outcome> = std::thread::scope(|s| {
+            let some = |t| {
+                move || {
+                    (t..each)
+                        .step_by(threads as usize)
+                        .map(|n| Splits::new(plan(n + 1)).run())
+                        .collect::<Vec<_>>()
+                }
+            };
+            let all: Vec<_> = (0..threads).map(|t| s.spawn(some(t))).collect();
+            all.into_iter().filter_map(|r| r.join().ok()).flatten().collect()
+        });
+        let sum = |f: fn(&Outcome) -> usize| runs.iter().map(f).sum::<usize>();
+        let all = |i: usize| runs.iter().flat_map(|r| r.took[i].iter().copied()).collect::<Vec<_>>();
+        let [t50, t99] = quantiles(runs.iter().filter_map(|r| r.through).collect(), SECOND / 10);
+        let ([w50, w99], [r50, r99]) = (quantiles(all(0), MS / 100), quantiles(all(2), MS / 100));
+        let slower = all(2).iter().filter(|t| **t as f64 > w99 * (MS / 100) as f64).count() as f64
+            / all(2).len().max(1) as f64;
+        println!(
+            "| {fault:?} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {:.1}, {:.1} | {:.2}, {:.2} | {:.2}, {:.2} | {:.1}% |",
+            runs.len(),
+            sum(|r| usize::from(r.harmed > 0)),
+            sum(|r| usize::from(r.through.is_some())),
+            sum(|r| r.back.len()),
+            sum(|r| r.flags()),
+            sum(|r| if r.harmed == 0 { r.flags() } else { 0 }),
+            sum(|r| usize::from(r.missing > 0)),
+            sum(|r| r.whole as usize),
+            sum(|r| r.wrong as usize),
+            sum(|r| r.turned_away as usize),
+            t50 / 10.0,
+            t99 / 10.0,
+            w50 / 100.0,
+            w99 / 100.0,
+            r50 / 100.0,
+            r99 / 100.0,
+            100.0 * slower
+        );
+    }
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let number = |i: usize, usual: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(usual);
     match args.first().map(String::as_str) {
         Some("parts") => parts(number(1, 60) as usize, number(2, 40) as u32, number(3, 10)),
+        Some("subsets") => subsets(number(1, 10)),
+        Some("turns") => turns(number(1, 10)),
+        Some("damped") => damped(number(1, 10)),
+        Some("waits") => waits(
+            number(1, 10),
+            number(2, 1) as f64 / 1e3,
+            number(3, 0),
+            args.get(4).map_or("", String::as_str),
+        ),
+        Some("splits") => splits(number(1, 1_000)),
         _ => {
-            eprintln!("micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]");
+            eprintln!(
+                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | waits [SEEDS [PRICE [MEMBERS [TIMES]]]] | splits [SPLITS]"
+            );
             std::process::exit(2);
         }
     }
