Directory of sessions: answers that are whole only where each book is accounted for

Nobody could ask the fleet where a title plays, whether a viewer plays already, what a server carries, nor end a withdrawn title everywhere. The directory is a state machine without I/O or clock: each node's own book is the truth, two owners of each key (rendezvous, or any map behind the trait) keep copies that beats compare by digests of ranges. An owner accounts for a member's book only as of a time it knows by its own clock from an echo; Whole and Partial are types that one function makes.

--- /dev/null
+++ b/crates/directory/src/answer.rs
@@ -0,0 +1,163 @@
+//! Answers, and how much they are worth.
+
+use crate::{Key, Nanos};
+
+/// Sessions of a key at a server, as a node's book had them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// The node.
+    pub node: String,
+    /// Its start.
+    pub start: u64,
+    /// The change of its book that made it so.
+    pub seq: u64,
+    /// The server; empty where the key is one.
+    pub at: String,
+    /// How many sessions.
+    pub count: u32,
+    /// When its node last vouched for it, at most: so long before the answer, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Why a question was over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// Each living member's book is accounted for.
+    Covered,
+    /// All that were asked have answered, and some books are not accounted for.
+    AllAnswered,
+    /// What was missing was not worth the wait.
+    NotWorth,
+    /// The asker's patience was over.
+    Patience,
+    /// Those that had not answered were given up by the view.
+    Gone,
+}
+
+impl std::fmt::Display for Why {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Why::Covered => "each living member's book is accounted for",
+            Why::AllAnswered => "all that were asked have answered",
+            Why::NotWorth => "what was missing was not worth the wait",
+            Why::Patience => "the asker's patience was over",
+            Why::Gone => "who had not answered was given up",
+        })
+    }
+}
+
+/// How an answer came about.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    /// What was asked.
+    pub key: Key,
+    /// Who was asked.
+    pub asked: Vec<String>,
+    /// Who answered.
+    pub answered: Vec<String>,
+    /// Who had too much to do.
+    pub busy: Vec<String>,
+    /// Living members in the asker's view, itself included.
+    pub members: usize,
+    /// Members whose books are accounted for.
+    pub covered: usize,
+    /// The oldest word of a member's book that counts in it, in milliseconds.
+    pub oldest_ms: u64,
+    /// Lines were left out: there are more than an answer holds.
+    pub cut: bool,
+    /// When it was asked.
+    pub asked_at: Nanos,
+    /// When it was to be over.
+    pub deadline: Nanos,
+    /// When it was over.
+    pub ended_at: Nanos,
+    /// Why then.
+    pub ended: Why,
+}
+
+impl Report {
+    /// The part of the living members whose books are accounted for, 0 to 1.
+    pub fn weight(&self) -> f64 {
+        self.covered as f64 / self.members.max(1) as f64
+    }
+}
+
+/// An answer in which the book of each living member is accounted for. Nothing but the directory makes one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Whole {
+    entries: Vec<Entry>,
+    report: Report,
+}
+
+/// An answer in which books are missing, or lines. It says at least what it says; what it does not say may be.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Partial {
+    entries: Vec<Entry>,
+    report: Report,
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// Each living member's book is accounted for.
+    Whole(Whole),
+    /// Some are not.
+    Partial(Partial),
+}
+
+impl Whole {
+    /// Where it plays, as of the age of each.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// How many sessions there are.
+    pub fn sum(&self) -> u64 {
+        sum(&self.entries)
+    }
+
+    /// How it came about.
+    pub fn report(&self) -> &Report {
+        &self.report
+    }
+}
+
+impl Partial {
+    /// Where it plays at least.
+    pub fn at_least(&self) -> &[Entry] {
+        &self.entries
+    }
+
+    /// How many sessions there are at least.
+    pub fn sum_at_least(&self) -> u64 {
+        sum(&self.entries)
+    }
+
+    /// How it came about.
+    pub fn report(&self) -> &Report {
+        &self.report
+    }
+}
+
+fn sum(entries: &[Entry]) -> u64 {
+    entries.iter().map(|e| u64::from(e.count)).sum()
+}
+
+impl Answer {
+    /// The one place in which an answer becomes whole, or does not.
+    pub(crate) fn judge(entries: Vec<Entry>, report: Report) -> Self {
+        if report.covered == report.members && !report.cut && report.members > 0 {
+            Answer::Whole(Whole { entries, report })
+        } else {
+            Answer::Partial(Partial { entries, report })
+        }
+    }
+
+    /// How it came about.
+    pub fn report(&self) -> &Report {
+        match self {
+            Answer::Whole(whole) => whole.report(),
+            Answer::Partial(partial) => partial.report(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/directory/src/asking.rs
@@ -0,0 +1,243 @@
+//! Questions that this member asked: what has arrived, what is missing, and when the wait is over.
+
+use crate::answer::{Answer, Entry, Report, Why};
+use crate::wire::Row;
+use crate::{Key, MS, Nanos};
+use micadyke_deadline::{Deadline, Open, Waited};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Pages of an answer at most: a title that plays at more servers and nodes than these hold is told in part.
+pub(crate) const PAGES: usize = 16;
+
+/// Pages of one owner's answer so far.
+#[derive(Debug, Default)]
+struct Pages {
+    seen: BTreeSet<u8>,
+    of: u8,
+    covered: Option<Vec<u8>>,
+    oldest_ms: u64,
+    rows: Vec<Row>,
+}
+
+/// A page that came.
+pub(crate) struct Page {
+    pub page: u8,
+    pub pages: u8,
+    pub cut: bool,
+    pub covered: Option<Vec<u8>>,
+    pub oldest_ms: u64,
+    pub rows: Vec<Row>,
+}
+
+/// A question.
+#[derive(Debug)]
+pub(crate) struct Question {
+    pub key: Key,
+    asked_at: Nanos,
+    limit: Nanos,
+    pub until: Nanos,
+    /// Its answer was given; it stays for those that answer late.
+    pub closed: Option<Nanos>,
+    waited: Vec<Waited>,
+    /// Who was given up by the view.
+    gone: BTreeSet<String>,
+    busy: BTreeSet<String>,
+    pages: BTreeMap<String, Pages>,
+    /// Rows by node and server; whether who told a row vouched for its node's book as well.
+    rows: BTreeMap<(String, String), (bool, Row)>,
+    me: String,
+    /// Those that lived when it was asked, by name, and whether their books are accounted for.
+    roster: Vec<(String, bool)>,
+    oldest_ms: u64,
+    cut: bool,
+    /// How late the own loop was since it was asked.
+    pub own_delay: Nanos,
+}
+
+impl Question {
+    /// A question to these, in a view of those; the asker's own rows are told at once.
+    pub fn new(
+        key: Key, now: Nanos, limit: Nanos, waited: Vec<Waited>, roster: Vec<String>, me: &str, own: Vec<Row>,
+    ) -> Self {
+        let roster = roster.into_iter().map(|n| (n == me, n)).map(|(own, n)| (n, own)).collect();
+        let rows = own.into_iter().map(|r| ((r.node.clone(), r.at.clone()), (true, r))).collect();
+        Question {
+            key,
+            asked_at: now,
+            limit,
+            until: limit,
+            closed: None,
+            waited,
+            gone: BTreeSet::new(),
+            busy: BTreeSet::new(),
+            pages: BTreeMap::new(),
+            rows,
+            me: me.to_owned(),
+            roster,
+            oldest_ms: 0,
+            cut: false,
+            own_delay: 0,
+        }
+    }
+
+    pub fn limit(&self) -> Nanos {
+        self.limit
+    }
+
+    /// Asks the deadline anew.
+    pub fn reckon(&mut self, now: Nanos, deadline: &mut dyn Deadline) {
+        // Who was given up is not waited for; what is known here came from nobody.
+        let others = self.waited.iter().filter(|w| w.name != self.me);
+        let waited = others.filter(|w| !self.gone.contains(&w.name) && !self.busy.contains(&w.name));
+        let waited = waited.cloned().collect();
+        let open = Open { kind: self.key.parts().0, asked_at: self.asked_at, limit: self.limit, waited };
+        self.until = deadline.until(now, &open).min(self.limit);
+    }
+
+    fn arrived(&mut self, now: Nanos, from: &str, deadline: &mut dyn Deadline) {
+        let (kind, took, own) = (self.key.parts().0, now - self.asked_at, self.own_delay);
+        let Some(waited) = self.waited.iter_mut().find(|w| w.name == from && w.arrived.is_none()) else {
+            return;
+        };
+        waited.arrived = Some(now);
+        if from != self.me {
+            deadline.arrived(kind, from, &waited.zone, took, own);
+        }
+        if self.closed.is_none() {
+            self.reckon(now, deadline);
+        }
+    }
+
+    /// Takes a page of an owner's answer; late ones count for learning alone.
+    pub fn page(&mut self, now: Nanos, from: &str, page: Page, deadline: &mut dyn Deadline) {
+        let asked = self.waited.iter().any(|w| w.name == from && w.arrived.is_none());
+        if !asked || page.pages == 0 || page.page >= page.pages || usize::from(page.pages) > PAGES {
+            return;
+        }
+        let pages = self.pages.entry(from.to_owned()).or_default();
+        if !pages.seen.insert(page.page) {
+            return;
+        }
+        pages.of = page.pages;
+        if page.page == 0 {
+            (pages.covered, pages.oldest_ms) = (page.covered, page.oldest_ms);
+        }
+        if self.closed.is_none() {
+            pages.rows.extend(page.rows);
+            self.cut |= page.cut;
+        }
+        if pages.seen.len() == usize::from(pages.of) {
+            self.complete(from);
+            self.arrived(now, from, deadline);
+        }
+    }
+
+    /// All pages of an owner are there.
+    fn complete(&mut self, from: &str) {
+        let Some(pages) = self.pages.get_mut(from).filter(|_| self.closed.is_none()) else { return };
+        let (bits, rows) = (pages.covered.take().unwrap_or_default(), std::mem::take(&mut pages.rows));
+        let covers = |place: usize| bits.get(place / 8).is_some_and(|b| b >> (place % 8) & 1 == 1);
+        let vouched = |row: &Row| self.roster.binary_search_by(|r| r.0.cmp(&row.node)).is_ok_and(covers);
+        let rows: Vec<(bool, Row)> = rows.into_iter().map(|r| (vouched(&r), r)).collect();
+        rows.into_iter().for_each(|r| self.row(r));
+        let oldest_ms = self.pages.get(from).map_or(0, |p| p.oldest_ms);
+        for (_, held) in self.roster.iter_mut().enumerate().filter(|(place, _)| covers(*place)) {
+            held.1 = true;
+            self.oldest_ms = self.oldest_ms.max(oldest_ms);
+        }
+    }
+
+    fn row(&mut self, (vouched, row): (bool, Row)) {
+        // Of the own book nobody else is heard.
+        if row.node == self.me {
+            return;
+        }
+        let place = (row.node.clone(), row.at.clone());
+        let rank = |vouched: bool, row: &Row| (vouched, row.start, row.seq);
+        if self.rows.get(&place).is_none_or(|held| rank(held.0, &held.1) < rank(vouched, &row)) {
+            self.rows.insert(place, (vouched, row));
+        }
+    }
+
+    /// It has too much to do.
+    pub fn busy(&mut self, now: Nanos, from: &str, deadline: &mut dyn Deadline) {
+        if self.waited.iter().any(|w| w.name == from) {
+            self.busy.insert(from.to_owned());
+            self.arrived(now, from, deadline);
+        }
+    }
+
+    /// The view gave it up.
+    pub fn gone(&mut self, name: &str) {
+        self.gone.insert(name.to_owned());
+    }
+
+    /// Why it is over, if it is.
+    pub fn over(&self, now: Nanos) -> Option<Why> {
+        let lives = |name: &str| !self.gone.contains(name);
+        if !self.cut && self.roster.iter().all(|(name, covered)| *covered || !lives(name)) {
+            return Some(Why::Covered);
+        }
+        let mut missing = self.waited.iter().filter(|w| w.arrived.is_none());
+        if missing.clone().next().is_none() {
+            return Some(Why::AllAnswered);
+        }
+        if missing.all(|w| !lives(&w.name)) {
+            return Some(Why::Gone);
+        }
+        let timed = if self.until >= self.limit { Why::Patience } else { Why::NotWorth };
+        (now >= self.until).then_some(timed)
+    }
+
+    /// What has arrived.
+    pub fn answer(&mut self, now: Nanos, ended: Why, without_judgement: bool) -> Answer {
+        self.closed = Some(now);
+        // Pages of those that have not told all: rows that nobody vouches for.
+        let rest = self.pages.values_mut().flat_map(|p| std::mem::take(&mut p.rows));
+        let rest: Vec<Row> = rest.collect();
+        rest.into_iter().for_each(|r| self.row((false, r)));
+        let required = || self.roster.iter().filter(|r| !self.gone.contains(&r.0));
+        let members = required().count();
+        let covered = required().filter(|r| r.1).count();
+        let names =
+            |of: &dyn Fn(&&Waited) -> bool| self.waited.iter().filter(of).map(|w| w.name.clone()).collect();
+        let report = Report {
+            key: self.key.clone(),
+            asked: names(&|_| true),
+            answered: names(&|w| w.arrived.is_some() && !self.busy.contains(&w.name)),
+            busy: self.busy.iter().cloned().collect(),
+            members,
+            covered: if without_judgement { members } else { covered },
+            oldest_ms: self.oldest_ms,
+            cut: self.cut,
+            asked_at: self.asked_at,
+            deadline: self.until,
+            ended_at: now,
+            ended,
+        };
+        let wait_ms = now.saturating_sub(self.asked_at) / MS;
+        // Where a book is accounted for, only what came with that word counts: the rest may be over. So with all where all
+        // are; who was given up meanwhile is in no whole answer.
+        let whole = covered == members && !self.cut;
+        let place = |node: &str| self.roster.binary_search_by(|r| r.0.as_str().cmp(node));
+        let hint = |node: &str| !whole && place(node).map_or(true, |n| !self.roster[n].1);
+        let rows = std::mem::take(&mut self.rows).into_values().filter(|r| r.0 || hint(&r.1.node));
+        let rows = rows.map(|r| r.1).filter(|r| r.count > 0);
+        let entry = |r: Row| Entry {
+            node: r.node,
+            start: r.start,
+            seq: r.seq,
+            at: r.at,
+            count: r.count,
+            age_ms: r.age_ms.saturating_add(wait_ms),
+        };
+        Answer::judge(rows.map(entry).collect(), report)
+    }
+
+    /// It is forgotten: who never answered is told to the deadline.
+    pub fn forget(&self, now: Nanos, deadline: &mut dyn Deadline) {
+        for w in self.waited.iter().filter(|w| w.arrived.is_none() && !self.gone.contains(&w.name)) {
+            deadline.missed(self.key.parts().0, &w.name, &w.zone, now.saturating_sub(self.asked_at));
+        }
+    }
+}
