Node tells the directory of its sessions and ends what is withdrawn; micadyke ask

The directory had no node under it. With a form (directory ...) beside (membership ...) a node tells it what stands and what is over, ends sessions of what was withdrawn towards server and viewer, and says what is left: set-ups that are open and ends that no server has confirmed. Its words travel as membership's letters. micadyke ask prints answers, partial ones with words of their own and exit 3, withdraws, lifts and accounts, at a desk that only opens where the settings name an address. Without the form nothing is opened, sent or booked.

Not yet run between processes.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -190,7 +190,8 @@
     }
     let questions = record.map(|path| Questions::append(path).map_err(at(path))).transpose()?;
     let member = membership.map(|file| Member::load(file, None)).transpose()?;
-    let (neighbours, others) = crate::members::others(member.as_ref());
+    let (mut neighbours, others) = crate::members::others(member.as_ref());
+    neighbours.without_directory();
     let parts = others.and_then(|o| o.parts);
     let extras = Extras { seats, bound, entitlements, questions, parts };
     run(with_member(member, neighbours, async {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command `micadyke`: the front, its stand-ins, the check of settings.
 
 mod commands;
+mod desk;
 mod members;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -39,6 +40,16 @@
     Cmcd,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum About {
+    /// Where a title plays.
+    Title,
+    /// Whether a viewer plays, and where.
+    Viewer,
+    /// What a server carries.
+    Server,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 enum LogForm {
     Text,
@@ -89,6 +100,36 @@
         #[arg(long, value_name = "TIME", default_value = "3s")]
         wait: String,
     },
+    /// Ask the directory of sessions that the nodes keep among themselves; exit 3 where the answer is partial, or a
+    /// withdrawal has not ended everywhere.
+    Ask {
+        /// What is asked about.
+        #[arg(value_enum)]
+        kind: About,
+        /// The title, the viewer, the server's id; the member for `--accounted`.
+        text: String,
+        /// A node's desk, as its settings of the directory say.
+        #[arg(long, value_name = "ADDR")]
+        at: SocketAddr,
+        /// Any member's settings: they name the fleet and its key.
+        #[arg(long, value_name = "FILE")]
+        membership: PathBuf,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+        /// How long to wait for an answer.
+        #[arg(long, value_name = "TIME", default_value = "5s")]
+        wait: String,
+        /// End all its sessions, everywhere, those that start within this time as well; said again, tells how far it is.
+        #[arg(long, value_name = "TIME")]
+        withdraw: Option<String>,
+        /// Lift a withdrawal.
+        #[arg(long, conflicts_with = "withdraw")]
+        lift: bool,
+        /// No server holds a session of this start of the member any more.
+        #[arg(long, value_name = "START", conflicts_with_all = ["withdraw", "lift"])]
+        accounted: Option<u64>,
+    },
     /// Run a front and stand-in boxes in one process on loopback, until interrupted.
     Demo {
         /// Where the front listens; port 0: any free one.
@@ -214,6 +255,15 @@
         Command::Members { at, membership, json, watch, wait } => {
             members::members(at, &membership, json, watch, &wait)
         }
+        Command::Ask { kind, text, at, membership, json, wait, withdraw, lift, accounted } => {
+            let kind = match kind {
+                About::Title => "title",
+                About::Viewer => "viewer",
+                About::Server => "server",
+            };
+            let act = members::Act { withdraw, lift, accounted };
+            members::ask((kind, text), at, &membership, json, &wait, act)
+        }
         Command::Demo { listen } => commands::demo(listen),
         Command::Standin { config } => commands::standin(&config),
         Command::Issuer { listen, seats, ttl } => commands::issuer(listen, &seats, &ttl),
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -1,13 +1,15 @@
 //! Membership of a process, and the command that shows a member's view.
 
 use crate::commands::{Failure, at, beside, checked, run, told};
+use crate::desk::{self, Desk};
 use micadyke_config::sexp;
 use micadyke_config::units::{Unit, quantity};
+use micadyke_directory::settings::Terms;
 use micadyke_membership::frame::{KEY, Seal};
 use micadyke_membership::news::News;
 use micadyke_membership::shell::Part;
 use micadyke_membership::status::{Row, Summary};
-use micadyke_membership::{Change, MOST_MEMBERS, Post, Settings, shell};
+use micadyke_membership::{Change, Letter, MOST_MEMBERS, Post, Settings, shell};
 use micadyke_node::shell::Others;
 use micadyke_recovery::keeper::Keeper;
 use micadyke_recovery::phases::Fleet;
@@ -26,6 +28,8 @@
 pub struct Member {
     settings: Settings,
     seal: Seal,
+    /// A directory is kept with the others.
+    directory: Option<Terms>,
 }
 
 impl Member {
@@ -43,11 +47,12 @@
     pub fn load(file: &Path, name: Option<&str>) -> Result<Self, Failure> {
         let read = |text: &str, file: &str| micadyke_membership::settings::read(text, file, name);
         let settings = checked(file, read)?.map_err(told)?;
+        let directory = checked(file, micadyke_directory::settings::read)?.map_err(told)?;
         let path = beside(file, &settings.key_file);
         let key = std::fs::read(&path).map_err(at(&path))?;
         let seal = Seal::new(&settings.fleet, key.trim_ascii());
         let seal = seal.ok_or_else(|| format!("{}: a key of {KEY} bytes at least is due", path.display()))?;
-        Ok(Member { settings, seal })
+        Ok(Member { settings, seal, directory })
     }
 }
 
@@ -65,9 +70,24 @@
     tell: Option<mpsc::Receiver<News>>,
     fleet: Option<mpsc::Sender<Fleet>>,
     keeper: Option<Rc<Keeper>>,
+    directory: Option<Kept>,
+}
+
+/// A directory that is to run beside the member: its letters, and membership's end of them.
+struct Kept {
+    desk: Rc<Desk>,
+    letters: mpsc::Receiver<Letter>,
+    post: Post,
 }
 
 impl Neighbours {
+    /// No directory is kept: nothing here tells it of sessions.
+    pub fn without_directory(&mut self) {
+        if self.directory.take().is_some() {
+            tracing::warn!("no directory is kept here: only nodes have one");
+        }
+    }
+
     /// Each settled view is kept for the next start.
     pub fn keeps(&mut self, keeper: Rc<Keeper>) {
         self.keeper = Some(keeper);
@@ -89,14 +109,20 @@
     let (tell, news) = mpsc::channel(NEWS);
     let shares = member.settings.shares.is_some();
     let (seen, fleet) = mpsc::channel(FACTS);
+    let (mut kept, mut directed) = (None, None);
+    if let Some(terms) = &member.directory {
+        let (desk, way, letters, post) = desk::open(&member.settings.name, terms.clone());
+        (kept, directed) = (Some(Kept { desk, letters, post }), Some(way));
+    }
     let neighbours = Neighbours {
+        directory: kept,
         parts: Some(part),
         heard: Some(told),
         tell: Some(news),
         fleet: Some(seen),
         ..Neighbours::default()
     };
-    (neighbours, Some(Others { parts: shares.then_some(parts), heard, tell, fleet }))
+    (neighbours, Some(Others { parts: shares.then_some(parts), heard, tell, fleet, directory: directed }))
 }
 
 /// Runs a member beside `work`, where one is to run: it takes its leave when the work is over. Where it cannot listen,
@@ -104,12 +130,29 @@
 pub async fn with_member<T>(
     member: Option<Member>, neighbours: Neighbours, work: impl Future<Output = T>,
 ) -> Result<T, Failure> {
-    let Some(Member { settings, seal }) = member else { return Ok(work.await) };
+    let Some(Member { mut settings, seal, .. }) = member else { return Ok(work.await) };
     let (stop, stopped) = oneshot::channel();
-    let Neighbours { parts, heard, tell, fleet, keeper } = neighbours;
+    let Neighbours { parts, heard, tell, fleet, keeper, directory } = neighbours;
     let mut living = BTreeMap::from([(settings.name.clone(), settings.start.unwrap_or_default())]);
     let mut epoch = 0;
+    let (desk, post) = match directory {
+        Some(Kept { desk, letters, post }) => {
+            desk.starts(*settings.start.get_or_insert_with(shell::by_clock));
+            tokio::task::spawn_local(desk.clone().run(letters));
+            (Some(desk), post)
+        }
+        // Nothing stands on the view that would send letters.
+        None => (None, Post::pair().0),
+    };
+    let (tools, key) = (desk.clone(), seal.clone());
+    let tools = async move {
+        match tools {
+            Some(desk) => desk.listen(key).await,
+            None => std::future::pending().await,
+        }
+    };
     let told = move |change: &Change, zero: Instant| {
+        desk.iter().for_each(|d| d.seen(change));
         let mut facts = Vec::new();
         match change {
             Change::Up(m) | Change::Renewed { new: m, .. } => {
@@ -140,16 +183,18 @@
     };
     // Where nobody tells anything, the channel is closed and never heard of.
     let tell = tell.unwrap_or_else(|| mpsc::channel(1).1);
-    // Nothing stands on the view yet that would send letters.
-    let (post, _) = Post::pair();
     let view =
         tokio::task::spawn_local(shell::run(settings, seal, rand::random(), tell, post, stopped, told));
-    tokio::pin!(view, work);
+    tokio::pin!(view, work, tools);
     tokio::select! {
         ended = &mut view => {
             ended??;
             Err("membership ended by itself".into())
         }
+        failed = &mut tools => {
+            failed?;
+            Err("the directory's desk ended by itself".into())
+        }
         done = &mut work => {
             let _ = stop.send(());
             view.await??;
@@ -195,6 +240,50 @@
     }
 }
 
+/// What is to be done beyond asking.
+pub struct Act {
+    /// Withdraw, for this time.
+    pub withdraw: Option<String>,
+    /// Lift.
+    pub lift: bool,
+    /// A start of a member is accounted for.
+    pub accounted: Option<u64>,
+}
+
+/// Asks the directory.
+pub fn ask(
+    (kind, text): (&'static str, String), address: SocketAddr, membership: &Path, json: bool, wait: &str,
+    act: Act,
+) -> Result<ExitCode, Failure> {
+    let Member { seal, .. } = Member::load(membership, Some("asker"))?;
+    let time = |name: &str, text: &str| {
+        let time = quantity(text, Unit::Time).map_err(|e| format!("{name}: {e}"));
+        time.map(|t| Duration::from_nanos(t as u64))
+    };
+    let wait = time("--wait", wait)?;
+    let span = act.withdraw.as_deref().map(|t| time("--withdraw", t)).transpose()?;
+    let does = match (span, act.lift, act.accounted) {
+        (Some(_), ..) => Some("withdraw"),
+        (_, true, _) => Some("lift"),
+        (.., Some(_)) => Some("accounted"),
+        _ => None,
+    };
+    let (span, start) = (span.unwrap_or_default(), act.accounted.unwrap_or_default());
+    let wish = desk::Wish { kind, text, act: does, span, start };
+    let answer = run(desk::ask(address, &seal, &wish, wait))??;
+    match json {
+        true => println!("{answer}"),
+        false => print!("{}", desk::in_words(&answer)),
+    }
+    let told = &answer["answer"];
+    if let Some(error) = told["error"].as_str() {
+        let advice = told["advice"].as_str().unwrap_or_default();
+        return Err(format!("{error}\n{advice}").into());
+    }
+    let short = told["whole"] == false || told["ended_everywhere"] == false;
+    Ok(if short { ExitCode::from(3) } else { ExitCode::SUCCESS })
+}
+
 fn state(row: &Row) -> String {
     format!("{:?}", row.state).to_lowercase()
 }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -25,6 +25,8 @@
 
 /// Seeds at most.
 const SEEDS: usize = 64;
+/// Forms of others that may stand in the same file.
+const BESIDE: [&str; 1] = ["directory"];
 /// Rate of sending where none is stated, in bytes a second.
 const RATE: u64 = 64_000;
 
@@ -92,7 +94,10 @@
 /// Each fault with its place.
 pub fn read(text: &str, file: &str, name: Option<&str>) -> Result<Settings, Vec<Diagnostic>> {
     read_file(text, file, "the settings are incomplete", |nodes, faults| {
-        let forms: Vec<Form> = nodes.iter().filter_map(|n| Form::of(n, faults)).collect();
+        // What stands beside it is read by whose it is.
+        let beside = |f: &Form| BESIDE.contains(&f.word);
+        let forms: Vec<Form> =
+            nodes.iter().filter_map(|n| Form::of(n, faults)).filter(|f| !beside(f)).collect();
         let [form] = forms.as_slice() else {
             if let Some(more) = forms.get(1) {
                 more.fault("one form 'membership' is due, and no more");
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -7,6 +7,7 @@
 use crate::list::{Numbers, Row};
 use crate::recovering::Recovering;
 use micadyke::interface::*;
+use micadyke_directory as directory;
 use micadyke_isup as isup;
 use micadyke_rtsp::{Message, Parser};
 use micadyke_settings::{Names, Terms};
@@ -44,6 +45,10 @@
     pub(crate) title: TitleId,
     pub(crate) description: Vec<u8>,
     pub(crate) viewer: ConnId,
+    /// Its viewer's name, where the set-up tells one.
+    pub(crate) name: String,
+    /// As the directory was told of it.
+    pub(crate) indexed: Option<directory::Session>,
     pub(crate) rung: Option<Rung>,
     /// Number of the attempt, so that an old attempt's timer is told from a new one's.
     pub(crate) attempt: u32,
@@ -62,6 +67,8 @@
             title: wish.title.clone(),
             description: Vec::new(),
             viewer,
+            name: String::new(),
+            indexed: None,
             rung: None,
             attempt: 0,
             due: wish.give_up_at,
@@ -143,6 +150,10 @@
     pub(crate) hearsay: BTreeMap<ServerId, u64>,
     /// It comes back from before: its module is told of no server yet.
     pub(crate) recovering: Option<Recovering>,
+    /// There is a directory to tell of sessions.
+    pub(crate) directed: bool,
+    /// Sessions that a withdrawal ended and whose server has not confirmed it.
+    pub(crate) unconfirmed: BTreeMap<SessionId, (ServerId, directory::Session)>,
     /// It keeps lists for its next start.
     pub(crate) keeps: bool,
     /// Servers count as started then at the earliest.
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -57,6 +57,8 @@
             version: 0,
             hearsay: BTreeMap::new(),
             recovering: None,
+            directed: false,
+            unconfirmed: BTreeMap::new(),
             keeps: false,
             cold_from: 0,
             looks: (care::LOOKS, now),
@@ -134,6 +136,7 @@
                 self.events.push_back(Event::Part { always, leased, until });
             }
             Input::Heard(news) => self.heard_of(news),
+            Input::End(what) => self.end_all(what),
             Input::Fleet(fact) => self.recover(fact.heard()),
             Input::Stop => {
                 if self.stopping.is_none() {
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -1,6 +1,7 @@
 //! What goes into the core and what comes out of it.
 
 use micadyke::interface::Nanos;
+use micadyke_directory::{Key, Session};
 use micadyke_membership::news::News;
 use micadyke_recovery::phases::Fleet;
 use micadyke_recovery::record::Record;
@@ -27,6 +28,8 @@
     Heard(&'a News),
     /// The view of the fleet tells this.
     Fleet(&'a Fleet),
+    /// Sessions of this title or viewer are withdrawn: they end. Answered by [`Output::Left`].
+    End(&'a Key),
     /// A viewer connected.
     ViewerOpened {
         /// Its connection.
@@ -69,6 +72,20 @@
 pub enum Output {
     /// The other nodes should hear this; only where the node was told that there are others ([`crate::Node::has_others`]).
     Tell(News),
+    /// A session stands in the book, or does so no longer; only where there is a directory ([`crate::Node::has_directory`]).
+    Booked {
+        /// The session, as the directory knows it.
+        session: Session,
+        /// It stands.
+        started: bool,
+    },
+    /// So many sessions of this title or viewer are left: set-ups that are open, and ends that no server has confirmed.
+    Left {
+        /// The title or viewer.
+        what: Key,
+        /// How many.
+        sessions: u64,
+    },
     /// This is to be kept for the next start; only where there is a store ([`crate::Node::recovers`]).
     Keep(Record),
     /// Write to a connection.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod care;
 pub mod config;
 pub mod core;
+mod directed;
 pub mod io;
 pub mod list;
 mod others;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -339,6 +339,7 @@
 
     /// A server has gone with all that played there.
     fn lost(&mut self, id: ServerId) {
+        self.unconfirmed.retain(|_, u| u.0 != id);
         let Some(server) = self.servers.get(&id) else { return };
         if server.standing.is_empty() {
             return;
@@ -386,10 +387,13 @@
         match &message.start {
             Start::Response { status } => {
                 if *status >= 200
-                    && message.number() == Some(1)
                     && let Some(id) = session
                 {
-                    self.answered(conn, server, id, *status, &message);
+                    match message.number() {
+                        Some(1) => self.answered(conn, server, id, *status, &message),
+                        Some(2) => self.confirmed(server, id),
+                        _ => {}
+                    }
                 }
             }
             Start::Request { method, .. } => match (method.as_str(), session) {
@@ -426,6 +430,7 @@
                     s.standing.insert(id);
                 }
                 self.write(viewer, &answer);
+                self.booked(id);
                 self.events.push_back(Event::Started { session: id });
                 let note = |(kind, value)| Event::Note { session: id, server, kind, value };
                 return self.events.extend(early.into_iter().map(note));
@@ -484,7 +489,8 @@
         let Some(session) = self.sessions.get(&id) else { return };
         let Stage::Standing { server, .. } = session.stage else { return };
         let viewer = session.viewer;
-        self.sessions.remove(&id);
+        let session = self.sessions.remove(&id).and_then(|s| s.indexed);
+        self.out.extend(session.map(|session| Output::Booked { session, started: false }));
         if let Some(v) = self.viewers.get_mut(&viewer) {
             v.standing = v.standing.saturating_sub(1);
         }
@@ -502,9 +508,14 @@
     /// A viewer ends its session: it is cut at its server, and the viewer is owed nothing.
     pub(crate) fn ended_by_viewer(&mut self, id: SessionId, cause: u8) {
         let Some(Stage::Standing { server, .. }) = self.sessions.get(&id).map(|s| s.stage) else { return };
+        self.tear_down(server, id, cause);
+        self.over(id, Outcome::Cancelled, None);
+    }
+
+    /// A session is cut at its server.
+    pub(crate) fn tear_down(&mut self, server: ServerId, id: SessionId, cause: u8) {
         let message = Message::request("TEARDOWN", &address(id), 2).session(id.0);
         self.tell(server, id, message.with("Reason", &format!("cause={cause}")));
-        self.over(id, Outcome::Cancelled, None);
     }
 
     pub(crate) fn set_rung(&mut self, id: SessionId, rung: Rung) {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -8,6 +8,7 @@
 use crate::config::{Config, LONGEST, read};
 use crate::io::{ConnId, Input, Output};
 use micadyke::interface::Nanos;
+use micadyke_directory::{Key, Session};
 use micadyke_front::core::Decide;
 use micadyke_http::client::{CallError, Connection, read_some};
 use micadyke_http::{Limits, Method, Request};
@@ -103,6 +104,26 @@
     tell: Option<mpsc::Sender<News>>,
     /// To the store, where there is one.
     keeper: Option<Rc<Keeper>>,
+    /// To the directory, where there is one.
+    index: Option<Rc<dyn Index>>,
+}
+
+/// A directory that is told of sessions. It takes each word at once: a word lost would stand in it for good.
+pub trait Index: std::fmt::Debug {
+    /// A session stands, or does so no longer.
+    fn booked(&self, session: &Session, started: bool);
+
+    /// So many sessions of a title or viewer are left.
+    fn left(&self, what: &Key, sessions: u64);
+}
+
+/// The way to a directory.
+#[derive(Debug)]
+pub struct Directed {
+    /// Where it is told.
+    pub index: Rc<dyn Index>,
+    /// Titles and viewers whose sessions are to end; what is lost is asked again.
+    pub ends: mpsc::Receiver<Key>,
 }
 
 /// The way to the other nodes, by whoever keeps the view of them.
@@ -116,6 +137,8 @@
     pub tell: mpsc::Sender<News>,
     /// Who is there.
     pub fleet: mpsc::Receiver<Fleet>,
+    /// The directory that is kept with them, if one is.
+    pub directory: Option<Directed>,
 }
 
 /// What a node that keeps a store comes back with.
@@ -148,6 +171,9 @@
     if others.is_some() {
         node.has_others();
     }
+    if others.as_ref().is_some_and(|o| o.directory.is_some()) {
+        node.has_directory();
+    }
     let keeper = recovers.map(|Recovers { kept, start, keeper }| {
         let leases = others.as_ref().is_some_and(|o| o.parts.is_some());
         let me = (config.name.as_str(), start);
@@ -164,6 +190,7 @@
         wake: Notify::new(),
         armed: Cell::new(Nanos::MAX),
         tell: others.as_ref().map(|o| o.tell.clone()),
+        index: others.as_ref().and_then(|o| o.directory.as_ref()).map(|d| d.index.clone()),
         keeper,
     });
     info!(name = config.name, listen = %config.listen, sockets = config.sockets, "serving");
@@ -243,6 +270,10 @@
                     keeper.keep(record);
                 }
             }
+            Output::Booked { session, started } => {
+                self.index.iter().for_each(|i| i.booked(&session, started));
+            }
+            Output::Left { what, sessions } => self.index.iter().for_each(|i| i.left(&what, sessions)),
             Output::Tell(news) => {
                 let _ = self.tell.as_ref().map(|t| t.try_send(news));
             }
@@ -271,10 +302,13 @@
 
     /// Hands over what the view of the other nodes brings.
     async fn others(self: Rc<Self>, others: Others) {
-        let Others { parts, mut heard, mut fleet, .. } = others;
+        let Others { parts, mut heard, mut fleet, directory, .. } = others;
         if let Some(parts) = parts {
             spawn_local(self.clone().parts(parts));
         }
+        if let Some(directory) = directory {
+            spawn_local(self.clone().ends(directory.ends));
+        }
         loop {
             tokio::select! {
                 Some(news) = heard.recv() => self.feed(Input::Heard(&news)),
@@ -284,6 +318,12 @@
         }
     }
 
+    async fn ends(self: Rc<Self>, mut ends: mpsc::Receiver<Key>) {
+        while let Some(what) = ends.recv().await {
+            self.feed(Input::End(&what));
+        }
+    }
+
     async fn parts(self: Rc<Self>, mut parts: Parts) {
         while let Some((always, leased, span)) = next_part(&mut parts).await {
             self.feed(Input::Part { always, leased, span });
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -15,6 +15,8 @@
 struct SetUp {
     wish: SessionRequest,
     description: Vec<u8>,
+    /// The viewer's name, where it is told.
+    name: String,
     /// It plays already, at this server.
     at: Option<String>,
 }
@@ -166,7 +168,7 @@
             Err(what) => return self.unsound(conn, id.0, what),
         };
         if let Some(server) = set_up.at {
-            return self.adopt(conn, set_up.wish, &server);
+            return self.adopt(conn, set_up.wish, set_up.name, &server);
         }
         if self.sessions.contains_key(&id) {
             // Two set-ups under one number: neither can be told from the other, so nothing is answered under it.
@@ -188,7 +190,7 @@
             viewer.open.insert(id);
         }
         let session = Session::new(&set_up.wish, conn, Stage::New);
-        let session = Session { description: set_up.description, ..session };
+        let session = Session { description: set_up.description, name: set_up.name, ..session };
         self.sessions.insert(id, session);
         self.events.push_back(Event::Request(set_up.wish));
     }
@@ -213,6 +215,7 @@
             std::str::from_utf8(hint).ok().and_then(figure).ok_or("a hint that is no number")?;
         }
         let (mut base, mut spread, mut top, mut again, mut at) = (None, None, None, false, None);
+        let mut viewer = String::new();
         for part in message.text(code::FIGURES).ok_or("no figures")?.split(';').filter(|p| !p.is_empty()) {
             let (name, value) = part.split_once(':').ok_or("a figure without a value")?;
             match name {
@@ -221,6 +224,7 @@
                 "top" => top = digits(value),
                 "again" => again |= value == "1",
                 "at" => at = Some(value.to_owned()),
+                "viewer" => viewer = value.to_owned(),
                 _ => {}
             }
         }
@@ -240,11 +244,11 @@
             give_up_at: self.now + patience.min(PATIENCE) * care::MS,
             again,
         };
-        Ok(SetUp { wish, description, at })
+        Ok(SetUp { wish, description, name: viewer, at })
     }
 
     /// Takes over a session that plays; no answer is wanted, not even where it is held already.
-    fn adopt(&mut self, conn: ConnId, wish: SessionRequest, at: &str) {
+    fn adopt(&mut self, conn: ConnId, wish: SessionRequest, name: String, at: &str) {
         let id = wish.session;
         self.spoke(conn);
         if self.sessions.contains_key(&id) {
@@ -256,7 +260,8 @@
             return self.release(conn, Message::new(kind::RELEASE, id.0).cause(cause::FAILED));
         };
         let session = Session::new(&wish, conn, Stage::Standing { server, link: None, since: 0 });
-        self.sessions.insert(id, session);
+        self.sessions.insert(id, Session { name, ..session });
+        self.booked(id);
         self.viewers.get_mut(&conn).into_iter().for_each(Viewer::stood);
         self.events.push_back(Event::Adopted { wish, server });
         if let Some(s) = self.servers.get_mut(&server) {
--- a/crates/node/tests/core.rs
+++ b/crates/node/tests/core.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use micadyke_directory::{Key, Session};
 use micadyke_isup::{Message, code, kind};
 use micadyke_membership::news::{Finding, News};
 use micadyke_node::Input;
@@ -82,6 +83,48 @@
     kept(&w);
 }
 
+#[test]
+fn what_is_withdrawn_ends_at_its_server_and_towards_its_viewer_and_nothing_else_does() {
+    let mut w = World::new(1);
+    let v = w.viewer();
+    w.ask(v, 6, "free", 4000);
+    w.run(SECOND);
+    assert_eq!(w.booked, [], "nobody is told where there is no directory");
+    w.run(6 * SECOND);
+    w.node.has_directory();
+    w.ask(v, 7, "free", 4000);
+    w.run(SECOND);
+    let (title, viewer) = ("7f3a9c21e0b4d655", "00000000b4d65521");
+    let session = Session::new(title, viewer, "s-0");
+    assert_eq!(w.booked, [(session.clone(), true)]);
+    w.feed(Input::End(&Key::Title("another".into())));
+    assert_eq!((w.left.last().map(|l| l.1), w.node.held()), (Some(0), (0, 1)));
+    // One stands, one is being set up.
+    w.ask(v, 8, "free", 4000);
+    w.run(MS);
+    let what = Key::Title(title.into());
+    w.feed(Input::End(&what));
+    assert_eq!(w.left.last(), Some(&(what.clone(), 2)));
+    assert_eq!(w.booked.last(), Some(&(session, false)));
+    w.run(SECOND);
+    let heard = w.told[&v].iter().filter(|m| m.1.session == 7 && m.1.kind == kind::RELEASE);
+    assert_eq!(heard.map(|m| m.1.stated_cause()).collect::<Vec<_>>(), [Some(16)]);
+    // The other stands by now. Its server does not confirm while nothing gets through.
+    w.vanished.insert(server_addr(0));
+    let what = Key::Viewer(viewer.into());
+    w.feed(Input::End(&what));
+    w.run(100 * MS);
+    w.feed(Input::End(&what));
+    assert_eq!(w.left.last(), Some(&(what.clone(), 1)));
+    let addr = server_addr(0);
+    w.back(addr);
+    w.run(3 * SECOND);
+    w.feed(Input::End(&what));
+    w.run(SECOND);
+    w.feed(Input::End(&what));
+    assert_eq!((w.left.last(), w.node.held()), (Some(&(what, 0)), (0, 0)));
+}
+
 #[test]
 fn a_set_up_that_is_given_up_is_withdrawn_and_not_answered() {
     let mut w = World::new(2);
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -84,6 +84,9 @@
     pub news: Vec<News>,
     /// What it would have kept.
     pub kept: Kept,
+    /// What it told a directory.
+    pub booked: Vec<(micadyke_directory::Session, bool)>,
+    pub left: Vec<(micadyke_directory::Key, u64)>,
     pub servers: BTreeMap<SocketAddr, MediaServer>,
     /// Nothing listens there.
     pub refusing: BTreeSet<SocketAddr>,
@@ -131,6 +134,8 @@
             node: Node::new(&config, module, START),
             news: Vec::new(),
             kept: Kept::default(),
+            booked: Vec::new(),
+            left: Vec::new(),
             record: Vec::new(),
             servers: made.collect(),
             refusing: BTreeSet::new(),
@@ -359,6 +364,8 @@
         match output {
             Output::Tell(news) => self.news.push(news),
             Output::Keep(record) => self.kept.take(record),
+            Output::Booked { session, started } => self.booked.push((session, started)),
+            Output::Left { what, sessions } => self.left.push((what, sessions)),
             Output::Write { conn, mut bytes } => {
                 if let Some(link) = self.links.get_mut(&conn.0) {
                     link.2 += bytes.len() as u64;
