Three processes answer as one directory; a withdrawal waits for the one that stands still

Three nodes with membership and a directory are asked by micadyke ask: whole with all three books; one is stopped, a withdrawal names it and exits 3; let go, it has ended everywhere, and can be lifted once. The harness of members carries the datagrams as before, members without desks get the same settings as before.

--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -94,6 +94,9 @@
     }
 }
 
+/// Exit code and answer of the directory.
+type Told = (Option<i32>, serde_json::Value);
+
 /// A fleet of processes.
 struct Fleet {
     dir: PathBuf,
@@ -104,6 +107,8 @@
     plain: BTreeMap<usize, Child>,
     stopped: BTreeSet<usize>,
     seal: Seal,
+    /// Where directories are asked, where members keep one.
+    desks: Vec<SocketAddr>,
 }
 
 impl Drop for Fleet {
@@ -136,6 +141,7 @@
             plain: BTreeMap::new(),
             stopped: BTreeSet::new(),
             seal,
+            desks: Vec::new(),
         }
     }
 
@@ -148,6 +154,8 @@
             advertised[1],
             self.listen.len()
         );
+        let directory = self.desks.get(i).map(|at| format!("(directory (ask \"{at}\"))\n"));
+        let text = text + &directory.unwrap_or_default();
         let path = self.dir.join(format!("n{i}.sexp"));
         std::fs::write(&path, text).expect("written");
         path
@@ -431,6 +439,44 @@
     assert_eq!(files, Vec::<PathBuf>::new());
 }
 
+#[tokio::test(flavor = "current_thread")]
+async fn a_directory_answers_whole_and_a_withdrawal_waits_for_one_that_stands_still() {
+    let mut f = Fleet::new("directory", 3, 5);
+    let held: Vec<_> = (0..3).map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    f.desks = held.iter().map(|l| l.local_addr().expect("bound")).collect();
+    drop(held);
+    (0..3).for_each(|i| f.start(i));
+    f.settles().await;
+    let ask = |extra: &[&str]| -> Told {
+        let mut command = Command::new(BINARY);
+        command.args(["ask", "title", "t1", "--json", "--at", &f.desks[0].to_string(), "--membership"]);
+        let out = command.arg(f.dir.join("n0.sexp")).args(extra).output().expect("it runs");
+        (out.status.code(), serde_json::from_slice(&out.stdout).unwrap_or_default())
+    };
+    let until = async |done: &dyn Fn(&Told) -> bool, extra: &[&str]| {
+        let start = Instant::now();
+        loop {
+            let got = ask(extra);
+            if done(&got) {
+                return got.1;
+            }
+            assert!(start.elapsed() < LIMIT, "{got:?}");
+            tokio::time::sleep(ms(100)).await;
+        }
+    };
+    let whole = until(&|g| g.0 == Some(0) && g.1["answer"]["whole"] == true, &[]).await;
+    assert_eq!((&whole["answer"]["sessions"], &whole["answer"]["members"][1]), (&0.into(), &3.into()));
+    f.signal(2, "-STOP");
+    let waits = |g: &Told| g.0 == Some(3) && g.1["answer"]["waits"].to_string().contains("n2");
+    until(&waits, &["--withdraw", "1h"]).await;
+    f.signal(2, "-CONT");
+    until(&|g| g.0 == Some(0) && g.1["answer"]["ended_everywhere"] == true, &["--withdraw", "1h"]).await;
+    let lifted = ask(&["--lift"]);
+    assert_eq!(lifted.1["answer"]["lifted"], "t1", "{lifted:?}");
+    // What is not withdrawn can't be lifted.
+    assert_eq!(ask(&["--lift"]).0, Some(2));
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn membership_switched_on_node_by_node_in_a_running_fleet() {
     let mut f = Fleet::new("mixed", 5, 4);
