--- a/crates/cli/src/desk.rs
+++ b/crates/cli/src/desk.rs
@@ -1,6 +1,6 @@
 //! The directory beside a member: its clock, its letters, and the desk at which people's tools ask it.
 
-use crate::commands::Failure;
+use crate::ground::Failure;
 use micadyke_deadline::Fixed;
 use micadyke_directory::settings::Terms;
 use micadyke_directory::{
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod desk;
+mod ground;
 mod members;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
--- a/crates/node/src/directed.rs
+++ b/crates/node/src/directed.rs
@@ -3,8 +3,8 @@
 use crate::books::{Node, Session, Stage, cause};
 use crate::io::Output;
 use micadyke::interface::*;
+use micadyke::module::Decide;
 use micadyke_directory::{self as directory, Key};
-use micadyke_front::core::Decide;
 use tracing::info;
 
 fn matches(title: &str, viewer: &str, what: &Key) -> bool {
