--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -182,6 +182,7 @@
     let questions = record.map(|path| Questions::append(path).map_err(at(path))).transpose()?;
     let mut member = membership.map(|file| Member::load(file, None)).transpose()?;
     let (mut neighbours, others) = crate::members::others(member.as_ref());
+    neighbours.without_directory();
     let (parts, fleet) = others.map_or((None, None), |o| (o.parts, Some(o.fleet)));
     if let Some(r) = &mut recovers {
         member.iter_mut().for_each(|m| m.starts(r.start));
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -60,6 +60,8 @@
             version: 0,
             hearsay: BTreeMap::new(),
             recovering: None,
+            directed: false,
+            unconfirmed: BTreeMap::new(),
             keeps: false,
             cold_from: 0,
             looks: (care::LOOKS, now),
@@ -155,6 +157,7 @@
                 self.events.push_back(Event::Part { always, leased, until });
             }
             Input::Heard(news) => self.heard_of(news),
+            Input::End(what) => self.end_all(what),
             Input::Fleet(fact) => self.recover(fact.heard()),
             Input::Stop => {
                 if self.stopping.is_none() {
