--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -29,8 +29,6 @@
 /// Deviations of chance that the sum of all fronts' lots for a cold server leaves free: hundreds of servers
 /// return at once, each for tens of windows; three would let one window in 300 through, five one in 20,000.
 const SPREAD: f64 = 5.0;
-/// What the platform leaves to chance beyond a cold budget of N: so many times the root of N, and as many.
-const CHANCE: f64 = 3.0;
 /// Use of links while none was heard of: silence is not emptiness, and this has room for the middle rung.
 const UNSEEN: f64 = 0.8;
 /// Own sessions at a server that tell of others' streams there.
@@ -459,8 +457,6 @@
                 // A new process: what was known of the old one says nothing.
                 s.cold_since = s.cold_since.max(entry.started_at);
                 s.gives = (1.0, 0);
-                s.link.heard = None;
-                s.link.log.clear();
             }
             s.entry = entry;
         }
@@ -514,13 +510,7 @@
         let rack = self.racks.get(&server.rack(self.s.racks));
         let racks = View { mean: self.rack_mean, ..self.view() };
         let rack = rack.filter(|_| self.rack_mean > 0.0).map_or(0.0, |r| r.usage(racks) / r.keeps);
-        // A process that has just started fills from nothing, until something is heard of it.
-        let since = server.entry.started_at;
-        let unheard = since > 0 && server.link.heard.is_none_or(|h| h.1 < since);
-        let age = self.now.saturating_sub(since) as f64 / self.s.cold_for.max(1) as f64;
-        let view = self.view();
-        let view = View { mean: view.mean * if unheard { age.min(1.0) } else { 1.0 }, ..view };
-        (server.link.usage(view) / server.link.keeps).max(rack) / server.gives(self.now).max(0.01)
+        (server.link.usage(self.view()) / server.link.keeps).max(rack) / server.gives(self.now).max(0.01)
     }
 
     /// How much use a rate adds at a server.
@@ -754,10 +744,8 @@
         if part >= 1.0 {
             return sent < part.floor();
         }
-        // Sums of many small lots spread like their root: the mean leaves SPREAD deviations free of what a
-        // server bears, chance included.
-        let bears = COLD_PART * (budget + CHANCE * (budget.sqrt() + 1.0));
-        let mean = ((bears + SPREAD * SPREAD / 4.0).sqrt() - SPREAD / 2.0).powi(2);
+        // Sums of many small lots spread like their root: the mean leaves SPREAD deviations free.
+        let mean = ((budget + SPREAD * SPREAD / 4.0).sqrt() - SPREAD / 2.0).powi(2);
         sent < 1.0 && server.lot.1 < mean * self.part()
     }
 
