--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -202,9 +202,7 @@
         let cold = m.started > 0 && now < m.started + t.warm_after;
         if cold && t.fall_multiple > 0.0 {
             let pace = f64::from(m.places) / t.warm_after as f64 * warmth;
-            // What the platform's page leaves to chance beyond the budget of a window.
-            let budget = pace * t.fall_multiple * t.fall_window as f64;
-            if m.setups.len() as f64 > budget + 3.0 * budget.sqrt() + 3.0 {
+            if m.setups.len() as f64 > (pace * t.fall_multiple * t.fall_window as f64).max(1.0) {
                 (m.fallen, m.up) = (true, false);
                 return SetUp::Fell;
             }
