--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -38,8 +38,8 @@
 /// A figure under the mean is taken for the mean by this age: all that hear of room fill it at once, long
 /// before the next note tells of it.
 const ROOM: Nanos = 2 * SECOND;
-/// What is not known is taken to lie so many deviations of the known over their mean: a missing point costs five
-/// to ten times what a point of room earns. A whole one would be right for stalls alone, and costs rungs.
+/// What is not known is taken to lie so many deviations of the known over their mean: a missing point costs
+/// five to ten times what a point of room earns. A whole one would be right for stalls alone, and costs rungs.
 const UNSURE: f64 = 0.5;
 /// Delivery under this is short (the notes' own bound).
 const SHORT: f64 = 0.98;
@@ -170,8 +170,8 @@
         self.keeps = 1.0 - GRAIN / sessions.sqrt();
     }
 
-    /// Use now: the last figure heard and the changes since; an old one fades to what is taken for the unknown,
-    /// one under that within ROOM.
+    /// Use now: the last figure heard and the changes since; an old one fades to what is taken for the
+    /// unknown, one under that within ROOM.
     fn usage(&self, view: View) -> f64 {
         // Never heard of: the others are taken to ask what they ask elsewhere.
         let own = if self.size > 0.0 { self.own / self.size } else { 0.0 };
