--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -28,6 +28,8 @@
     Stranger,
     /// It releases the set-up in place of an answer.
     Release,
+    /// It serves, and its viewer leaves after so many nanoseconds of play.
+    Leaves(u64),
 }
 
 /// What a stand-in server wants done.
@@ -72,6 +74,7 @@
 enum Due {
     Answer(u64, u64, Treat),
     End(u64),
+    Leave(u64),
 }
 
 /// A media server.
@@ -218,6 +221,13 @@
                         record.push((now, Seen::Over { id }));
                     }
                 }
+                // The viewer left of itself: it is owed no word.
+                Due::Leave(id) => {
+                    if let Some(conn) = self.standing.remove(&id) {
+                        acts.push(Act::Write(conn, released(id, 31)));
+                        record.push((now, Seen::GaveUp { id }));
+                    }
+                }
             }
         }
         acts
@@ -236,6 +246,10 @@
                 self.later(now + life, Due::End(id));
                 vec![good]
             }
+            Treat::Leaves(after) => {
+                self.later(now + after, Due::Leave(id));
+                vec![good]
+            }
             Treat::Twice => {
                 self.later(now + BRIEF, Due::End(id));
                 vec![good.clone(), good]
@@ -269,7 +283,7 @@
             }
         };
         self.out.remove(&id);
-        if matches!(treat, Treat::Serve(_) | Treat::Twice | Treat::Stranger) {
+        if matches!(treat, Treat::Serve(_) | Treat::Leaves(_) | Treat::Twice | Treat::Stranger) {
             self.standing.insert(id, conn);
             record.push((now, Seen::Stood { id, server, description }));
         } else {
