--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -123,9 +123,6 @@
 pub const YOUNG: Nanos = 100 * MS;
 /// What a set-up refused at the door is told to wait.
 pub const STAY_AWAY: Nanos = SECOND;
-/// What ends this soon after its answer was written may have ended before the answer was read: the protocol grants as
-/// much to messages that cross.
-pub const CROSSED: Nanos = 50 * MS;
 /// A release that no connection could take is kept for so long: it is due within 8 s of the session's end.
 pub const RELEASE_KEPT: Nanos = 8 * SECOND;
 /// A release waits so long for a connection that is known for a viewer's before any other is used.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -451,13 +451,10 @@
         let reason = message.headers.get("reason").and_then(|r| r.trim().strip_prefix("cause="));
         let stated = reason.and_then(|c| c.trim().parse::<u8>().ok());
         match self.sessions.get(&id).map(|s| s.stage) {
-            Some(Stage::Standing { server: s, since, .. }) if s == server => {
-                // A viewer that left of itself is owed nothing, unless it left while its answer was on its way:
-                // to the viewer that set-up never stood, and it still waits for a final word.
-                let crossed = self.now < since + care::CROSSED;
+            Some(Stage::Standing { server: s, .. }) if s == server => {
                 let (outcome, owed) = match stated {
                     Some(16) => (Outcome::Served, Some(16)),
-                    Some(31) => (Outcome::Cancelled, crossed.then_some(31)),
+                    Some(31) => (Outcome::Cancelled, None),
                     other => (Outcome::Reset, Some(other.unwrap_or(cause::FAILED))),
                 };
                 self.over(id, outcome, owed);
