Errors of settings, node and command line are types that say what an operator can do

Need: they were texts; what to do about them stood nowhere, or in the same line.

`settings::Error`, `node::{Event, Fault, Error}`, `recovery::record::Unreadable` and the command line's own error are enums of `thiserror` with `advice()`, a sentence that is printed beneath the error. First lines and exit codes are as they were, but for one: a store that `issuer` can't open told its advice in the same line, and tells it beneath now. The operator's pages node, front and recovery have a table of errors; a test makes a sample of each variant (one without a sample does not compile), wants a sentence from each, and compares the tables both ways.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -314,7 +314,8 @@
         let mut actions = Vec::new();
         match line.name {
             "spawn" => {
-                let (settings, names) = read(line.need("settings")?).map(|s| (s.settings, s.names))?;
+                let site = read(line.need("settings")?).map_err(|e| e.to_string())?;
+                let (settings, names) = (site.settings, site.names);
                 let seed = line.number("seed")?;
                 let controller =
                     Controller::new(settings, seed, now).map_err(|e| format!("settings: {e}"))?;
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! What each command does.
 
-use crate::ground::{Failure, at, beside, checked, given, run, told};
+use crate::error::Error;
+use crate::ground::{Failure, at, beside, checked, given, run, stored, told};
 use crate::members::{Member, with_member};
 use micadyke::decide::Controller;
 use micadyke::interface::ServerState;
@@ -61,7 +62,7 @@
 }
 
 async fn listen(at: SocketAddr) -> Result<(TcpListener, SocketAddr), Failure> {
-    let listener = TcpListener::bind(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+    let listener = TcpListener::bind(at).await.map_err(|why| Error::Listen { at, why })?;
     let addr = listener.local_addr()?;
     Ok((listener, addr))
 }
@@ -83,13 +84,14 @@
 
 /// Runs a front node as the platform starts it.
 pub fn node(membership: Option<&Path>, store: Option<&Path>) -> Result<ExitCode, Failure> {
-    let path = std::env::var_os("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set: it names the configuration")?;
+    let path = std::env::var_os("EDGE_CONFIG").ok_or(Error::NoConfig)?;
     let path = PathBuf::from(path);
     let config = micadyke_node::shell::load(&path)?;
     let (name, addr) = (std::env::var("EDGE_NAME").ok(), std::env::var("EDGE_LISTEN").ok());
-    config.agrees(name.as_deref(), addr.as_deref()).map_err(at(&path))?;
+    let agreed = config.agrees(name.as_deref(), addr.as_deref());
+    agreed.map_err(|why| Error::Config { path: path.clone(), why })?;
     let (settings, seed) = (config.site.settings.clone(), config.seed);
-    settings.check().map_err(|e| format!("{}: settings: {e}", path.display()))?;
+    settings.check().map_err(|why| Error::Settings { path: path.clone(), why })?;
     let module = move |now| Controller::new(settings, seed, now).expect("settings were checked");
     let mut member = membership.map(|file| Member::load(file, Some(&config.name))).transpose()?;
     let name = member.as_ref().map_or(config.name.as_str(), |m| m.name()).to_owned();
@@ -110,7 +112,7 @@
 fn comes_back(file: &Path, name: &str) -> Result<Option<(Kept, u64, Keeper)>, Failure> {
     let opened = match Store::open(file) {
         Ok(opened) => opened,
-        Err(held @ Fault::Held) => return Err(format!("{}: {held}", file.display()).into()),
+        Err(held @ Fault::Held) => return Err(stored(file)(held).into()),
         Err(e) => {
             tracing::warn!("{}: {e}; this start is as the first", file.display());
             return Ok(None);
@@ -151,10 +153,10 @@
 fn keeps(config: &Config, file: &Path, store: Option<&Path>) -> Result<Keeps, Failure> {
     let seats = config.issuer.as_ref().map(|i| beside(file, &i.state));
     let Some(path) = store else {
-        let opened = seats.map(|path| keeping::open(&path).map_err(at(&path))).transpose()?;
+        let opened = seats.map(|path| keeping::open(&path).map_err(stored(&path))).transpose()?;
         return Ok((opened.map(|o| (o.seats, Rc::new(Keeper::start(o.store)))), None));
     };
-    let opened = keeping::open_with(path, seats.as_deref()).map_err(at(path))?;
+    let opened = keeping::open_with(path, seats.as_deref()).map_err(stored(path))?;
     let own = opened.kept.start.as_ref().is_none_or(|s| s.0 == config.name);
     let (kept, start) = counted(&opened.store, opened.kept, &config.name, path);
     let keeper = Rc::new(Keeper::start(opened.store));
@@ -169,7 +171,7 @@
 ) -> Result<ExitCode, Failure> {
     let config = Rc::new(load(file)?);
     if config.boxes.is_empty() {
-        return Err("the settings name no list of boxes: (front (boxes \"FILE\"))".into());
+        return Err(Error::NoBoxes.into());
     }
     let source = Box::new(WatchedFile::new(beside(file, &config.boxes), config.clone()));
     let (seats, mut recovers) = keeps(&config, file, store)?;
@@ -202,7 +204,7 @@
     let path = beside(file, &b.key_file);
     let bytes = std::fs::read(&path).map_err(at(&path))?;
     let key = SharedKey::new(&b.key_id, bytes.trim_ascii());
-    Ok(key.ok_or_else(|| format!("{}: a secret of 32 bytes at least is due", path.display()))?)
+    Ok(key.ok_or(Error::Secret { path })?)
 }
 
 /// The keys of the settings, read from their files.
@@ -216,14 +218,7 @@
             "ES256" => TokenKey::es256(&bytes, k.from, k.until),
             _ => TokenKey::ed25519(&bytes, k.from, k.until),
         };
-        let what = || {
-            format!(
-                "{}: no key for {} (a secret of 32 bytes at least, or a public key)",
-                path.display(),
-                k.algorithm
-            )
-        };
-        checker.put(&k.id, key.ok_or_else(what)?);
+        checker.put(&k.id, key.ok_or_else(|| Error::Key { path, algorithm: k.algorithm.clone() })?);
     }
     Ok(checker)
 }
@@ -254,7 +249,7 @@
     let path = beside(file, &config.boxes);
     let rows = checked(&path, |text, name| read_boxes(text, name, &config))?.map_err(told)?;
     if let Some(r) = rows.iter().find(|r| !r.address.ip().is_loopback()) {
-        return Err(format!("box {}: stand-ins run on loopback only, not on {}", r.id, r.address).into());
+        return Err(Error::BoxNotLoopback { id: r.id, at: r.address }.into());
     }
     run(async {
         let fleet = Fleet::new(World::of(&config, &rows, REAP), Habits::default(), Record::off(), 1);
@@ -263,7 +258,7 @@
         }
         for row in &rows {
             let addr = fleet.open_at(row.id, row.address).await;
-            let addr = addr.map_err(|e| format!("box {}: cannot listen on {}: {e}", row.id, row.address))?;
+            let addr = addr.map_err(|why| Error::BoxListen { id: row.id, at: row.address, why })?;
             println!("box {} on http://{addr}", row.id);
         }
         let followed = fleet.clone();
@@ -291,28 +286,27 @@
     at: SocketAddr, seats: &[String], ttl: &str, store: Option<&Path>,
 ) -> Result<ExitCode, Failure> {
     if !at.ip().is_loopback() {
-        return Err(format!("stand-ins run on loopback only, not on {at}").into());
+        return Err(Error::NotLoopback(at).into());
     }
     let ttl = given("--ttl", ttl, Unit::Time)? as u64;
-    let one = |s: &String| -> Result<(std::sync::Arc<str>, u32), Failure> {
-        let (class, n) = s.split_once('=').ok_or_else(|| format!("'{s}' is not CLASS=SEATS"))?;
-        Ok((class.into(), n.parse().map_err(|_| format!("'{n}' is no number of seats"))?))
+    let one = |s: &String| -> Result<(std::sync::Arc<str>, u32), Error> {
+        let (class, n) = s.split_once('=').ok_or_else(|| Error::Seats(s.clone()))?;
+        Ok((class.into(), n.parse().map_err(|_| Error::SeatCount(n.to_owned()))?))
     };
-    let seats = seats.iter().map(one).collect::<Result<_, Failure>>()?;
+    let seats = seats.iter().map(one).collect::<Result<_, Error>>()?;
     run(async {
         let terms = SeatTerms { ttl, seats, most_holders: 10_000, most_leases: 10_000_000 };
         let issuer = match store {
             None => Issuer::new(terms, 1.0, 1),
             Some(file) => {
-                let opened =
-                    Store::open(file).map_err(|e| format!("{}: {e}; {}", file.display(), e.advice()))?;
+                let opened = Store::open(file).map_err(stored(file))?;
                 if let Some((to, why)) = &opened.aside {
                     tracing::warn!("{}: {why}; set aside as {}", file.display(), to.display());
                 }
-                Issuer::keeping(terms, 1.0, 1, opened).map_err(|e| format!("{}: {e}", file.display()))?
+                Issuer::keeping(terms, 1.0, 1, opened).map_err(stored(file))?
             }
         };
-        let addr = issuer.open(at).await.map_err(|e| format!("cannot listen on {at}: {e}"))?;
+        let addr = issuer.open(at).await.map_err(|why| Error::Listen { at, why })?;
         ready(addr)?;
         signalled().await?;
         Ok(ExitCode::SUCCESS)
@@ -374,7 +368,7 @@
             scenario.name, scenario.fronts, scenario.boxes, scenario.length
         );
         let program = Program { exe: exe.clone(), scenario: file.clone() };
-        let ran = play_with(&scenario, &config, how, Some(program))?;
+        let ran = play_with(&scenario, &config, how, Some(program)).map_err(Error::from)?;
         let t = ran.tally;
         println!(
             "requests {}: played {}, refused {}, failed {}, no answer {}, withdrew {}",
@@ -396,7 +390,7 @@
 }
 
 fn breakage(word: &str) -> Result<Break, Failure> {
-    Ok(Break::named(word).ok_or_else(|| format!("'{word}' is no way to break a front"))?)
+    Ok(Break::named(word).ok_or_else(|| Error::Break(word.to_owned()))?)
 }
 
 /// One front of a rehearsal, in a process of its own.
@@ -410,7 +404,7 @@
 
 fn read_list(file: &Path) -> Result<Vec<Line>, Failure> {
     let text = std::fs::read_to_string(file).map_err(at(file))?;
-    Ok(replay::read_list(&text).map_err(|(line, what)| format!("{}:{line}: {what}", file.display()))?)
+    Ok(replay::read_list(&text).map_err(|(line, what)| Error::Line { path: file.into(), line, what })?)
 }
 
 /// Prints a list of questions.
@@ -428,7 +422,7 @@
     let (rule, bearer) = (Rule { most: 1, ..Rule::default() }, std::env::var("MICADYKE_BEARER").ok());
     let mut client = Client { rule, bearer, ..Client::new(front) };
     for r in routes {
-        let (class, path) = r.split_once('=').ok_or_else(|| format!("'{r}' is not CLASS=PATH"))?;
+        let (class, path) = r.split_once('=').ok_or_else(|| Error::Route(r.clone()))?;
         client = client.route(class, path);
     }
     run(async {
@@ -455,8 +449,8 @@
     let how = how.map(breakage).transpose()?;
     let cmcd = Via::Cmcd(client.split_whitespace().map(str::to_owned).collect());
     run(async {
-        let a = replay::pass(&lines, &config, &Via::Whep, seed, None).await?;
-        let b = replay::pass(&lines, &config, &cmcd, seed, how).await?;
+        let a = replay::pass(&lines, &config, &Via::Whep, seed, None).await.map_err(Error::from)?;
+        let b = replay::pass(&lines, &config, &cmcd, seed, how).await.map_err(Error::from)?;
         let c = replay::compare(&a.outcomes, &b.outcomes);
         let kinds: Vec<String> = c.kinds.iter().map(|(k, n)| format!("{k} {n}")).collect();
         println!("questions {}: {}", c.asked, kinds.join(", "));
@@ -493,8 +487,8 @@
     let (program, args) = client.split_once(' ').unwrap_or((client, ""));
     let mut command = std::process::Command::new(program);
     command.args(args.split_whitespace()).arg(format!("http://{front}")).args(routes);
-    let mut child =
-        command.stdin(std::process::Stdio::piped()).spawn().map_err(|e| format!("{client}: {e}"))?;
+    let child = command.stdin(std::process::Stdio::piped()).spawn();
+    let mut child = child.map_err(|why| Error::Client { command: client.into(), why })?;
     if let Some(mut to) = child.stdin.take() {
         for line in lines {
             if let Line::Ask(question) = line {
--- a/crates/cli/src/ground.rs
+++ b/crates/cli/src/ground.rs
@@ -1,7 +1,9 @@
 //! What all commands stand on: failures as they are told, files that are read and checked, a thread that runs a future.
 
+use crate::error::Error;
 use micadyke_config::Diagnostic;
-use micadyke_config::units::{Fault, Unit, quantity};
+use micadyke_config::units::{Unit, quantity};
+use micadyke_recovery::store::Fault;
 use std::path::{Path, PathBuf};
 
 /// What ends a command.
@@ -9,47 +11,30 @@
 
 /// Faults of a file, a line each.
 pub(crate) fn told(faults: Vec<Diagnostic>) -> Failure {
-    Box::new(Refused(faults))
-}
-
-/// A file that is refused.
-#[derive(Debug)]
-struct Refused(Vec<Diagnostic>);
-
-impl std::fmt::Display for Refused {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let lines: Vec<String> = self.0.iter().map(ToString::to_string).collect();
-        f.write_str(&lines.join("\n"))
-    }
-}
-
-impl std::error::Error for Refused {}
-
-/// A quantity of the command line that is none.
-#[derive(Debug, thiserror::Error)]
-#[error("{option}: {fault}")]
-pub(crate) struct Ill {
-    option: &'static str,
-    fault: Fault,
+    Error::Refused(faults).into()
 }
 
 /// A quantity of the command line.
-pub(crate) fn given(option: &'static str, text: &str, unit: Unit) -> Result<f64, Ill> {
-    quantity(text, unit).map_err(|fault| Ill { option, fault })
+pub(crate) fn given(option: &'static str, text: &str, unit: Unit) -> Result<f64, Error> {
+    quantity(text, unit).map_err(|why| Error::Quantity { option, why })
 }
 
 /// What an operator can do about a failure, where it says so itself.
 pub(crate) fn advice(failure: &(dyn std::error::Error + 'static)) -> Option<&'static str> {
-    let refused = failure.downcast_ref::<Refused>().and_then(|r| r.0.first());
-    let refused = refused.map(Diagnostic::advice);
-    let ill = failure.downcast_ref::<Ill>().map(|i| i.fault.advice());
+    let own = failure.downcast_ref::<Error>().map(Error::advice);
+    let node = failure.downcast_ref::<micadyke_node::Error>().map(|e| e.advice());
     let member = failure.downcast_ref::<micadyke_membership::Error>().map(|e| e.advice());
-    refused.or(ill).or(member)
+    own.or(node).or(member)
 }
 
 /// A failure at a file.
-pub(crate) fn at<E: std::fmt::Display>(path: &Path) -> impl Fn(E) -> String + '_ {
-    move |e| format!("{}: {e}", path.display())
+pub(crate) fn at(path: &Path) -> impl Fn(std::io::Error) -> Error + '_ {
+    move |why| Error::File { path: path.into(), why }
+}
+
+/// A failure at a store.
+pub(crate) fn stored(path: &Path) -> impl Fn(Fault) -> Error + '_ {
+    move |why| Error::Store { path: path.into(), why }
 }
 
 /// A file that is named relative to another one.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod desk;
+mod error;
 mod ground;
 mod members;
 
@@ -246,8 +247,7 @@
         matches!(cli.command, Command::Demo { .. } | Command::Rehearse { .. } | Command::Replay { .. });
     let level = cli.log.log_level.as_deref().unwrap_or(if quiet { "warn" } else { "info" });
     let Ok(filter) = tracing_subscriber::EnvFilter::try_new(level) else {
-        eprintln!("micadyke: '{level}' says not what is to be logged");
-        return ExitCode::from(2);
+        return ends(&error::Error::LogLevel(level.into()));
     };
     let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     let builder = builder.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
@@ -291,7 +291,7 @@
                 (None, Some(list), None) => {
                     commands::replay_both(&list, &client, config.as_deref(), seed, how.as_deref())
                 }
-                (None, None, _) => Err("a list is due".into()),
+                (None, None, _) => Err(error::Error::NoList.into()),
             }
         }
         Command::RehearsedFront { scenario, front, listen, dir, issuer, how } => {
@@ -302,12 +302,15 @@
     };
     match result {
         Ok(code) => code,
-        Err(e) => {
-            eprintln!("micadyke: {e}");
-            if let Some(advice) = ground::advice(&*e) {
-                eprintln!("{advice}");
-            }
-            ExitCode::from(2)
-        }
+        Err(e) => ends(&*e),
+    }
+}
+
+/// Says why a command ends, and beneath it what can be done.
+fn ends(why: &(dyn std::error::Error + 'static)) -> ExitCode {
+    eprintln!("micadyke: {why}");
+    if let Some(advice) = ground::advice(why) {
+        eprintln!("{advice}");
     }
+    ExitCode::from(2)
 }
--- /dev/null
+++ b/crates/cli/tests/errors.rs
@@ -0,0 +1,161 @@
+//! What goes wrong, over all variants of each type: each says what can be done, and the operator's pages say the same.
+
+#[path = "../src/error.rs"]
+mod error;
+
+use micadyke::interface::SettingsError;
+use micadyke_config::units::{Unit, quantity};
+use micadyke_node::{Event, Fault};
+use micadyke_recovery::record::Unreadable;
+use std::collections::BTreeSet;
+use std::io::ErrorKind;
+
+const NODE: &str = include_str!("../../../docs/operate/node.md");
+const FRONT: &str = include_str!("../../../docs/operate/front.md");
+const RECOVERY: &str = include_str!("../../../docs/operate/recovery.md");
+
+/// Texts and advice of a sample of each variant. A variant without one does not compile.
+macro_rules! every {
+    ($of:ty; $($variant:pat => $sample:expr,)+) => {{
+        let all: Vec<$of> = vec![$($sample),+];
+        let _exhaustive = |e: &$of| match e { $($variant => {})+ };
+        let mut of = all.iter();
+        $(assert!(matches!(of.next(), Some($variant)));)+
+        all.iter().map(|e| (e.to_string(), e.advice().to_owned())).collect::<Vec<_>>()
+    }};
+}
+
+/// The rows of a page's tables beneath a heading, up to the next one.
+fn rows(page: &str, heading: &str) -> BTreeSet<(String, String)> {
+    let lines = page.lines().skip_while(|l| *l != heading).skip(1).take_while(|l| !l.starts_with('#'));
+    let rows = lines.filter_map(|l| l.strip_prefix("| `")?.strip_suffix(" |")?.split_once("` | "));
+    rows.map(|(error, advice)| (error.to_owned(), advice.to_owned())).collect()
+}
+
+/// The page says of each error what the error says, and of no other.
+fn page_says(page: &str, heading: &str, errors: Vec<(String, String)>) {
+    for (error, advice) in &errors {
+        let sentence = advice.ends_with('.') && advice.starts_with(char::is_uppercase);
+        assert!(sentence && !error.contains(advice.as_str()), "{error}: {advice}");
+    }
+    let (said, told) = (rows(page, heading), BTreeSet::from_iter(errors));
+    let lacking: Vec<_> = told.difference(&said).map(|(e, a)| format!("| `{e}` | {a} |")).collect();
+    let wrong: Vec<_> = said.difference(&told).map(|(e, a)| format!("| `{e}` | {a} |")).collect();
+    let (lacking, wrong) = (lacking.join("\n"), wrong.join("\n"));
+    assert!(lacking.is_empty() && wrong.is_empty(), "{heading} lacks\n{lacking}\nand is wrong in\n{wrong}");
+}
+
+fn no_file() -> std::io::Error {
+    std::io::Error::new(ErrorKind::NotFound, "no such file")
+}
+
+fn in_use() -> std::io::Error {
+    std::io::Error::new(ErrorKind::AddrInUse, "address in use")
+}
+
+#[test]
+fn the_settings_of_a_deployment() {
+    use micadyke_settings::Error as E;
+    let all = every!(E;
+        E::NotJson(_) => E::NotJson("EOF while parsing a value at line 1 column 1".into()),
+        E::NoObject { .. } => E::NoObject { path: "permissions.probes".into(), key: "probes".into(), held: "3".into() },
+        E::Kind { .. } => E::Kind { path: "permissions.probes".into(), held: "\"yes\"".into(), due: "true or false" },
+        E::Negative { .. } => E::Negative { path: "permissions.conn_idle_ns".into(), held: "-1".into() },
+        E::Word { .. } => E::Word { path: "classes[1].effect".into(), held: "never".into() },
+        E::Ladder => E::Ladder,
+        E::PerClass { .. } => E::PerClass { name: "licence_cap", held: 1, known: 2 },
+        E::Twice { .. } => E::Twice { path: "classes[1].name".into(), held: "free".into() },
+    );
+    page_says(NODE, "### Settings of the deployment", all);
+}
+
+#[test]
+fn events_of_the_bus() {
+    let all = every!(Event;
+        Event::NotJson(_) => Event::NotJson("EOF while parsing a value at line 1 column 0".into()),
+        Event::NoOffset => Event::NoOffset,
+        Event::NoList => Event::NoList,
+        Event::TooMany(_) => Event::TooMany(5000),
+        Event::Server { .. } => Event::Server { at: 3, field: "addr", lacks: "no address and port" },
+    );
+    page_says(NODE, "### Events of the bus", all);
+}
+
+#[test]
+fn the_configuration_of_a_node_and_its_start() {
+    use micadyke_node::Error as E;
+    let at = ([10, 0, 0, 4], 2905).into();
+    let mut all = every!(Fault;
+        Fault::NotJson(_) => Fault::NotJson("EOF while parsing a value at line 1 column 0".into()),
+        Fault::Missing(_) => Fault::Missing("bus"),
+        Fault::Kind { .. } => Fault::Kind { field: "limits.sockets", due: "count" },
+        Fault::Address { .. } => Fault::Address { field: "bus", held: "bus-1:9100".into() },
+        Fault::Seed(_) => Fault::Seed("0xff".into()),
+        Fault::FewSockets(_) => Fault::FewSockets(16),
+        Fault::Event { .. } => Fault::Event { at: 2, why: Event::NoOffset },
+        Fault::Past { .. } => Fault::Past { at: 2, offset: 9, last: 8 },
+        Fault::Settings(_) => Fault::Settings(micadyke_settings::Error::Ladder),
+        Fault::OtherName { .. } => Fault::OtherName { held: "n3".into(), said: "n4".into() },
+        Fault::OtherListen { .. } => Fault::OtherListen { held: at, said: ([10, 0, 0, 5], 2905).into() },
+        Fault::NoListen => Fault::NoListen,
+    );
+    all.extend(every!(E;
+        E::File { .. } => E::File { path: "config.json".into(), why: no_file() },
+        E::TooLong { .. } => E::TooLong { path: "config.json".into(), size: 20_000_000 },
+        E::Refused { .. } => E::Refused { path: "config.json".into(), why: Fault::Missing("bus") },
+        E::Listen { .. } => E::Listen { at, why: in_use() },
+        E::Signals(_) => E::Signals(std::io::Error::other("too many open files")),
+    ));
+    page_says(NODE, "### Configuration and start", all);
+}
+
+#[test]
+fn records_that_were_kept() {
+    let all = every!(Unreadable;
+        Unreadable::Newer(_) => Unreadable::Newer(9),
+        Unreadable::Damaged => Unreadable::Damaged,
+    );
+    page_says(RECOVERY, "## Records that can't be read", all);
+}
+
+#[test]
+fn the_command_line() {
+    use error::Error as E;
+    let (path, at) = (|| std::path::PathBuf::from("front.sexp"), ([127, 0, 0, 1], 8080).into());
+    let refused =
+        micadyke_config::read_config("(front (nme \"x\"))", "front.sexp").expect_err("no such part");
+    let ill = quantity("250", Unit::Time).expect_err("no unit");
+    let mut all = every!(E;
+        E::LogLevel(_) => E::LogLevel("=".into()),
+        E::Quantity { .. } => E::Quantity { option: "--ttl", why: ill },
+        E::File { .. } => E::File { path: path(), why: no_file() },
+        E::Refused(_) => E::Refused(refused.into_iter().take(1).collect()),
+        E::Store { .. } => E::Store { path: "f.store".into(), why: micadyke_recovery::store::Fault::Held },
+        E::Secret { .. } => E::Secret { path: "boxes.key".into() },
+        E::Key { .. } => E::Key { path: "key.txt".into(), algorithm: "ES256".into() },
+        E::Listen { .. } => E::Listen { at, why: in_use() },
+        E::BoxListen { .. } => E::BoxListen { id: 3, at, why: in_use() },
+        E::NotLoopback(_) => E::NotLoopback(([10, 0, 0, 4], 8080).into()),
+        E::BoxNotLoopback { .. } => E::BoxNotLoopback { id: 3, at: ([10, 0, 0, 4], 8080).into() },
+        E::NoBoxes => E::NoBoxes,
+        E::NoConfig => E::NoConfig,
+        E::Config { .. } => E::Config { path: "config.json".into(), why: Fault::NoListen },
+        E::Settings { .. } => {
+            E::Settings { path: "config.json".into(), why: SettingsError { field: "ladder", what: "must rise" } }
+        },
+        E::Seats(_) => E::Seats("film".into()),
+        E::SeatCount(_) => E::SeatCount("ten".into()),
+        E::Break(_) => E::Break("all".into()),
+        E::Rehearsal(_) => micadyke_rehearse::run::CannotRun("a front of its own does not start".into()).into(),
+        E::NoList => E::NoList,
+        E::Line { .. } => E::Line { path: "l.jsonl".into(), line: 2, what: "neither a question nor a trouble".into() },
+        E::Route(_) => E::Route("film".into()),
+        E::Client { .. } => E::Client { command: "node dist/replay.js".into(), why: no_file() },
+    );
+    // A store's errors are the store's own.
+    let held = micadyke_recovery::store::Fault::Held;
+    let stored = (format!("f.store: {held}"), held.advice().to_owned());
+    assert!(all.contains(&stored));
+    all.retain(|e| *e != stored);
+    page_says(FRONT, "## Errors of the command line", all);
+}
--- a/crates/node/src/bus.rs
+++ b/crates/node/src/bus.rs
@@ -1,6 +1,7 @@
 //! The reader of the event bus, without I/O: which events are new, when to ask again.
 
 use crate::care;
+use crate::error::Event;
 use crate::io::ConnId;
 use crate::list::{Change, change};
 use micadyke::interface::Nanos;
@@ -117,7 +118,9 @@
             self.failed = 0;
         }
         for event in events {
-            let read = serde_json::from_str(&event.data).map_err(|e| e.to_string()).and_then(|v| change(&v));
+            let read = serde_json::from_str(&event.data)
+                .map_err(|e| Event::NotJson(e.to_string()))
+                .and_then(|v| change(&v));
             let change = match read {
                 Ok(change) => change,
                 Err(e) => {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration that the platform hands a front node (`DEPLOY.md`): JSON in the file that `EDGE_CONFIG` names.
 
+use crate::error::Fault;
 use crate::list::{Change, change};
 use micadyke_settings::{Site, site};
 use serde_json::Value;
@@ -8,7 +9,7 @@
 /// Bytes of the configuration at most.
 pub const LONGEST: u64 = 16 << 20;
 /// Descriptors under which a node can't serve: its own, the bus, a few servers and viewers.
-const FEWEST_SOCKETS: u64 = 64;
+pub(crate) const FEWEST_SOCKETS: u64 = 64;
 
 /// What a front node is told at its start.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,41 +32,46 @@
     pub site: Site,
 }
 
-fn field<'v>(v: &'v Value, path: &str) -> Result<&'v Value, String> {
+fn field<'v>(v: &'v Value, path: &'static str) -> Result<&'v Value, Fault> {
     let found = path.split('.').fold(v, |v, key| &v[key]);
-    if found.is_null() { Err(format!("{path} is missing")) } else { Ok(found) }
+    if found.is_null() { Err(Fault::Missing(path)) } else { Ok(found) }
 }
 
-fn text<'v>(v: &'v Value, path: &str) -> Result<&'v str, String> {
-    field(v, path)?.as_str().ok_or_else(|| format!("{path} holds no text"))
+fn text<'v>(v: &'v Value, path: &'static str) -> Result<&'v str, Fault> {
+    field(v, path)?.as_str().ok_or(Fault::Kind { field: path, due: "text" })
 }
 
-fn address(v: &Value, path: &str) -> Result<SocketAddr, String> {
+fn count(v: &Value, path: &'static str) -> Result<u64, Fault> {
+    field(v, path)?.as_u64().ok_or(Fault::Kind { field: path, due: "count" })
+}
+
+fn address(v: &Value, path: &'static str) -> Result<SocketAddr, Fault> {
     let t = text(v, path)?;
-    t.parse().map_err(|_| format!("{path} holds '{t}', not an address and port"))
+    t.parse().map_err(|_| Fault::Address { field: path, held: t.into() })
 }
 
-/// Reads the configuration; the error names the field.
-pub fn read(json: &str) -> Result<Config, String> {
-    let v: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
+/// Reads the configuration.
+///
+/// # Errors
+///
+/// Which field is wrong, and how.
+pub fn read(json: &str) -> Result<Config, Fault> {
+    let v: Value = serde_json::from_str(json).map_err(|e| Fault::NotJson(e.to_string()))?;
     let seed = text(&v, "seed")?;
-    let seed =
-        u64::from_str_radix(seed, 16).map_err(|_| format!("seed holds '{seed}', not 16 hex digits"))?;
-    let sockets = field(&v, "limits.sockets")?.as_u64().ok_or("limits.sockets holds no count")?;
+    let seed = u64::from_str_radix(seed, 16).map_err(|_| Fault::Seed(seed.into()))?;
+    let sockets = count(&v, "limits.sockets")?;
     if sockets < FEWEST_SOCKETS {
-        return Err(format!("limits.sockets holds {sockets}; a node needs {FEWEST_SOCKETS}"));
+        return Err(Fault::FewSockets(sockets));
     }
     let (mut known, mut offset) = (Vec::new(), 0);
     if !v["known"].is_null() {
-        offset = field(&v, "known.offset")?.as_u64().ok_or("known.offset holds no count")?;
-        let batch = field(&v, "known.batch")?.as_array().ok_or("known.batch holds no list")?;
+        offset = count(&v, "known.offset")?;
+        let batch = field(&v, "known.batch")?.as_array();
+        let batch = batch.ok_or(Fault::Kind { field: "known.batch", due: "list" })?;
         for (i, event) in batch.iter().enumerate() {
-            let change = change(event).map_err(|e| format!("known.batch[{i}]: {e}"))?;
+            let change = change(event).map_err(|why| Fault::Event { at: i, why })?;
             if change.offset > offset {
-                return Err(format!(
-                    "known.batch[{i}]: offset {} is past known.offset {offset}",
-                    change.offset
-                ));
+                return Err(Fault::Past { at: i, offset: change.offset, last: offset });
             }
             known.push(change);
         }
@@ -84,15 +90,19 @@
 
 impl Config {
     /// Checks the configuration against what the environment says of the same things.
-    pub fn agrees(&self, name: Option<&str>, listen: Option<&str>) -> Result<(), String> {
+    ///
+    /// # Errors
+    ///
+    /// Which of both differs.
+    pub fn agrees(&self, name: Option<&str>, listen: Option<&str>) -> Result<(), Fault> {
         if let Some(n) = name.filter(|n| *n != self.name) {
-            return Err(format!("name holds '{}', but EDGE_NAME says '{n}'", self.name));
+            return Err(Fault::OtherName { held: self.name.clone(), said: n.into() });
         }
         match listen.map(str::parse::<SocketAddr>) {
             Some(Ok(a)) if a == self.listen => Ok(()),
             None => Ok(()),
-            Some(Ok(a)) => Err(format!("listen holds {}, but EDGE_LISTEN says {a}", self.listen)),
-            Some(Err(_)) => Err("EDGE_LISTEN is not an address and port".into()),
+            Some(Ok(a)) => Err(Fault::OtherListen { held: self.listen, said: a }),
+            Some(Err(_)) => Err(Fault::NoListen),
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod core;
 mod directed;
+mod error;
 pub mod io;
 pub mod list;
 mod others;
@@ -22,5 +23,6 @@
 mod viewers;
 
 pub use crate::books::{Counts, Node};
+pub use crate::error::{Error, Event, Fault};
 pub use crate::io::{ConnId, Input, Output};
 pub use micadyke::module::Decide;
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -1,5 +1,6 @@
 //! The list of servers as events of the bus carry it, and its names as numbers.
 
+use crate::error::Event;
 use micadyke::interface::{Nanos, ServerEntry, ServerId, ServerState};
 use micadyke_settings::{Names, position};
 use serde_json::Value;
@@ -45,9 +46,13 @@
     pub rows: Vec<Row>,
 }
 
-/// Reads an event; the error names the field.
-pub fn change(v: &Value) -> Result<Change, String> {
-    let offset = v["offset"].as_u64().ok_or("offset holds no number")?;
+/// Reads an event.
+///
+/// # Errors
+///
+/// Which field is wrong, and how.
+pub fn change(v: &Value) -> Result<Change, Event> {
+    let offset = v["offset"].as_u64().ok_or(Event::NoOffset)?;
     let topology = &v["topology"];
     if topology.is_null() {
         // Events of another sort are counted and otherwise passed over.
@@ -55,41 +60,42 @@
     }
     let version = topology["version"].as_u64().unwrap_or(0);
     let full = topology["full"].as_bool().unwrap_or(false);
-    let servers = topology["servers"].as_array().ok_or("topology.servers holds no list")?;
+    let servers = topology["servers"].as_array().ok_or(Event::NoList)?;
     if servers.len() > MOST_SERVERS {
-        return Err(format!("topology.servers holds {} servers; {MOST_SERVERS} at most", servers.len()));
+        return Err(Event::TooMany(servers.len()));
     }
     let rows = servers.iter().enumerate();
-    let rows = rows.map(|(i, r)| row(r).map_err(|e| format!("topology.servers[{i}].{e}")));
+    let rows = rows.map(|(i, r)| row(r).map_err(|(field, lacks)| Event::Server { at: i, field, lacks }));
     Ok(Change { offset, version, full, rows: rows.collect::<Result<_, _>>()? })
 }
 
-fn row(v: &Value) -> Result<Row, String> {
+/// Reads a server; else the field, and what it lacks.
+fn row(v: &Value) -> Result<Row, (&'static str, &'static str)> {
     let text = |key: &str| v[key].as_str().map(str::to_owned);
-    let id = text("id").filter(|i| !i.is_empty() && i.len() <= LONGEST_ID).ok_or("id holds no name")?;
+    let id = text("id").filter(|i| !i.is_empty() && i.len() <= LONGEST_ID).ok_or(("id", "no name"))?;
     let state = match v["state"].as_str() {
         Some("up") => ServerState::Ready,
         Some("draining") => ServerState::Draining,
         Some("removed") => ServerState::Gone,
-        _ => return Err("state holds none of up, draining, removed".into()),
+        _ => return Err(("state", "none of up, draining, removed")),
     };
     let addr = match v["addr"].as_str().map(str::parse) {
         Some(Ok(addr)) => addr,
         // One that is gone is asked nothing more.
         _ if state == ServerState::Gone => SocketAddr::from(([0, 0, 0, 0], 0)),
-        _ => return Err("addr holds no address and port".into()),
+        _ => return Err(("addr", "no address and port")),
     };
     let weight = match &v["weight"] {
         Value::Null => 1.0,
-        w => w.as_f64().filter(|w| *w >= 0.0 && w.is_finite()).ok_or("weight holds no number from 0")?,
+        w => w.as_f64().filter(|w| *w >= 0.0 && w.is_finite()).ok_or(("weight", "no number from 0"))?,
     };
     let started = match &v["started_ms"] {
         Value::Null => 0.0,
-        s => s.as_f64().filter(|s| *s >= 0.0 && s.is_finite()).ok_or("started_ms holds no time")?,
+        s => s.as_f64().filter(|s| *s >= 0.0 && s.is_finite()).ok_or(("started_ms", "no time"))?,
     };
     let cell = match &v["cell"] {
         Value::Null => 0,
-        c => c.as_u64().and_then(|c| u32::try_from(c).ok()).ok_or("cell holds no number")?,
+        c => c.as_u64().and_then(|c| u32::try_from(c).ok()).ok_or(("cell", "no number"))?,
     };
     Ok(Row {
         id,
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -7,6 +7,7 @@
 use crate::books::{Counts, Node};
 use crate::care;
 use crate::config::{Config, LONGEST, read};
+use crate::error::Error;
 use crate::io::{ConnId, Input, Output};
 use micadyke::interface::Nanos;
 use micadyke::module::Decide;
@@ -38,15 +39,19 @@
 /// Accepting is tried again after this when descriptors are short.
 const SHORT: Duration = Duration::from_millis(20);
 
-/// Reads the configuration from its file; the error names the file and the field.
-pub fn load(path: &Path) -> Result<Config, String> {
-    let fault = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
-    let size = std::fs::metadata(path).map_err(|e| fault(&e))?.len();
+/// Reads the configuration from its file.
+///
+/// # Errors
+///
+/// What is wrong, with the file and the field.
+pub fn load(path: &Path) -> Result<Config, Error> {
+    let there = |why| Error::File { path: path.into(), why };
+    let size = std::fs::metadata(path).map_err(there)?.len();
     if size > LONGEST {
-        return Err(fault(&format!("{size} bytes; {LONGEST} at most")));
+        return Err(Error::TooLong { path: path.into(), size });
     }
-    let text = std::fs::read_to_string(path).map_err(|e| fault(&e))?;
-    read(&text).map_err(|e| fault(&e))
+    let text = std::fs::read_to_string(path).map_err(there)?;
+    read(&text).map_err(|why| Error::Refused { path: path.into(), why })
 }
 
 /// A connection's side of the shell.
@@ -157,16 +162,15 @@
 ///
 /// # Errors
 ///
-/// Where it cannot listen.
+/// Where it cannot listen, or hears no signals.
 pub async fn run<D: Decide + 'static>(
     path: PathBuf, config: Config, decide: impl FnOnce(Nanos) -> D, others: Option<Others>,
     recovers: Option<Recovers>,
-) -> Result<Counts, String> {
-    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let failed = |e: std::io::Error| format!("no signals: {e}");
-    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
-    let hup = signal(SignalKind::hangup()).map_err(failed)?;
+) -> Result<Counts, Error> {
+    let listener = listen(config.listen).map_err(|why| Error::Listen { at: config.listen, why })?;
+    let mut term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(Error::Signals)?;
+    let hup = signal(SignalKind::hangup()).map_err(Error::Signals)?;
     let epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let kept = recovers.as_ref().map(|r| &r.kept);
     let module = Advised::new(decide(epoch), &config.site.settings, kept);
--- a/crates/recovery/src/record.rs
+++ b/crates/recovery/src/record.rs
@@ -254,14 +254,33 @@
 }
 
 /// Why a record can't be read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Unreadable {
     /// It is of a newer format.
+    #[error("it is of format {0}, newer than this program's {FORMAT}")]
     Newer(u8),
     /// Its checksum or content is wrong.
+    #[error("its checksum or content is wrong")]
     Damaged,
 }
 
+impl Unreadable {
+    /// What an operator can do.
+    ///
+    /// ```
+    /// let newer = micadyke_recovery::record::Record::decode(&[99]).expect_err("of another program");
+    /// assert!(newer.advice().contains("newer program"));
+    /// ```
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Unreadable::Newer(_) => {
+                "Start the newer program that wrote it, or let this start be as the first."
+            }
+            Unreadable::Damaged => "See to the disk; nothing of the record is used.",
+        }
+    }
+}
+
 /// What was kept when the process started.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Kept {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,10 +2,14 @@
 //! module's words. One reader for the simulator's adapter and the node; it chooses nothing.
 #![warn(missing_docs)]
 
+mod error;
+
+pub use error::Error;
+
 use micadyke::interface::*;
 use serde_json::Value;
 
-type Parsed<T> = Result<T, String>;
+type Parsed<T> = Result<T, Error>;
 
 /// Names that an instance's settings give to classes, machine kinds and zones.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
@@ -61,32 +65,37 @@
     let mut v = value;
     for key in path.split('.') {
         if !(v.is_object() || v.is_null()) {
-            return Err(format!("settings: {path} can't be read, for what should hold {key} is {v}"));
+            return Err(Error::NoObject { path: path.into(), key: key.into(), held: v.to_string() });
         }
         v = &v[key];
     }
     Ok(v)
 }
 
+/// A value that is not of the kind that is due.
+fn not(due: &'static str, held: impl ToString, path: &str) -> Error {
+    Error::Kind { path: path.into(), held: held.to_string(), due }
+}
+
 fn float(value: &Value, path: &str) -> Parsed<f64> {
     let v = at(value, path)?;
     if v.is_null() {
         return Ok(0.0);
     }
-    v.as_f64().ok_or_else(|| format!("settings: {path} holds {v}, not a number"))
+    v.as_f64().ok_or_else(|| not("a number", v, path))
 }
 
 fn nanos(value: &Value, path: &str) -> Parsed<Nanos> {
     let v = float(value, path)?;
     if v < 0.0 {
-        return Err(format!("settings: {path} holds {v}, a negative time"));
+        return Err(Error::Negative { path: path.into(), held: v.to_string() });
     }
     Ok(v.min(LONGEST) as Nanos)
 }
 
 fn whole(v: f64, path: &str) -> Parsed<u32> {
     if v < 0.0 || v.fract() != 0.0 {
-        return Err(format!("settings: {path} holds {v}, not a count"));
+        return Err(not("a count", v, path));
     }
     Ok(v.min(MOST) as u32)
 }
@@ -104,7 +113,7 @@
     if v.is_null() {
         return Ok("");
     }
-    v.as_str().ok_or_else(|| format!("settings: {path} holds {v}, not a text"))
+    v.as_str().ok_or_else(|| not("a text", v, path))
 }
 
 fn list<'v>(value: &'v Value, path: &str) -> Parsed<&'v [Value]> {
@@ -112,7 +121,7 @@
     if v.is_null() {
         return Ok(&[]);
     }
-    v.as_array().map(Vec::as_slice).ok_or_else(|| format!("settings: {path} holds {v}, not a list"))
+    v.as_array().map(Vec::as_slice).ok_or_else(|| not("a list", v, path))
 }
 
 fn truth(value: &Value, path: &str) -> Parsed<bool> {
@@ -120,27 +129,31 @@
     if v.is_null() {
         return Ok(false);
     }
-    v.as_bool().ok_or_else(|| format!("settings: {path} holds {v}, not true or false"))
+    v.as_bool().ok_or_else(|| not("true or false", v, path))
 }
 
 fn floats(value: &Value, path: &str) -> Parsed<Vec<f64>> {
-    let bad = |v: &Value| format!("settings: {path} holds {v}, not a number");
-    list(value, path)?.iter().map(|v| v.as_f64().ok_or_else(|| bad(v))).collect()
+    list(value, path)?.iter().map(|v| v.as_f64().ok_or_else(|| not("a number", v, path))).collect()
 }
 
 fn names(value: &Value, path: &str) -> Parsed<Vec<String>> {
-    let bad = |v: &Value| format!("settings: {path} holds {v}, not a name");
-    list(value, path)?.iter().map(|v| v.as_str().map(str::to_owned).ok_or_else(|| bad(v))).collect()
+    let name = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| not("a name", v, path));
+    list(value, path)?.iter().map(name).collect()
 }
 
-/// Reads the settings object from its text. The error says which field is wrong, and how.
+/// Reads the settings object from its text.
+///
+/// # Errors
+///
+/// Which field is wrong, and how.
 pub fn read(json: &str) -> Parsed<Site> {
-    let v: Value = serde_json::from_str(json).map_err(|e| format!("settings can't be read: {e}"))?;
+    let v: Value = serde_json::from_str(json).map_err(|e| Error::NotJson(e.to_string()))?;
     site(&v)
 }
 
 /// Reads what a class says of itself: its name, its deadline, and what the module is told.
 fn class(c: &Value) -> Parsed<(String, Nanos, Class)> {
+    let word = |path: &str, held: &str| Error::Word { path: path.into(), held: held.into() };
     let effect = match text(c, "effect")? {
         "idempotent" | "" => Effect::Idempotent,
         "at_most_once" => Effect::AtMostOnce,
@@ -149,18 +162,22 @@
                 "all" | "" => Scope::All,
                 "zone" => Scope::Zone,
                 "cell" => Scope::Cell,
-                other => return Err(format!("settings: dedup_scope holds '{other}'")),
+                other => return Err(word("dedup_scope", other)),
             },
             window: nanos(c, "window_ns")?,
         },
-        other => return Err(format!("settings: effect holds '{other}'")),
+        other => return Err(word("effect", other)),
     };
     let (worth, aim) = (float(c, "worth")?, nanos(c, "promise_ns")?);
     let class = Class { worth, aim, effect, scale: 1.0, floor: 0, top: 0, seats: 0 };
     Ok((text(c, "name")?.to_owned(), nanos(c, "deadline_ns")?, class))
 }
 
-/// Reads the settings object into the module's own words. The error says which field is wrong, and how.
+/// Reads the settings object into the module's own words.
+///
+/// # Errors
+///
+/// Which field is wrong, and how.
 pub fn site(v: &Value) -> Parsed<Site> {
     let mut zones = names(v, "dcs")?;
     let zone_name = text(v, "zone")?;
@@ -176,24 +193,23 @@
     let rates = floats(v, "family_info.rung_kb")?;
     let worths = floats(v, "family_info.worth_by_rung")?;
     if rates.len() != worths.len() {
-        return Err("settings: family_info.rung_kb and worth_by_rung differ in length".into());
+        return Err(Error::Ladder);
     }
     let known = list(v, "classes")?.len();
     let lists = [("floor_by_class", &floors), ("highest_rung", &tops), ("licence_cap", &seats)];
     let lists = lists.into_iter().map(|(name, values)| (name, values.len()));
     for (name, held) in lists.chain([("scale_by_class", scales.len())]) {
         if held != 0 && held != known {
-            return Err(format!("settings: family_info.{name} holds {held} values for {known} classes"));
+            return Err(Error::PerClass { name, held, known });
         }
     }
     let mut classes = Vec::new();
     let mut class_names = Vec::new();
     let mut deadline = 0;
     for (i, c) in list(v, "classes")?.iter().enumerate() {
-        let (name, within, class) =
-            class(c).map_err(|e| e.replacen("settings: ", &format!("settings: classes[{i}]."), 1))?;
+        let (name, within, class) = class(c).map_err(|e| e.of_class(i))?;
         if class_names.contains(&name) {
-            return Err(format!("settings: classes[{i}].name holds '{name}' once more"));
+            return Err(Error::Twice { path: format!("classes[{i}].name"), held: name });
         }
         class_names.push(name);
         deadline = deadline.max(within);
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -39,9 +39,9 @@
     for (sound, wrong, named) in table {
         assert!(SETTINGS.contains(sound), "{sound}");
         let fault = read(&SETTINGS.replace(sound, wrong)).expect_err(named);
-        assert!(fault.contains(named), "{fault}");
+        assert!(fault.to_string().contains(named), "{fault}");
     }
-    assert!(read("{").expect_err("no JSON").contains("can't be read"));
+    assert!(read("{").expect_err("no JSON").to_string().contains("can't be read"));
 }
 
 /// Every place in an object, as keys.
@@ -109,6 +109,7 @@
                 }
                 Err(fault) => {
                     refused += 1;
+                    let fault = fault.to_string();
                     let classes = fault.contains("for 0 classes") || fault.contains("for 1 classes");
                     let rungs = fault.contains("rung_kb and worth_by_rung");
                     assert!(fault.contains(field.as_str()) || classes || rungs, "{path:?} {odd}: {fault}");
