--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -91,7 +91,7 @@
             }
             Error::Quantity { why, .. } => why.advice(),
             Error::File { .. } => {
-                "See whether the file is there and this process may read it, or write it where it keeps."
+                "See whether the path is right, and whether this process may read or write there."
             }
             Error::Refused(faults) => {
                 faults.first().map_or("See what else the log says.", Diagnostic::advice)
