--- a/crates/cli/tests/errors.rs
+++ b/crates/cli/tests/errors.rs
@@ -109,6 +109,34 @@
     page_says(NODE, "### Configuration and start", all);
 }
 
+#[test]
+fn texts_and_quantities_of_settings() {
+    use micadyke_config::sexp::{Flaw, MAX_DEPTH, read};
+    use micadyke_config::units::Fault as Ill;
+    // Each is what a text is refused for.
+    let flaw = |text: &str| read(text).expect_err(text).flaw;
+    let mut all = every!(Flaw;
+        Flaw::TooLong => flaw(&" ".repeat(micadyke_config::sexp::MAX_BYTES + 1)),
+        Flaw::TooDeep => flaw(&"(".repeat(MAX_DEPTH + 1)),
+        Flaw::Unopened => flaw(")"),
+        Flaw::Unclosed => flaw("(zones"),
+        Flaw::OpenString => flaw("\"f"),
+        Flaw::Escape => flaw(r#""\d""#),
+        Flaw::Control => flaw("a\u{1}"),
+    );
+    let ill = |text: &str, unit| quantity(text, unit).expect_err(text);
+    all.extend(every!(Ill;
+        Ill::NoNumber { .. } => ill("soon", Unit::Time),
+        Ill::Negative { .. } => ill("-1s", Unit::Time),
+        Ill::NoUnitOfTime { .. } => ill("250", Unit::Time),
+        Ill::NoUnit { .. } => ill("250", Unit::Rate),
+        Ill::Bare { .. } => ill("2s", Unit::Number),
+        Ill::OtherUnit { .. } => ill("2kB", Unit::Time),
+        Ill::TooLarge { .. } => ill("999999999999d", Unit::Time),
+    ));
+    page_says(FRONT, "## Faults of a file's text and quantities", all);
+}
+
 #[test]
 fn records_that_were_kept() {
     let all = every!(Unreadable;
--- a/crates/config/src/form.rs
+++ b/crates/config/src/form.rs
@@ -3,10 +3,10 @@
 use crate::sexp::{self, Node, Place};
 use crate::units::{Unit, quantity};
 use std::cell::RefCell;
-use std::fmt;
 
 /// One fault of a file.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{file}:{}:{}: {what}", at.line, at.column)]
 pub struct Diagnostic {
     /// The file.
     pub file: String,
@@ -16,14 +16,6 @@
     pub what: String,
 }
 
-impl fmt::Display for Diagnostic {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}:{}: {}", self.file, self.at.line, self.at.column, self.what)
-    }
-}
-
-impl std::error::Error for Diagnostic {}
-
 impl Diagnostic {
     /// What an operator can do.
     pub fn advice(&self) -> &'static str {
@@ -77,7 +69,7 @@
     let value = match sexp::read(text) {
         Ok(nodes) => read(&nodes, &faults),
         Err(e) => {
-            faults.add(e.at, e.what);
+            faults.add(e.at, e.flaw.to_string());
             None
         }
     };
--- a/crates/config/src/sexp.rs
+++ b/crates/config/src/sexp.rs
@@ -40,12 +40,61 @@
 }
 
 /// A text that is no sequence of S-expressions.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{}:{}: {flaw}", at.line, at.column)]
 pub struct ReadError {
     /// Where.
     pub at: Place,
     /// What is wrong.
-    pub what: String,
+    pub flaw: Flaw,
+}
+
+/// Why a text is no sequence of S-expressions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Flaw {
+    /// More than is read.
+    #[error("the text is longer than {MAX_BYTES} bytes")]
+    TooLong,
+    /// Deeper than is read.
+    #[error("lists nest deeper than {MAX_DEPTH}")]
+    TooDeep,
+    /// A `)` too many.
+    #[error("a ')' that closes nothing")]
+    Unopened,
+    /// A `)` too few.
+    #[error("a '(' that is not closed")]
+    Unclosed,
+    /// A `"` too few.
+    #[error("a string that is not closed")]
+    OpenString,
+    /// A backslash before something else.
+    #[error("an escape other than \\\" \\\\ \\n \\r \\t")]
+    Escape,
+    /// What no editor writes.
+    #[error("a control character")]
+    Control,
+}
+
+impl Flaw {
+    /// What an operator can do.
+    ///
+    /// ```
+    /// let flaw = micadyke_config::sexp::read("(front").expect_err("not closed").flaw;
+    /// assert!(flaw.advice().contains("')'"));
+    /// ```
+    pub fn advice(&self) -> &'static str {
+        match self {
+            Flaw::TooLong => {
+                "See whether it is the right file; no settings and no list of boxes come near that."
+            }
+            Flaw::TooDeep => "See for lists that were meant to end earlier; nothing here nests so deep.",
+            Flaw::Unopened => "Take the ')' away, or close a list before it later.",
+            Flaw::Unclosed => "Add a ')' where the list that begins there is to end.",
+            Flaw::OpenString => "Add a '\"' where the text that begins there is to end.",
+            Flaw::Escape => "Write a backslash in a text twice.",
+            Flaw::Control => "Delete the character and type that place anew; the file may be no text.",
+        }
+    }
 }
 
 impl Node {
@@ -142,15 +191,19 @@
     }
 }
 
-fn error<T>(at: Place, what: impl Into<String>) -> Result<T, ReadError> {
-    Err(ReadError { at, what: what.into() })
+fn error<T>(at: Place, flaw: Flaw) -> Result<T, ReadError> {
+    Err(ReadError { at, flaw })
 }
 
 /// Reads all expressions of a text.
+///
+/// # Errors
+///
+/// Where it is none, and why.
 pub fn read(text: &str) -> Result<Vec<Node>, ReadError> {
     let mut r = Reader { rest: text.chars().peekable(), at: Place { line: 1, column: 1 } };
     if text.len() > MAX_BYTES {
-        return error(r.at, format!("the text is longer than {MAX_BYTES} bytes"));
+        return error(r.at, Flaw::TooLong);
     }
     if r.rest.peek() == Some(&'\u{feff}') {
         r.rest.next();
@@ -165,14 +218,14 @@
             '(' => {
                 r.next();
                 if open.len() == MAX_DEPTH {
-                    return error(at, format!("lists nest deeper than {MAX_DEPTH}"));
+                    return error(at, Flaw::TooDeep);
                 }
                 open.push((at, Vec::new()));
                 continue;
             }
             ')' => {
                 r.next();
-                let Some((began, items)) = open.pop() else { return error(at, "a ')' that closes nothing") };
+                let Some((began, items)) = open.pop() else { return error(at, Flaw::Unopened) };
                 let node = Node { kind: Kind::List(items), at: began };
                 open.last_mut().map_or(&mut top, |o| &mut o.1).push(node);
                 continue;
@@ -182,14 +235,14 @@
                 let mut text = String::new();
                 loop {
                     match r.next() {
-                        None => return error(at, "a string that is not closed"),
+                        None => return error(at, Flaw::OpenString),
                         Some('"') => break,
                         Some('\\') => match r.next() {
                             Some('n') => text.push('\n'),
                             Some('r') => text.push('\r'),
                             Some('t') => text.push('\t'),
                             Some(c @ ('"' | '\\')) => text.push(c),
-                            _ => return error(r.at, "an escape other than \\\" \\\\ \\n \\r \\t"),
+                            _ => return error(r.at, Flaw::Escape),
                         },
                         Some(c) => text.push(c),
                     }
@@ -203,7 +256,7 @@
                         break;
                     }
                     if c.is_control() {
-                        return error(r.at, "a control character");
+                        return error(r.at, Flaw::Control);
                     }
                     text.push(c);
                     r.next();
@@ -214,7 +267,7 @@
         open.last_mut().map_or(&mut top, |o| &mut o.1).push(Node { kind, at });
     }
     match open.pop() {
-        Some((at, _)) => error(at, "a '(' that is not closed"),
+        Some((at, _)) => error(at, Flaw::Unclosed),
         None => Ok(top),
     }
 }
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -69,7 +69,6 @@
 
 /// Why a text is no quantity of its unit.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[non_exhaustive]
 pub enum Fault {
     /// It does not begin with a number.
     #[error("'{text}' is not {}", unit.name())]
--- a/crates/node/src/bus.rs
+++ b/crates/node/src/bus.rs
@@ -124,7 +124,11 @@
             let change = match read {
                 Ok(change) => change,
                 Err(e) => {
-                    tracing::warn!(id = event.id, "an event of the bus can't be read: {e}");
+                    tracing::warn!(
+                        id = event.id,
+                        advice = e.advice(),
+                        "an event of the bus can't be read: {e}"
+                    );
                     return self.doubt();
                 }
             };
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -471,7 +471,7 @@
                     info!(bus = %config.bus, "configuration read again");
                     self.feed(Input::BusMoved { addr: config.bus });
                 }
-                Err(e) => warn!("the old configuration stays: {e}"),
+                Err(e) => warn!(advice = e.advice(), "the old configuration stays: {e}"),
             }
         }
     }
