Structured fields by sfv in place of the parser made by hand, within the same bounds

The users ask for plumbing from the registry.

Writing is stricter too: a number of 16 digits (bl rounded up from), a key, token or text that is none are left out, where a field was written that no reader takes.

Tests keep the findings as tables.

--- a/crates/cmcd/src/client.rs
+++ b/crates/cmcd/src/client.rs
@@ -3,7 +3,10 @@
 use crate::keys::{Field, KEYS, Key, Kind, find};
 use crate::{MAX_BYTES, MAX_CUSTOM, MAX_REPORTS};
 use micadyke_http::Headers;
-use micadyke_http::structured::{Bare, Dictionary, Item, Member, parse_dictionary, write_dictionary};
+use micadyke_http::structured::{
+    BareItem, Decimal, Dictionary, InnerList, Integer, Item, Key as Name, ListEntry, Text, Token,
+    parse_dictionary, write_dictionary,
+};
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode_str, utf8_percent_encode};
 use std::borrow::Cow;
 
@@ -99,10 +102,10 @@
             return;
         };
         for (name, member) in members {
-            let kept = match find(&name) {
+            let kept = match find(name.as_str()) {
                 Some(key) => value(key.kind, member).map(|v| self.put(key.name, v)).is_some(),
-                None if name.contains('-') && self.custom.len() < MAX_CUSTOM => {
-                    own(member).map(|v| self.custom.push((name, v))).is_some()
+                None if name.as_str().contains('-') && self.custom.len() < MAX_CUSTOM => {
+                    own(member).map(|v| self.custom.push((name.into(), v))).is_some()
                 }
                 None => false,
             };
@@ -205,10 +208,10 @@
     fn dictionary(&self, of: impl Fn(&Key) -> bool) -> Dictionary {
         let known = KEYS.iter().filter(|k| of(k));
         let mut all: Dictionary =
-            known.filter_map(|k| Some((k.name.to_owned(), write(k, self.get(k.name)?)?))).collect();
+            known.filter_map(|k| Some((name(k.name)?, write(k, self.get(k.name)?)?))).collect();
         if of(&KEYS[0]) {
             // Custom keys go with what is of the object, as the first of the fields.
-            all.extend(self.custom.iter().filter_map(|(n, v)| Some((n.clone(), member(v, 1)?))));
+            all.extend(self.custom.iter().filter_map(|(n, v)| Some((name(n)?, member(v, 1)?))));
         }
         all
     }
@@ -245,91 +248,102 @@
     text.len() <= most && text.bytes().all(|b| (0x20..0x7f).contains(&b))
 }
 
-fn whole(bare: &Bare) -> Option<u64> {
-    match bare {
-        Bare::Integer(n) => u64::try_from(*n).ok(),
-        _ => None,
-    }
+fn name(text: &str) -> Option<Name> {
+    Name::from_string(text.to_owned()).ok()
+}
+
+fn whole(bare: &BareItem) -> Option<u64> {
+    bare.as_integer().and_then(|n| u64::try_from(n).ok())
+}
+
+fn thousandths(number: Decimal) -> Option<u64> {
+    u64::try_from(number.as_integer_scaled_1000()).ok()
 }
 
 /// A member as a value of a kind.
-fn value(kind: Kind, member: Member) -> Option<Value> {
-    match (kind, member) {
-        (Kind::Integer, Member::Item(i)) => whole(&i.value).map(Value::Integer),
-        (Kind::Integer, Member::Inner(all, _)) => {
+fn value(kind: Kind, member: ListEntry) -> Option<Value> {
+    let all = match member {
+        ListEntry::Item(item) => return one(kind, item.bare_item),
+        ListEntry::InnerList(list) => Some(list.items).filter(|a| !a.is_empty() && a.len() <= 16)?,
+    };
+    match kind {
+        Kind::Integer => {
             let one = |i: &Item| {
-                let object = i.params.iter().map(|p| p.0.as_str()).find(|n| crate::keys::OBJECTS.contains(n));
-                Some((whole(&i.value)?, object.map(str::to_owned)))
+                let object = i.params.keys().map(|k| k.as_str()).find(|n| crate::keys::OBJECTS.contains(n));
+                Some((whole(&i.bare_item)?, object.map(str::to_owned)))
             };
-            let all: Option<Vec<_>> = all.iter().map(one).collect();
-            all.filter(|a| !a.is_empty() && a.len() <= 16).map(Value::Integers)
+            all.iter().map(one).collect::<Option<_>>().map(Value::Integers)
         }
-        (Kind::Decimal, Member::Item(i)) => match i.value {
-            Bare::Decimal(n) => u64::try_from(n).ok().map(Value::Decimal),
-            Bare::Integer(n) => u64::try_from(n).ok()?.checked_mul(1000).map(Value::Decimal),
-            _ => None,
-        },
-        (Kind::Text(most), Member::Item(Item { value: Bare::String(t), .. })) => {
-            (t.len() <= most).then_some(Value::Text(t))
-        }
-        (Kind::Text(most), Member::Inner(all, _)) => {
-            let one = |i: &Item| match &i.value {
-                Bare::String(t) if t.len() <= most => Some(t.clone()),
+        Kind::Text(most) => {
+            let one = |i: Item| match i.bare_item {
+                BareItem::String(t) if t.as_str().len() <= most => Some(t.into()),
                 _ => None,
             };
-            let all: Option<Vec<_>> = all.iter().map(one).collect();
-            all.filter(|a| !a.is_empty() && a.len() <= 16).map(Value::Texts)
+            all.into_iter().map(one).collect::<Option<_>>().map(Value::Texts)
         }
+        _ => None,
+    }
+}
+
+fn one(kind: Kind, bare: BareItem) -> Option<Value> {
+    match (kind, bare) {
+        (Kind::Integer, bare) => whole(&bare).map(Value::Integer),
+        (Kind::Decimal, BareItem::Decimal(n)) => thousandths(n).map(Value::Decimal),
+        (Kind::Decimal, bare) => whole(&bare)?.checked_mul(1000).map(Value::Decimal),
+        (Kind::Text(most), BareItem::String(t)) => (t.as_str().len() <= most).then(|| Value::Text(t.into())),
         // A value that is not known is of a later version; it is left out.
-        (Kind::Token(known), Member::Item(Item { value: Bare::Token(t), .. })) => {
-            known.contains(&t.as_str()).then_some(Value::Token(t))
+        (Kind::Token(known), BareItem::Token(t)) => {
+            known.contains(&t.as_str()).then(|| Value::Token(t.into()))
         }
-        (Kind::Flag, Member::Item(Item { value: Bare::Boolean(true), .. })) => Some(Value::Flag),
+        (Kind::Flag, BareItem::Boolean(true)) => Some(Value::Flag),
         _ => None,
     }
 }
 
 /// A custom key's value.
-fn own(member: Member) -> Option<Value> {
-    let Member::Item(item) = member else { return None };
-    match item.value {
-        Bare::Integer(n) => u64::try_from(n).ok().map(Value::Integer),
-        Bare::Decimal(n) => u64::try_from(n).ok().map(Value::Decimal),
-        Bare::String(t) if t.len() <= 128 => Some(Value::Text(t)),
-        Bare::Token(t) if t.len() <= 128 => Some(Value::Token(t)),
-        Bare::Boolean(true) => Some(Value::Flag),
+fn own(member: ListEntry) -> Option<Value> {
+    let ListEntry::Item(item) = member else { return None };
+    match item.bare_item {
+        BareItem::Integer(n) => u64::try_from(n).ok().map(Value::Integer),
+        BareItem::Decimal(n) => thousandths(n).map(Value::Decimal),
+        BareItem::String(t) if t.as_str().len() <= 128 => Some(Value::Text(t.into())),
+        BareItem::Token(t) if t.as_str().len() <= 128 => Some(Value::Token(t.into())),
+        BareItem::Boolean(true) => Some(Value::Flag),
         _ => None,
     }
 }
 
-fn write(key: &Key, value: &Value) -> Option<Member> {
+fn write(key: &Key, value: &Value) -> Option<ListEntry> {
     // Version 1 is not written (CTA-5004 section 3); the usual rate neither.
     let usual = (key.name == "v" && *value == Value::Integer(1))
         || (key.name == "pr" && *value == Value::Decimal(1000));
     if usual { None } else { member(value, key.grain) }
 }
 
-fn member(value: &Value, grain: u64) -> Option<Member> {
-    let item = |value: Bare| Item { value, params: Vec::new() };
+/// What can't be written (a number of too many digits, a text that is none) is left out.
+fn member(value: &Value, grain: u64) -> Option<ListEntry> {
     let number = |n: u64| {
         let rounded = (n.saturating_add(grain / 2) / grain).saturating_mul(grain);
-        i64::try_from(rounded).ok().map(Bare::Integer)
+        Integer::try_from(rounded).ok().map(BareItem::Integer)
     };
-    Some(match value {
-        Value::Integer(n) => Member::Item(item(number(*n)?)),
-        Value::Decimal(n) => Member::Item(item(Bare::Decimal(i64::try_from(*n).ok()?))),
-        Value::Text(t) => Member::Item(item(Bare::String(t.clone()))),
-        Value::Token(t) => Member::Item(item(Bare::Token(t.clone()))),
-        Value::Flag => Member::Item(item(Bare::Boolean(true))),
+    let text = |t: &String| Text::from_string(t.clone()).ok().map(BareItem::String);
+    let bare = match value {
+        Value::Integer(n) => number(*n)?,
+        Value::Decimal(n) => Decimal::from_integer_scaled_1000(Integer::try_from(*n).ok()?).into(),
+        Value::Text(t) => text(t)?,
+        Value::Token(t) => Token::from_string(t.clone()).ok()?.into(),
+        Value::Flag => true.into(),
         Value::Integers(all) => {
             let one = |(n, object): &(u64, Option<String>)| {
-                let params = object.iter().map(|o| (o.clone(), Bare::Boolean(true))).collect();
-                Some(Item { value: number(*n)?, params })
+                let params = object.iter().map(|o| Some((name(o)?, true.into()))).collect::<Option<_>>()?;
+                Some(Item::with_params(number(*n)?, params))
             };
-            Member::Inner(all.iter().map(one).collect::<Option<Vec<_>>>()?, Vec::new())
+            return Some(InnerList::new(all.iter().map(one).collect::<Option<_>>()?).into());
         }
         Value::Texts(all) => {
-            Member::Inner(all.iter().map(|t| item(Bare::String(t.clone()))).collect(), Vec::new())
+            let items = all.iter().map(|t| text(t).map(Item::new)).collect::<Option<_>>()?;
+            return Some(InnerList::new(items).into());
         }
-    })
+    };
+    Some(Item::new(bare).into())
 }
--- a/crates/cmcd/src/server.rs
+++ b/crates/cmcd/src/server.rs
@@ -4,7 +4,8 @@
 use crate::MAX_BYTES;
 use micadyke_http::Headers;
 use micadyke_http::structured::{
-    Bare, Dictionary, Item, Member, parse_dictionary, parse_list, write_dictionary, write_list,
+    Dictionary, Integer, Item, Key, ListEntry, Parameters, Text, parse_dictionary, parse_list,
+    write_dictionary, write_list,
 };
 
 /// Name of the field for what does not change with the way (CTA-5006 section 2).
@@ -60,40 +61,42 @@
 
     /// The header fields that tell this, those that are not empty.
     pub fn fields(&self) -> Vec<(&'static str, String)> {
-        let hops: Vec<Member> = self.hops.iter().map(member).collect();
+        let hops = self.hops.iter().filter_map(member).collect();
         let all = [(STATIC, write_dictionary(&self.fixed)), (DYNAMIC, write_list(&hops))];
         all.into_iter().filter(|(_, text)| !text.is_empty()).collect()
     }
 }
 
-fn hop(m: &Member) -> Option<Hop> {
-    let Member::Item(Item { value: Bare::String(name) | Bare::Token(name), params }) = m else { return None };
-    let number = |key: &str| {
-        params.iter().find(|p| p.0 == key).and_then(|p| match p.1 {
-            Bare::Integer(n) => u64::try_from(n).ok(),
-            _ => None,
-        })
-    };
+fn hop(member: &ListEntry) -> Option<Hop> {
+    let ListEntry::Item(Item { bare_item, params }) = member else { return None };
+    let name = bare_item.as_string().map(|t| t.as_str()).or(bare_item.as_token().map(|t| t.as_str()))?;
+    let number = |key: &str| params.get(key)?.as_integer().and_then(|n| u64::try_from(n).ok());
     Some(Hop {
-        name: name.clone(),
+        name: name.to_owned(),
         max_bitrate: number("mb"),
         throughput: number("etp"),
         round_trip: number("rtt"),
         delay: number("rd"),
-        duress: params.iter().any(|p| p.0 == "du" && p.1 == Bare::Boolean(true)),
+        duress: params.get("du").is_some_and(|v| v.as_boolean() == Some(true)),
     })
 }
 
-fn member(h: &Hop) -> Member {
-    let mut params = Vec::new();
+/// Characters of a name that a text can't hold are left out of it, numbers of more than 15 digits altogether.
+fn member(h: &Hop) -> Option<ListEntry> {
+    let mut params = Parameters::new();
     if h.duress {
-        params.push(("du".to_owned(), Bare::Boolean(true)));
+        params.insert(key("du")?, true.into());
     }
     let numbers = [("etp", h.throughput), ("mb", h.max_bitrate), ("rd", h.delay), ("rtt", h.round_trip)];
-    for (key, n) in numbers {
-        if let Some(n) = n.and_then(|n| i64::try_from(n).ok()) {
-            params.push((key.to_owned(), Bare::Integer(n)));
+    for (name, n) in numbers {
+        if let Some(n) = n.and_then(|n| Integer::try_from(n).ok()) {
+            params.insert(key(name)?, n.into());
         }
     }
-    Member::Item(Item { value: Bare::String(h.name.clone()), params })
+    let name = h.name.chars().filter(|c| (' '..='~').contains(c)).collect();
+    Some(Item::with_params(Text::from_string(name).ok()?, params).into())
+}
+
+fn key(name: &str) -> Option<Key> {
+    Key::from_string(name.to_owned()).ok()
 }
--- a/crates/cmcd/tests/hints.rs
+++ b/crates/cmcd/tests/hints.rs
@@ -134,6 +134,24 @@
     }
 }
 
+#[test]
+fn what_cannot_be_written_is_left_out() {
+    // Rounded up, it has a digit too many: no reader would take the field.
+    let mut told = Cmcd::new().with("bl", 999_999_999_999_999).with("br", 5);
+    let custom = [
+        ("a-b", Value::Integer(1)),
+        ("A-b", Value::Integer(1)),
+        ("a-c", Value::Token("x, y".into())),
+        ("a-d", Value::Text("\u{e9}".into())),
+        ("a-e", Value::Decimal(u64::MAX)),
+    ];
+    told.custom.extend(custom.map(|(n, v)| (n.to_owned(), v)));
+    assert_eq!(told.encode(), "br=5,a-b=1");
+    let hop = Hop { name: "b\u{e9}x".into(), max_bitrate: Some(1 << 60), delay: Some(7), ..Hop::default() };
+    let told = Cmsd { hops: vec![hop], ..Cmsd::default() };
+    assert_eq!(told.fields(), [("cmsd-dynamic", "\"bx\";rd=7".to_owned())]);
+}
+
 fn told() -> impl Strategy<Value = Cmcd> {
     let one = (
         0..KEYS.len(),
