DASH manifests are read by quick-xml; four ways past the front are closed

The users ask for plumbing from the registry. The tokenizer of dash.rs made by hand (105 lines) goes; quick-xml without features (no unsafe, memchr alone beneath it) reads tags, attributes and entities. What it leaves to its caller stays here: names, a space between attributes, no '<' in a value, doubles, and all bounds as before, with one more (texts, entities and comments count too: each bare '&' is an event of its own). What is not understood passes byte for byte, a mark of order included.

Refused now: an attribute twice, a form feed between attributes, "<?>", a reference with an entity that is not known or a bare '&', a BaseURL with markup in it. Led now, where the old one let players past the front: references by numbers of characters ("&#47;x"), the second of two attributes of one local name, character data as a BaseURL (refused). Else the same bytes, or another wording of the fault.

HLS stays by hand and says why at its head.

--- a/crates/playlist/src/dash.rs
+++ b/crates/playlist/src/dash.rs
@@ -1,11 +1,16 @@
-//! DASH manifests (ISO/IEC 23009-1): the XML is read as far as their tags; elements that are offered no more are cut
-//! out, references are led elsewhere, and all between passes as it is.
+//! DASH manifests (ISO/IEC 23009-1): `quick-xml` reads the XML as far as their tags; elements that are offered no more
+//! are cut out, references are led elsewhere, and all between passes as it is.
 
 use crate::reference::resolve;
 use crate::{
     Fault, MAX_ATTRIBUTES, MAX_BYTES, MAX_DEPTH, MAX_LINE, MAX_PARTS, MAX_RENDITIONS, Rewritten, Rules,
     chosen, fault,
 };
+use quick_xml::errors::{IllFormedError, SyntaxError};
+use quick_xml::escape::{escape, unescape};
+use quick_xml::events::{BytesStart, Event};
+use quick_xml::{Error, Reader};
+use std::borrow::Cow;
 use std::ops::Range;
 
 /// Media type of manifests (ISO/IEC 23009-1 annex C).
@@ -16,18 +21,19 @@
 struct Tag<'a> {
     /// All of it.
     at: Range<usize>,
-    /// Its name without prefix.
+    /// Its name without prefix; of a closing tag none.
     name: &'a str,
-    full: &'a str,
-    /// Names without prefix, and places of the values within their quotes.
+    /// Names, and places of the values within their quotes.
     attributes: Vec<(&'a str, Range<usize>)>,
     opens: bool,
     closes: bool,
 }
 
 impl Tag<'_> {
+    /// An attribute; one with a prefix only where the element's own is not there.
     fn get(&self, name: &str) -> Option<Range<usize>> {
-        self.attributes.iter().find(|a| a.0 == name).map(|a| a.1.clone())
+        let with = |of: fn(&str) -> &str| self.attributes.iter().find(|a| of(a.0) == name);
+        with(|n| n).or_else(|| with(local)).map(|a| a.1.clone())
     }
 }
 
@@ -35,12 +41,29 @@
     name.rsplit(':').next().unwrap_or(name)
 }
 
-struct Reader<'a> {
+/// What `quick-xml` leaves to its caller: that names are names.
+fn named(name: &str) -> bool {
+    let sound = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':') || b >= 0x80;
+    !name.is_empty() && name.bytes().all(sound)
+}
+
+/// Tags, and texts, entities and comments between them, at most.
+const MAX_EVENTS: usize = 3 * MAX_PARTS;
+
+struct Tags<'a> {
     text: &'a str,
-    at: usize,
+    reader: Reader<&'a [u8]>,
+    events: usize,
 }
 
-impl<'a> Reader<'a> {
+impl<'a> Tags<'a> {
+    fn of(text: &'a str) -> Self {
+        let mut reader = Reader::from_str(text);
+        // A bare '&' is no XML, yet common, and passes as all does that is not read.
+        reader.config_mut().allow_dangling_amp = true;
+        Tags { text, reader, events: 0 }
+    }
+
     fn line(&self, at: usize) -> usize {
         1 + self.text.as_bytes()[..at.min(self.text.len())].iter().filter(|b| **b == b'\n').count()
     }
@@ -49,98 +72,80 @@
         fault(self.line(at), what)
     }
 
-    /// Past what begins here and ends with `end`.
-    fn past(&mut self, end: &str, what: &'static str) -> Result<(), Fault> {
-        match self.text[self.at..].find(end) {
-            Some(i) => {
-                self.at += i + end.len();
-                Ok(())
-            }
-            None => self.fail(self.at, what),
-        }
-    }
-
     /// The next tag; comments, instructions and character data are passed over.
     fn next(&mut self) -> Result<Option<Tag<'a>>, Fault> {
         loop {
-            let Some(i) = self.text[self.at..].find('<') else {
-                self.at = self.text.len();
-                return Ok(None);
+            let begin = self.reader.buffer_position() as usize;
+            self.events += 1;
+            if self.events > MAX_EVENTS {
+                return self.fail(begin, "the manifest has too many parts");
+            }
+            let event = self.reader.read_event();
+            let at = begin..self.reader.buffer_position() as usize;
+            let tag = match event {
+                Ok(Event::Start(start)) => self.opening(at, &start, false)?,
+                Ok(Event::Empty(start)) => self.opening(at, &start, true)?,
+                Ok(Event::End(_)) => Tag { at, name: "", attributes: Vec::new(), opens: false, closes: true },
+                Ok(Event::DocType(_)) => return self.fail(begin, "document types are not taken"),
+                Ok(Event::Eof) => return Ok(None),
+                Ok(_) => continue,
+                Err(e) => return self.fail(begin, told(&e)),
             };
-            self.at += i;
-            let rest = &self.text[self.at..];
-            if rest.starts_with("<!--") {
-                self.at += 4;
-                self.past("-->", "a comment has no end")?;
-            } else if rest.starts_with("<![CDATA[") {
-                self.past("]]>", "character data have no end")?;
-            } else if rest.starts_with("<?") {
-                self.past("?>", "an instruction has no end")?;
-            } else if rest.starts_with("<!") {
-                return self.fail(self.at, "document types are not taken");
-            } else {
-                return self.tag().map(Some);
+            if tag.at.len() > MAX_LINE {
+                return self.fail(begin, "the tag is too long");
             }
+            return Ok(Some(tag));
         }
     }
 
-    fn tag(&mut self) -> Result<Tag<'a>, Fault> {
-        let (text, begin) = (self.text, self.at);
-        let bytes = text.as_bytes();
-        let closes = bytes.get(begin + 1) == Some(&b'/');
-        let mut at = begin + 1 + usize::from(closes);
-        let named = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':') || b >= 0x80;
-        let name_end =
-            |from: usize| bytes[from..].iter().position(|b| !named(*b)).map_or(bytes.len(), |i| from + i);
-        let end = name_end(at);
-        let full = &text[at..end];
-        if full.is_empty() {
-            return self.fail(begin, "a tag has no name");
+    fn opening(&self, at: Range<usize>, start: &BytesStart<'_>, closes: bool) -> Result<Tag<'a>, Fault> {
+        let begin = at.start + 1;
+        let full = &self.text[begin..begin + start.name().as_ref().len()];
+        if !named(full) {
+            return self.fail(at.start, "a tag has no sound name");
         }
-        at = end;
-        let mut attributes: Vec<(&str, Range<usize>)> = Vec::new();
-        loop {
-            if at - begin > MAX_LINE {
-                return self.fail(begin, "the tag is too long");
-            }
-            let space = bytes[at..].iter().position(|b| !b.is_ascii_whitespace()).unwrap_or(0);
-            at += space;
-            match bytes.get(at) {
-                Some(b'>') => {
-                    self.at = at + 1;
-                    let name = local(full);
-                    return Ok(Tag { at: begin..at + 1, name, full, attributes, opens: !closes, closes });
-                }
-                Some(b'/') if bytes.get(at + 1) == Some(&b'>') && !closes => {
-                    self.at = at + 2;
-                    let name = local(full);
-                    return Ok(Tag { at: begin..at + 2, name, full, attributes, opens: true, closes: true });
-                }
-                Some(b) if named(*b) && space > 0 && !closes => {}
-                _ => return self.fail(begin, "a tag is malformed"),
-            }
-            let end = name_end(at);
-            let name = local(&text[at..end]);
-            let equals = bytes[end..].iter().position(|b| !b.is_ascii_whitespace()).map(|i| end + i);
-            let quote = equals.filter(|i| bytes[*i] == b'=').and_then(|i| {
-                bytes[i + 1..].iter().position(|b| !b.is_ascii_whitespace()).map(|j| i + 1 + j)
-            });
-            let Some(open) = quote.filter(|i| matches!(bytes[*i], b'"' | b'\'')) else {
-                return self.fail(begin, "an attribute is malformed");
+        let mut attributes = Vec::new();
+        // Its own check for doubles allocates for each tag; so few are compared faster.
+        for attribute in start.attributes().with_checks(false) {
+            let Ok(attribute) = attribute else {
+                return self.fail(at.start, "an attribute is malformed");
             };
-            let Some(close) = bytes[open + 1..].iter().position(|b| *b == bytes[open]).map(|i| open + 1 + i)
-            else {
-                return self.fail(begin, "an attribute has no end");
+            // Keys and values are parts of the tag's own text.
+            let place = |part: &str| {
+                let from = begin + (part.as_ptr().addr() - start.as_ptr().addr());
+                from..from + part.len()
             };
-            if bytes[open + 1..close].contains(&b'<') {
-                return self.fail(begin, "an attribute holds a '<'");
+            let (name, value) = (place(attribute.key.as_ref()), place(&attribute.value));
+            let apart = self.text.as_bytes()[name.start - 1].is_ascii_whitespace();
+            if !apart || !named(&self.text[name.clone()]) {
+                return self.fail(at.start, "an attribute is malformed");
+            }
+            if self.text[value.clone()].contains('<') {
+                return self.fail(at.start, "an attribute holds a '<'");
             }
             if attributes.len() == MAX_ATTRIBUTES {
-                return self.fail(begin, "the tag has too many attributes");
+                return self.fail(at.start, "the tag has too many attributes");
+            }
+            let name = &self.text[name];
+            if attributes.iter().any(|a: &(&str, _)| a.0 == name) {
+                return self.fail(at.start, "an attribute is there twice");
             }
-            attributes.push((name, open + 1..close));
-            at = close + 1;
+            attributes.push((name, value));
         }
+        Ok(Tag { at, name: local(full), attributes, opens: true, closes })
+    }
+}
+
+fn told(error: &Error) -> &'static str {
+    match error {
+        Error::IllFormed(IllFormedError::MismatchedEndTag { .. } | IllFormedError::UnmatchedEndTag(_)) => {
+            "a closing tag does not fit"
+        }
+        Error::Syntax(SyntaxError::UnclosedComment) => "a comment has no end",
+        Error::Syntax(SyntaxError::UnclosedCData) => "character data have no end",
+        Error::Syntax(SyntaxError::UnclosedPI | SyntaxError::UnclosedXmlDecl) => "an instruction has no end",
+        Error::Syntax(SyntaxError::UnclosedDoctype) => "document types are not taken",
+        _ => "a tag is malformed",
     }
 }
 
@@ -152,7 +157,6 @@
 }
 
 struct Open<'a> {
-    full: &'a str,
     name: &'a str,
     begin: usize,
     /// End of its opening tag.
@@ -161,19 +165,9 @@
     rate: u64,
 }
 
-/// Text as XML has it; characters that the format itself uses are escaped.
-fn escape(text: &str) -> String {
-    text.replace('&', "&amp;")
-        .replace('<', "&lt;")
-        .replace('>', "&gt;")
-        .replace('"', "&quot;")
-        .replace('\'', "&apos;")
-}
-
-/// The opposite, for the five entities that every reader knows.
-fn plain(text: &str) -> String {
-    let text = text.replace("&lt;", "<").replace("&gt;", ">").replace("&quot;", "\"").replace("&apos;", "'");
-    text.replace("&amp;", "&")
+/// The text of a reference; `None`: it holds markup, or an entity that not every reader knows.
+fn plain(text: &str) -> Option<Cow<'_, str>> {
+    unescape(text).ok().filter(|_| !text.contains('<'))
 }
 
 /// Reads a manifest and writes it anew by the rules. `base`: what references within it are resolved against from now on,
@@ -182,7 +176,8 @@
     if text.len() > MAX_BYTES {
         return fault(1, "the manifest is too long");
     }
-    let mut reader = Reader { text, at: 0 };
+    let (mark, text) = text.split_at(text.len() - text.trim_start_matches('\u{feff}').len());
+    let mut reader = Tags::of(text);
     let mut open: Vec<Open<'_>> = Vec::new();
     let mut found: Vec<Representation> = Vec::new();
     // What is put in the place of what, from the beginning on.
@@ -219,21 +214,21 @@
                 "Initialization" | "RepresentationIndex" | "BitstreamSwitching" => &["sourceURL"],
                 _ => &[],
             };
-            for at in attributes.iter().filter_map(|a| tag.get(a)) {
-                let reference = plain(&text[at.clone()]);
+            for (_, at) in tag.attributes.iter().filter(|a| attributes.contains(&local(a.0))) {
+                let Some(reference) = plain(&text[at.clone()]) else {
+                    return reader.fail(at.start, "the reference is malformed");
+                };
                 if reference.starts_with('/') {
-                    let target = resolve(rules.own, &reference);
-                    let Some(target) = target else {
+                    let Some(target) = resolve(rules.own, &reference) else {
                         return reader.fail(at.start, "the reference is malformed");
                     };
-                    edits.push((at, escape(&(rules.lead)(&target))));
+                    edits.push((at.clone(), escape((rules.lead)(&target)).into_owned()));
                 }
             }
-            if tag.attributes.iter().any(|a| a.0 == "href") {
+            if tag.attributes.iter().any(|a| local(a.0) == "href") {
                 return reader.fail(tag.at.start, "elements that lie elsewhere are not taken");
             }
             open.push(Open {
-                full: tag.full,
                 name: tag.name,
                 begin: tag.at.start,
                 inside: tag.at.end,
@@ -242,7 +237,7 @@
             });
         }
         if tag.closes {
-            let Some(element) = open.pop().filter(|o| o.full == tag.full) else {
+            let Some(element) = open.pop() else {
                 return reader.fail(tag.at.start, "a closing tag does not fit");
             };
             if element.name == "Representation" {
@@ -254,7 +249,9 @@
             }
             if matches!(element.name, "BaseURL" | "Location" | "PatchLocation") && !tag.opens {
                 let at = element.inside..tag.at.start;
-                let reference = plain(text[at.clone()].trim());
+                let Some(reference) = plain(text[at.clone()].trim()) else {
+                    return reader.fail(at.start, "the reference is malformed");
+                };
                 let first = element.name == "BaseURL" && open.len() == 1;
                 based |= first;
                 let absolute = reference.starts_with('/') || reference.contains("://");
@@ -262,7 +259,7 @@
                     let Some(target) = resolve(rules.own, &reference) else {
                         return reader.fail(at.start, "the reference is malformed");
                     };
-                    edits.push((at, escape(&(rules.lead)(&target))));
+                    edits.push((at, escape((rules.lead)(&target)).into_owned()));
                 }
             }
         }
@@ -284,7 +281,8 @@
     edits.retain(|(at, _)| !cut.iter().any(|c| c.start <= at.start && at.end <= c.end));
     edits.extend(cut.into_iter().map(|c| (c, String::new())));
     edits.sort_by_key(|e| e.0.start);
-    let (mut out, mut at) = (String::with_capacity(text.len() + 256), 0);
+    let (mut out, mut at) = (String::with_capacity(mark.len() + text.len() + 256), 0);
+    out.push_str(mark);
     for (place, new) in edits {
         out.push_str(&text[at..place.start]);
         out.push_str(&new);
--- a/crates/playlist/src/hls.rs
+++ b/crates/playlist/src/hls.rs
@@ -1,4 +1,5 @@
-//! HLS playlists (RFC 8216, and the tags of its successor draft that carry references).
+//! HLS playlists (RFC 8216, and the tags of its successor draft that carry references). By hand: what reads them in the
+//! registry builds a model and writes that, without the lines that it does not know (docs/design/dependencies.md).
 
 use crate::reference::{Target, resolve};
 use crate::{
--- a/crates/playlist/tests/manifests.rs
+++ b/crates/playlist/tests/manifests.rs
@@ -144,7 +144,37 @@
         &"<Representation bandwidth=\"1\"/>".repeat(5_000),
     );
     let deep = format!("<MPD>{}", "<a>".repeat(100));
-    let table: [(&str, &str); 10] = [
+    let long = format!("<MPD><a b='{}'/></MPD>", "x".repeat(16 << 10));
+    let wide = format!("<MPD><a {}/></MPD>", (0..65).map(|i| format!("b{i}='' ")).collect::<String>());
+    let amps = format!("<MPD>{}</MPD>", "&".repeat(300_000));
+    let table: [(&str, &str); 36] = [
+        (&amps, "too many parts"),
+        (&long, "tag is too long"),
+        (&wide, "too many attributes"),
+        ("<MPD><a$/></MPD>", "no sound name"),
+        ("<MPD>< a/></MPD>", "no sound name"),
+        ("<MPD><a b$=''/></MPD>", "attribute is malformed"),
+        ("<MPD><a b='1'c='2'/></MPD>", "attribute is malformed"),
+        ("<MPD><a b='<'/></MPD>", "holds a '<'"),
+        ("<MPD><a b/></MPD>", "attribute is malformed"),
+        ("<MPD></MPD b=''>", "does not fit"),
+        ("<MPD><!-- ->", "a comment has no end"),
+        ("<MPD><![CDATA[ ]>", "character data have no end"),
+        ("<MPD><?x ", "an instruction has no end"),
+        ("<MPD><a b='", "a tag is malformed"),
+        ("<!doctype MPD><MPD/>", "document types"),
+        // What was taken when tags were read by hand: not XML, or a reference that some readers would find.
+        ("<MPD><?></MPD>", "an instruction has no end"),
+        ("<MPD><a\u{c}b=''/></MPD>", "no sound name"),
+        ("<MPD><SegmentTemplate media='x' media='/y'/></MPD>", "there twice"),
+        ("<MPD><SegmentTemplate media='/x?a=1&b=2'/></MPD>", "reference is malformed"),
+        ("<MPD><SegmentTemplate media='&foo;x'/></MPD>", "reference is malformed"),
+        ("<MPD><BaseURL>x?a&b</BaseURL></MPD>", "reference is malformed"),
+        ("<MPD><Period><BaseURL>&foo;x</BaseURL></Period></MPD>", "reference is malformed"),
+        ("<MPD><Period><BaseURL><![CDATA[/x]]></BaseURL></Period></MPD>", "reference is malformed"),
+        ("<MPD><Period><BaseURL><!-- -->/x</BaseURL></Period></MPD>", "reference is malformed"),
+        ("<MPD><Period><BaseURL><b/></BaseURL></Period></MPD>", "reference is malformed"),
+        ("<MPD/><a/>", "one MPD"),
         ("", "too soon"),
         ("<MPD>", "too soon"),
         ("<a></a>", "one MPD"),
@@ -162,6 +192,46 @@
     }
 }
 
+#[test]
+fn what_is_not_understood_passes_byte_for_byte() {
+    let (begin, end) = ("\u{feff}<?xml version='1.0'?>\r\n <MPD  x:a = '>' >", "</MPD >\n<!-- & -->");
+    let passes = [
+        "<a b=\"/>\" c='\"'\t/>\r\n",
+        "a & b &amp; &foo; > ]]> '\u{0}",
+        "<x:a></x:a >",
+        "<\u{e9} \u{e9}='&'/>",
+        "<!-- -- <Representation> --->",
+        "<!---->",
+        "<![CDATA[<BaseURL>/x</BaseURL>]]>",
+        "<?x <a> ?>",
+        "<Period><BaseURL> x/ </BaseURL></Period>",
+        "<SegmentTemplate media=''/>",
+        "<a media='/x'/>",
+    ];
+    for part in passes {
+        let read = manifest(&format!("{begin}{part}{end}"), 0).expect(part);
+        assert_eq!(read.text, format!("{begin}<BaseURL>/session/x/</BaseURL>{part}{end}"));
+    }
+    // References are led however they are written; of two of one local name both.
+    let led = [
+        ("<SegmentTemplate media='&#47;media/t/x'/>", "<SegmentTemplate media='/session/x/x'/>"),
+        ("<Location>&#x2f;b</Location>", "<Location>http://box/b</Location>"),
+        (
+            "<SegmentURL q:media='/a' media='/b?c&amp;d'/>",
+            "<SegmentURL q:media='http://box/a' media='http://box/b?c&amp;d'/>",
+        ),
+    ];
+    for (part, to) in led {
+        let read = manifest(&format!("<MPD>{part}</MPD>"), 0).expect(part);
+        assert_eq!(read.text, format!("<MPD><BaseURL>/session/x/</BaseURL>{to}</MPD>"));
+    }
+    let own = "<MPD q:type='static' type='dynamic'><Representation q:bandwidth='1' bandwidth='2'/></MPD>";
+    let read = manifest(own, 0).expect("sound");
+    assert_eq!((read.live, read.offered), (true, vec![2]), "an element's own attributes count");
+    let fault = manifest("<MPD>\n\n<a>\n</b></MPD>", 0).expect_err("closed by another");
+    assert_eq!(fault.line, 4);
+}
+
 #[test]
 fn references_by_table() {
     // RFC 3986 section 5.4, against /b/c/d;p.
