--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,7 +3,7 @@
 //! `micadyke-lab waits [SEEDS [PRICE [MEMBERS [TIMES]]]]`: how much of an oracle's worth learned deadlines reach, as a table;
 //! the price of a second in whole answers, with 60 and 300 members or one of them alone, and
 //! one kind of times alone.
-//! `micadyke-lab splits [SPLITS]`: splits under load with faults, as a table.
+//! `micadyke-lab splits [SPLITS [FAULT]]`: splits under load with faults, or with one, as a table.
 
 use micadyke_lab::choices::{self, DRAWS, Followed, Follows};
 use micadyke_lab::fleet::{Fleet, MS, Parts, Plan, SECOND};
@@ -232,13 +232,13 @@
     })
 }
 
-fn splits(count: u64) {
+fn splits(count: u64, fault: &str) {
     println!(
         "| fault | splits | harmed | through | went back | flagged | false flags | missed faults | whole answers | wrong | turned away | s to cut over p50, p99 | ms whole p50, p99 | ms read twice p50, p99 | slower |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let each = count.div_ceil(FAULTS.len() as u64);
-    for fault in FAULTS {
+    for fault in splits::faults(fault) {
         let plan =
             |seed| splits::Plan { seed, fault, entries: 2_000, asked: 300, written: 60, without: None };
         let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64).min(each.max(1));
@@ -297,10 +297,10 @@
             number(3, 0),
             args.get(4).map_or("", String::as_str),
         ),
-        Some("splits") => splits(number(1, 1_000)),
+        Some("splits") => splits(number(1, 1_000), args.get(2).map_or("", String::as_str)),
         _ => {
             eprintln!(
-                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | waits [SEEDS [PRICE [MEMBERS [TIMES]]]] | splits [SPLITS]"
+                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | waits [SEEDS [PRICE [MEMBERS [TIMES]]]] | splits [SPLITS [FAULT]]"
             );
             std::process::exit(2);
         }
--- a/crates/lab/src/splits.rs
+++ b/crates/lab/src/splits.rs
@@ -4,9 +4,9 @@
 use crate::fleet::{MS, SECOND};
 use micadyke_directory::{Key, Nanos};
 use micadyke_shards::compare::{Answer, Next, Side, Twice, compare};
-use micadyke_shards::index::{Book, Id, Index, To, Write, Writer};
+use micadyke_shards::index::{Book, Id, Index, Pending, Taken, To, Write, Writer};
 use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms, Weighed, Word};
-use micadyke_shards::map::{Group, Map, State};
+use micadyke_shards::map::{Group, Map, Owner, Part, State};
 use micadyke_shards::split::{Cause, Mover, Report, Rules, What};
 use micadyke_shards::{Feature, Range};
 use rand::rngs::StdRng;
@@ -52,6 +52,15 @@
     Fault::Border,
 ];
 
+/// Those of this name; all where it is empty.
+///
+/// ```
+/// assert_eq!(micadyke_lab::splits::faults("Border").len(), 1);
+/// ```
+pub fn faults(name: &str) -> Vec<Fault> {
+    FAULTS.into_iter().filter(|f| name.is_empty() || format!("{f:?}") == name).collect()
+}
+
 /// A run before it runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
@@ -140,7 +149,7 @@
     twice_for: 15 * SECOND,
     again_after: 2 * SECOND,
     again_most: 16 * SECOND,
-    gone_for: 60 * SECOND,
+    gone_for: 3 * SECOND,
 };
 
 enum Ev {
@@ -149,35 +158,34 @@
     Report,
     Write,
     Told(usize, usize, u64, To, Write),
-    Took(usize, usize, Range, u64),
+    Taken(usize, Taken),
     Gap(usize, Range, Writer),
     Older(usize, Map),
     Retell,
-    Copy(usize, Range, Vec<Writer>),
+    /// Owner, which of its fillings, range, writers left.
+    Copy(usize, u64, Range, Vec<Writer>),
     Ask,
     Asked(usize, u64, u32, Range, u64),
-    Answer(u64, u32, Answer, bool),
+    Answer(u64, u32, Answer),
     Deadline(u64, u32),
     Again(u64),
     Fault,
     Returns(usize),
 }
 
-/// A write as it was told, and who has not taken it yet.
-type Waits = (Vec<(To, Write)>, BTreeSet<(usize, Range)>);
-
 struct Member {
     keeper: Keeper,
     mover: Mover,
     indexes: BTreeMap<Range, Index>,
-    filled: BTreeSet<Range>,
+    /// The filling under way or done, by range: another one ends it.
+    fillings: BTreeMap<Range, u64>,
     /// A write that is held back, by range.
     back: BTreeMap<Range, Write>,
     book: Book,
     busy: Nanos,
     up: bool,
     /// Told and not counted yet.
-    waits: Vec<Waits>,
+    waits: Vec<Pending>,
     number: u64,
     starts: u64,
 }
@@ -222,10 +230,23 @@
     format!("f{n}")
 }
 
+/// Neither an owner to begin with nor of those that faults are for.
+fn leader(seed: u64) -> usize {
+    2 + (seed % 7) as usize
+}
+
 fn of(name: &str) -> usize {
     name[1..].parse().unwrap_or(0)
 }
 
+impl Member {
+    /// Whether it answers for a range, and so hands it over, and reports it filled.
+    fn answers(&self, range: Range) -> bool {
+        let index = self.indexes.get(&range).filter(|_| self.keeper.owns(range));
+        index.zip(self.keeper.map()).is_some_and(|(i, m)| i.filled(m))
+    }
+}
+
 impl Splits {
     /// A fleet with a range that has grown too large.
     pub fn new(mut plan: Plan) -> Self {
@@ -238,7 +259,7 @@
             keeper: Keeper::new(terms, &name(n), 1).without(plan.without),
             mover: Mover::new(RULES).without(plan.without),
             indexes: BTreeMap::new(),
-            filled: BTreeSet::new(),
+            fillings: BTreeMap::new(),
             back: BTreeMap::new(),
             book: Book::new(&name(n), 1),
             busy: 0,
@@ -255,7 +276,7 @@
             random: StdRng::seed_from_u64(plan.seed),
             members: (0..MEMBERS).map(member).collect(),
             living: (0..MEMBERS).collect(),
-            leader: 2,
+            leader: leader(plan.seed),
             epoch: 1,
             leads_at: 0,
             questions: BTreeMap::new(),
@@ -267,7 +288,7 @@
             out: Outcome::default(),
         };
         // Filled before the run, as if by their books.
-        let map = Map::founded(2, &[&owners[0], &owners[1]]);
+        let map = Map::founded(2, owners.iter().map(|o| (o.as_str(), 1)));
         let mut index = Index::new(Range::RING);
         for i in 0..plan.entries {
             let (key, by) = (
@@ -282,9 +303,9 @@
                 }
             }
         }
+        index.fill(&map);
         for n in 0..2 {
             s.members[n].indexes.insert(Range::RING, index.clone());
-            s.members[n].filled.insert(Range::RING);
         }
         if plan.fault == Fault::Border {
             s.border = s.live.first().map(|id| id.key.clone());
@@ -349,9 +370,7 @@
             Ev::Told(to, from, number, whom, write) if self.members[to].up => {
                 self.told(to, from, number, whom, write)
             }
-            Ev::Took(writer, owner, range, sequence) if self.members[writer].up => {
-                self.took(writer, owner, range, sequence)
-            }
+            Ev::Taken(writer, word) if self.members[writer].up => self.taken(writer, &word),
             Ev::Gap(owner, range, writer) => self.gap(owner, range, writer),
             Ev::Older(at, map) if self.members[at].up => {
                 self.out.turned_away += 1;
@@ -366,12 +385,12 @@
                     .for_each(|n| self.retell(n));
                 self.at(self.now + RETELL, Ev::Retell);
             }
-            Ev::Copy(owner, range, writers) => self.copy(owner, range, writers),
+            Ev::Copy(owner, filling, range, writers) => self.copy(owner, filling, range, writers),
             Ev::Ask => self.ask(),
             Ev::Asked(to, q, asking, range, number) if self.members[to].up => {
                 self.asked(to, q, asking, range, number)
             }
-            Ev::Answer(q, asking, answer, new) => self.answer(q, asking, answer, new),
+            Ev::Answer(q, asking, answer) => self.answer(q, asking, answer),
             Ev::Deadline(q, asking) if self.questions.get(&q).is_some_and(|x| x.asking == asking) => {
                 self.judge(q);
             }
@@ -385,8 +404,8 @@
         }
     }
 
-    fn living(&self) -> BTreeSet<String> {
-        self.living.iter().map(|n| name(*n)).collect()
+    fn living(&self) -> BTreeMap<String, u64> {
+        self.living.iter().map(|n| (name(*n), self.members[*n].starts)).collect()
     }
 
     fn round(&mut self) {
@@ -399,7 +418,7 @@
             epoch: Epoch { number: self.epoch, leader: name(n), start: self.members[n].starts },
             until: now + LEASE,
         };
-        let all = (0..MEMBERS).map(name).collect();
+        let all = self.members.iter().enumerate().map(|(n, m)| (name(n), m.starts)).collect();
         let words = self.members[n].keeper.lead(now, &lease, &all);
         self.words(n, words);
         if now < FROM {
@@ -444,31 +463,24 @@
         let m = &mut self.members[n];
         let Some(map) = m.keeper.map().cloned().filter(|map| map.number > m.number) else { return };
         m.number = map.number;
-        let me = name(n);
-        let mine = |r: &Range| {
-            map.groups.iter().flat_map(Group::all).any(|p| p.range == *r && p.owners.contains(&me))
-        };
-        m.indexes.retain(|r, _| mine(r));
-        m.filled.retain(|r| mine(r));
-        m.back.retain(|r, _| mine(r));
-        let ticks = m.book.tick(&map);
-        m.waits.iter_mut().for_each(|(told, waits)| {
-            *told = Book::again(&map, told);
-            *waits = Self::needed(told);
-        });
-        if !ticks.is_empty() {
-            let waits = Self::needed(&ticks);
-            m.waits.push((ticks, waits));
-        }
+        let me = m.keeper.me();
+        m.indexes.retain(|r, _| map.owns(*r, &me));
+        m.fillings.retain(|r, _| map.owns(*r, &me));
+        m.back.retain(|r, _| map.owns(*r, &me));
+        m.waits.iter_mut().for_each(|p| p.moved(&map));
+        let ticks = m.book.tick(&map).into_iter();
+        m.waits.extend(ticks.map(|t| Pending::new(&map, t).without(self.plan.without)));
         let all = map.groups.iter().flat_map(Group::all);
-        let new: Vec<Range> = all.filter(|p| p.owners.contains(&me)).map(|p| p.range).collect();
-        for range in new {
+        let mine: Vec<Range> = all.filter(|p| p.owners.contains(&me)).map(|p| p.range).collect();
+        for range in mine {
             if self.members[n].indexes.contains_key(&range) {
                 continue;
             }
+            let filling = self.number;
             self.members[n].indexes.insert(range, Index::new(range));
+            self.members[n].fillings.insert(range, filling);
             let writers = (0..MEMBERS).map(|w| Writer { node: name(w), start: 1 }).collect();
-            self.at(self.now + MS, Ev::Copy(n, range, writers));
+            self.at(self.now + MS, Ev::Copy(n, filling, range, writers));
         }
         self.retell(n);
         // The truth, as soon as anybody knows that the new serve alone.
@@ -483,21 +495,18 @@
         let lacks = |(id, (_, sequence)): (&Id, &(Nanos, u64))| {
             let point = id.key.point();
             let parts = map.group(point).into_iter().flat_map(|g| &g.parts).filter(|p| p.range.has(point));
-            let mut owners = parts.flat_map(|p| p.owners.iter().map(move |o| (of(o), p.range)));
+            let mut owners = parts.flat_map(|p| p.owners.iter().map(move |o| (o, p.range)));
             owners.any(|(o, range)| {
-                let m = &self.members[o];
-                m.filled.contains(&range)
-                    && !m.indexes[&range].find(&id.key).iter().any(|e| e.id == *id && e.sequence >= *sequence)
+                let m = &self.members[of(&o.name)];
+                let index = m.indexes.get(&range).filter(|i| m.keeper.me() == *o && i.filled(map));
+                index.is_some_and(|index| {
+                    !index.find(&id.key).iter().any(|e| e.id == *id && e.sequence >= *sequence)
+                })
             })
         };
         self.counts.iter().filter(|e| lacks(*e)).count() as u32
     }
 
-    fn needed(told: &[(To, Write)]) -> BTreeSet<(usize, Range)> {
-        let needed = told.iter().filter(|(to, _)| to.needed);
-        needed.flat_map(|(to, _)| to.owners.iter().map(|o| (of(o), to.range))).collect()
-    }
-
     fn write(&mut self) {
         let gap = self.gap_of(self.plan.written);
         self.at(self.now + gap, Ev::Write);
@@ -520,29 +529,30 @@
             ),
         };
         let told = m.book.write(&map, key, slot, value);
-        let waits = Self::needed(&told);
-        m.waits.push((told.clone(), waits));
-        self.tell(by, &told, None);
+        let pending = Pending::new(&map, told).without(self.plan.without);
+        m.waits.push(pending.clone());
+        self.tell(by, &pending, false);
     }
 
     fn gap_of(&mut self, rate: u64) -> Nanos {
         (-(1.0 - self.random.random::<f64>()).ln() * SECOND as f64 / rate as f64) as Nanos
     }
 
-    fn tell(&mut self, by: usize, told: &[(To, Write)], only: Option<&BTreeSet<(usize, Range)>>) {
-        let number = self.members[by].number;
-        for (to, write) in told {
-            for o in to.owners.iter().map(|o| of(o)) {
-                if only.is_none_or(|w| w.contains(&(o, to.range)) || !to.needed) {
-                    self.send(by, o, Ev::Told(o, by, number, to.clone(), write.clone()));
+    /// Tells a write, once more only to those that it waits for.
+    fn tell(&mut self, by: usize, pending: &Pending, again: bool) {
+        for (to, write) in pending.told() {
+            for owner in &to.owners {
+                if !again || !to.needed || pending.waits().contains(&(owner.clone(), to.range)) {
+                    let o = of(&owner.name);
+                    self.send(by, o, Ev::Told(o, by, pending.number(), to.clone(), write.clone()));
                 }
             }
         }
     }
 
     fn retell(&mut self, by: usize) {
-        for (told, waits) in self.members[by].waits.clone() {
-            self.tell(by, &told, Some(&waits));
+        for pending in self.members[by].waits.clone() {
+            self.tell(by, &pending, true);
         }
     }
 
@@ -570,15 +580,13 @@
             Weighed::Stale => return,
             Weighed::Same(_) => {}
         }
-        let Some(index) = m.indexes.get_mut(&whom.range) else { return };
+        let (owner, filled) = (m.keeper.me(), m.answers(whom.range));
+        let owns = m.keeper.owns(whom.range);
+        let Some(index) = m.indexes.get_mut(&whom.range).filter(|_| owns) else { return };
         let sequence = write.sequence;
         let mut took = true;
         let new = whom.range != Range::RING;
-        if self.plan.fault == Fault::HoldsBack
-            && new
-            && to.is_multiple_of(2)
-            && m.filled.contains(&whom.range)
-        {
+        if self.plan.fault == Fault::HoldsBack && new && to.is_multiple_of(2) && filled {
             // It says that it has it, and takes the one before.
             if let Some(before) = m.back.insert(whom.range, write) {
                 let _ = index.apply(&before);
@@ -594,30 +602,26 @@
             };
         }
         if took {
-            let at = Ev::Took(from, to, whom.range, sequence);
-            self.send(to, from, at);
+            let word = Taken { owner, number, range: whom.range, sequence };
+            self.send(to, from, Ev::Taken(from, word));
         }
     }
 
     /// What a range lacks is copied once more.
     fn gap(&mut self, owner: usize, range: Range, writer: Writer) {
-        if self.members[owner].filled.contains(&range) {
-            self.at(self.now + 20 * MS, Ev::Copy(owner, range, vec![writer]));
+        let m = &self.members[owner];
+        if let Some(filling) = m.fillings.get(&range).filter(|_| m.answers(range)) {
+            self.at(self.now + 20 * MS, Ev::Copy(owner, *filling, range, vec![writer]));
         }
     }
 
-    fn took(&mut self, writer: usize, owner: usize, range: Range, sequence: u64) {
+    fn taken(&mut self, writer: usize, word: &Taken) {
         let now = self.now;
-        let m = &mut self.members[writer];
         let mut done = Vec::new();
-        m.waits.retain_mut(|(told, waits)| {
-            if told.iter().any(|(to, w)| to.range == range && w.sequence == sequence) {
-                waits.remove(&(owner, range));
-            }
-            if waits.is_empty() {
-                done.extend(told.iter().find_map(|(_, w)| w.entry.clone()));
-            }
-            !waits.is_empty()
+        self.members[writer].waits.retain_mut(|p| {
+            let counts = p.taken(word);
+            done.extend(p.told().iter().filter(|_| counts).find_map(|(_, w)| w.entry.clone()));
+            !counts
         });
         for e in done.into_iter().filter(|e| e.value.is_some()) {
             self.counts.insert(e.id.clone(), (now, e.sequence));
@@ -625,29 +629,26 @@
         }
     }
 
-    fn copy(&mut self, owner: usize, range: Range, mut writers: Vec<Writer>) {
-        let Some(writer) = writers.pop() else {
-            let whole = self.members[owner].indexes.contains_key(&range) && self.members[owner].up;
-            if whole {
-                self.members[owner].filled.insert(range);
-            }
-            return;
-        };
-        let m = &self.members[owner];
-        let Some(group) = m.keeper.map().and_then(|map| map.group(range.first)).filter(|_| m.up) else {
-            return;
-        };
-        if !m.indexes.contains_key(&range) {
+    fn copy(&mut self, owner: usize, filling: u64, range: Range, mut writers: Vec<Writer>) {
+        let m = &mut self.members[owner];
+        if !m.up || m.fillings.get(&range) != Some(&filling) {
             return;
         }
-        let from = |p: &micadyke_shards::map::Part| {
-            let full = |o: &usize| self.members[*o].up && self.members[*o].filled.contains(&p.range);
-            p.owners.iter().map(|o| of(o)).filter(full).min_by_key(|o| (o + owner) % 2).map(|o| (o, p.range))
+        let (Some(map), Some(index)) = (m.keeper.map(), m.indexes.get_mut(&range)) else { return };
+        let Some(writer) = writers.pop() else { return index.fill(map) };
+        let Some(group) = map.group(range.first).cloned() else { return };
+        let from = |p: &Part| {
+            let full = |o: &&Owner| {
+                let m = &self.members[of(&o.name)];
+                m.up && m.keeper.me() == **o && m.answers(p.range)
+            };
+            let from = p.owners.iter().filter(full).map(|o| of(&o.name));
+            from.min_by_key(|o| (o + owner) % 2).map(|o| (o, p.range))
         };
-        // Of a range that serves, the other owner has it too.
         let from: Option<Vec<_>> = group.parts.iter().map(from).collect();
         let Some(from) = from else {
-            return self.at(self.now + SECOND, Ev::Copy(owner, range, [writers, vec![writer]].concat()));
+            let left = [writers, vec![writer]].concat();
+            return self.at(self.now + SECOND, Ev::Copy(owner, filling, range, left));
         };
         let mut pages: Vec<_> =
             from.iter().map(|(o, r)| self.members[*o].indexes[r].page(&writer, range)).collect();
@@ -666,7 +667,7 @@
             index.take(&pages);
         }
         let takes = self.busy(owner, HANDS * entries as Nanos);
-        self.at(self.now + takes + 10 * MS, Ev::Copy(owner, range, writers));
+        self.at(self.now + takes + 10 * MS, Ev::Copy(owner, filling, range, writers));
     }
 
     fn reports(&mut self) {
@@ -676,15 +677,15 @@
             return;
         };
         let mut reports = Vec::new();
-        for (o, m) in self.members.iter().enumerate().filter(|(_, m)| m.up) {
-            for (range, index) in &m.indexes {
+        for m in self.members.iter().filter(|m| m.up) {
+            for (range, index) in m.indexes.iter().filter(|(r, _)| m.keeper.owns(**r)) {
                 reports.push(Report {
-                    member: name(o),
+                    owner: m.keeper.me(),
                     number: m.number,
                     range: *range,
                     entries: index.len() as u64,
                     rate: 0,
-                    filled: m.filled.contains(range),
+                    filled: m.answers(*range),
                     stand: index.stand(),
                 });
             }
@@ -735,7 +736,7 @@
         x.asking += 1;
         x.number = map.number;
         x.state = group.state().map_or(0, |s| 1 + s as usize);
-        let side = |parts: Vec<&micadyke_shards::map::Part>| Side {
+        let side = |parts: Vec<&Part>| Side {
             asked: parts.iter().flat_map(|p| p.owners.iter().map(|o| (o.clone(), p.range))).collect(),
             answers: Vec::new(),
         };
@@ -751,9 +752,9 @@
             x.due = due;
         }
         let (asker, asking, number) = (x.asker, x.asking, x.number);
-        let to: Vec<_> = x.old.asked.iter().chain(&x.new.asked).cloned().collect();
+        let to: BTreeSet<_> = x.old.asked.union(&x.new.asked).cloned().collect();
         for (o, range) in to {
-            self.send(asker, of(&o), Ev::Asked(of(&o), q, asking, range, number));
+            self.send(asker, of(&o.name), Ev::Asked(of(&o.name), q, asking, range, number));
         }
         self.at(self.now + DEADLINE, Ev::Deadline(q, asking));
     }
@@ -761,7 +762,7 @@
     fn asked(&mut self, to: usize, q: u64, asking: u32, range: Range, number: u64) {
         let wait = self.busy(to, TAKES);
         let Some(x) = self.questions.get(&q) else { return };
-        let (asker, key, new) = (x.asker, x.key.clone(), !x.old.asked.contains(&(name(to), range)));
+        let (asker, key) = (x.asker, x.key.clone());
         let m = &self.members[to];
         match m.keeper.weigh(self.now, number) {
             Weighed::Older(map) => {
@@ -780,22 +781,23 @@
                     self.moved(to);
                 }
             }
-            Weighed::Same(_) if m.filled.contains(&range) => {
+            Weighed::Same(_) if m.answers(range) => {
                 let Some(index) = m.indexes.get(&range) else { return };
-                let answer = Answer::of(&name(to), index, &key, asking > 1);
+                let answer = Answer::of(&m.keeper.me(), index, &key, asking > 1);
                 let late = -(1.0 - self.random.random::<f64>()).ln() * WAY as f64;
-                self.at(self.now + wait + WAY + late as Nanos, Ev::Answer(q, asking, answer, new));
+                self.at(self.now + wait + WAY + late as Nanos, Ev::Answer(q, asking, answer));
             }
             _ => {}
         }
     }
 
-    fn answer(&mut self, q: u64, asking: u32, answer: Answer, new: bool) {
+    fn answer(&mut self, q: u64, asking: u32, answer: Answer) {
         let Some(x) = self.questions.get_mut(&q).filter(|x| x.asking == asking) else { return };
-        if new {
-            x.new.answers.push(answer)
-        } else {
-            x.old.answers.push(answer)
+        // An owner that stays answers for both sides.
+        for side in [&mut x.old, &mut x.new] {
+            if side.asked.contains(&(answer.owner.clone(), answer.range)) {
+                side.answers.push(answer.clone());
+            }
         }
         if x.old.whole() && !x.served {
             x.served = true;
@@ -843,7 +845,7 @@
     fn fault(&mut self) {
         let map = self.members[self.leader].keeper.map().cloned();
         let new = map.iter().flat_map(|m| &m.groups).filter_map(|g| g.change.as_ref()).flat_map(|c| &c.parts);
-        let new: Vec<usize> = new.flat_map(|p| &p.owners).map(|o| of(o)).collect();
+        let new: Vec<usize> = new.flat_map(|p| &p.owners).map(|o| of(&o.name)).collect();
         match self.plan.fault {
             Fault::NewOwner if !new.is_empty() => {
                 let n = new[self.random.random_range(0..new.len())];
@@ -853,7 +855,7 @@
             Fault::Leader => {
                 let n = self.leader;
                 self.crash(n, 8 * SECOND);
-                (self.leader, self.epoch) = (3, 1);
+                (self.leader, self.epoch) = (leader(self.plan.seed + 1), 1);
                 self.leads_at = self.now + LEASE;
             }
             Fault::Asleep => {
@@ -880,7 +882,7 @@
         m.mover = Mover::new(RULES).without(self.plan.without);
         (m.number, m.up) = (0, false);
         m.indexes.clear();
-        m.filled.clear();
+        m.fillings.clear();
         m.back.clear();
         self.living.remove(&n);
         self.at(self.now + span, Ev::Returns(n));
--- a/crates/shards/src/compare.rs
+++ b/crates/shards/src/compare.rs
@@ -2,6 +2,7 @@
 //! are compared. What cannot be compared is neither equal nor different.
 
 use crate::index::{Entry, Id, Index, Mark, Writer};
+use crate::map::Owner;
 use crate::{Feature, Range};
 use micadyke_directory::Key;
 use serde::{Deserialize, Serialize};
@@ -10,8 +11,8 @@
 /// What one owner answers about a key.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Answer {
-    /// Name of the owner.
-    pub member: String,
+    /// The owner: an answer of another start than was asked does not make a side whole.
+    pub owner: Owner,
     /// The range that it answers for.
     pub range: Range,
     /// Entries under the key, and lately removed ones.
@@ -22,9 +23,17 @@
 
 impl Answer {
     /// An owner's answer from its index.
-    pub fn of(member: &str, index: &Index, key: &Key, marks: bool) -> Answer {
+    ///
+    /// ```
+    /// use micadyke_directory::Key;
+    /// use micadyke_shards::{Range, compare::Answer, index::Index, map::Owner};
+    /// let (index, key) = (Index::new(Range::RING), Key::Title("t".into()));
+    /// let answer = Answer::of(&Owner::new("f1", 7), &index, &key, true);
+    /// assert!(answer.entries.is_empty() && answer.marks.is_some());
+    /// ```
+    pub fn of(owner: &Owner, index: &Index, key: &Key, marks: bool) -> Answer {
         Answer {
-            member: member.into(),
+            owner: owner.clone(),
             range: index.range(),
             entries: index.find(key),
             marks: marks.then(|| index.marks()),
@@ -36,7 +45,7 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq, Hash)]
 pub struct Side {
     /// Owners asked, each for its range.
-    pub asked: BTreeSet<(String, Range)>,
+    pub asked: BTreeSet<(Owner, Range)>,
     /// What came by the deadline.
     pub answers: Vec<Answer>,
 }
@@ -53,9 +62,20 @@
 }
 
 impl Side {
-    /// Whether all that were asked answered.
+    /// Whether all that were asked answered, as the starts that were asked.
+    ///
+    /// ```
+    /// use micadyke_directory::Key;
+    /// use micadyke_shards::{Range, compare::{Answer, Side}, index::Index, map::Owner};
+    /// let (index, key) = (Index::new(Range::RING), Key::Title("t".into()));
+    /// let side = |start| Side {
+    ///     asked: [(Owner::new("f1", 7), Range::RING)].into(),
+    ///     answers: vec![Answer::of(&Owner::new("f1", start), &index, &key, true)],
+    /// };
+    /// assert!(side(7).whole() && !side(8).whole() && !Side::default().whole());
+    /// ```
     pub fn whole(&self) -> bool {
-        let came: BTreeSet<_> = self.answers.iter().map(|a| (a.member.clone(), a.range)).collect();
+        let came: BTreeSet<_> = self.answers.iter().map(|a| (a.owner.clone(), a.range)).collect();
         self.asked.is_subset(&came) && !self.asked.is_empty()
     }
 
@@ -64,12 +84,13 @@
     ///
     /// ```
     /// use micadyke_directory::Key;
-    /// use micadyke_shards::{Range, compare::{Answer, Side}, index::*, map::Map};
-    /// let (map, key) = (Map::founded(1, &["f1", "f2"]), Key::Title("t".into()));
+    /// use micadyke_shards::{Range, compare::{Answer, Side}, index::*, map::{Map, Owner}};
+    /// let (f1, key) = (Owner::new("f1", 7), Key::Title("t".into()));
+    /// let map = Map::founded(1, [f1.clone()]);
     /// let mut index = Index::new(Range::RING);
     /// index.apply(&Book::new("f9", 1).write(&map, key.clone(), 7, Some("s1".into()))[0].1).unwrap();
-    /// let asked = [("f1".to_owned(), Range::RING)].into();
-    /// let side = Side { asked, answers: vec![Answer::of("f1", &index, &key, true)] };
+    /// let asked = [(f1.clone(), Range::RING)].into();
+    /// let side = Side { asked, answers: vec![Answer::of(&f1, &index, &key, true)] };
     /// assert!(side.whole());
     /// assert_eq!(side.merged().values().next().unwrap().value.as_deref(), Some("s1"));
     /// ```
@@ -79,7 +100,7 @@
             for e in &a.entries {
                 let w = &e.id.writer;
                 let far = |a: &Answer| a.marks.as_ref().map(|m| m.get(w).map_or(0, |m| m.seen));
-                let same = |b: &&Answer| b.range == a.range && b.member != a.member;
+                let same = |b: &&Answer| b.range == a.range && b.owner != a.owner;
                 let behind =
                     self.answers.iter().filter(same).any(|b| far(b).zip(far(a)).is_some_and(|(b, a)| b > a));
                 if behind {
@@ -95,7 +116,7 @@
                     seen.nodes.clear();
                 }
                 if (e.sequence, &e.value) == (seen.sequence, &seen.value) {
-                    seen.nodes.push(a.member.clone());
+                    seen.nodes.push(a.owner.name.clone());
                 }
             }
         }
@@ -263,7 +284,14 @@
         Twice { left: budget, seen: BTreeSet::new() }
     }
 
-    /// Takes what a comparison says. Only what differed in the asking before, too, and in the same way, stays.
+    /// Takes what a comparison says.
+    ///
+    /// ```
+    /// use micadyke_shards::compare::{Next, Twice, Verdict};
+    /// assert_eq!(Twice::new(1).next(Verdict::Equal), Next::Count);
+    /// ```
+    ///
+    /// Only what differed in the asking before, too, and in the same way, stays.
     pub fn next(&mut self, verdict: Verdict) -> Next {
         let mut again = || match self.left.checked_sub(1) {
             Some(left) => {
--- a/crates/shards/src/index.rs
+++ b/crates/shards/src/index.rs
@@ -4,11 +4,11 @@
 //! the key by a bare number; so the mark of an owner says: all that this writer wrote into the range up to there is in,
 //! and nothing later. Two owners of one range at one mark hold the same, or one of them is wrong.
 
-use crate::Range;
-use crate::map::{Group, Map, Part};
+use crate::map::{Group, Map, Owner, Part};
+use crate::{Feature, Range};
 use micadyke_directory::Key;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Marks and their digests that an owner remembers for each writer, so that two that are a few writes apart find one that
 /// both have passed.
@@ -127,6 +127,8 @@
     rows: BTreeMap<Writer, Row>,
     gone: BTreeMap<Id, u64>,
     order: VecDeque<Id>,
+    /// Number of the map by which it was filled.
+    filled: Option<u64>,
 }
 
 /// FNV-1a with the finish of splitmix64: members of all versions have to agree, and sums of it are compared.
@@ -152,7 +154,7 @@
     /// ```
     /// use micadyke_directory::Key;
     /// use micadyke_shards::{Range, index::*, map::Map};
-    /// let map = Map::founded(1, &["f1", "f2"]);
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
     /// let mut book = Book::new("f9", 1);
     /// let key = Key::Title("t".into());
     /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
@@ -163,7 +165,7 @@
     pub fn new(range: Range) -> Self {
         let (entries, rows, gone, order) =
             (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), VecDeque::new());
-        Index { range, entries, rows, gone, order }
+        Index { range, entries, rows, gone, order, filled: None }
     }
 
     /// The range.
@@ -181,6 +183,27 @@
         self.entries.is_empty()
     }
 
+    /// Everything was copied into it that is to be: from the old owners, or by the writers of this map.
+    pub fn fill(&mut self, map: &Map) {
+        self.filled = Some(map.number);
+    }
+
+    /// Whether it is filled as this map wants it: an owner answers and reports by nothing else. Where the range has begun anew
+    /// since, what is here is void.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, index::Index, map::{Map, Owner}};
+    /// let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// let map = Map::founded(1, [f1.clone(), f2.clone()]);
+    /// let mut index = Index::new(Range::RING);
+    /// index.fill(&map);
+    /// assert!(index.filled(&map.drop_owner(Range::RING, &f1).unwrap()));
+    /// assert!(!index.filled(&map.anew(Range::RING, vec![f1, f2]).unwrap()));
+    /// ```
+    pub fn filled(&self, map: &Map) -> bool {
+        self.filled.is_some_and(|n| n >= map.anew_at(self.range))
+    }
+
     /// Takes a write; one that is in already is taken again without effect.
     ///
     /// # Errors
@@ -326,7 +349,7 @@
     /// The range.
     pub range: Range,
     /// Its owners.
-    pub owners: Vec<String>,
+    pub owners: Vec<Owner>,
     /// The write counts only once they have it.
     pub needed: bool,
 }
@@ -358,30 +381,39 @@
         self.tell(map, group, Some(entry))
     }
 
-    /// Numbers without a write for all ranges that change: due when the map has moved, so that parts that are to become
-    /// one are at one mark.
-    pub fn tick(&mut self, map: &Map) -> Vec<(To, Write)> {
+    /// Numbers without a write for all ranges that change, for each what [`Pending`] takes: due when the map has moved, so that
+    /// parts that are to become one are at one mark.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, index::Book, map::{Map, Owner, Part}};
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// let part = Part::new(Range::RING, vec![Owner::new("f3", 1)]);
+    /// let told = Book::new("f9", 1).tick(&map.begin(Range::RING, vec![part]).unwrap());
+    /// assert!(told.len() == 1 && told[0].iter().all(|(_, w)| w.entry.is_none()));
+    /// ```
+    pub fn tick(&mut self, map: &Map) -> Vec<Vec<(To, Write)>> {
         let changing = map.groups.iter().filter(|g| g.change.is_some());
-        let mut told = Vec::new();
-        for group in changing {
-            self.sequence += 1;
-            told.extend(self.tell(map, group, None));
-        }
-        told
+        changing
+            .map(|group| {
+                self.sequence += 1;
+                self.tell(map, group, None)
+            })
+            .collect()
     }
 
     /// A write that does not count yet, as it is to be told by the map that stands now: to the parts that it was told to, and
     /// to those that have taken their place or are to.
     ///
     /// ```
-    /// use micadyke_shards::{Range, index::Book, map::{Map, Part}};
+    /// use micadyke_shards::{Range, index::Book, map::{Map, Owner, Part}};
     /// use micadyke_directory::Key;
-    /// let map = Map::founded(1, &["f1", "f2"]);
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
     /// let told = Book::new("f9", 1).write(&map, Key::Title("t".into()), 7, None);
-    /// let part = Part { range: Range::RING, owners: vec!["f3".into(), "f4".into()] };
+    /// let owners = vec![Owner::new("f3", 1), Owner::new("f4", 1)];
+    /// let part = Part::new(Range::RING, owners.clone());
     /// let twice = map.begin(Range::RING, vec![part]).unwrap().read_twice(Range::RING).unwrap();
     /// let again = Book::again(&twice, &told);
-    /// assert!(again.iter().any(|(to, _)| to.needed && to.owners == ["f3", "f4"]));
+    /// assert!(again.iter().any(|(to, _)| to.needed && to.owners == owners));
     /// ```
     pub fn again(map: &Map, told: &[(To, Write)]) -> Vec<(To, Write)> {
         let Some(group) = told.first().and_then(|(to, _)| map.group(to.range.first)) else {
@@ -423,3 +455,109 @@
         told
     }
 }
+
+/// An owner's word that a write is in: it counts for the start that gives it and under the number that the write was told by,
+/// and for nothing else.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Taken {
+    /// Who has it.
+    pub owner: Owner,
+    /// Number of the map that the write was told by.
+    pub number: u64,
+    /// The range that it was told for.
+    pub range: Range,
+    /// Sequence of the write.
+    pub sequence: u64,
+}
+
+/// A write that does not count yet: what was told, by which map, and who has not taken it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Pending {
+    number: u64,
+    told: Vec<(To, Write)>,
+    waits: BTreeSet<(Owner, Range)>,
+    without: Option<Feature>,
+}
+
+impl Pending {
+    /// A write as [`Book::write`] or [`Book::tick`] has it, told by this map.
+    ///
+    /// ```
+    /// use micadyke_directory::Key;
+    /// use micadyke_shards::{Range, index::{Book, Pending, Taken}, map::{Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// let told = Book::new("f9", 1).write(&map, Key::Title("t".into()), 7, Some("s1".into()));
+    /// let mut pending = Pending::new(&map, told);
+    /// let taken = |name, start| Taken { owner: Owner::new(name, start), number: 1, range: Range::RING, sequence: 1 };
+    /// assert!(!pending.taken(&taken("f1", 7)));
+    /// // A former start of the second owner said so: that start holds nothing any more.
+    /// assert!(!pending.taken(&taken("f2", 8)));
+    /// assert!(pending.taken(&taken("f2", 9)));
+    /// ```
+    pub fn new(map: &Map, told: Vec<(To, Write)>) -> Self {
+        let waits = Self::needed(&told);
+        Pending { number: map.number, told, waits, without: None }
+    }
+
+    /// Takes a feature out, for tests and measurements that show what it is good for.
+    #[doc(hidden)]
+    pub fn without(mut self, feature: Option<Feature>) -> Self {
+        self.without = feature;
+        self
+    }
+
+    fn needed(told: &[(To, Write)]) -> BTreeSet<(Owner, Range)> {
+        let needed = told.iter().filter(|(to, _)| to.needed);
+        needed.flat_map(|(to, _)| to.owners.iter().map(|o| (o.clone(), to.range))).collect()
+    }
+
+    /// Number of the map that it was told by last.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// What is told to whom.
+    pub fn told(&self) -> &[(To, Write)] {
+        &self.told
+    }
+
+    /// Who has not taken it, of those that have to.
+    pub fn waits(&self) -> &BTreeSet<(Owner, Range)> {
+        &self.waits
+    }
+
+    /// Whether it counts.
+    pub fn counts(&self) -> bool {
+        self.waits.is_empty()
+    }
+
+    /// An owner's word. Returns whether the write counts now.
+    pub fn taken(&mut self, word: &Taken) -> bool {
+        let sequence = self.told.first().map(|(_, w)| w.sequence);
+        if self.without == Some(Feature::Start) && sequence == Some(word.sequence) {
+            self.waits.retain(|(o, r)| o.name != word.owner.name || *r != word.range);
+        } else if (word.number, Some(word.sequence)) == (self.number, sequence) {
+            self.waits.remove(&(word.owner.clone(), word.range));
+        }
+        self.waits.is_empty()
+    }
+
+    /// The map has moved: it is to be told again, to all that own it by this one, and waits for them.
+    ///
+    /// ```
+    /// use micadyke_directory::Key;
+    /// use micadyke_shards::{Range, index::{Book, Pending}, map::{Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// let told = Book::new("f9", 1).write(&map, Key::Title("t".into()), 7, Some("s1".into()));
+    /// let mut pending = Pending::new(&map, told);
+    /// pending.moved(&map.drop_owner(Range::RING, &Owner::new("f1", 7)).unwrap());
+    /// assert_eq!(pending.waits().len(), 1);
+    /// ```
+    pub fn moved(&mut self, map: &Map) {
+        if map.number <= self.number {
+            return;
+        }
+        self.told = Book::again(map, &self.told);
+        (self.number, self.waits) = (map.number, Self::needed(&self.told));
+    }
+}
--- a/crates/shards/src/keep.rs
+++ b/crates/shards/src/keep.rs
@@ -7,8 +7,8 @@
 //! (is *committed*) once a majority holds it, and only then does a member serve by it. The argument stands in
 //! `docs/design/shards.md`.
 
-use crate::Feature;
-use crate::map::{Flaw, Map};
+use crate::map::{Flaw, Map, Owner};
+use crate::{Feature, Range};
 use micadyke_directory::Nanos;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -195,7 +195,7 @@
     committed: bool,
     /// The round has been confirmed to who held it.
     told: bool,
-    to: BTreeSet<String>,
+    to: BTreeMap<String, u64>,
 }
 
 /// A member's side, and its side as a leader. No I/O and no clock.
@@ -227,7 +227,7 @@
     /// let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
     /// let mut f1 = Keeper::new(terms, "f1", 1);
     /// let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
-    /// let mut words = f1.lead(0, &lease, &["f1".to_owned()].into());
+    /// let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
     /// while let Some((_, word)) = words.pop() {
     ///     words.extend(f1.handle(0, "f1", word));
     /// }
@@ -258,6 +258,27 @@
         self
     }
 
+    /// This member as an owner.
+    pub fn me(&self) -> Owner {
+        Owner::new(&self.name, self.start)
+    }
+
+    /// Whether the map that it knows names this start as an owner of this very range. If not it takes no write for it, answers no
+    /// question about it, and reports nothing of it, whatever a former start did.
+    pub fn owns(&self, range: Range) -> bool {
+        let owner = |o: &Owner| match self.without {
+            Some(Feature::Start) => o.name == self.name,
+            _ => *o == self.me(),
+        };
+        let group = self.committed.as_ref().and_then(|m| m.group(range.first));
+        group.is_some_and(|g| g.all().any(|p| p.range == range && p.owners.iter().any(owner)))
+    }
+
+    /// Whether it counts in a majority: it holds what a leader told it since it began.
+    pub fn voice(&self) -> bool {
+        self.voice
+    }
+
     /// The newest map that is known to be committed.
     pub fn map(&self) -> Option<&Map> {
         self.committed.as_ref()
@@ -308,8 +329,10 @@
     }
 
     /// Begins or renews a round as leader: to be called well within [`Terms::serve`] while the lease holds, with whom the
-    /// view has. Once it has read a majority each round confirms the map.
-    pub fn lead(&mut self, now: Nanos, lease: &Lease, members: &BTreeSet<String>) -> Vec<(String, Word)> {
+    /// view has and its start. Once it has read a majority each round confirms the map.
+    pub fn lead(
+        &mut self, now: Nanos, lease: &Lease, members: &BTreeMap<String, u64>,
+    ) -> Vec<(String, Word)> {
         let same = self.lead.take().filter(|l| l.lease.epoch == lease.epoch);
         let turn = self.heard.as_ref().map_or(0, |t| t.turn) + 1;
         let mut lead = same.unwrap_or_else(|| Lead {
@@ -324,13 +347,13 @@
             since: now,
             committed: false,
             told: false,
-            to: BTreeSet::new(),
+            to: BTreeMap::new(),
         });
         (lead.lease.until, lead.to) = (lease.until, members.clone());
         let read = Word::Read { term: lead.term.clone() };
         let words = match now < lease.until {
             true if lead.map.is_some() => Self::round(&mut lead),
-            true => members.iter().map(|to| (to.clone(), read.clone())).collect(),
+            true => members.keys().map(|to| (to.clone(), read.clone())).collect(),
             false => Vec::new(),
         };
         self.lead = Some(lead);
@@ -375,7 +398,7 @@
             map: (lead.has.get(to) != Some(&map.number)).then(|| map.clone()),
             welcome: None,
         };
-        lead.to.iter().map(|to| (to.clone(), word(to))).collect()
+        lead.to.keys().map(|to| (to.clone(), word(to))).collect()
     }
 
     /// Takes a word of another member, or of this one to itself.
@@ -513,8 +536,8 @@
             // A majority has forgotten: the number goes beyond what may have been.
             (Some((_, map)), false) => Map { number: map.number.max(self.start) + 1, ..map.clone() },
             (None, _) => {
-                let owners: Vec<&str> = lead.to.iter().map(String::as_str).take(2).collect();
-                Map::founded(self.start + 1, &owners)
+                let owners = lead.to.iter().map(|(name, start)| Owner::new(name, *start)).take(2);
+                Map::founded(self.start + 1, owners)
             }
         };
         let new: Vec<_> = if voices { Vec::new() } else { lead.new.clone().into_iter().collect() };
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -36,6 +36,8 @@
     Memory,
     /// Old owners that may still serve the map before are waited for.
     Wait,
+    /// What a former start of an owner said counts for nothing.
+    Start,
     /// An entry written between two reads is no difference.
     Between,
 }
--- a/crates/shards/src/map.rs
+++ b/crates/shards/src/map.rs
@@ -8,13 +8,63 @@
 /// Groups of a map at most: bounds its bytes. 4,096 shards of 64 KB each hold more sessions than a fleet has.
 pub const GROUPS: usize = 4_096;
 
+/// A start of a member. What it held is gone with it: a member that starts anew under the same name is another owner, and
+/// becomes one only by a move of the map.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// Name of the member.
+    pub name: String,
+    /// Its start.
+    pub start: u64,
+}
+
+impl Owner {
+    /// This start of this member.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Owner;
+    /// assert_ne!(Owner::new("f1", 7), Owner::new("f1", 8));
+    /// assert_eq!(Owner::new("f1", 7).to_string(), "f1 (start 7)");
+    /// ```
+    pub fn new(name: &str, start: u64) -> Self {
+        Owner { name: name.into(), start }
+    }
+}
+
+impl From<(&str, u64)> for Owner {
+    fn from((name, start): (&str, u64)) -> Self {
+        Owner::new(name, start)
+    }
+}
+
+impl std::fmt::Display for Owner {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} (start {})", self.name, self.start)
+    }
+}
+
 /// A range and who owns it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Part {
     /// The range.
     pub range: Range,
-    /// Names; two where there are as many members.
-    pub owners: Vec<String>,
+    /// Two where there are as many members.
+    pub owners: Vec<Owner>,
+    /// Number of the map by which they began with nothing, to be filled from the writers' books; 0: they took over what others
+    /// had. What an owner held of the range before that number is void.
+    pub anew: u64,
+}
+
+impl Part {
+    /// A range to be taken over by these.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Owner, Part}};
+    /// assert_eq!(Part::new(Range::RING, vec![Owner::new("f1", 7)]).anew, 0);
+    /// ```
+    pub fn new(range: Range, owners: Vec<Owner>) -> Self {
+        Part { range, owners, anew: 0 }
+    }
 }
 
 /// How far a change has come. A range without one is whole.
@@ -33,6 +83,8 @@
     pub parts: Vec<Part>,
     /// How far it has come.
     pub state: State,
+    /// Number of the map that began this state: what was said under a lower one was said of something else.
+    pub since: u64,
 }
 
 /// Neighbouring ranges that stand or change together: one and no change; one that becomes two (a split), two that become
@@ -111,17 +163,17 @@
 }
 
 impl Map {
-    /// A first map: the whole ring, owned by these.
+    /// A first map: the whole ring, owned by these, who hold nothing yet.
     ///
     /// ```
     /// use micadyke_directory::Owners;
     /// use micadyke_shards::map::Map;
-    /// let map = Map::founded(1, &["f1", "f2"]);
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
     /// assert_eq!(map.owners(42), ["f1", "f2"]);
     /// ```
-    pub fn founded(number: u64, owners: &[&str]) -> Map {
-        let owners = owners.iter().map(|o| o.to_string()).collect();
-        let parts = vec![Part { range: Range::RING, owners }];
+    pub fn founded<O: Into<Owner>>(number: u64, owners: impl IntoIterator<Item = O>) -> Map {
+        let owners = owners.into_iter().map(Into::into).collect();
+        let parts = vec![Part { range: Range::RING, owners, anew: number }];
         Map { number, groups: vec![Group { parts, change: None, tries: 0 }] }
     }
 
@@ -168,10 +220,10 @@
     /// Begins a change: neighbouring whole groups that cover `range` are to become `parts`.
     ///
     /// ```
-    /// use micadyke_shards::{Range, map::{Map, Part, State}};
-    /// let map = Map::founded(1, &["f1", "f2"]);
-    /// let owners = || vec!["f3".to_owned(), "f4".to_owned()];
-    /// let parts = Range::RING.halves().unwrap().map(|range| Part { range, owners: owners() });
+    /// use micadyke_shards::{Range, map::{Map, Owner, Part, State}};
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// let owners = || vec![Owner::new("f3", 1), Owner::new("f4", 1)];
+    /// let parts = Range::RING.halves().unwrap().map(|range| Part::new(range, owners()));
     /// let copying = map.begin(Range::RING, parts.to_vec()).unwrap();
     /// let twice = copying.read_twice(Range::RING).unwrap();
     /// let new = twice.cut_over(Range::RING).unwrap();
@@ -189,7 +241,7 @@
             return Err(Flaw::NoSuch(range.first));
         }
         let tries = old.iter().map(|g| g.tries).max().unwrap_or(0);
-        let change = Some(Change { parts, state: State::Copying });
+        let change = Some(Change { parts, state: State::Copying, since: self.number + 1 });
         let group = Group { parts: old.iter().flat_map(|g| g.parts.clone()).collect(), change, tries };
         let count = old.len();
         self.with(at, count, vec![group])
@@ -201,7 +253,7 @@
     /// [`Flaw::NoSuch`] where none is being copied there.
     pub fn read_twice(&self, range: Range) -> Result<Map, Flaw> {
         let (at, mut group, mut change) = self.changes(range, Some(State::Copying))?;
-        change.state = State::Twice;
+        (change.state, change.since) = (State::Twice, self.number + 1);
         group.change = Some(change);
         self.with(at, 1, vec![group])
     }
@@ -230,6 +282,70 @@
         )
     }
 
+    /// An owner is gone: the others of the parts that serve in the group over `range` serve without it. Whatever counted is at
+    /// each of them; what did not count yet is told by the new map.
+    ///
+    /// ```
+    /// use micadyke_directory::Owners;
+    /// use micadyke_shards::{Range, map::{Flaw, Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// let less = map.drop_owner(Range::RING, &Owner::new("f1", 7)).unwrap();
+    /// assert_eq!((less.number, less.owners(42)), (2, vec!["f2".to_owned()]));
+    /// // Not the last one, and not one that it does not name.
+    /// assert_eq!(less.drop_owner(Range::RING, &Owner::new("f2", 9)), Err(Flaw::Ownerless(0)));
+    /// assert_eq!(map.drop_owner(Range::RING, &Owner::new("f1", 8)), Err(Flaw::NoSuch(0)));
+    /// ```
+    ///
+    /// # Errors
+    /// [`Flaw::Ownerless`] where it is the last, [`Flaw::NoSuch`] where it owns nothing there.
+    pub fn drop_owner(&self, range: Range, owner: &Owner) -> Result<Map, Flaw> {
+        let at = self.groups.iter().position(|g| g.range() == range).ok_or(Flaw::NoSuch(range.first))?;
+        let mut group = self.groups[at].clone();
+        let mut found = false;
+        for p in &mut group.parts {
+            found |= p.owners.contains(owner);
+            p.owners.retain(|o| o != owner);
+        }
+        if !found {
+            return Err(Flaw::NoSuch(range.first));
+        }
+        self.with(at, 1, vec![group])
+    }
+
+    /// All owners of a whole range are gone: these begin with nothing, and are to be filled from the writers' books before
+    /// they answer anything. See [`crate::index::Book::told`].
+    ///
+    /// ```
+    /// use micadyke_directory::Owners;
+    /// use micadyke_shards::{Range, map::{Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7)]).anew(Range::RING, vec![Owner::new("f1", 8)]).unwrap();
+    /// assert!(map.owns(Range::RING, &Owner::new("f1", 8)) && !map.owns(Range::RING, &Owner::new("f1", 7)));
+    /// ```
+    ///
+    /// # Errors
+    /// [`Flaw::NoSuch`] where no whole group has this range; [`Flaw::Ownerless`].
+    pub fn anew(&self, range: Range, owners: Vec<Owner>) -> Result<Map, Flaw> {
+        let at = self.groups.iter().position(|g| g.range() == range && g.change.is_none());
+        let at = at.ok_or(Flaw::NoSuch(range.first))?;
+        let mut group = self.groups[at].clone();
+        for p in &mut group.parts {
+            (p.owners, p.anew) = (owners.clone(), self.number + 1);
+        }
+        self.with(at, 1, vec![group])
+    }
+
+    /// Whether the map names this start as an owner of this very range, that serves or is to.
+    pub fn owns(&self, range: Range, owner: &Owner) -> bool {
+        let group = self.group(range.first);
+        group.is_some_and(|g| g.all().any(|p| p.range == range && p.owners.contains(owner)))
+    }
+
+    /// Number of the map by which the owners of this very range began with nothing; 0 where they took it over.
+    pub fn anew_at(&self, range: Range) -> u64 {
+        let part = self.group(range.first).and_then(|g| g.parts.iter().find(|p| p.range == range));
+        part.map_or(0, |p| p.anew)
+    }
+
     fn changes(&self, range: Range, state: Option<State>) -> Result<(usize, Group, Change), Flaw> {
         let found = self.groups.iter().enumerate().find(|(_, g)| g.range() == range);
         let found = found.filter(|(_, g)| state.is_none() || g.state() == state);
@@ -271,6 +387,6 @@
 
     fn owners(&self, point: Point) -> Vec<String> {
         let part = self.group(point).and_then(|g| g.parts.iter().find(|p| p.range.has(point)));
-        part.map_or_else(Vec::new, |p| p.owners.clone())
+        part.map_or_else(Vec::new, |p| p.owners.iter().map(|o| o.name.clone()).collect())
     }
 }
--- a/crates/shards/src/split.rs
+++ b/crates/shards/src/split.rs
@@ -8,7 +8,7 @@
 
 use crate::compare::Difference;
 use crate::index::Stand;
-use crate::map::{Group, Map, Part, State};
+use crate::map::{Group, Map, Owner, Part, State};
 use crate::{Feature, Range};
 use micadyke_directory::{Nanos, Point};
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,8 +46,8 @@
 /// What an owner tells the leader of one of its ranges, each second or so.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Report {
-    /// Name of the owner.
-    pub member: String,
+    /// The owner: a report of another start than the map names counts for nothing.
+    pub owner: Owner,
     /// Number of the map that it goes by: it takes no write of a lower one.
     pub number: u64,
     /// The range.
@@ -69,8 +69,8 @@
     Flagged(Vec<Difference>),
     /// Digests at one mark differ, of this node's entries.
     Digests(String),
-    /// A new owner is gone, or has started anew.
-    OwnerGone(String),
+    /// A new owner, or the last old one, is gone or has started anew.
+    OwnerGone(Owner),
     /// Not copied in time.
     CopySlow,
     /// Copied, and not through in time: slices that lack reads, and nodes whose digests could not be compared.
@@ -129,6 +129,10 @@
     New,
     /// It goes back.
     Back(Cause),
+    /// This owner is gone; the others of its range serve without it, until another is filled.
+    Drop(Owner),
+    /// All owners of a whole range are gone: others begin, and are filled from the writers' books.
+    Anew,
 }
 
 /// How far digests of a change agree.
@@ -143,12 +147,13 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 struct Watch {
-    state: Option<State>,
+    /// Number of the map that began the state.
+    since: u64,
     began: Nanos,
     /// By slice over all new parts.
     reads: Vec<u32>,
     /// The last report under this state from each owner.
-    reports: BTreeMap<(String, Range), Report>,
+    reports: BTreeMap<(Owner, Range), Report>,
     flagged: Vec<Difference>,
 }
 
@@ -160,8 +165,8 @@
     /// Not tried before, by the first point.
     waits: BTreeMap<Point, Nanos>,
     /// Owners that are missing, and since when.
-    missing: BTreeMap<String, Nanos>,
-    sizes: BTreeMap<(String, Range), (u64, u64)>,
+    missing: BTreeMap<Owner, Nanos>,
+    sizes: BTreeMap<(Owner, Range), (u64, u64)>,
     without: Option<Feature>,
 }
 
@@ -177,8 +182,9 @@
     ///     again_most: 3_600_000_000_000, gone_for: 10_000_000_000,
     /// };
     /// // Four members and one range: the fleet has grown beyond it.
-    /// let living = ["f1", "f2", "f3", "f4"].map(String::from).into();
-    /// let step = Mover::new(rules).next(0, &Map::founded(1, &["f1", "f2"]), &living, false).unwrap();
+    /// let living = ["f1", "f2", "f3", "f4"].map(|n| (n.to_owned(), 7)).into();
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 7)]);
+    /// let step = Mover::new(rules).next(0, &map, &living, false).unwrap();
     /// assert_eq!((step.what, step.map.changing()), (What::Begin, 1));
     /// ```
     pub fn new(rules: Rules) -> Self {
@@ -196,31 +202,34 @@
 
     /// The map that stands was confirmed: what is no longer in it is forgotten, what is new in it is watched.
     fn follow(&mut self, now: Nanos, map: &Map) {
-        let state = |r: &Range| map.group(r.first).filter(|g| g.range() == *r).and_then(Group::state);
-        self.watches.retain(|r, w| w.state.is_some() && state(r) == w.state);
-        let owned = |m: &str, r: &Range| {
-            map.group(r.first)
-                .is_some_and(|g| g.all().any(|p| p.range == *r && p.owners.iter().any(|o| o == m)))
-        };
-        self.sizes.retain(|(m, r), _| owned(m, r));
+        // By number, not by state: what another leader began anew meanwhile is not what was watched.
+        let since = |g: &Group| g.change.as_ref().map_or(0, |c| c.since);
+        let stands = |r: &Range| map.group(r.first).filter(|g| g.range() == *r).map_or(0, since);
+        self.watches.retain(|r, w| stands(r) == w.since);
+        self.sizes.retain(|(o, r), _| map.owns(*r, o));
         for g in map.groups.iter().filter(|g| g.change.is_some()) {
             let slices = g.change.as_ref().map_or(0, |c| c.parts.len()) * self.rules.slices;
-            let fresh = Watch { state: g.state(), began: now, reads: vec![0; slices], ..Watch::default() };
+            let fresh = Watch { since: since(g), began: now, reads: vec![0; slices], ..Watch::default() };
             self.watches.entry(g.range()).or_insert(fresh);
         }
     }
 
-    /// An owner's report.
-    pub fn report(&mut self, now: Nanos, map: &Map, report: Report) {
+    /// An owner's report. It counts for the start that the map names, and for a change only if the owner went by the map that
+    /// began its state, or a later one, when it was made.
+    pub fn report(&mut self, now: Nanos, map: &Map, mut report: Report) {
         self.follow(now, map);
         let Some(group) = map.group(report.range.first) else { return };
-        let owns = |p: &Part| p.range == report.range && p.owners.contains(&report.member);
-        if report.number != map.number || !group.all().any(owns) {
+        if self.without == Some(Feature::Start) {
+            let mut named = group.all().filter(|p| p.range == report.range).flat_map(|p| &p.owners);
+            report.owner = named.find(|o| o.name == report.owner.name).unwrap_or(&report.owner).clone();
+        }
+        if !map.owns(report.range, &report.owner) {
             return;
         }
-        let key = (report.member.clone(), report.range);
+        let key = (report.owner.clone(), report.range);
         self.sizes.insert(key.clone(), (report.entries, report.rate));
-        if let Some(w) = self.watches.get_mut(&group.range()) {
+        let since = group.change.as_ref().map(|c| c.since);
+        if let Some(w) = self.watches.get_mut(&group.range()).filter(|_| Some(report.number) >= since) {
             w.reports.insert(key, report);
         }
     }
@@ -267,24 +276,76 @@
         lack
     }
 
-    /// The next move, if one is due. `living`: members of the settled view; `lag`: whether an owner that has not
-    /// reported under the map of now may still serve by the one before, see [`crate::keep::Keeper::may_lag`].
-    pub fn next(&mut self, now: Nanos, map: &Map, living: &BTreeSet<String>, lag: bool) -> Option<Step> {
+    /// The next move, if one is due. `living`: members of the settled view and their starts, which may be late: no entry is lost
+    /// by that; `lag`: whether an owner that has not reported under the map of now may still serve by the one before, see
+    /// [`crate::keep::Keeper::may_lag`].
+    ///
+    /// ```
+    /// # use micadyke_shards::{map::{Map, Owner}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10_000, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// // The second owner has started anew, and holds nothing.
+    /// let living = [("f1".to_owned(), 7), ("f2".to_owned(), 10)].into();
+    /// let (mut mover, map) = (Mover::new(rules), Map::founded(1, [("f1", 7), ("f2", 9)]));
+    /// let step = mover.next(0, &map, &living, false).unwrap();
+    /// assert_eq!(step.what, What::Drop(Owner::new("f2", 9)));
+    /// // As it lives it may be filled again.
+    /// let step = mover.next(1, &step.map, &living, false).unwrap();
+    /// assert_eq!(step.what, What::Begin);
+    /// ```
+    pub fn next(&mut self, now: Nanos, map: &Map, living: &BTreeMap<String, u64>, lag: bool) -> Option<Step> {
         self.follow(now, map);
-        self.missing.retain(|m, _| !living.contains(m));
-        let owners = map.groups.iter().flat_map(Group::all).flat_map(|p| &p.owners);
-        for o in owners.filter(|o| !living.contains(*o)) {
-            self.missing.entry(o.clone()).or_insert(now);
-        }
+        let owners: BTreeSet<&Owner> =
+            map.groups.iter().flat_map(Group::all).flat_map(|p| &p.owners).collect();
+        let missing = owners.into_iter().filter(|o| !self.lives(living, o));
+        let since = |o: &Owner| (o.clone(), self.missing.get(o).copied().unwrap_or(now));
+        self.missing = missing.map(since).collect();
         let steps = map.groups.iter().filter(|g| g.change.is_some());
         steps
             .filter_map(|g| self.goes_on(now, map, g, living, lag))
             .next()
+            .or_else(|| self.drops(now, map, living))
             .or_else(|| self.begins(now, map, living))
     }
 
+    fn lives(&self, living: &BTreeMap<String, u64>, owner: &Owner) -> bool {
+        let start = living.get(&owner.name);
+        start == Some(&owner.start) || (start.is_some() && self.without == Some(Feature::Start))
+    }
+
+    /// Whether an owner is given up: at once where another start of its name lives, else after a while.
+    fn gone(&self, now: Nanos, living: &BTreeMap<String, u64>, owner: &Owner) -> bool {
+        let long = |since: &Nanos| now >= since.saturating_add(self.rules.gone_for);
+        !self.lives(living, owner)
+            && (living.contains_key(&owner.name) || self.missing.get(owner).is_some_and(long))
+    }
+
+    /// Owners that are gone go, as long as one stays; where none is left of a whole range, others begin with nothing.
+    fn drops(&self, now: Nanos, map: &Map, living: &BTreeMap<String, u64>) -> Option<Step> {
+        let gone = |o: &&Owner| self.gone(now, living, o);
+        for g in &map.groups {
+            let range = g.range();
+            for p in &g.parts {
+                if let Some(o) = p.owners.iter().find(gone)
+                    && let Ok(map) = map.drop_owner(range, o)
+                {
+                    return Some(Step { map, range, what: What::Drop(o.clone()) });
+                }
+                if g.change.is_none() && p.owners.iter().all(|o| gone(&o)) {
+                    let owners = self.owners(map, living, &[], &[], range);
+                    if let Ok(map) = map.anew(range, owners) {
+                        return Some(Step { map, range, what: What::Anew });
+                    }
+                }
+            }
+        }
+        None
+    }
+
     fn goes_on(
-        &self, now: Nanos, map: &Map, g: &Group, living: &BTreeSet<String>, lag: bool,
+        &self, now: Nanos, map: &Map, g: &Group, living: &BTreeMap<String, u64>, lag: bool,
     ) -> Option<Step> {
         let (range, change, w) = (g.range(), g.change.as_ref()?, self.watches.get(&g.range())?);
         let back = |cause| {
@@ -292,9 +353,13 @@
             Some(Step { map, range, what: What::Back(cause) })
         };
         let new = || change.parts.iter().flat_map(|p| p.owners.iter().map(move |o| (o.clone(), p.range)));
-        if let Some((gone, _)) = new().find(|(o, _)| !living.contains(o)) {
+        if let Some((gone, _)) = new().find(|(o, _)| !self.lives(living, o)) {
             return back(Cause::OwnerGone(gone));
         }
+        let lost = |p: &&Part| p.owners.iter().all(|o| self.gone(now, living, o));
+        if let Some(last) = g.parts.iter().find(lost).and_then(|p| p.owners.first()) {
+            return back(Cause::OwnerGone(last.clone()));
+        }
         let over = now.saturating_sub(w.began);
         match change.state {
             State::Copying if new().all(|k| w.reports.get(&k).is_some_and(|r| r.filled)) => {
@@ -398,7 +463,7 @@
     }
 
     /// What is to begin: first what lacks an owner, then what is too large, then what is too small.
-    fn begins(&mut self, now: Nanos, map: &Map, living: &BTreeSet<String>) -> Option<Step> {
+    fn begins(&mut self, now: Nanos, map: &Map, living: &BTreeMap<String, u64>) -> Option<Step> {
         self.waits.retain(|p, _| map.groups.iter().any(|g| g.tries > 0 && g.range().first == *p));
         for g in map.groups.iter().filter(|g| g.tries > 0 && g.change.is_none()) {
             let until = now.saturating_add(self.wait(g.tries));
@@ -420,13 +485,11 @@
             Some(Step { map, range, what: What::Begin })
         };
         let whole: Vec<&Group> = map.groups.iter().filter(may).collect();
-        let gone = |o: &String| self.missing.get(o).is_some_and(|s| now >= s + self.rules.gone_for);
         for g in &whole {
-            let Some(p) = g.parts.first().filter(|p| p.owners.iter().any(gone)) else { continue };
-            let stay: Vec<String> = p.owners.iter().filter(|o| !gone(o)).cloned().collect();
-            let owners = self.owners(map, living, &stay, &[], p.range);
-            if owners.len() > stay.len() {
-                return step(p.range, vec![Part { range: p.range, owners }]);
+            let Some(p) = g.parts.first().filter(|p| p.owners.len() < 2) else { continue };
+            let owners = self.owners(map, living, &p.owners, &[], p.range);
+            if owners.len() > p.owners.len() {
+                return step(p.range, vec![Part::new(p.range, owners)]);
             }
         }
         let size = |g: &Group| {
@@ -450,10 +513,10 @@
             let old = g.parts.first()?;
             let mut parts: Vec<Part> = Vec::new();
             for range in g.range().halves()? {
-                let taken: Vec<String> =
+                let taken: Vec<Owner> =
                     old.owners.iter().chain(parts.iter().flat_map(|p| &p.owners)).cloned().collect();
                 let owners = self.owners(map, living, &[], &taken, range);
-                parts.push(Part { range, owners });
+                parts.push(Part::new(range, owners));
             }
             return step(g.range(), parts);
         }
@@ -463,26 +526,27 @@
             next && large(p[0]) + large(p[1]) < self.rules.merge && map.groups.len() as u64 > few
         })?;
         let range = Range { first: pair[0].range().first, last: pair[1].range().last };
-        let taken: Vec<String> = pair.iter().flat_map(|g| g.all()).flat_map(|p| p.owners.clone()).collect();
+        let taken: Vec<Owner> = pair.iter().flat_map(|g| g.all()).flat_map(|p| p.owners.clone()).collect();
         let owners = self.owners(map, living, &[], &taken, range);
-        step(range, vec![Part { range, owners }])
+        step(range, vec![Part::new(range, owners)])
     }
 
     /// Two owners: who stays, then who owns least, not of `taken` if there are others; ties are drawn by the range.
     fn owners(
-        &self, map: &Map, living: &BTreeSet<String>, stay: &[String], taken: &[String], range: Range,
-    ) -> Vec<String> {
+        &self, map: &Map, living: &BTreeMap<String, u64>, stay: &[Owner], taken: &[Owner], range: Range,
+    ) -> Vec<Owner> {
         let owns =
-            |m: &String| map.groups.iter().flat_map(Group::all).filter(|p| p.owners.contains(m)).count();
+            |m: &Owner| map.groups.iter().flat_map(Group::all).filter(|p| p.owners.contains(m)).count();
         // Others at each try.
         let tries = map.group(range.first).map_or(0, |g| g.tries);
-        let draw = |m: &String| {
-            let bytes = m.bytes().chain(range.first.to_le_bytes()).chain(tries.to_le_bytes());
+        let draw = |m: &Owner| {
+            let bytes = m.name.bytes().chain(range.first.to_le_bytes()).chain(tries.to_le_bytes());
             bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
         };
-        let mut all: Vec<&String> = living.iter().filter(|m| !stay.contains(m)).collect();
+        let all = living.iter().map(|(name, start)| Owner::new(name, *start));
+        let mut all: Vec<Owner> = all.filter(|m| stay.iter().all(|s| s.name != m.name)).collect();
         all.sort_by_cached_key(|m| (taken.contains(m), owns(m), draw(m)));
-        stay.iter().chain(all).take(2).cloned().collect()
+        stay.iter().cloned().chain(all).take(2).collect()
     }
 }
 
@@ -491,7 +555,7 @@
         match c {
             Cause::Flagged(d) => format!("a difference stayed in {} entries", d.len()),
             Cause::Digests(n) => format!("digests of {n}'s entries differ"),
-            Cause::OwnerGone(o) => format!("new owner {o} is gone"),
+            Cause::OwnerGone(o) => format!("owner {o} is gone"),
             Cause::CopySlow => "not copied in time".into(),
             Cause::TwiceSlow { slices, nodes } => {
                 format!("not through in time: {slices} slices lack reads, {nodes} nodes' digests are open")
--- a/crates/shards/tests/rules.rs
+++ b/crates/shards/tests/rules.rs
@@ -4,16 +4,16 @@
 use micadyke_shards::compare::{Answer, Kind, Side, Verdict, Why, compare};
 use micadyke_shards::index::{Book, Index, Write};
 use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms, Word};
-use micadyke_shards::map::{Map, Part};
+use micadyke_shards::map::{Map, Owner, Part};
 use micadyke_shards::split::{Mover, Report, Rules, What};
 use micadyke_shards::{Feature, Range};
 use proptest::prelude::*;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 const TERMS: Terms = Terms { fronts: 3, serve: 1_000, drift: 0 };
 
-fn names() -> BTreeSet<String> {
-    (0..3).map(|n| n.to_string()).collect()
+fn starts() -> BTreeMap<String, u64> {
+    (0..3).map(|n| (n.to_string(), 0)).collect()
 }
 
 /// Delivers all words among those that are `up`, in order.
@@ -32,14 +32,14 @@
 fn leads(fleet: &mut [Keeper], up: &[usize], now: u64, n: usize) {
     for _ in 0..2 {
         let epoch = Epoch { number: 9 - n as u64, leader: n.to_string(), start: 0 };
-        let words = fleet[n].lead(now, &Lease { epoch, until: now + 1_000 }, &names());
+        let words = fleet[n].lead(now, &Lease { epoch, until: now + 1_000 }, &starts());
         deliver(fleet, up, now, n, words);
     }
 }
 
 fn moves(fleet: &mut [Keeper], up: &[usize], now: u64, n: usize, owner: &str) {
     let Some(map) = fleet[n].leads(now).cloned() else { return };
-    let part = Part { range: Range::RING, owners: vec![owner.to_owned()] };
+    let part = Part::new(Range::RING, vec![Owner::new(owner, 0)]);
     let words = fleet[n].propose(now, map.begin(Range::RING, vec![part]).expect("a move")).expect("leads");
     deliver(fleet, up, now, n, words);
 }
@@ -99,7 +99,7 @@
 
 /// What the mover does with a change that is read twice: with so many of the old owners heard, slices read, and an entry lost by one new owner.
 fn gate(without: Option<Feature>, heard: usize, slices: usize, lose: bool, lag: bool) -> Option<What> {
-    let map = Map::founded(1, &["0", "1"]);
+    let map = Map::founded(1, [("0", 0), ("1", 0)]);
     let mut book = Book::new("w", 0);
     let mut whole = Index::new(Range::RING);
     for i in 0..50 {
@@ -109,7 +109,7 @@
     }
     let halves = Range::RING.halves().expect("halves");
     let parts: Vec<Part> =
-        halves.iter().map(|r| Part { range: *r, owners: vec!["2".into(), "3".into()] }).collect();
+        halves.iter().map(|r| Part::new(*r, vec![Owner::new("2", 0), Owner::new("3", 0)])).collect();
     let map = map.begin(Range::RING, parts).and_then(|m| m.read_twice(Range::RING)).expect("moves");
     let mut reports: Vec<(usize, Index)> = (0..heard).map(|o| (o, whole.clone())).collect();
     for o in 2..4 {
@@ -124,13 +124,13 @@
         }
     }
     let mut mover = Mover::new(RULES).without(without);
-    let living = (0..4).map(|n| n.to_string()).collect();
+    let living = (0..4).map(|n| (n.to_string(), 0)).collect();
     for now in 0..2 {
         for (o, index) in &reports {
-            let (member, number, range, entries) =
-                (o.to_string(), map.number, index.range(), index.len() as u64);
+            let (owner, number, range, entries) =
+                (Owner::new(&o.to_string(), 0), map.number, index.range(), index.len() as u64);
             let report =
-                Report { member, number, range, entries, rate: 0, filled: true, stand: index.stand() };
+                Report { owner, number, range, entries, rate: 0, filled: true, stand: index.stand() };
             mover.report(now, &map, report);
         }
     }
@@ -164,14 +164,15 @@
 }
 
 fn writes(history: &[(u8, bool)]) -> Vec<Write> {
-    let (map, mut book) = (Map::founded(1, &["a", "b"]), Book::new("w", 1));
+    let (map, mut book) = (Map::founded(1, [("a", 0), ("b", 0)]), Book::new("w", 1));
     let value = |put: bool| put.then(|| "s".to_owned());
     history.iter().map(|(k, put)| book.write(&map, key(*k), u64::from(*k), value(*put)).remove(0).1).collect()
 }
 
 fn side(name: &str, indexes: &[&Index], n: u8) -> Side {
-    let answers: Vec<_> = indexes.iter().map(|i| Answer::of(name, i, &key(n), true)).collect();
-    Side { asked: answers.iter().map(|a| (a.member.clone(), a.range)).collect(), answers }
+    let answers: Vec<_> =
+        indexes.iter().map(|i| Answer::of(&Owner::new(name, 0), i, &key(n), true)).collect();
+    Side { asked: answers.iter().map(|a| (a.owner.clone(), a.range)).collect(), answers }
 }
 
 proptest! {
