Shards: a face for the directory, and leaders that lead again watch a change anew

A directory that is to be owner by the map needs few calls, and none of them was in one place.

Rules tests: reports that bear another start than the map names count for nothing; what a leader watched before another led counts for nothing in a change begun anew.

--- a/crates/lab/src/splits.rs
+++ b/crates/lab/src/splits.rs
@@ -3,10 +3,11 @@
 
 use crate::fleet::{MS, SECOND};
 use micadyke_directory::{Key, Nanos};
-use micadyke_shards::compare::{Answer, Next, Side, Twice, compare};
+use micadyke_shards::compare::{Answer, Next, Twice, compare};
+use micadyke_shards::face::Reading;
 use micadyke_shards::index::{Book, Id, Index, Pending, Taken, To, Write, Writer};
 use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms, Weighed, Word};
-use micadyke_shards::map::{Group, Map, Owner, Part, State};
+use micadyke_shards::map::{Group, Map, Owner, Part};
 use micadyke_shards::split::{Cause, Mover, Report, Rules, What};
 use micadyke_shards::{Feature, Range};
 use rand::rngs::StdRng;
@@ -193,13 +194,11 @@
 struct Question {
     asker: usize,
     key: Key,
-    number: u64,
+    reading: Reading,
     state: usize,
     at: Nanos,
     asking: u32,
     served: bool,
-    old: Side,
-    new: Side,
     twice: Twice,
     due: Vec<Id>,
 }
@@ -707,17 +706,17 @@
             return;
         }
         let key = border.unwrap_or_else(|| self.live[any].key.clone());
+        let map = self.members[asker].keeper.map();
+        let Some(reading) = map.and_then(|m| Reading::of(m, key.point())) else { return };
         let q = self.number;
         let question = Question {
             asker,
             key,
-            number: 0,
+            reading,
             state: 0,
             at: self.now,
             asking: 0,
             served: false,
-            old: Side::default(),
-            new: Side::default(),
             twice: Twice::new(BUDGET),
             due: Vec::new(),
         };
@@ -731,18 +730,10 @@
         let m = &self.members[x.asker];
         let (Some(map), true) = (m.keeper.map(), m.up) else { return drop(self.questions.remove(&q)) };
         let point = x.key.point();
-        let Some(group) = map.group(point) else { return };
-        let twice = group.state() == Some(State::Twice);
+        let Some(reading) = Reading::of(map, point) else { return };
+        x.reading = reading;
         x.asking += 1;
-        x.number = map.number;
-        x.state = group.state().map_or(0, |s| 1 + s as usize);
-        let side = |parts: Vec<&Part>| Side {
-            asked: parts.iter().flat_map(|p| p.owners.iter().map(|o| (o.clone(), p.range))).collect(),
-            answers: Vec::new(),
-        };
-        // The new side answers as a whole: a key that two of its ranges hold is seen.
-        x.old = side(group.parts.iter().filter(|p| p.range.has(point)).collect());
-        x.new = side(group.change.iter().filter(|_| twice).flat_map(|c| &c.parts).collect());
+        x.state = x.reading.state.map_or(0, |s| 1 + s as usize);
         if !x.served {
             x.at = self.now;
             let least = Writer { node: String::new(), start: 0 };
@@ -751,9 +742,8 @@
             let due = under.map(|(id, _)| id.clone()).collect();
             x.due = due;
         }
-        let (asker, asking, number) = (x.asker, x.asking, x.number);
-        let to: BTreeSet<_> = x.old.asked.union(&x.new.asked).cloned().collect();
-        for (o, range) in to {
+        let (asker, asking, number) = (x.asker, x.asking, x.reading.number);
+        for (o, range) in x.reading.asks() {
             self.send(asker, of(&o.name), Ev::Asked(of(&o.name), q, asking, range, number));
         }
         self.at(self.now + DEADLINE, Ev::Deadline(q, asking));
@@ -793,22 +783,18 @@
 
     fn answer(&mut self, q: u64, asking: u32, answer: Answer) {
         let Some(x) = self.questions.get_mut(&q).filter(|x| x.asking == asking) else { return };
-        // An owner that stays answers for both sides.
-        for side in [&mut x.old, &mut x.new] {
-            if side.asked.contains(&(answer.owner.clone(), answer.range)) {
-                side.answers.push(answer.clone());
-            }
-        }
-        if x.old.whole() && !x.served {
+        x.reading.answered(answer);
+        let (old, new) = (&x.reading.old, &x.reading.new);
+        if old.whole() && !x.served {
             x.served = true;
             self.out.took[x.state].push(self.now - x.at);
             self.out.whole += 1;
-            let merged = x.old.merged();
+            let merged = old.merged();
             let lacks =
                 |id: &&Id| self.counts.contains_key(id) && merged.get(id).is_none_or(|s| s.value.is_none());
             self.out.wrong += u32::from(x.due.iter().any(|id| lacks(&id)));
         }
-        if x.old.whole() && (x.new.asked.is_empty() || x.new.whole()) {
+        if old.whole() && (new.asked.is_empty() || new.whole()) {
             self.judge(q);
         }
     }
@@ -819,12 +805,12 @@
             x.served = true;
             self.out.partial += 1;
         }
-        if x.new.asked.is_empty() {
+        if x.reading.new.asked.is_empty() {
             self.questions.remove(&q);
             return;
         }
-        let next = x.twice.next(compare(&x.old, &x.new, self.plan.without));
-        let (number, point, now, n) = (x.number, x.key.point(), self.now, self.leader);
+        let next = x.twice.next(compare(&x.reading.old, &x.reading.new, self.plan.without));
+        let (number, point, now, n) = (x.reading.number, x.key.point(), self.now, self.leader);
         if next == Next::Again {
             x.asking += 1;
             return self.at(now + AGAIN, Ev::Again(q));
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`split`]: when a range splits, merges or moves, and when the new owners serve alone.
 //! - [`compare`]: a question read twice, and what its two results say.
 //! - [`index`]: what one owner holds of one range.
+//! - [`face`]: what a directory calls; the whole of a member's side.
 //!
 //! The argument for each claim stands in `docs/design/shards.md`.
 #![warn(missing_docs)]
 
 pub mod compare;
+pub mod face;
 pub mod index;
 pub mod keep;
 pub mod map;
--- a/crates/shards/tests/rules.rs
+++ b/crates/shards/tests/rules.rs
@@ -99,6 +99,13 @@
 
 /// What the mover does with a change that is read twice: with so many of the old owners heard, slices read, and an entry lost by one new owner.
 fn gate(without: Option<Feature>, heard: usize, slices: usize, lose: bool, lag: bool) -> Option<What> {
+    gate_of(without, heard, slices, lose, lag, 0)
+}
+
+/// With reports of new owners that bear this start, where the map names start 0.
+fn gate_of(
+    without: Option<Feature>, heard: usize, slices: usize, lose: bool, lag: bool, start: u64,
+) -> Option<What> {
     let map = Map::founded(1, [("0", 0), ("1", 0)]);
     let mut book = Book::new("w", 0);
     let mut whole = Index::new(Range::RING);
@@ -127,8 +134,12 @@
     let living = (0..4).map(|n| (n.to_string(), 0)).collect();
     for now in 0..2 {
         for (o, index) in &reports {
-            let (owner, number, range, entries) =
-                (Owner::new(&o.to_string(), 0), map.number, index.range(), index.len() as u64);
+            let (owner, number, range, entries) = (
+                Owner::new(&o.to_string(), if *o > 1 { start } else { 0 }),
+                map.number,
+                index.range(),
+                index.len() as u64,
+            );
             let report =
                 Report { owner, number, range, entries, rate: 0, filled: true, stand: index.stand() };
             mover.report(now, &map, report);
@@ -149,11 +160,38 @@
         assert_ne!(gate(None, heard, slices, lose, lag), Some(What::New), "{rule:?}");
         assert_eq!(gate(Some(rule), heard, slices, lose, lag), Some(What::New), "{rule:?}");
     }
+    // Another start of the new owners says that it has everything.
+    assert_eq!(gate_of(None, 2, 4, false, true, 1), None);
+    assert_eq!(gate_of(Some(Feature::Start), 2, 4, false, true, 1), Some(What::New));
     assert_eq!(gate(None, 1, 4, false, true), None);
     assert_eq!(gate(None, 1, 4, false, false), Some(What::New));
     assert!(matches!(gate(None, 2, 4, true, true), Some(What::Back(c)) if !c.advice().is_empty()));
 }
 
+/// What a leader watched before another led counts for nothing in the change that the other began.
+#[test]
+fn a_change_begun_anew_is_watched_anew() {
+    let map = Map::founded(1, [("0", 0)]);
+    let part = Part::new(Range::RING, vec![Owner::new("1", 0)]);
+    let begin = |m: &Map| m.begin(Range::RING, vec![part.clone()]).expect("a move");
+    let first = begin(&map).read_twice(Range::RING).expect("a move");
+    let mut mover = Mover::new(Rules { reads: 0, ..RULES });
+    let mut hear = |map: &Map, number| {
+        for o in ["0", "1"] {
+            let (owner, range) = (Owner::new(o, 0), Range::RING);
+            let stand = Index::new(range).stand();
+            mover.report(1, map, Report { owner, number, range, entries: 0, rate: 0, filled: true, stand });
+        }
+        mover.next(1, map, &starts(), true).map(|s| s.what)
+    };
+    assert_eq!(hear(&first, first.number), Some(What::New));
+    let again = begin(&first.back(Range::RING).expect("a move"));
+    let again = again.read_twice(Range::RING).expect("a move");
+    // Late reports, of the change before; then of this one.
+    assert_eq!(hear(&again, first.number), None);
+    assert_eq!(hear(&again, again.number), Some(What::New));
+}
+
 /// Writes of one writer: to which of four keys, or a removal.
 fn history() -> impl Strategy<Value = Vec<(u8, bool)>> {
     proptest::collection::vec((0u8..4, any::<bool>()), 1..40)
