--- a/crates/lab/src/splits.rs
+++ b/crates/lab/src/splits.rs
@@ -1,5 +1,5 @@
-//! Splits under load in virtual time: map, owners, writers and readers as they run (`crates/shards`), with faults. One seed,
-//! one range that splits.
+//! Splits under load in virtual time: map, owners, writers and readers as they run (`crates/shards`), with
+//! faults. One seed, one range that splits.
 
 use crate::fleet::{MS, SECOND};
 use micadyke_directory::{Key, Nanos};
@@ -86,7 +86,8 @@
     pub through: Option<Nanos>,
     /// Why changes went back.
     pub back: Vec<Cause>,
-    /// Entries that a fault took from a new owner, or made it hold twice or late, while a change was under way.
+    /// Entries that a fault took from a new owner, or made it hold twice or late, while a change was under
+    /// way.
     pub harmed: u32,
     /// Acknowledged entries that a serving owner lacked at the cut-over.
     pub missing: u32,
@@ -859,7 +860,8 @@
         }
     }
 
-    /// A member's process ends, and starts anew without memory. Its writer's entries stay, as if its book had lived.
+    /// A member's process ends, and starts anew without memory. Its writer's entries stay, as if its book had
+    /// lived.
     fn crash(&mut self, n: usize, span: Nanos) {
         let m = &mut self.members[n];
         m.starts += 1;
--- a/crates/shards/src/compare.rs
+++ b/crates/shards/src/compare.rs
@@ -1,5 +1,5 @@
-//! A question read twice: what old and new owners answer is merged on each side as it would be alone, and the two results
-//! are compared. What cannot be compared is neither equal nor different.
+//! A question read twice: what old and new owners answer is merged on each side as it would be alone, and the
+//! two results are compared. What cannot be compared is neither equal nor different.
 
 use crate::index::{Entry, Id, Index, Mark, Writer};
 use crate::map::Owner;
@@ -79,8 +79,8 @@
         self.asked.is_subset(&came) && !self.asked.is_empty()
     }
 
-    /// Partial results merged. Of each writer the word of the owner that is furthest with it counts; of two that are as far
-    /// each counts. Without marks the highest sequence counts.
+    /// Partial results merged. Of each writer the word of the owner that is furthest with it counts; of two
+    /// that are as far each counts. Without marks the highest sequence counts.
     ///
     /// ```
     /// use micadyke_directory::Key;
@@ -123,7 +123,8 @@
         merged
     }
 
-    /// How far the side is with a writer, as to a point: that of the owner furthest; `None` where it was not told.
+    /// How far the side is with a writer, as to a point: that of the owner furthest; `None` where it was not
+    /// told.
     fn mark(&self, id: &Id) -> Option<Mark> {
         let point = id.key.point();
         let of = self.answers.iter().filter(|a| a.range.has(point));
@@ -195,8 +196,8 @@
 
 /// Compares what the two sides of a question came to.
 ///
-/// An entry that one side lacks, or knows in an older form, is a difference only if that side had passed the write that
-/// the other side shows, and no removal later than the other side's mark can have been forgotten.
+/// An entry that one side lacks, or knows in an older form, is a difference only if that side had passed the
+/// write that the other side shows, and no removal later than the other side's mark can have been forgotten.
 ///
 /// ```
 /// use micadyke_shards::compare::{Side, Verdict, Why, compare};
--- a/crates/shards/src/face.rs
+++ b/crates/shards/src/face.rs
@@ -1,7 +1,9 @@
-//! What a directory, or a shell around it, calls to be owner by the map: nothing else of this package has to be known there.
+//! What a directory, or a shell around it, calls to be owner by the map: nothing else of this package has to
+//! be known there.
 //!
-//! [`Shards`] is a member's whole side: it hears and says words, leads while it has the lease, and hands out each map once, as
-//! what `Input::Map` takes ([`InForce`]). [`Reading`] is a question as the map wants it asked: of one side, or of two.
+//! [`Shards`] is a member's whole side: it hears and says words, leads while it has the lease, and hands out
+//! each map once, as what `Input::Map` takes ([`InForce`]). [`Reading`] is a question as the map wants it
+//! asked: of one side, or of two.
 
 use crate::compare::{Answer, Next, Side};
 use crate::keep::{Keeper, Lease, Terms, Weighed, Word};
@@ -12,8 +14,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// A committed map as a directory goes by it: whom a point's entries are told. Those that serve it come first, then
-/// those that are to, so that they are filled before they serve.
+/// A committed map as a directory goes by it: whom a point's entries are told. Those that serve it come
+/// first, then those that are to, so that they are filled before they serve.
 ///
 /// ```
 /// use micadyke_directory::Owners;
@@ -30,11 +32,37 @@
 
 impl InForce {
     /// By this map.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// assert_eq!(InForce::new(map.clone()).map(), &map);
+    /// ```
     pub fn new(map: Map) -> Self {
         InForce(Arc::new(map))
     }
 
     /// The map.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// assert_eq!(InForce::new(map).map().number, 4);
+    /// ```
     pub fn map(&self) -> &Map {
         &self.0
     }
@@ -44,11 +72,37 @@
     }
 
     /// Whose answers are served.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// assert_eq!(InForce::new(map).serving(42)[0], Owner::new("f1", 7));
+    /// ```
     pub fn serving(&self, point: Point) -> &[Owner] {
         self.0.group(point).map_or(&[], |g| Self::part(&g.parts, point))
     }
 
     /// Who is to serve in their place; nobody where nothing changes.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// assert!(InForce::new(map).coming(42).is_empty());
+    /// ```
     pub fn coming(&self, point: Point) -> &[Owner] {
         self.0.group(point).and_then(|g| g.change.as_ref()).map_or(&[], |c| Self::part(&c.parts, point))
     }
@@ -79,8 +133,8 @@
     pub state: Option<State>,
     /// The side whose result is served.
     pub old: Side,
-    /// The side that it is compared with, empty unless it is read twice. It is asked as a whole, so that a key that two of its
-    /// ranges hold is seen.
+    /// The side that it is compared with, empty unless it is read twice. It is asked as a whole, so that a
+    /// key that two of its ranges hold is seen.
     pub new: Side,
 }
 
@@ -111,11 +165,45 @@
     }
 
     /// Whom to ask for which range, each once.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// assert_eq!(Reading::of(&map, 42).unwrap().asks().len(), 2);
+    /// ```
     pub fn asks(&self) -> Vec<(Owner, Range)> {
         self.old.asked.union(&self.new.asked).cloned().collect()
     }
 
-    /// An answer goes to each side that asked for it; one of another start, or of nobody who was asked, to none.
+    /// An answer goes to each side that asked for it; one of another start, or of nobody who was asked, to
+    /// none.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// use micadyke_shards::{compare::Answer, index::Index};
+    /// let mut reading = Reading::of(&map, 42).unwrap();
+    /// let key = micadyke_directory::Key::Title("t".into());
+    /// for (name, start) in [("f1", 7), ("f2", 8), ("f2", 9)] {
+    ///     assert!(!reading.old.whole());
+    ///     reading.answered(Answer::of(&Owner::new(name, start), &Index::new(Range::RING), &key, false));
+    /// }
+    /// assert!(reading.old.whole());
+    /// ```
     pub fn answered(&mut self, answer: Answer) {
         for side in [&mut self.old, &mut self.new] {
             if side.asked.contains(&(answer.owner.clone(), answer.range)) {
@@ -145,7 +233,7 @@
 /// use micadyke_shards::keep::{Epoch, Lease, Terms};
 /// # use micadyke_shards::split::Rules;
 /// # let rules = Rules {
-/// #     entries: 10_000, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+/// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
 /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
 /// # };
 /// let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
@@ -174,6 +262,19 @@
 
 impl Shards {
     /// Of a member that has just started.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// assert!(shards.moved().is_none() && shards.reading(42).is_none());
+    /// ```
     pub fn new(terms: Terms, rules: Rules, name: &str, start: u64) -> Self {
         Shards { keeper: Keeper::new(terms, name, start), mover: Mover::new(rules), given: 0 }
     }
@@ -185,17 +286,32 @@
     }
 
     /// The member's side: who owns, who may serve until when.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// shards.learn(&map);
+    /// assert!(shards.keeper().owns(Range::RING));
+    /// ```
     pub fn keeper(&self) -> &Keeper {
         &self.keeper
     }
 
-    /// To be called well within [`Terms::serve`]. `lease`: while this member has it; `view`: who lives in the settled view, and as
-    /// which start. A leader confirms the map with each beat, and moves it where it is to move.
+    /// To be called well within [`Terms::serve`]. `lease`: while this member has it; `view`: who lives in the
+    /// settled view, and as which start. A leader confirms the map with each beat, and moves it where it is
+    /// to move.
     ///
     /// ```
     /// # use micadyke_shards::{face::{Beat, Shards}, keep::Terms, split::Rules};
     /// # let rules = Rules {
-    /// #     entries: 10_000, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
     /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
     /// # };
     /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
@@ -220,6 +336,23 @@
     }
 
     /// A word of a member, or of this one. Returns the answers.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// use micadyke_shards::keep::{Epoch, Term, Word};
+    /// // A leader reads; a member that has just started says that it knows nothing.
+    /// let term = Term { turn: 1, epoch: Epoch { number: 1, leader: "f2".into(), start: 9 } };
+    /// let words = shards.hear(0, "f2", Word::Read { term: term.clone() });
+    /// assert_eq!(words, [("f2".to_owned(), Word::New { term, start: 7 })]);
+    /// ```
     pub fn hear(&mut self, now: Nanos, from: &str, word: Word) -> Vec<(String, Word)> {
         self.keeper.handle(now, from, word)
     }
@@ -229,7 +362,7 @@
     /// ```
     /// # use micadyke_shards::{face::Shards, keep::Terms, map::Map, split::Rules};
     /// # let rules = Rules {
-    /// #     entries: 10_000, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
     /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
     /// # };
     /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
@@ -242,6 +375,21 @@
     }
 
     /// The map to be put in force, once for each number.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// shards.learn(&map);
+    /// assert_eq!(shards.moved(), Some(InForce::new(map)));
+    /// assert_eq!(shards.moved(), None);
+    /// ```
     pub fn moved(&mut self) -> Option<InForce> {
         let map = self.keeper.map().filter(|m| m.number > self.given)?;
         self.given = map.number;
@@ -249,16 +397,62 @@
     }
 
     /// How an asker or a writer that goes by map `number` stands to this member; see [`Keeper::weigh`].
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// shards.learn(&map);
+    /// assert_eq!(shards.weigh(0, 3), Weighed::Older(&map));
+    /// ```
     pub fn weigh(&self, now: Nanos, number: u64) -> Weighed<'_> {
         self.keeper.weigh(now, number)
     }
 
     /// How a question about a point is to be asked; `None` while no map is known.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// shards.learn(&map);
+    /// assert_eq!(shards.reading(42).unwrap().number, 4);
+    /// ```
     pub fn reading(&self, point: Point) -> Option<Reading> {
         self.keeper.map().and_then(|m| Reading::of(m, point))
     }
 
     /// An owner's report; counts with who leads.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// use micadyke_shards::split::Report;
+    /// let (owner, stand) = (Owner::new("f1", 7), Default::default());
+    /// // Who does not lead does nothing with it.
+    /// let range = Range::RING;
+    /// shards.report(0, Report { owner, number: 4, range, entries: 9, rate: 1, filled: true, stand });
+    /// assert!(shards.lacking(0).is_empty());
+    /// ```
     pub fn report(&mut self, now: Nanos, report: Report) {
         if let Some(map) = self.keeper.leads(now).cloned() {
             self.mover.report(now, &map, report);
@@ -266,6 +460,20 @@
     }
 
     /// What came of a question about a point that was read twice under map `number`; counts with who leads.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// shards.read(0, 4, 42, Next::Count);
+    /// assert!(shards.lacking(0).is_empty());
+    /// ```
     pub fn read(&mut self, now: Nanos, number: u64, point: Point, came: Next) {
         let Some(map) = self.keeper.leads(now).cloned() else { return };
         match came {
@@ -276,6 +484,19 @@
     }
 
     /// Ranges that a leader lacks equal reads of: nobody asks about them, so that it is to ask itself.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, compare::Next, face::{InForce, Reading, Shards}};
+    /// # use micadyke_shards::{keep::{Terms, Weighed}, map::{Map, Owner, Part}, split::Rules};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let terms = Terms { fronts: 3, serve: 1_000, drift: 10 };
+    /// # let map = Map::founded(4, [("f1", 7), ("f2", 9)]);
+    /// # let mut shards = Shards::new(terms, rules, "f1", 7);
+    /// assert!(shards.lacking(0).is_empty());
+    /// ```
     pub fn lacking(&self, now: Nanos) -> Vec<Range> {
         self.keeper.leads(now).map_or_else(Vec::new, |m| self.mover.lacking(m))
     }
--- a/crates/shards/src/index.rs
+++ b/crates/shards/src/index.rs
@@ -1,8 +1,9 @@
 //! What one owner holds of one range, and the writer's side of it.
 //!
-//! A writer numbers its writes. Of each write every part of the group that it falls into is told, the parts that do not hold
-//! the key by a bare number; so the mark of an owner says: all that this writer wrote into the range up to there is in,
-//! and nothing later. Two owners of one range at one mark hold the same, or one of them is wrong.
+//! A writer numbers its writes. Of each write every part of the group that it falls into is told, the parts
+//! that do not hold the key by a bare number; so the mark of an owner says: all that this writer wrote into
+//! the range up to there is in, and nothing later. Two owners of one range at one mark hold the same, or one
+//! of them is wrong.
 
 use crate::map::{Group, Map, Owner, Part};
 use crate::{Feature, Range};
@@ -10,8 +11,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Marks and their digests that an owner remembers for each writer, so that two that are a few writes apart find one that
-/// both have passed.
+/// Marks and their digests that an owner remembers for each writer, so that two that are a few writes apart
+/// find one that both have passed.
 pub const RECENT: usize = 32;
 /// Removed entries that are remembered in a range.
 pub const GONE: usize = 1_024;
@@ -169,27 +170,56 @@
     }
 
     /// The range.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, index::Index};
+    /// assert_eq!(Index::new(Range::RING).range(), Range::RING);
+    /// ```
     pub fn range(&self) -> Range {
         self.range
     }
 
     /// Entries that stand.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// assert_eq!(index.len(), 1);
+    /// ```
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
     /// Whether none stands.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, index::Index};
+    /// assert!(Index::new(Range::RING).is_empty());
+    /// ```
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
     /// Everything was copied into it that is to be: from the old owners, or by the writers of this map.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, index::Index, map::Map};
+    /// let (map, mut index) = (Map::founded(3, [("f1", 7)]), Index::new(Range::RING));
+    /// assert!(!index.filled(&map));
+    /// index.fill(&map);
+    /// assert!(index.filled(&map));
+    /// ```
     pub fn fill(&mut self, map: &Map) {
         self.filled = Some(map.number);
     }
 
-    /// Whether it is filled as this map wants it: an owner answers and reports by nothing else. Where the range has begun anew
-    /// since, what is here is void.
+    /// Whether it is filled as this map wants it: an owner answers and reports by nothing else. Where the
+    /// range has begun anew since, what is here is void.
     ///
     /// ```
     /// use micadyke_shards::{Range, index::Index, map::{Map, Owner}};
@@ -206,6 +236,18 @@
 
     /// Takes a write; one that is in already is taken again without effect.
     ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// let second = book.write(&map, key, 8, Some("s2".into()));
+    /// // The first is missing.
+    /// assert_eq!(index.apply(&second[0].1), Err(Gap { have: 0 }));
+    /// ```
+    ///
     /// # Errors
     /// [`Gap`] where a write before it is missing: nothing is taken.
     pub fn apply(&mut self, write: &Write) -> Result<(), Gap> {
@@ -252,6 +294,20 @@
     }
 
     /// A writer's start is over: its entries go, and whatever it may still say counts for nothing.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// index.over(book.writer());
+    /// assert!(index.is_empty());
+    /// index.apply(&book.write(&map, key, 8, Some("s2".into()))[0].1).unwrap();
+    /// assert!(index.is_empty());
+    /// ```
     pub fn over(&mut self, writer: &Writer) {
         self.entries.retain(|id, _| id.writer != *writer);
         let row = self.rows.entry(writer.clone()).or_default();
@@ -261,6 +317,19 @@
     }
 
     /// What stands under a key, and what was removed there lately.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// index.apply(&book.write(&map, key.clone(), 7, None)[0].1).unwrap();
+    /// // Removed, and remembered.
+    /// assert_eq!(index.find(&key)[0].value, None);
+    /// ```
     pub fn find(&self, key: &Key) -> Vec<Entry> {
         let least = Writer { node: String::new(), start: 0 };
         let from = Id { key: key.clone(), writer: least, slot: 0 };
@@ -273,21 +342,70 @@
     }
 
     /// Entries that stand, in order.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// let all: Vec<_> = index.entries().map(|(_, sequence, value)| (sequence, value)).collect();
+    /// assert_eq!(all, [(1, "s1")]);
+    /// ```
     pub fn entries(&self) -> impl Iterator<Item = (&Id, u64, &str)> {
         self.entries.iter().map(|(id, (s, v))| (id, *s, v.as_str()))
     }
 
     /// How far it is with each writer.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// assert_eq!(index.marks()[book.writer()].seen, 1);
+    /// ```
     pub fn marks(&self) -> BTreeMap<Writer, Mark> {
         self.rows.iter().map(|(w, r)| (w.clone(), r.mark)).collect()
     }
 
     /// Marks and digests that it has passed lately.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// index.apply(&book.write(&map, key, 7, None)[0].1).unwrap();
+    /// let stand = &index.stand()[book.writer()];
+    /// // Nothing stands after the second: its digest is that of nothing.
+    /// assert!(stand[0].1 != 0 && stand[1] == (2, 0));
+    /// ```
     pub fn stand(&self) -> Stand {
         self.rows.iter().map(|(w, r)| (w.clone(), r.recent.iter().copied().collect())).collect()
     }
 
     /// All of one writer's entries that lie in `range`, for an owner to come.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// let [left, right] = Range::RING.halves().unwrap().map(|r| index.page(book.writer(), r).entries.len());
+    /// assert_eq!(left + right, 1);
+    /// ```
     pub fn page(&self, writer: &Writer, range: Range) -> Page {
         let seen = self.rows.get(writer).map_or(0, |r| r.mark.seen);
         let mine = self.entries.iter().filter(|(id, _)| id.writer == *writer && range.has(id.key.point()));
@@ -299,8 +417,22 @@
         Page { writer: writer.clone(), seen, entries: mine.map(entry).collect() }
     }
 
-    /// Takes a writer's pages, one from each range that serves: at one mark, and beyond what is here. Returns whether
-    /// they were.
+    /// Takes a writer's pages, one from each range that serves: at one mark, and beyond what is here. Returns
+    /// whether they were.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key.clone(), 7, Some("s1".into()));
+    /// index.apply(&told[0].1).unwrap();
+    /// let page = index.page(book.writer(), Range::RING);
+    /// let mut copy = Index::new(Range::RING);
+    /// assert!(copy.take(&[page]));
+    /// assert_eq!(copy.stand(), index.stand());
+    /// ```
     pub fn take(&mut self, pages: &[Page]) -> bool {
         let Some(first) = pages.first() else { return false };
         let writer = &first.writer;
@@ -356,23 +488,54 @@
 
 impl Book {
     /// Of a start of a node.
+    ///
+    /// ```
+    /// use micadyke_shards::index::Book;
+    /// assert_eq!(Book::new("f9", 1).writer().start, 1);
+    /// ```
     pub fn new(node: &str, start: u64) -> Self {
         Book { writer: Writer { node: node.into(), start }, sequence: 0, last: BTreeMap::new() }
     }
 
     /// Who writes.
+    ///
+    /// ```
+    /// use micadyke_shards::index::Book;
+    /// assert_eq!(Book::new("f9", 1).writer().node, "f9");
+    /// ```
     pub fn writer(&self) -> &Writer {
         &self.writer
     }
 
-    /// The last write told to a range, or to what it comes of. An owner that has started anew is filled only once it has
-    /// passed what each writer told after that start: its former start may have taken a write that is nowhere else yet.
+    /// The last write told to a range, or to what it comes of. An owner that has started anew is filled only
+    /// once it has passed what each writer told after that start: its former start may have taken a write
+    /// that is nowhere else yet.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// book.write(&map, key, 7, None);
+    /// assert_eq!(book.told(Range::RING), 1);
+    /// ```
     pub fn told(&self, range: Range) -> u64 {
         let over = |r: &Range| r.first <= range.last && range.first <= r.last;
         self.last.iter().filter(|(r, _)| over(r)).map(|(_, s)| *s).max().unwrap_or(0)
     }
 
     /// Writes an entry, or removes it where `value` is `None`; by the map that the node knows.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// let told = book.write(&map, key, 7, Some("s1".into()));
+    /// assert!(told[0].0.needed && told[0].0.owners.len() == 2);
+    /// ```
     pub fn write(&mut self, map: &Map, key: Key, slot: u64, value: Option<String>) -> Vec<(To, Write)> {
         self.sequence += 1;
         let id = Id { key, writer: self.writer.clone(), slot };
@@ -381,8 +544,8 @@
         self.tell(map, group, Some(entry))
     }
 
-    /// Numbers without a write for all ranges that change, for each what [`Pending`] takes: due when the map has moved, so that
-    /// parts that are to become one are at one mark.
+    /// Numbers without a write for all ranges that change, for each what [`Pending`] takes: due when the map
+    /// has moved, so that parts that are to become one are at one mark.
     ///
     /// ```
     /// use micadyke_shards::{Range, index::Book, map::{Map, Owner, Part}};
@@ -401,8 +564,8 @@
             .collect()
     }
 
-    /// A write that does not count yet, as it is to be told by the map that stands now: to the parts that it was told to, and
-    /// to those that have taken their place or are to.
+    /// A write that does not count yet, as it is to be told by the map that stands now: to the parts that it
+    /// was told to, and to those that have taken their place or are to.
     ///
     /// ```
     /// use micadyke_shards::{Range, index::Book, map::{Map, Owner, Part}};
@@ -456,8 +619,8 @@
     }
 }
 
-/// An owner's word that a write is in: it counts for the start that gives it and under the number that the write was told by,
-/// and for nothing else.
+/// An owner's word that a write is in: it counts for the start that gives it and under the number that the
+/// write was told by, and for nothing else.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Taken {
     /// Who has it.
@@ -488,7 +651,9 @@
     /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
     /// let told = Book::new("f9", 1).write(&map, Key::Title("t".into()), 7, Some("s1".into()));
     /// let mut pending = Pending::new(&map, told);
-    /// let taken = |name, start| Taken { owner: Owner::new(name, start), number: 1, range: Range::RING, sequence: 1 };
+    /// let taken = |name, start| Taken {
+    ///     owner: Owner::new(name, start), number: 1, range: Range::RING, sequence: 1,
+    /// };
     /// assert!(!pending.taken(&taken("f1", 7)));
     /// // A former start of the second owner said so: that start holds nothing any more.
     /// assert!(!pending.taken(&taken("f2", 8)));
@@ -512,26 +677,62 @@
     }
 
     /// Number of the map that it was told by last.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// assert_eq!(Pending::new(&map, book.write(&map, key, 7, None)).number(), 1);
+    /// ```
     pub fn number(&self) -> u64 {
         self.number
     }
 
     /// What is told to whom.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// assert_eq!(Pending::new(&map, book.write(&map, key, 7, None)).told().len(), 1);
+    /// ```
     pub fn told(&self) -> &[(To, Write)] {
         &self.told
     }
 
     /// Who has not taken it, of those that have to.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// assert_eq!(Pending::new(&map, book.write(&map, key, 7, None)).waits().len(), 2);
+    /// ```
     pub fn waits(&self) -> &BTreeSet<(Owner, Range)> {
         &self.waits
     }
 
     /// Whether it counts.
+    ///
+    /// ```
+    /// # use micadyke_directory::Key;
+    /// # use micadyke_shards::{Range, index::*, map::Map};
+    /// # let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// # let (mut book, key) = (Book::new("f9", 1), Key::Title("t".into()));
+    /// # let mut index = Index::new(Range::RING);
+    /// assert!(!Pending::new(&map, book.write(&map, key, 7, None)).counts());
+    /// ```
     pub fn counts(&self) -> bool {
         self.waits.is_empty()
     }
 
-    /// An owner's word. Returns whether the write counts now.
+    /// An owner's word. Returns whether the write counts now; an example is at [`Pending::new`].
     pub fn taken(&mut self, word: &Taken) -> bool {
         let sequence = self.told.first().map(|(_, w)| w.sequence);
         if self.without == Some(Feature::Start) && sequence == Some(word.sequence) {
--- a/crates/shards/src/keep.rs
+++ b/crates/shards/src/keep.rs
@@ -1,11 +1,11 @@
 //! A member's side of the map, and the side of the leader who moves it.
 //!
-//! Who may move the map is settled by the lease of a majority that parts of the common budget are leased by; it comes in as
-//! a fact, [`Lease`]. A lease says nothing about words that come late, and epochs need not grow from one leader to the
-//! next; so each leadership has a [`Term`], higher than any that a majority has heard of. A member turns words of a lower
-//! term away. A leader first reads what a majority holds and takes the newest of it over, then moves it; a map counts
-//! (is *committed*) once a majority holds it, and only then does a member serve by it. The argument stands in
-//! `docs/design/shards.md`.
+//! Who may move the map is settled by the lease of a majority that parts of the common budget are leased by;
+//! it comes in as a fact, [`Lease`]. A lease says nothing about words that come late, and epochs need not
+//! grow from one leader to the next; so each leadership has a [`Term`], higher than any that a majority has
+//! heard of. A member turns words of a lower term away. A leader first reads what a majority holds and takes
+//! the newest of it over, then moves it; a map counts (is *committed*) once a majority holds it, and only
+//! then does a member serve by it. The argument stands in `docs/design/shards.md`.
 
 use crate::map::{Flaw, Map, Owner};
 use crate::{Feature, Range};
@@ -259,12 +259,38 @@
     }
 
     /// This member as an owner.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// assert_eq!(f1.me().to_string(), "f1 (start 1)");
+    /// ```
     pub fn me(&self) -> Owner {
         Owner::new(&self.name, self.start)
     }
 
-    /// Whether the map that it knows names this start as an owner of this very range. If not it takes no write for it, answers no
-    /// question about it, and reports nothing of it, whatever a former start did.
+    /// Whether the map that it knows names this start as an owner of this very range. If not it takes no
+    /// write for it, answers no question about it, and reports nothing of it, whatever a former start did.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// assert!(f1.owns(micadyke_shards::Range::RING));
+    /// let again = Keeper::new(terms, "f1", 2);
+    /// assert!(!again.owns(micadyke_shards::Range::RING));
+    /// ```
     pub fn owns(&self, range: Range) -> bool {
         let owner = |o: &Owner| match self.without {
             Some(Feature::Start) => o.name == self.name,
@@ -275,21 +301,74 @@
     }
 
     /// Whether it counts in a majority: it holds what a leader told it since it began.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// assert!(f1.voice() && !Keeper::new(terms, "f1", 2).voice());
+    /// ```
     pub fn voice(&self) -> bool {
         self.voice
     }
 
     /// The newest map that is known to be committed.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// assert_eq!(f1.map().unwrap().number, 2);
+    /// ```
     pub fn map(&self) -> Option<&Map> {
         self.committed.as_ref()
     }
 
     /// That map while this member may serve by it.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// // By 1% less than the span.
+    /// assert!(f1.serves(989).is_some() && f1.serves(990).is_none());
+    /// ```
     pub fn serves(&self, now: Nanos) -> Option<&Map> {
         self.committed.as_ref().filter(|_| now < self.fresh)
     }
 
     /// How an asker that goes by map `number` stands to this member.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// use micadyke_shards::keep::Weighed;
+    /// assert!(matches!(f1.weigh(0, 1), Weighed::Older(_)));
+    /// assert!(matches!(f1.weigh(0, 2), Weighed::Same(_)));
+    /// assert_eq!(f1.weigh(0, 3), Weighed::Newer);
+    /// assert_eq!(f1.weigh(2_000, 2), Weighed::Stale);
+    /// ```
     pub fn weigh(&self, now: Nanos, number: u64) -> Weighed<'_> {
         match &self.committed {
             Some(m) if number < m.number && self.without != Some(Feature::Fence) => Weighed::Older(m),
@@ -302,7 +381,22 @@
         }
     }
 
-    /// Takes a map that another member knows to be committed. A lower number is not taken. Returns whether it was.
+    /// Takes a map that another member knows to be committed. A lower number is not taken. Returns whether it
+    /// was.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// use micadyke_shards::map::Map;
+    /// assert!(!f1.learn(&Map::founded(1, [("f2", 9)])));
+    /// assert!(f1.learn(&Map::founded(5, [("f2", 9)])));
+    /// ```
     pub fn learn(&mut self, map: &Map) -> bool {
         let newer = self.committed.as_ref().is_none_or(|m| m.number < map.number);
         if newer && (map.check().is_ok() || self.without == Some(Feature::Border)) {
@@ -312,24 +406,71 @@
     }
 
     /// Names that are provably dead: their calls have been refused for longer than a lease.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// // Of two configured fronts one answers, the other's calls are refused: the map is founded without it.
+    /// let terms = Terms { fronts: 2, serve: 1_000, drift: 10 };
+    /// let mut f1 = Keeper::new(terms, "f1", 1);
+    /// f1.absent(["f2".to_owned()].into());
+    /// let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// words = words.pop().map(|(_, word)| f1.handle(0, "f1", word)).unwrap();
+    /// words = words.pop().map(|(_, word)| f1.handle(0, "f1", word)).unwrap();
+    /// // It is written, and not committed until more than half hold it.
+    /// assert!(!words.is_empty() && f1.map().is_none());
+    /// ```
     pub fn absent(&mut self, names: BTreeSet<String>) {
         self.absent = names;
     }
 
     /// Whether this member leads the map now and has read what a majority holds.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// assert!(f1.leads(2_999).is_some() && f1.leads(3_000).is_none());
+    /// ```
     pub fn leads(&self, now: Nanos) -> Option<&Map> {
         let lead = self.lead.as_ref().filter(|l| now < l.lease.until && l.committed)?;
         lead.map.as_ref()
     }
 
     /// Whether a member that has not confirmed the map of now may still serve by the one before.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// assert!(f1.may_lag(1_009) && !f1.may_lag(1_010));
+    /// ```
     pub fn may_lag(&self, now: Nanos) -> bool {
         let over = |l: &Lead| now >= l.since.saturating_add(self.terms.longer());
         self.without != Some(Feature::Wait) && !self.lead.as_ref().is_some_and(over)
     }
 
-    /// Begins or renews a round as leader: to be called well within [`Terms::serve`] while the lease holds, with whom the
-    /// view has and its start. Once it has read a majority each round confirms the map.
+    /// Begins or renews a round as leader: to be called well within [`Terms::serve`] while the lease holds,
+    /// with whom the view has and its start. Once it has read a majority each round confirms the map.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// let mut f1 = Keeper::new(Terms { fronts: 3, serve: 1_000, drift: 10 }, "f1", 1);
+    /// let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// let view = [("f1".to_owned(), 1), ("f2".to_owned(), 4)].into();
+    /// // First each is asked what it holds.
+    /// assert_eq!(f1.lead(0, &lease, &view).len(), 2);
+    /// ```
     pub fn lead(
         &mut self, now: Nanos, lease: &Lease, members: &BTreeMap<String, u64>,
     ) -> Vec<(String, Word)> {
@@ -361,12 +502,42 @@
     }
 
     /// Leads no longer.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// f1.follow();
+    /// assert!(f1.leads(0).is_none());
+    /// ```
     pub fn follow(&mut self) {
         self.lead = None;
     }
 
     /// Moves the map to the one that follows it.
     ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// use micadyke_shards::{Range, keep::Refused, map::{Owner, Part}};
+    /// let part = Part::new(Range::RING, vec![Owner::new("f1", 1)]);
+    /// let next = f1.leads(0).unwrap().begin(Range::RING, vec![part]).unwrap();
+    /// assert!(f1.propose(0, next.clone()).is_ok());
+    /// // Not another before this one is held by a majority.
+    /// assert_eq!(f1.propose(0, next), Err(Refused::Open(3)));
+    /// ```
+    ///
     /// # Errors
     /// Says why it may not be.
     pub fn propose(&mut self, now: Nanos, map: Map) -> Result<Vec<(String, Word)>, Refused> {
@@ -402,6 +573,21 @@
     }
 
     /// Takes a word of another member, or of this one to itself.
+    ///
+    /// ```
+    /// # use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms};
+    /// # let terms = Terms { fronts: 1, serve: 1_000, drift: 10 };
+    /// # let mut f1 = Keeper::new(terms, "f1", 1);
+    /// # let lease = Lease { epoch: Epoch { number: 1, leader: "f1".into(), start: 1 }, until: 3_000 };
+    /// # let mut words = f1.lead(0, &lease, &[("f1".to_owned(), 1)].into());
+    /// # while let Some((_, word)) = words.pop() {
+    /// #     words.extend(f1.handle(0, "f1", word));
+    /// # }
+    /// use micadyke_shards::keep::{Term, Word};
+    /// // A word of a lower term is turned away.
+    /// let low = Term { turn: 0, epoch: lease.epoch.clone() };
+    /// assert!(matches!(f1.handle(0, "f2", Word::Read { term: low })[0].1, Word::No { .. }));
+    /// ```
     pub fn handle(&mut self, now: Nanos, from: &str, word: Word) -> Vec<(String, Word)> {
         let term = match &word {
             Word::Read { term } | Word::Write { term, .. } | Word::Commit { term, .. } => term.clone(),
@@ -519,7 +705,8 @@
         }
     }
 
-    /// With the word of more than half, or of all that can be: takes the newest over. Where nobody holds any, founds one.
+    /// With the word of more than half, or of all that can be: takes the newest over. Where nobody holds any,
+    /// founds one.
     fn read_enough(&mut self, now: Nanos) -> Vec<(String, Word)> {
         let (absent, fronts) = (self.absent.clone(), self.terms.fronts as usize);
         let Some(lead) = self.lead.as_ref().filter(|l| l.map.is_none()) else { return Vec::new() };
--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -1,5 +1,6 @@
-//! The map of a directory's shards: who owns which range of points, under a number that only grows; and how a shard splits
-//! without a wrong answer in between. No I/O and no clock: words, facts and the time go in, words and states come out.
+//! The map of a directory's shards: who owns which range of points, under a number that only grows; and how a
+//! shard splits without a wrong answer in between. No I/O and no clock: words, facts and the time go in,
+//! words and states come out.
 //!
 //! - [`map`]: ranges, their owners, changes under way.
 //! - [`keep`]: a member's side of the map, and the leader's who moves it under the lease of a majority.
--- a/crates/shards/src/map.rs
+++ b/crates/shards/src/map.rs
@@ -1,5 +1,5 @@
-//! The map: ranges of points, who owns each, and what changes hands. A map never changes: a move makes another, whose number
-//! is one higher.
+//! The map: ranges of points, who owns each, and what changes hands. A map never changes: a move makes
+//! another, whose number is one higher.
 
 use crate::{Feature, Range};
 use micadyke_directory::{Owners, Point};
@@ -8,8 +8,8 @@
 /// Groups of a map at most: bounds its bytes. 4,096 shards of 64 KB each hold more sessions than a fleet has.
 pub const GROUPS: usize = 4_096;
 
-/// A start of a member. What it held is gone with it: a member that starts anew under the same name is another owner, and
-/// becomes one only by a move of the map.
+/// A start of a member. What it held is gone with it: a member that starts anew under the same name is
+/// another owner, and becomes one only by a move of the map.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Owner {
     /// Name of the member.
@@ -50,8 +50,8 @@
     pub range: Range,
     /// Two where there are as many members.
     pub owners: Vec<Owner>,
-    /// Number of the map by which they began with nothing, to be filled from the writers' books; 0: they took over what others
-    /// had. What an owner held of the range before that number is void.
+    /// Number of the map by which they began with nothing, to be filled from the writers' books; 0: they took
+    /// over what others had. What an owner held of the range before that number is void.
     pub anew: u64,
 }
 
@@ -87,8 +87,8 @@
     pub since: u64,
 }
 
-/// Neighbouring ranges that stand or change together: one and no change; one that becomes two (a split), two that become
-/// one (a merge), one whose owners change (a move).
+/// Neighbouring ranges that stand or change together: one and no change; one that becomes two (a split), two
+/// that become one (a merge), one whose owners change (a move).
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Group {
     /// Ranges that serve.
@@ -101,17 +101,34 @@
 
 impl Group {
     /// All points of the group.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::Map};
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).groups[0].range(), Range::RING);
+    /// ```
     pub fn range(&self) -> Range {
         let ends = |p: &[Part]| Some(Range { first: p.first()?.range.first, last: p.last()?.range.last });
         ends(&self.parts).unwrap_or(Range { first: 0, last: 0 })
     }
 
     /// Its state while it changes.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Map;
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).groups[0].state(), None);
+    /// ```
     pub fn state(&self) -> Option<State> {
         self.change.as_ref().map(|c| c.state)
     }
 
     /// Parts that serve, then those to come.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Map, Owner, Part}};
+    /// let part = Part::new(Range::RING, vec![Owner::new("f2", 9)]);
+    /// let map = Map::founded(1, [("f1", 7)]).begin(Range::RING, vec![part]).unwrap();
+    /// assert_eq!(map.groups[0].all().count(), 2);
+    /// ```
     pub fn all(&self) -> impl Iterator<Item = &Part> {
         self.parts.iter().chain(self.change.iter().flat_map(|c| &c.parts))
     }
@@ -179,6 +196,14 @@
 
     /// Whether each point is in one range that serves, and in at most one to come.
     ///
+    /// ```
+    /// use micadyke_shards::map::{Flaw, Map};
+    /// let mut map = Map::founded(1, [("f1", 7)]);
+    /// assert_eq!(map.check(), Ok(()));
+    /// map.groups[0].parts[0].range.first = 5;
+    /// assert_eq!(map.check(), Err(Flaw::Border(5)));
+    /// ```
+    ///
     /// # Errors
     /// The first flaw.
     pub fn check(&self) -> Result<(), Flaw> {
@@ -207,12 +232,22 @@
     }
 
     /// The group of a point.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Map;
+    /// assert!(Map::founded(1, [("f1", 7)]).group(42).is_some());
+    /// ```
     pub fn group(&self, point: Point) -> Option<&Group> {
         let i = self.groups.partition_point(|g| g.range().last < point);
         self.groups.get(i)
     }
 
     /// Changes under way.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Map;
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).changing(), 0);
+    /// ```
     pub fn changing(&self) -> usize {
         self.groups.iter().filter(|g| g.change.is_some()).count()
     }
@@ -232,7 +267,8 @@
     /// ```
     ///
     /// # Errors
-    /// [`Flaw::NoSuch`] where such groups do not stand or change already; a flaw of the map that would come of it.
+    /// [`Flaw::NoSuch`] where such groups do not stand or change already; a flaw of the map that would come
+    /// of it.
     pub fn begin(&self, range: Range, parts: Vec<Part>) -> Result<Map, Flaw> {
         let is = |g: &Group| range.has(g.range().first) && range.has(g.range().last);
         let Some(at) = self.groups.iter().position(is) else { return Err(Flaw::NoSuch(range.first)) };
@@ -249,6 +285,11 @@
 
     /// The change over `range` has been copied: it is read twice from now.
     ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Flaw, Map}};
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).read_twice(Range::RING), Err(Flaw::NoSuch(0)));
+    /// ```
+    ///
     /// # Errors
     /// [`Flaw::NoSuch`] where none is being copied there.
     pub fn read_twice(&self, range: Range) -> Result<Map, Flaw> {
@@ -260,6 +301,14 @@
 
     /// The new owners of `range` serve alone from now.
     ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Flaw, Map, Owner, Part}};
+    /// let part = Part::new(Range::RING, vec![Owner::new("f2", 9)]);
+    /// let copying = Map::founded(1, [("f1", 7)]).begin(Range::RING, vec![part]).unwrap();
+    /// // Not before it was read twice.
+    /// assert_eq!(copying.cut_over(Range::RING), Err(Flaw::NoSuch(0)));
+    /// ```
+    ///
     /// # Errors
     /// [`Flaw::NoSuch`] where none is read twice there.
     pub fn cut_over(&self, range: Range) -> Result<Map, Flaw> {
@@ -270,6 +319,14 @@
 
     /// The change over `range` goes back; the old owners, who served all the while, do on.
     ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Map, Owner, Part}};
+    /// let map = Map::founded(1, [("f1", 7)]);
+    /// let part = Part::new(Range::RING, vec![Owner::new("f2", 9)]);
+    /// let back = map.begin(Range::RING, vec![part]).unwrap().back(Range::RING).unwrap();
+    /// assert_eq!((back.number, back.groups[0].tries), (3, 1));
+    /// ```
+    ///
     /// # Errors
     /// [`Flaw::NoSuch`] where none is under way.
     pub fn back(&self, range: Range) -> Result<Map, Flaw> {
@@ -282,8 +339,8 @@
         )
     }
 
-    /// An owner is gone: the others of the parts that serve in the group over `range` serve without it. Whatever counted is at
-    /// each of them; what did not count yet is told by the new map.
+    /// An owner is gone: the others of the parts that serve in the group over `range` serve without it.
+    /// Whatever counted is at each of them; what did not count yet is told by the new map.
     ///
     /// ```
     /// use micadyke_directory::Owners;
@@ -312,8 +369,8 @@
         self.with(at, 1, vec![group])
     }
 
-    /// All owners of a whole range are gone: these begin with nothing, and are to be filled from the writers' books before
-    /// they answer anything. See [`crate::index::Book::told`].
+    /// All owners of a whole range are gone: these begin with nothing, and are to be filled from the writers'
+    /// books before they answer anything. See [`crate::index::Book::told`].
     ///
     /// ```
     /// use micadyke_directory::Owners;
@@ -335,12 +392,24 @@
     }
 
     /// Whether the map names this start as an owner of this very range, that serves or is to.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7)]);
+    /// assert!(map.owns(Range::RING, &Owner::new("f1", 7)) && !map.owns(Range::RING, &Owner::new("f1", 8)));
+    /// ```
     pub fn owns(&self, range: Range, owner: &Owner) -> bool {
         let group = self.group(range.first);
         group.is_some_and(|g| g.all().any(|p| p.range == range && p.owners.contains(owner)))
     }
 
-    /// Number of the map by which the owners of this very range began with nothing; 0 where they took it over.
+    /// Number of the map by which the owners of this very range began with nothing; 0 where they took it
+    /// over.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::Map};
+    /// assert_eq!(Map::founded(5, [("f1", 7)]).anew_at(Range::RING), 5);
+    /// ```
     pub fn anew_at(&self, range: Range) -> u64 {
         let part = self.group(range.first).and_then(|g| g.parts.iter().find(|p| p.range == range));
         part.map_or(0, |p| p.anew)
--- a/crates/shards/src/split.rs
+++ b/crates/shards/src/split.rs
@@ -1,10 +1,11 @@
-//! When a range splits, merges or moves to other owners, and when those serve alone. What a leader decides; see
-//! [`crate::keep`] for how the move is made.
+//! When a range splits, merges or moves to other owners, and when those serve alone. What a leader decides;
+//! see [`crate::keep`] for how the move is made.
 //!
-//! A change goes from whole to copying once it is begun, to being read twice once each new owner says it is filled, and
-//! from there to new when old and new owners have shown equal digests of the whole range and enough comparable reads in
-//! each slice of it were equal; or back: when a difference stays, when digests differ, when a new owner is gone, or when it takes too
-//! long. What went back is tried again after a wait that doubles.
+//! A change goes from whole to copying once it is begun, to being read twice once each new owner says it is
+//! filled, and from there to new when old and new owners have shown equal digests of the whole range and
+//! enough comparable reads in each slice of it were equal; or back: when a difference stays, when digests
+//! differ, when a new owner is gone, or when it takes too long. What went back is tried again after a wait
+//! that doubles.
 
 use crate::compare::Difference;
 use crate::index::Stand;
@@ -22,8 +23,8 @@
     pub rate: u64,
     /// Or while the map has fewer ranges than this for a thousand members.
     pub per_1000: u64,
-    /// Two neighbours merge while they come to less than this of `entries` and of `rate` together, per mille; and the map
-    /// has more than twice the ranges of `per_1000`.
+    /// Two neighbours merge while they come to less than this of `entries` and of `rate` together, per mille;
+    /// and the map has more than twice the ranges of `per_1000`.
     pub merge: u64,
     /// So many ranges change at once at most.
     pub at_once: usize,
@@ -73,7 +74,8 @@
     OwnerGone(Owner),
     /// Not copied in time.
     CopySlow,
-    /// Copied, and not through in time: slices that lack reads, and nodes whose digests could not be compared.
+    /// Copied, and not through in time: slices that lack reads, and nodes whose digests could not be
+    /// compared.
     TwiceSlow {
         /// Slices.
         slices: usize,
@@ -157,7 +159,8 @@
     flagged: Vec<Difference>,
 }
 
-/// Decides the map's moves. It has forgotten everything when another member leads: reads and digests begin anew.
+/// Decides the map's moves. It has forgotten everything when another member leads: reads and digests begin
+/// anew.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Mover {
     rules: Rules,
@@ -214,8 +217,32 @@
         }
     }
 
-    /// An owner's report. It counts for the start that the map names, and for a change only if the owner went by the map that
-    /// began its state, or a later one, when it was made.
+    /// An owner's report. It counts for the start that the map names, and for a change only if the owner went
+    /// by the map that began its state, or a later one, when it was made.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let living = [("f1".to_owned(), 7), ("f2".to_owned(), 9)].into();
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// // Of a former start: nothing. Of this one: it is read twice.
+    /// mover.report(0, &copying, report(&Owner::new("f2", 8), 2));
+    /// assert!(mover.next(0, &copying, &living, false).is_none());
+    /// mover.report(0, &copying, report(&f2, 2));
+    /// assert_eq!(mover.next(0, &copying, &living, false).unwrap().what, What::Twice);
+    /// ```
     pub fn report(&mut self, now: Nanos, map: &Map, mut report: Report) {
         self.follow(now, map);
         let Some(group) = map.group(report.range.first) else { return };
@@ -235,6 +262,30 @@
     }
 
     /// A reader's count of equal reads of a point under a map's number.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let living = [("f1".to_owned(), 7), ("f2".to_owned(), 9)].into();
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// [&f1, &f2].map(|o| mover.report(0, &twice, report(o, 3)));
+    /// assert!(mover.next(0, &twice, &living, false).is_none());
+    /// // One read in each half.
+    /// [0, u64::MAX].map(|point| mover.equal(0, &twice, 3, point, 1));
+    /// assert_eq!(mover.next(0, &twice, &living, false).unwrap().what, What::New);
+    /// ```
     pub fn equal(&mut self, now: Nanos, map: &Map, number: u64, point: Point, reads: u32) {
         self.follow(now, map);
         let group = map.group(point).filter(|g| g.state() == Some(State::Twice) && number == map.number);
@@ -248,6 +299,32 @@
     }
 
     /// A reader's flag: differences that stayed in a question about a point under a map's number.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let living = [("f1".to_owned(), 7), ("f2".to_owned(), 9)].into();
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// use micadyke_directory::Key;
+    /// use micadyke_shards::{compare::{Difference, Kind}, index::{Id, Writer}};
+    /// let id = Id { key: Key::Title("t".into()), writer: Writer { node: "f9".into(), start: 1 }, slot: 0 };
+    /// let found = Difference { kind: Kind::MissingInNew, id, old: None, new: None };
+    /// mover.flag(0, &twice, 3, 42, vec![found.clone()]);
+    /// let step = mover.next(0, &twice, &living, false).unwrap();
+    /// assert_eq!(step.what, What::Back(Cause::Flagged(vec![found])));
+    /// ```
     pub fn flag(&mut self, now: Nanos, map: &Map, number: u64, point: Point, found: Vec<Difference>) {
         self.follow(now, map);
         let group = map.group(point).filter(|g| g.state() == Some(State::Twice) && number == map.number);
@@ -257,6 +334,26 @@
     }
 
     /// Slices that lack reads: whoever has nobody who asks about them asks itself.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// mover.equal(0, &twice, 3, 0, 1);
+    /// assert_eq!(mover.lacking(&twice), [Range::RING.halves().unwrap()[1]]);
+    /// ```
     pub fn lacking(&self, map: &Map) -> Vec<Range> {
         let mut lack = Vec::new();
         for g in map.groups.iter().filter(|g| g.state() == Some(State::Twice)) {
@@ -276,14 +373,14 @@
         lack
     }
 
-    /// The next move, if one is due. `living`: members of the settled view and their starts, which may be late: no entry is lost
-    /// by that; `lag`: whether an owner that has not reported under the map of now may still serve by the one before, see
-    /// [`crate::keep::Keeper::may_lag`].
+    /// The next move, if one is due. `living`: members of the settled view and their starts, which may be
+    /// late: no entry is lost by that; `lag`: whether an owner that has not reported under the map of now may
+    /// still serve by the one before, see [`crate::keep::Keeper::may_lag`].
     ///
     /// ```
     /// # use micadyke_shards::{map::{Map, Owner}, split::*};
     /// # let rules = Rules {
-    /// #     entries: 10_000, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
     /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
     /// # };
     /// // The second owner has started anew, and holds nothing.
@@ -322,7 +419,8 @@
             && (living.contains_key(&owner.name) || self.missing.get(owner).is_some_and(long))
     }
 
-    /// Owners that are gone go, as long as one stays; where none is left of a whole range, others begin with nothing.
+    /// Owners that are gone go, as long as one stays; where none is left of a whole range, others begin with
+    /// nothing.
     fn drops(&self, now: Nanos, map: &Map, living: &BTreeMap<String, u64>) -> Option<Step> {
         let gone = |o: &&Owner| self.gone(now, living, o);
         for g in &map.groups {
@@ -397,13 +495,13 @@
         }
     }
 
-    /// Compares the last reports of old and new owners, writer by writer, at the highest mark that all have passed: every
-    /// owner of a part says the same, and the parts of both sides come to the same sum. The mark is not below what an
-    /// old owner had seen, so that what it had taken before it went by this map is in, and holding back does not help: the leader
-    /// is to hear old owners first, then the new.
+    /// Compares the last reports of old and new owners, writer by writer, at the highest mark that all have
+    /// passed: every owner of a part says the same, and the parts of both sides come to the same sum. The
+    /// mark is not below what an old owner had seen, so that what it had taken before it went by this map is
+    /// in, and holding back does not help: the leader is to hear old owners first, then the new.
     fn digests(&self, g: &Group, w: &Watch, lag: bool) -> Digests {
-        // An old owner that says nothing, or forgot, has no say: each entry that counts is at the others. But until its time
-        // is over it may take writes by the map before, so that it has to be heard.
+        // An old owner that says nothing, or forgot, has no say: each entry that counts is at the others. But
+        // until its time is over it may take writes by the map before, so that it has to be heard.
         let side = |parts: &[Part], all: bool, full: bool| -> Option<Vec<Vec<&Report>>> {
             let of = |p: &Part| {
                 let got: Vec<&Report> =
@@ -531,7 +629,8 @@
         step(range, vec![Part::new(range, owners)])
     }
 
-    /// Two owners: who stays, then who owns least, not of `taken` if there are others; ties are drawn by the range.
+    /// Two owners: who stays, then who owns least, not of `taken` if there are others; ties are drawn by the
+    /// range.
     fn owners(
         &self, map: &Map, living: &BTreeMap<String, u64>, stay: &[Owner], taken: &[Owner], range: Range,
     ) -> Vec<Owner> {
--- a/crates/shards/tests/model.rs
+++ b/crates/shards/tests/model.rs
@@ -1,6 +1,6 @@
-//! Map and splits model-checked: two leaders, restarts of owners and of leaders in each state, words that come late, never, or in
-//! any order, leaders that know nothing of a restart or give up a member that lives, a copier that loses an entry. The code that
-//! runs is what is checked.
+//! Map and splits model-checked: two leaders, restarts of owners and of leaders in each state, words that
+//! come late, never, or in any order, leaders that know nothing of a restart or give up a member that lives,
+//! a copier that loses an entry. The code that runs is what is checked.
 
 use micadyke_directory::Key;
 use micadyke_shards::index::{Book, Entry, Index, Page, Pending, Taken, Write};
@@ -59,7 +59,8 @@
     movers: BTreeMap<u8, Mover>,
     indexes: BTreeMap<(u8, Range), Index>,
     network: BTreeSet<(u8, u8, Word)>,
-    /// A writer of its own, by the map that it knows; its own book; what does not count yet; words under way from and to it.
+    /// A writer of its own, by the map that it knows; its own book; what does not count yet; words under way
+    /// from and to it.
     map: Map,
     book: Book,
     truth: Vec<Entry>,
@@ -458,7 +459,8 @@
     type State = World;
     type Action = Act;
 
-    /// Each state of a split, or of a merge: whole, copied, read twice, and so with an entry lost in the copy, and new.
+    /// Each state of a split, or of a merge: whole, copied, read twice, and so with an entry lost in the
+    /// copy, and new.
     fn init_states(&self) -> Vec<World> {
         let sound = |rules| Fleet { rules, ticks: 99, words: 99, both: self.both, ..Fleet::new(None) };
         let split = sound(SPLIT);
@@ -606,7 +608,8 @@
                     && w.steps > 0
                     && w.acknowledged.len() == 2
             }),
-            // After a restart it went back, was made again, and all that own are of starts that live and filled.
+            // After a restart it went back, was made again, and all that own are of starts that live and
+            // filled.
             Property::sometimes(AGAIN, |f, w: &World| w.back && f.through(w)),
         ]
     }
@@ -653,7 +656,8 @@
     }
 }
 
-/// In each state of a split and of a merge each member starts anew: what it was to own is made again, and gets through.
+/// In each state of a split and of a merge each member starts anew: what it was to own is made again, and
+/// gets through.
 #[test]
 fn after_a_restart_in_each_state_the_change_is_made_again() {
     for rules in [SPLIT, MERGE] {
--- a/crates/shards/tests/rules.rs
+++ b/crates/shards/tests/rules.rs
@@ -97,7 +97,8 @@
     gone_for: 1_000,
 };
 
-/// What the mover does with a change that is read twice: with so many of the old owners heard, slices read, and an entry lost by one new owner.
+/// What the mover does with a change that is read twice: with so many of the old owners heard, slices read,
+/// and an entry lost by one new owner.
 fn gate(without: Option<Feature>, heard: usize, slices: usize, lose: bool, lag: bool) -> Option<What> {
     gate_of(without, heard, slices, lose, lag, 0)
 }
@@ -214,10 +215,12 @@
 }
 
 proptest! {
-    /// Whatever the two sides have of one history, they never differ; at one mark they are equal. Without the rule of
-    /// sequences they do differ.
+    /// Whatever the two sides have of one history, they never differ; at one mark they are equal. Without the
+    /// rule of sequences they do differ.
     #[test]
-    fn what_was_written_between_is_no_difference(history in history(), old in 0usize..40, new in 0usize..40, k in 0u8..4) {
+    fn what_was_written_between_is_no_difference(
+        history in history(), old in 0usize..40, new in 0usize..40, k in 0u8..4,
+    ) {
         let all = writes(&history);
         let upto = |n: usize| {
             let mut index = Index::new(Range::RING);
@@ -235,9 +238,12 @@
         prop_assert_eq!(verdict == Verdict::NotComparable(Why::Between), matches!(bare, Verdict::Different(_)));
     }
 
-    /// At one mark a lost entry is found, by the question and by the digest, on either side; copied to halves it is whole.
+    /// At one mark a lost entry is found, by the question and by the digest, on either side; copied to halves
+    /// it is whole.
     #[test]
-    fn what_is_lost_is_found(history in history(), pick in any::<prop::sample::Index>(), in_old in any::<bool>()) {
+    fn what_is_lost_is_found(
+        history in history(), pick in any::<prop::sample::Index>(), in_old in any::<bool>(),
+    ) {
         let mut whole = Index::new(Range::RING);
         writes(&history).iter().for_each(|w| whole.apply(w).expect("in order"));
         prop_assume!(!whole.is_empty());
