--- a/crates/shards/src/index.rs
+++ b/crates/shards/src/index.rs
@@ -747,12 +747,16 @@
     ///
     /// ```
     /// use micadyke_directory::Key;
-    /// use micadyke_shards::{Range, index::{Book, Pending}, map::{Map, Owner}};
+    /// use micadyke_shards::{Range, index::{Book, Pending, Taken}, map::{Map, Owner}};
     /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
     /// let told = Book::new("f9", 1).write(&map, Key::Title("t".into()), 7, Some("s1".into()));
     /// let mut pending = Pending::new(&map, told);
     /// pending.moved(&map.drop_owner(Range::RING, &Owner::new("f1", 7)).unwrap());
     /// assert_eq!(pending.waits().len(), 1);
+    /// // Said under the number before: of what it may have thrown away since.
+    /// let (owner, range) = (Owner::new("f2", 9), Range::RING);
+    /// assert!(!pending.taken(&Taken { owner: owner.clone(), number: 1, range, sequence: 1 }));
+    /// assert!(pending.taken(&Taken { owner, number: 2, range, sequence: 1 }));
     /// ```
     pub fn moved(&mut self, map: &Map) {
         if map.number <= self.number {
