--- a/crates/shards/src/lib.rs
+++ b/crates/shards/src/lib.rs
@@ -1,16 +1,19 @@
-//! The map of a directory's shards: who owns which range of points, under a number that only grows; and how a shard splits
-//! without a wrong answer in between. No I/O and no clock: words, facts and the time go in, words and states come out.
+//! The map of a directory's shards: who owns which range of points, under a number that only grows; and how a
+//! shard splits without a wrong answer in between. No I/O and no clock: words, facts and the time go in,
+//! words and states come out.
 //!
 //! - [`map`]: ranges, their owners, changes under way.
 //! - [`keep`]: a member's side of the map, and the leader's who moves it under the lease of a majority.
 //! - [`split`]: when a range splits, merges or moves, and when the new owners serve alone.
 //! - [`compare`]: a question read twice, and what its two results say.
 //! - [`index`]: what one owner holds of one range.
+//! - [`face`]: what a directory calls; the whole of a member's side.
 //!
 //! The argument for each claim stands in `docs/design/shards.md`.
 #![warn(missing_docs)]
 
 pub mod compare;
+pub mod face;
 pub mod index;
 pub mod keep;
 pub mod map;
@@ -36,6 +39,8 @@
     Memory,
     /// Old owners that may still serve the map before are waited for.
     Wait,
+    /// What a former start of an owner said counts for nothing.
+    Start,
     /// An entry written between two reads is no difference.
     Between,
 }
--- a/crates/shards/src/map.rs
+++ b/crates/shards/src/map.rs
@@ -1,5 +1,5 @@
-//! The map: ranges of points, who owns each, and what changes hands. A map never changes: a move makes another, whose number
-//! is one higher.
+//! The map: ranges of points, who owns each, and what changes hands. A map never changes: a move makes
+//! another, whose number is one higher.
 
 use crate::{Feature, Range};
 use micadyke_directory::{Owners, Point};
@@ -8,13 +8,63 @@
 /// Groups of a map at most: bounds its bytes. 4,096 shards of 64 KB each hold more sessions than a fleet has.
 pub const GROUPS: usize = 4_096;
 
+/// A start of a member. What it held is gone with it: a member that starts anew under the same name is
+/// another owner, and becomes one only by a move of the map.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// Name of the member.
+    pub name: String,
+    /// Its start.
+    pub start: u64,
+}
+
+impl Owner {
+    /// This start of this member.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Owner;
+    /// assert_ne!(Owner::new("f1", 7), Owner::new("f1", 8));
+    /// assert_eq!(Owner::new("f1", 7).to_string(), "f1 (start 7)");
+    /// ```
+    pub fn new(name: &str, start: u64) -> Self {
+        Owner { name: name.into(), start }
+    }
+}
+
+impl From<(&str, u64)> for Owner {
+    fn from((name, start): (&str, u64)) -> Self {
+        Owner::new(name, start)
+    }
+}
+
+impl std::fmt::Display for Owner {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} (start {})", self.name, self.start)
+    }
+}
+
 /// A range and who owns it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Part {
     /// The range.
     pub range: Range,
-    /// Names; two where there are as many members.
-    pub owners: Vec<String>,
+    /// Two where there are as many members.
+    pub owners: Vec<Owner>,
+    /// Number of the map by which they began with nothing, to be filled from the writers' books; 0: they took
+    /// over what others had. What an owner held of the range before that number is void.
+    pub anew: u64,
+}
+
+impl Part {
+    /// A range to be taken over by these.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Owner, Part}};
+    /// assert_eq!(Part::new(Range::RING, vec![Owner::new("f1", 7)]).anew, 0);
+    /// ```
+    pub fn new(range: Range, owners: Vec<Owner>) -> Self {
+        Part { range, owners, anew: 0 }
+    }
 }
 
 /// How far a change has come. A range without one is whole.
@@ -33,10 +83,12 @@
     pub parts: Vec<Part>,
     /// How far it has come.
     pub state: State,
+    /// Number of the map that began this state: what was said under a lower one was said of something else.
+    pub since: u64,
 }
 
-/// Neighbouring ranges that stand or change together: one and no change; one that becomes two (a split), two that become
-/// one (a merge), one whose owners change (a move).
+/// Neighbouring ranges that stand or change together: one and no change; one that becomes two (a split), two
+/// that become one (a merge), one whose owners change (a move).
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Group {
     /// Ranges that serve.
@@ -49,17 +101,34 @@
 
 impl Group {
     /// All points of the group.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::Map};
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).groups[0].range(), Range::RING);
+    /// ```
     pub fn range(&self) -> Range {
         let ends = |p: &[Part]| Some(Range { first: p.first()?.range.first, last: p.last()?.range.last });
         ends(&self.parts).unwrap_or(Range { first: 0, last: 0 })
     }
 
     /// Its state while it changes.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Map;
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).groups[0].state(), None);
+    /// ```
     pub fn state(&self) -> Option<State> {
         self.change.as_ref().map(|c| c.state)
     }
 
     /// Parts that serve, then those to come.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Map, Owner, Part}};
+    /// let part = Part::new(Range::RING, vec![Owner::new("f2", 9)]);
+    /// let map = Map::founded(1, [("f1", 7)]).begin(Range::RING, vec![part]).unwrap();
+    /// assert_eq!(map.groups[0].all().count(), 2);
+    /// ```
     pub fn all(&self) -> impl Iterator<Item = &Part> {
         self.parts.iter().chain(self.change.iter().flat_map(|c| &c.parts))
     }
@@ -111,22 +180,30 @@
 }
 
 impl Map {
-    /// A first map: the whole ring, owned by these.
+    /// A first map: the whole ring, owned by these, who hold nothing yet.
     ///
     /// ```
     /// use micadyke_directory::Owners;
     /// use micadyke_shards::map::Map;
-    /// let map = Map::founded(1, &["f1", "f2"]);
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
     /// assert_eq!(map.owners(42), ["f1", "f2"]);
     /// ```
-    pub fn founded(number: u64, owners: &[&str]) -> Map {
-        let owners = owners.iter().map(|o| o.to_string()).collect();
-        let parts = vec![Part { range: Range::RING, owners }];
+    pub fn founded<O: Into<Owner>>(number: u64, owners: impl IntoIterator<Item = O>) -> Map {
+        let owners = owners.into_iter().map(Into::into).collect();
+        let parts = vec![Part { range: Range::RING, owners, anew: number }];
         Map { number, groups: vec![Group { parts, change: None, tries: 0 }] }
     }
 
     /// Whether each point is in one range that serves, and in at most one to come.
     ///
+    /// ```
+    /// use micadyke_shards::map::{Flaw, Map};
+    /// let mut map = Map::founded(1, [("f1", 7)]);
+    /// assert_eq!(map.check(), Ok(()));
+    /// map.groups[0].parts[0].range.first = 5;
+    /// assert_eq!(map.check(), Err(Flaw::Border(5)));
+    /// ```
+    ///
     /// # Errors
     /// The first flaw.
     pub fn check(&self) -> Result<(), Flaw> {
@@ -155,12 +232,22 @@
     }
 
     /// The group of a point.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Map;
+    /// assert!(Map::founded(1, [("f1", 7)]).group(42).is_some());
+    /// ```
     pub fn group(&self, point: Point) -> Option<&Group> {
         let i = self.groups.partition_point(|g| g.range().last < point);
         self.groups.get(i)
     }
 
     /// Changes under way.
+    ///
+    /// ```
+    /// use micadyke_shards::map::Map;
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).changing(), 0);
+    /// ```
     pub fn changing(&self) -> usize {
         self.groups.iter().filter(|g| g.change.is_some()).count()
     }
@@ -168,10 +255,10 @@
     /// Begins a change: neighbouring whole groups that cover `range` are to become `parts`.
     ///
     /// ```
-    /// use micadyke_shards::{Range, map::{Map, Part, State}};
-    /// let map = Map::founded(1, &["f1", "f2"]);
-    /// let owners = || vec!["f3".to_owned(), "f4".to_owned()];
-    /// let parts = Range::RING.halves().unwrap().map(|range| Part { range, owners: owners() });
+    /// use micadyke_shards::{Range, map::{Map, Owner, Part, State}};
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// let owners = || vec![Owner::new("f3", 1), Owner::new("f4", 1)];
+    /// let parts = Range::RING.halves().unwrap().map(|range| Part::new(range, owners()));
     /// let copying = map.begin(Range::RING, parts.to_vec()).unwrap();
     /// let twice = copying.read_twice(Range::RING).unwrap();
     /// let new = twice.cut_over(Range::RING).unwrap();
@@ -180,7 +267,8 @@
     /// ```
     ///
     /// # Errors
-    /// [`Flaw::NoSuch`] where such groups do not stand or change already; a flaw of the map that would come of it.
+    /// [`Flaw::NoSuch`] where such groups do not stand or change already; a flaw of the map that would come
+    /// of it.
     pub fn begin(&self, range: Range, parts: Vec<Part>) -> Result<Map, Flaw> {
         let is = |g: &Group| range.has(g.range().first) && range.has(g.range().last);
         let Some(at) = self.groups.iter().position(is) else { return Err(Flaw::NoSuch(range.first)) };
@@ -189,7 +277,7 @@
             return Err(Flaw::NoSuch(range.first));
         }
         let tries = old.iter().map(|g| g.tries).max().unwrap_or(0);
-        let change = Some(Change { parts, state: State::Copying });
+        let change = Some(Change { parts, state: State::Copying, since: self.number + 1 });
         let group = Group { parts: old.iter().flat_map(|g| g.parts.clone()).collect(), change, tries };
         let count = old.len();
         self.with(at, count, vec![group])
@@ -197,17 +285,30 @@
 
     /// The change over `range` has been copied: it is read twice from now.
     ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Flaw, Map}};
+    /// assert_eq!(Map::founded(1, [("f1", 7)]).read_twice(Range::RING), Err(Flaw::NoSuch(0)));
+    /// ```
+    ///
     /// # Errors
     /// [`Flaw::NoSuch`] where none is being copied there.
     pub fn read_twice(&self, range: Range) -> Result<Map, Flaw> {
         let (at, mut group, mut change) = self.changes(range, Some(State::Copying))?;
-        change.state = State::Twice;
+        (change.state, change.since) = (State::Twice, self.number + 1);
         group.change = Some(change);
         self.with(at, 1, vec![group])
     }
 
     /// The new owners of `range` serve alone from now.
     ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Flaw, Map, Owner, Part}};
+    /// let part = Part::new(Range::RING, vec![Owner::new("f2", 9)]);
+    /// let copying = Map::founded(1, [("f1", 7)]).begin(Range::RING, vec![part]).unwrap();
+    /// // Not before it was read twice.
+    /// assert_eq!(copying.cut_over(Range::RING), Err(Flaw::NoSuch(0)));
+    /// ```
+    ///
     /// # Errors
     /// [`Flaw::NoSuch`] where none is read twice there.
     pub fn cut_over(&self, range: Range) -> Result<Map, Flaw> {
@@ -218,6 +319,14 @@
 
     /// The change over `range` goes back; the old owners, who served all the while, do on.
     ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Map, Owner, Part}};
+    /// let map = Map::founded(1, [("f1", 7)]);
+    /// let part = Part::new(Range::RING, vec![Owner::new("f2", 9)]);
+    /// let back = map.begin(Range::RING, vec![part]).unwrap().back(Range::RING).unwrap();
+    /// assert_eq!((back.number, back.groups[0].tries), (3, 1));
+    /// ```
+    ///
     /// # Errors
     /// [`Flaw::NoSuch`] where none is under way.
     pub fn back(&self, range: Range) -> Result<Map, Flaw> {
@@ -230,6 +339,82 @@
         )
     }
 
+    /// An owner is gone: the others of the parts that serve in the group over `range` serve without it.
+    /// Whatever counted is at each of them; what did not count yet is told by the new map.
+    ///
+    /// ```
+    /// use micadyke_directory::Owners;
+    /// use micadyke_shards::{Range, map::{Flaw, Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 9)]);
+    /// let less = map.drop_owner(Range::RING, &Owner::new("f1", 7)).unwrap();
+    /// assert_eq!((less.number, less.owners(42)), (2, vec!["f2".to_owned()]));
+    /// // Not the last one, and not one that it does not name.
+    /// assert_eq!(less.drop_owner(Range::RING, &Owner::new("f2", 9)), Err(Flaw::Ownerless(0)));
+    /// assert_eq!(map.drop_owner(Range::RING, &Owner::new("f1", 8)), Err(Flaw::NoSuch(0)));
+    /// ```
+    ///
+    /// # Errors
+    /// [`Flaw::Ownerless`] where it is the last, [`Flaw::NoSuch`] where it owns nothing there.
+    pub fn drop_owner(&self, range: Range, owner: &Owner) -> Result<Map, Flaw> {
+        let at = self.groups.iter().position(|g| g.range() == range).ok_or(Flaw::NoSuch(range.first))?;
+        let mut group = self.groups[at].clone();
+        let mut found = false;
+        for p in &mut group.parts {
+            found |= p.owners.contains(owner);
+            p.owners.retain(|o| o != owner);
+        }
+        if !found {
+            return Err(Flaw::NoSuch(range.first));
+        }
+        self.with(at, 1, vec![group])
+    }
+
+    /// All owners of a whole range are gone: these begin with nothing, and are to be filled from the writers'
+    /// books before they answer anything. See [`crate::index::Book::told`].
+    ///
+    /// ```
+    /// use micadyke_directory::Owners;
+    /// use micadyke_shards::{Range, map::{Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7)]).anew(Range::RING, vec![Owner::new("f1", 8)]).unwrap();
+    /// assert!(map.owns(Range::RING, &Owner::new("f1", 8)) && !map.owns(Range::RING, &Owner::new("f1", 7)));
+    /// ```
+    ///
+    /// # Errors
+    /// [`Flaw::NoSuch`] where no whole group has this range; [`Flaw::Ownerless`].
+    pub fn anew(&self, range: Range, owners: Vec<Owner>) -> Result<Map, Flaw> {
+        let at = self.groups.iter().position(|g| g.range() == range && g.change.is_none());
+        let at = at.ok_or(Flaw::NoSuch(range.first))?;
+        let mut group = self.groups[at].clone();
+        for p in &mut group.parts {
+            (p.owners, p.anew) = (owners.clone(), self.number + 1);
+        }
+        self.with(at, 1, vec![group])
+    }
+
+    /// Whether the map names this start as an owner of this very range, that serves or is to.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::{Map, Owner}};
+    /// let map = Map::founded(1, [("f1", 7)]);
+    /// assert!(map.owns(Range::RING, &Owner::new("f1", 7)) && !map.owns(Range::RING, &Owner::new("f1", 8)));
+    /// ```
+    pub fn owns(&self, range: Range, owner: &Owner) -> bool {
+        let group = self.group(range.first);
+        group.is_some_and(|g| g.all().any(|p| p.range == range && p.owners.contains(owner)))
+    }
+
+    /// Number of the map by which the owners of this very range began with nothing; 0 where they took it
+    /// over.
+    ///
+    /// ```
+    /// use micadyke_shards::{Range, map::Map};
+    /// assert_eq!(Map::founded(5, [("f1", 7)]).anew_at(Range::RING), 5);
+    /// ```
+    pub fn anew_at(&self, range: Range) -> u64 {
+        let part = self.group(range.first).and_then(|g| g.parts.iter().find(|p| p.range == range));
+        part.map_or(0, |p| p.anew)
+    }
+
     fn changes(&self, range: Range, state: Option<State>) -> Result<(usize, Group, Change), Flaw> {
         let found = self.groups.iter().enumerate().find(|(_, g)| g.range() == range);
         let found = found.filter(|(_, g)| state.is_none() || g.state() == state);
@@ -271,6 +456,6 @@
 
     fn owners(&self, point: Point) -> Vec<String> {
         let part = self.group(point).and_then(|g| g.parts.iter().find(|p| p.range.has(point)));
-        part.map_or_else(Vec::new, |p| p.owners.clone())
+        part.map_or_else(Vec::new, |p| p.owners.iter().map(|o| o.name.clone()).collect())
     }
 }
--- a/crates/shards/src/split.rs
+++ b/crates/shards/src/split.rs
@@ -1,14 +1,15 @@
-//! When a range splits, merges or moves to other owners, and when those serve alone. What a leader decides; see
-//! [`crate::keep`] for how the move is made.
+//! When a range splits, merges or moves to other owners, and when those serve alone. What a leader decides;
+//! see [`crate::keep`] for how the move is made.
 //!
-//! A change goes from whole to copying once it is begun, to being read twice once each new owner says it is filled, and
-//! from there to new when old and new owners have shown equal digests of the whole range and enough comparable reads in
-//! each slice of it were equal; or back: when a difference stays, when digests differ, when a new owner is gone, or when it takes too
-//! long. What went back is tried again after a wait that doubles.
+//! A change goes from whole to copying once it is begun, to being read twice once each new owner says it is
+//! filled, and from there to new when old and new owners have shown equal digests of the whole range and
+//! enough comparable reads in each slice of it were equal; or back: when a difference stays, when digests
+//! differ, when a new owner is gone, or when it takes too long. What went back is tried again after a wait
+//! that doubles.
 
 use crate::compare::Difference;
 use crate::index::Stand;
-use crate::map::{Group, Map, Part, State};
+use crate::map::{Group, Map, Owner, Part, State};
 use crate::{Feature, Range};
 use micadyke_directory::{Nanos, Point};
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,8 +23,8 @@
     pub rate: u64,
     /// Or while the map has fewer ranges than this for a thousand members.
     pub per_1000: u64,
-    /// Two neighbours merge while they come to less than this of `entries` and of `rate` together, per mille; and the map
-    /// has more than twice the ranges of `per_1000`.
+    /// Two neighbours merge while they come to less than this of `entries` and of `rate` together, per mille;
+    /// and the map has more than twice the ranges of `per_1000`.
     pub merge: u64,
     /// So many ranges change at once at most.
     pub at_once: usize,
@@ -46,8 +47,8 @@
 /// What an owner tells the leader of one of its ranges, each second or so.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Report {
-    /// Name of the owner.
-    pub member: String,
+    /// The owner: a report of another start than the map names counts for nothing.
+    pub owner: Owner,
     /// Number of the map that it goes by: it takes no write of a lower one.
     pub number: u64,
     /// The range.
@@ -69,11 +70,12 @@
     Flagged(Vec<Difference>),
     /// Digests at one mark differ, of this node's entries.
     Digests(String),
-    /// A new owner is gone, or has started anew.
-    OwnerGone(String),
+    /// A new owner, or the last old one, is gone or has started anew.
+    OwnerGone(Owner),
     /// Not copied in time.
     CopySlow,
-    /// Copied, and not through in time: slices that lack reads, and nodes whose digests could not be compared.
+    /// Copied, and not through in time: slices that lack reads, and nodes whose digests could not be
+    /// compared.
     TwiceSlow {
         /// Slices.
         slices: usize,
@@ -129,6 +131,10 @@
     New,
     /// It goes back.
     Back(Cause),
+    /// This owner is gone; the others of its range serve without it, until another is filled.
+    Drop(Owner),
+    /// All owners of a whole range are gone: others begin, and are filled from the writers' books.
+    Anew,
 }
 
 /// How far digests of a change agree.
@@ -143,16 +149,18 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 struct Watch {
-    state: Option<State>,
+    /// Number of the map that began the state.
+    since: u64,
     began: Nanos,
     /// By slice over all new parts.
     reads: Vec<u32>,
     /// The last report under this state from each owner.
-    reports: BTreeMap<(String, Range), Report>,
+    reports: BTreeMap<(Owner, Range), Report>,
     flagged: Vec<Difference>,
 }
 
-/// Decides the map's moves. It has forgotten everything when another member leads: reads and digests begin anew.
+/// Decides the map's moves. It has forgotten everything when another member leads: reads and digests begin
+/// anew.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Mover {
     rules: Rules,
@@ -160,8 +168,8 @@
     /// Not tried before, by the first point.
     waits: BTreeMap<Point, Nanos>,
     /// Owners that are missing, and since when.
-    missing: BTreeMap<String, Nanos>,
-    sizes: BTreeMap<(String, Range), (u64, u64)>,
+    missing: BTreeMap<Owner, Nanos>,
+    sizes: BTreeMap<(Owner, Range), (u64, u64)>,
     without: Option<Feature>,
 }
 
@@ -177,8 +185,9 @@
     ///     again_most: 3_600_000_000_000, gone_for: 10_000_000_000,
     /// };
     /// // Four members and one range: the fleet has grown beyond it.
-    /// let living = ["f1", "f2", "f3", "f4"].map(String::from).into();
-    /// let step = Mover::new(rules).next(0, &Map::founded(1, &["f1", "f2"]), &living, false).unwrap();
+    /// let living = ["f1", "f2", "f3", "f4"].map(|n| (n.to_owned(), 7)).into();
+    /// let map = Map::founded(1, [("f1", 7), ("f2", 7)]);
+    /// let step = Mover::new(rules).next(0, &map, &living, false).unwrap();
     /// assert_eq!((step.what, step.map.changing()), (What::Begin, 1));
     /// ```
     pub fn new(rules: Rules) -> Self {
@@ -196,36 +205,87 @@
 
     /// The map that stands was confirmed: what is no longer in it is forgotten, what is new in it is watched.
     fn follow(&mut self, now: Nanos, map: &Map) {
-        let state = |r: &Range| map.group(r.first).filter(|g| g.range() == *r).and_then(Group::state);
-        self.watches.retain(|r, w| w.state.is_some() && state(r) == w.state);
-        let owned = |m: &str, r: &Range| {
-            map.group(r.first)
-                .is_some_and(|g| g.all().any(|p| p.range == *r && p.owners.iter().any(|o| o == m)))
-        };
-        self.sizes.retain(|(m, r), _| owned(m, r));
+        // By number, not by state: what another leader began anew meanwhile is not what was watched.
+        let since = |g: &Group| g.change.as_ref().map_or(0, |c| c.since);
+        let stands = |r: &Range| map.group(r.first).filter(|g| g.range() == *r).map_or(0, since);
+        self.watches.retain(|r, w| stands(r) == w.since);
+        self.sizes.retain(|(o, r), _| map.owns(*r, o));
         for g in map.groups.iter().filter(|g| g.change.is_some()) {
             let slices = g.change.as_ref().map_or(0, |c| c.parts.len()) * self.rules.slices;
-            let fresh = Watch { state: g.state(), began: now, reads: vec![0; slices], ..Watch::default() };
+            let fresh = Watch { since: since(g), began: now, reads: vec![0; slices], ..Watch::default() };
             self.watches.entry(g.range()).or_insert(fresh);
         }
     }
 
-    /// An owner's report.
-    pub fn report(&mut self, now: Nanos, map: &Map, report: Report) {
+    /// An owner's report. It counts for the start that the map names, and for a change only if the owner went
+    /// by the map that began its state, or a later one, when it was made.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let living = [("f1".to_owned(), 7), ("f2".to_owned(), 9)].into();
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// // Of a former start: nothing. Of this one: it is read twice.
+    /// mover.report(0, &copying, report(&Owner::new("f2", 8), 2));
+    /// assert!(mover.next(0, &copying, &living, false).is_none());
+    /// mover.report(0, &copying, report(&f2, 2));
+    /// assert_eq!(mover.next(0, &copying, &living, false).unwrap().what, What::Twice);
+    /// ```
+    pub fn report(&mut self, now: Nanos, map: &Map, mut report: Report) {
         self.follow(now, map);
         let Some(group) = map.group(report.range.first) else { return };
-        let owns = |p: &Part| p.range == report.range && p.owners.contains(&report.member);
-        if report.number != map.number || !group.all().any(owns) {
+        if self.without == Some(Feature::Start) {
+            let mut named = group.all().filter(|p| p.range == report.range).flat_map(|p| &p.owners);
+            report.owner = named.find(|o| o.name == report.owner.name).unwrap_or(&report.owner).clone();
+        }
+        if !map.owns(report.range, &report.owner) {
             return;
         }
-        let key = (report.member.clone(), report.range);
+        let key = (report.owner.clone(), report.range);
         self.sizes.insert(key.clone(), (report.entries, report.rate));
-        if let Some(w) = self.watches.get_mut(&group.range()) {
+        let since = group.change.as_ref().map(|c| c.since);
+        if let Some(w) = self.watches.get_mut(&group.range()).filter(|_| Some(report.number) >= since) {
             w.reports.insert(key, report);
         }
     }
 
     /// A reader's count of equal reads of a point under a map's number.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let living = [("f1".to_owned(), 7), ("f2".to_owned(), 9)].into();
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// [&f1, &f2].map(|o| mover.report(0, &twice, report(o, 3)));
+    /// assert!(mover.next(0, &twice, &living, false).is_none());
+    /// // One read in each half.
+    /// [0, u64::MAX].map(|point| mover.equal(0, &twice, 3, point, 1));
+    /// assert_eq!(mover.next(0, &twice, &living, false).unwrap().what, What::New);
+    /// ```
     pub fn equal(&mut self, now: Nanos, map: &Map, number: u64, point: Point, reads: u32) {
         self.follow(now, map);
         let group = map.group(point).filter(|g| g.state() == Some(State::Twice) && number == map.number);
@@ -239,6 +299,32 @@
     }
 
     /// A reader's flag: differences that stayed in a question about a point under a map's number.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let living = [("f1".to_owned(), 7), ("f2".to_owned(), 9)].into();
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// use micadyke_directory::Key;
+    /// use micadyke_shards::{compare::{Difference, Kind}, index::{Id, Writer}};
+    /// let id = Id { key: Key::Title("t".into()), writer: Writer { node: "f9".into(), start: 1 }, slot: 0 };
+    /// let found = Difference { kind: Kind::MissingInNew, id, old: None, new: None };
+    /// mover.flag(0, &twice, 3, 42, vec![found.clone()]);
+    /// let step = mover.next(0, &twice, &living, false).unwrap();
+    /// assert_eq!(step.what, What::Back(Cause::Flagged(vec![found])));
+    /// ```
     pub fn flag(&mut self, now: Nanos, map: &Map, number: u64, point: Point, found: Vec<Difference>) {
         self.follow(now, map);
         let group = map.group(point).filter(|g| g.state() == Some(State::Twice) && number == map.number);
@@ -248,6 +334,26 @@
     }
 
     /// Slices that lack reads: whoever has nobody who asks about them asks itself.
+    ///
+    /// ```
+    /// # use micadyke_shards::{Range, map::{Map, Owner, Part}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 10, rate: 1_000, per_1000: 0, merge: 0, at_once: 2, slices: 2, reads: 1, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// # let (f1, f2) = (Owner::new("f1", 7), Owner::new("f2", 9));
+    /// # let map = Map::founded(1, [f1.clone()]);
+    /// # let part = Part::new(Range::RING, vec![f2.clone()]);
+    /// # let copying = map.begin(Range::RING, vec![part]).unwrap();
+    /// # let twice = copying.read_twice(Range::RING).unwrap();
+    /// # let mut mover = Mover::new(rules);
+    /// # let report = |owner: &Owner, number| Report {
+    /// #     owner: owner.clone(), number, range: Range::RING, entries: 0, rate: 0, filled: true,
+    /// #     stand: Default::default(),
+    /// # };
+    /// mover.equal(0, &twice, 3, 0, 1);
+    /// assert_eq!(mover.lacking(&twice), [Range::RING.halves().unwrap()[1]]);
+    /// ```
     pub fn lacking(&self, map: &Map) -> Vec<Range> {
         let mut lack = Vec::new();
         for g in map.groups.iter().filter(|g| g.state() == Some(State::Twice)) {
@@ -267,24 +373,77 @@
         lack
     }
 
-    /// The next move, if one is due. `living`: members of the settled view; `lag`: whether an owner that has not
-    /// reported under the map of now may still serve by the one before, see [`crate::keep::Keeper::may_lag`].
-    pub fn next(&mut self, now: Nanos, map: &Map, living: &BTreeSet<String>, lag: bool) -> Option<Step> {
+    /// The next move, if one is due. `living`: members of the settled view and their starts, which may be
+    /// late: no entry is lost by that; `lag`: whether an owner that has not reported under the map of now may
+    /// still serve by the one before, see [`crate::keep::Keeper::may_lag`].
+    ///
+    /// ```
+    /// # use micadyke_shards::{map::{Map, Owner}, split::*};
+    /// # let rules = Rules {
+    /// #     entries: 100, rate: 90, per_1000: 0, merge: 0, at_once: 2, slices: 4, reads: 20, copy_for: 60,
+    /// #     twice_for: 60, again_after: 30, again_most: 3_600, gone_for: 10,
+    /// # };
+    /// // The second owner has started anew, and holds nothing.
+    /// let living = [("f1".to_owned(), 7), ("f2".to_owned(), 10)].into();
+    /// let (mut mover, map) = (Mover::new(rules), Map::founded(1, [("f1", 7), ("f2", 9)]));
+    /// let step = mover.next(0, &map, &living, false).unwrap();
+    /// assert_eq!(step.what, What::Drop(Owner::new("f2", 9)));
+    /// // As it lives it may be filled again.
+    /// let step = mover.next(1, &step.map, &living, false).unwrap();
+    /// assert_eq!(step.what, What::Begin);
+    /// ```
+    pub fn next(&mut self, now: Nanos, map: &Map, living: &BTreeMap<String, u64>, lag: bool) -> Option<Step> {
         self.follow(now, map);
-        self.missing.retain(|m, _| !living.contains(m));
-        let owners = map.groups.iter().flat_map(Group::all).flat_map(|p| &p.owners);
-        for o in owners.filter(|o| !living.contains(*o)) {
-            self.missing.entry(o.clone()).or_insert(now);
-        }
+        let owners: BTreeSet<&Owner> =
+            map.groups.iter().flat_map(Group::all).flat_map(|p| &p.owners).collect();
+        let missing = owners.into_iter().filter(|o| !self.lives(living, o));
+        let since = |o: &Owner| (o.clone(), self.missing.get(o).copied().unwrap_or(now));
+        self.missing = missing.map(since).collect();
         let steps = map.groups.iter().filter(|g| g.change.is_some());
         steps
             .filter_map(|g| self.goes_on(now, map, g, living, lag))
             .next()
+            .or_else(|| self.drops(now, map, living))
             .or_else(|| self.begins(now, map, living))
     }
 
+    fn lives(&self, living: &BTreeMap<String, u64>, owner: &Owner) -> bool {
+        let start = living.get(&owner.name);
+        start == Some(&owner.start) || (start.is_some() && self.without == Some(Feature::Start))
+    }
+
+    /// Whether an owner is given up: at once where another start of its name lives, else after a while.
+    fn gone(&self, now: Nanos, living: &BTreeMap<String, u64>, owner: &Owner) -> bool {
+        let long = |since: &Nanos| now >= since.saturating_add(self.rules.gone_for);
+        !self.lives(living, owner)
+            && (living.contains_key(&owner.name) || self.missing.get(owner).is_some_and(long))
+    }
+
+    /// Owners that are gone go, as long as one stays; where none is left of a whole range, others begin with
+    /// nothing.
+    fn drops(&self, now: Nanos, map: &Map, living: &BTreeMap<String, u64>) -> Option<Step> {
+        let gone = |o: &&Owner| self.gone(now, living, o);
+        for g in &map.groups {
+            let range = g.range();
+            for p in &g.parts {
+                if let Some(o) = p.owners.iter().find(gone)
+                    && let Ok(map) = map.drop_owner(range, o)
+                {
+                    return Some(Step { map, range, what: What::Drop(o.clone()) });
+                }
+                if g.change.is_none() && p.owners.iter().all(|o| gone(&o)) {
+                    let owners = self.owners(map, living, &[], &[], range);
+                    if let Ok(map) = map.anew(range, owners) {
+                        return Some(Step { map, range, what: What::Anew });
+                    }
+                }
+            }
+        }
+        None
+    }
+
     fn goes_on(
-        &self, now: Nanos, map: &Map, g: &Group, living: &BTreeSet<String>, lag: bool,
+        &self, now: Nanos, map: &Map, g: &Group, living: &BTreeMap<String, u64>, lag: bool,
     ) -> Option<Step> {
         let (range, change, w) = (g.range(), g.change.as_ref()?, self.watches.get(&g.range())?);
         let back = |cause| {
@@ -292,9 +451,13 @@
             Some(Step { map, range, what: What::Back(cause) })
         };
         let new = || change.parts.iter().flat_map(|p| p.owners.iter().map(move |o| (o.clone(), p.range)));
-        if let Some((gone, _)) = new().find(|(o, _)| !living.contains(o)) {
+        if let Some((gone, _)) = new().find(|(o, _)| !self.lives(living, o)) {
             return back(Cause::OwnerGone(gone));
         }
+        let lost = |p: &&Part| p.owners.iter().all(|o| self.gone(now, living, o));
+        if let Some(last) = g.parts.iter().find(lost).and_then(|p| p.owners.first()) {
+            return back(Cause::OwnerGone(last.clone()));
+        }
         let over = now.saturating_sub(w.began);
         match change.state {
             State::Copying if new().all(|k| w.reports.get(&k).is_some_and(|r| r.filled)) => {
@@ -332,13 +495,13 @@
         }
     }
 
-    /// Compares the last reports of old and new owners, writer by writer, at the highest mark that all have passed: every
-    /// owner of a part says the same, and the parts of both sides come to the same sum. The mark is not below what an
-    /// old owner had seen, so that what it had taken before it went by this map is in, and holding back does not help: the leader
-    /// is to hear old owners first, then the new.
+    /// Compares the last reports of old and new owners, writer by writer, at the highest mark that all have
+    /// passed: every owner of a part says the same, and the parts of both sides come to the same sum. The
+    /// mark is not below what an old owner had seen, so that what it had taken before it went by this map is
+    /// in, and holding back does not help: the leader is to hear old owners first, then the new.
     fn digests(&self, g: &Group, w: &Watch, lag: bool) -> Digests {
-        // An old owner that says nothing, or forgot, has no say: each entry that counts is at the others. But until its time
-        // is over it may take writes by the map before, so that it has to be heard.
+        // An old owner that says nothing, or forgot, has no say: each entry that counts is at the others. But
+        // until its time is over it may take writes by the map before, so that it has to be heard.
         let side = |parts: &[Part], all: bool, full: bool| -> Option<Vec<Vec<&Report>>> {
             let of = |p: &Part| {
                 let got: Vec<&Report> =
@@ -398,7 +561,7 @@
     }
 
     /// What is to begin: first what lacks an owner, then what is too large, then what is too small.
-    fn begins(&mut self, now: Nanos, map: &Map, living: &BTreeSet<String>) -> Option<Step> {
+    fn begins(&mut self, now: Nanos, map: &Map, living: &BTreeMap<String, u64>) -> Option<Step> {
         self.waits.retain(|p, _| map.groups.iter().any(|g| g.tries > 0 && g.range().first == *p));
         for g in map.groups.iter().filter(|g| g.tries > 0 && g.change.is_none()) {
             let until = now.saturating_add(self.wait(g.tries));
@@ -420,13 +583,11 @@
             Some(Step { map, range, what: What::Begin })
         };
         let whole: Vec<&Group> = map.groups.iter().filter(may).collect();
-        let gone = |o: &String| self.missing.get(o).is_some_and(|s| now >= s + self.rules.gone_for);
         for g in &whole {
-            let Some(p) = g.parts.first().filter(|p| p.owners.iter().any(gone)) else { continue };
-            let stay: Vec<String> = p.owners.iter().filter(|o| !gone(o)).cloned().collect();
-            let owners = self.owners(map, living, &stay, &[], p.range);
-            if owners.len() > stay.len() {
-                return step(p.range, vec![Part { range: p.range, owners }]);
+            let Some(p) = g.parts.first().filter(|p| p.owners.len() < 2) else { continue };
+            let owners = self.owners(map, living, &p.owners, &[], p.range);
+            if owners.len() > p.owners.len() {
+                return step(p.range, vec![Part::new(p.range, owners)]);
             }
         }
         let size = |g: &Group| {
@@ -450,10 +611,10 @@
             let old = g.parts.first()?;
             let mut parts: Vec<Part> = Vec::new();
             for range in g.range().halves()? {
-                let taken: Vec<String> =
+                let taken: Vec<Owner> =
                     old.owners.iter().chain(parts.iter().flat_map(|p| &p.owners)).cloned().collect();
                 let owners = self.owners(map, living, &[], &taken, range);
-                parts.push(Part { range, owners });
+                parts.push(Part::new(range, owners));
             }
             return step(g.range(), parts);
         }
@@ -463,26 +624,28 @@
             next && large(p[0]) + large(p[1]) < self.rules.merge && map.groups.len() as u64 > few
         })?;
         let range = Range { first: pair[0].range().first, last: pair[1].range().last };
-        let taken: Vec<String> = pair.iter().flat_map(|g| g.all()).flat_map(|p| p.owners.clone()).collect();
+        let taken: Vec<Owner> = pair.iter().flat_map(|g| g.all()).flat_map(|p| p.owners.clone()).collect();
         let owners = self.owners(map, living, &[], &taken, range);
-        step(range, vec![Part { range, owners }])
+        step(range, vec![Part::new(range, owners)])
     }
 
-    /// Two owners: who stays, then who owns least, not of `taken` if there are others; ties are drawn by the range.
+    /// Two owners: who stays, then who owns least, not of `taken` if there are others; ties are drawn by the
+    /// range.
     fn owners(
-        &self, map: &Map, living: &BTreeSet<String>, stay: &[String], taken: &[String], range: Range,
-    ) -> Vec<String> {
+        &self, map: &Map, living: &BTreeMap<String, u64>, stay: &[Owner], taken: &[Owner], range: Range,
+    ) -> Vec<Owner> {
         let owns =
-            |m: &String| map.groups.iter().flat_map(Group::all).filter(|p| p.owners.contains(m)).count();
+            |m: &Owner| map.groups.iter().flat_map(Group::all).filter(|p| p.owners.contains(m)).count();
         // Others at each try.
         let tries = map.group(range.first).map_or(0, |g| g.tries);
-        let draw = |m: &String| {
-            let bytes = m.bytes().chain(range.first.to_le_bytes()).chain(tries.to_le_bytes());
+        let draw = |m: &Owner| {
+            let bytes = m.name.bytes().chain(range.first.to_le_bytes()).chain(tries.to_le_bytes());
             bytes.fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
         };
-        let mut all: Vec<&String> = living.iter().filter(|m| !stay.contains(m)).collect();
+        let all = living.iter().map(|(name, start)| Owner::new(name, *start));
+        let mut all: Vec<Owner> = all.filter(|m| stay.iter().all(|s| s.name != m.name)).collect();
         all.sort_by_cached_key(|m| (taken.contains(m), owns(m), draw(m)));
-        stay.iter().chain(all).take(2).cloned().collect()
+        stay.iter().cloned().chain(all).take(2).collect()
     }
 }
 
@@ -491,7 +654,7 @@
         match c {
             Cause::Flagged(d) => format!("a difference stayed in {} entries", d.len()),
             Cause::Digests(n) => format!("digests of {n}'s entries differ"),
-            Cause::OwnerGone(o) => format!("new owner {o} is gone"),
+            Cause::OwnerGone(o) => format!("owner {o} is gone"),
             Cause::CopySlow => "not copied in time".into(),
             Cause::TwiceSlow { slices, nodes } => {
                 format!("not through in time: {slices} slices lack reads, {nodes} nodes' digests are open")
--- a/crates/shards/tests/rules.rs
+++ b/crates/shards/tests/rules.rs
@@ -4,16 +4,16 @@
 use micadyke_shards::compare::{Answer, Kind, Side, Verdict, Why, compare};
 use micadyke_shards::index::{Book, Index, Write};
 use micadyke_shards::keep::{Epoch, Keeper, Lease, Terms, Word};
-use micadyke_shards::map::{Map, Part};
+use micadyke_shards::map::{Map, Owner, Part};
 use micadyke_shards::split::{Mover, Report, Rules, What};
 use micadyke_shards::{Feature, Range};
 use proptest::prelude::*;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 const TERMS: Terms = Terms { fronts: 3, serve: 1_000, drift: 0 };
 
-fn names() -> BTreeSet<String> {
-    (0..3).map(|n| n.to_string()).collect()
+fn starts() -> BTreeMap<String, u64> {
+    (0..3).map(|n| (n.to_string(), 0)).collect()
 }
 
 /// Delivers all words among those that are `up`, in order.
@@ -32,14 +32,14 @@
 fn leads(fleet: &mut [Keeper], up: &[usize], now: u64, n: usize) {
     for _ in 0..2 {
         let epoch = Epoch { number: 9 - n as u64, leader: n.to_string(), start: 0 };
-        let words = fleet[n].lead(now, &Lease { epoch, until: now + 1_000 }, &names());
+        let words = fleet[n].lead(now, &Lease { epoch, until: now + 1_000 }, &starts());
         deliver(fleet, up, now, n, words);
     }
 }
 
 fn moves(fleet: &mut [Keeper], up: &[usize], now: u64, n: usize, owner: &str) {
     let Some(map) = fleet[n].leads(now).cloned() else { return };
-    let part = Part { range: Range::RING, owners: vec![owner.to_owned()] };
+    let part = Part::new(Range::RING, vec![Owner::new(owner, 0)]);
     let words = fleet[n].propose(now, map.begin(Range::RING, vec![part]).expect("a move")).expect("leads");
     deliver(fleet, up, now, n, words);
 }
@@ -97,9 +97,17 @@
     gone_for: 1_000,
 };
 
-/// What the mover does with a change that is read twice: with so many of the old owners heard, slices read, and an entry lost by one new owner.
+/// What the mover does with a change that is read twice: with so many of the old owners heard, slices read,
+/// and an entry lost by one new owner.
 fn gate(without: Option<Feature>, heard: usize, slices: usize, lose: bool, lag: bool) -> Option<What> {
-    let map = Map::founded(1, &["0", "1"]);
+    gate_of(without, heard, slices, lose, lag, 0)
+}
+
+/// With reports of new owners that bear this start, where the map names start 0.
+fn gate_of(
+    without: Option<Feature>, heard: usize, slices: usize, lose: bool, lag: bool, start: u64,
+) -> Option<What> {
+    let map = Map::founded(1, [("0", 0), ("1", 0)]);
     let mut book = Book::new("w", 0);
     let mut whole = Index::new(Range::RING);
     for i in 0..50 {
@@ -109,7 +117,7 @@
     }
     let halves = Range::RING.halves().expect("halves");
     let parts: Vec<Part> =
-        halves.iter().map(|r| Part { range: *r, owners: vec!["2".into(), "3".into()] }).collect();
+        halves.iter().map(|r| Part::new(*r, vec![Owner::new("2", 0), Owner::new("3", 0)])).collect();
     let map = map.begin(Range::RING, parts).and_then(|m| m.read_twice(Range::RING)).expect("moves");
     let mut reports: Vec<(usize, Index)> = (0..heard).map(|o| (o, whole.clone())).collect();
     for o in 2..4 {
@@ -124,13 +132,17 @@
         }
     }
     let mut mover = Mover::new(RULES).without(without);
-    let living = (0..4).map(|n| n.to_string()).collect();
+    let living = (0..4).map(|n| (n.to_string(), 0)).collect();
     for now in 0..2 {
         for (o, index) in &reports {
-            let (member, number, range, entries) =
-                (o.to_string(), map.number, index.range(), index.len() as u64);
+            let (owner, number, range, entries) = (
+                Owner::new(&o.to_string(), if *o > 1 { start } else { 0 }),
+                map.number,
+                index.range(),
+                index.len() as u64,
+            );
             let report =
-                Report { member, number, range, entries, rate: 0, filled: true, stand: index.stand() };
+                Report { owner, number, range, entries, rate: 0, filled: true, stand: index.stand() };
             mover.report(now, &map, report);
         }
     }
@@ -149,11 +161,38 @@
         assert_ne!(gate(None, heard, slices, lose, lag), Some(What::New), "{rule:?}");
         assert_eq!(gate(Some(rule), heard, slices, lose, lag), Some(What::New), "{rule:?}");
     }
+    // Another start of the new owners says that it has everything.
+    assert_eq!(gate_of(None, 2, 4, false, true, 1), None);
+    assert_eq!(gate_of(Some(Feature::Start), 2, 4, false, true, 1), Some(What::New));
     assert_eq!(gate(None, 1, 4, false, true), None);
     assert_eq!(gate(None, 1, 4, false, false), Some(What::New));
     assert!(matches!(gate(None, 2, 4, true, true), Some(What::Back(c)) if !c.advice().is_empty()));
 }
 
+/// What a leader watched before another led counts for nothing in the change that the other began.
+#[test]
+fn a_change_begun_anew_is_watched_anew() {
+    let map = Map::founded(1, [("0", 0)]);
+    let part = Part::new(Range::RING, vec![Owner::new("1", 0)]);
+    let begin = |m: &Map| m.begin(Range::RING, vec![part.clone()]).expect("a move");
+    let first = begin(&map).read_twice(Range::RING).expect("a move");
+    let mut mover = Mover::new(Rules { reads: 0, ..RULES });
+    let mut hear = |map: &Map, number| {
+        for o in ["0", "1"] {
+            let (owner, range) = (Owner::new(o, 0), Range::RING);
+            let stand = Index::new(range).stand();
+            mover.report(1, map, Report { owner, number, range, entries: 0, rate: 0, filled: true, stand });
+        }
+        mover.next(1, map, &starts(), true).map(|s| s.what)
+    };
+    assert_eq!(hear(&first, first.number), Some(What::New));
+    let again = begin(&first.back(Range::RING).expect("a move"));
+    let again = again.read_twice(Range::RING).expect("a move");
+    // Late reports, of the change before; then of this one.
+    assert_eq!(hear(&again, first.number), None);
+    assert_eq!(hear(&again, again.number), Some(What::New));
+}
+
 /// Writes of one writer: to which of four keys, or a removal.
 fn history() -> impl Strategy<Value = Vec<(u8, bool)>> {
     proptest::collection::vec((0u8..4, any::<bool>()), 1..40)
@@ -164,21 +203,24 @@
 }
 
 fn writes(history: &[(u8, bool)]) -> Vec<Write> {
-    let (map, mut book) = (Map::founded(1, &["a", "b"]), Book::new("w", 1));
+    let (map, mut book) = (Map::founded(1, [("a", 0), ("b", 0)]), Book::new("w", 1));
     let value = |put: bool| put.then(|| "s".to_owned());
     history.iter().map(|(k, put)| book.write(&map, key(*k), u64::from(*k), value(*put)).remove(0).1).collect()
 }
 
 fn side(name: &str, indexes: &[&Index], n: u8) -> Side {
-    let answers: Vec<_> = indexes.iter().map(|i| Answer::of(name, i, &key(n), true)).collect();
-    Side { asked: answers.iter().map(|a| (a.member.clone(), a.range)).collect(), answers }
+    let answers: Vec<_> =
+        indexes.iter().map(|i| Answer::of(&Owner::new(name, 0), i, &key(n), true)).collect();
+    Side { asked: answers.iter().map(|a| (a.owner.clone(), a.range)).collect(), answers }
 }
 
 proptest! {
-    /// Whatever the two sides have of one history, they never differ; at one mark they are equal. Without the rule of
-    /// sequences they do differ.
+    /// Whatever the two sides have of one history, they never differ; at one mark they are equal. Without the
+    /// rule of sequences they do differ.
     #[test]
-    fn what_was_written_between_is_no_difference(history in history(), old in 0usize..40, new in 0usize..40, k in 0u8..4) {
+    fn what_was_written_between_is_no_difference(
+        history in history(), old in 0usize..40, new in 0usize..40, k in 0u8..4,
+    ) {
         let all = writes(&history);
         let upto = |n: usize| {
             let mut index = Index::new(Range::RING);
@@ -196,9 +238,12 @@
         prop_assert_eq!(verdict == Verdict::NotComparable(Why::Between), matches!(bare, Verdict::Different(_)));
     }
 
-    /// At one mark a lost entry is found, by the question and by the digest, on either side; copied to halves it is whole.
+    /// At one mark a lost entry is found, by the question and by the digest, on either side; copied to halves
+    /// it is whole.
     #[test]
-    fn what_is_lost_is_found(history in history(), pick in any::<prop::sample::Index>(), in_old in any::<bool>()) {
+    fn what_is_lost_is_found(
+        history in history(), pick in any::<prop::sample::Index>(), in_old in any::<bool>(),
+    ) {
         let mut whole = Index::new(Range::RING);
         writes(&history).iter().for_each(|w| whole.apply(w).expect("in order"));
         prop_assume!(!whole.is_empty());
