members shows each member's recovery: phase, what is waited for, until when

Only the log said how far a node's return from a power loss was; an operator had to open it machine by machine.

Recovery tells whoever watches it each stage; the member's view answers a page of its own with it, and the command asks each living member for that. Older members answer with an empty page, older tools never ask for it.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -95,8 +95,9 @@
     let name = member.as_ref().map_or(config.name.as_str(), |m| m.name()).to_owned();
     let back = store.map(|file| comes_back(file, &name)).transpose()?.flatten();
     let (mut neighbours, others) = crate::members::others(member.as_ref());
-    let back = back.map(|(kept, start, keeper)| {
+    let back = back.map(|(mut kept, start, keeper)| {
         let keeper = Rc::new(keeper);
+        neighbours.watches(&mut kept);
         member.iter_mut().for_each(|m| m.starts(start));
         neighbours.keeps(keeper.clone());
         NodeRecovers { kept, start, keeper }
@@ -187,6 +188,7 @@
     if let Some(r) = &mut recovers {
         member.iter_mut().for_each(|m| m.starts(r.start));
         neighbours.keeps(r.keeper.clone());
+        neighbours.watches(&mut r.kept);
         r.fleet = fleet;
     }
     let extras = Extras { seats, recovers, bound, entitlements, questions, parts };
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -7,13 +7,14 @@
 use micadyke_directory::settings::Terms;
 use micadyke_membership::frame::{KEY, Seal};
 use micadyke_membership::news::News;
-use micadyke_membership::shell::Part;
-use micadyke_membership::status::{Row, Summary};
-use micadyke_membership::{Change, Letter, MOST_MEMBERS, Post, Settings, shell};
+use micadyke_membership::shell::{Beside, Part};
+use micadyke_membership::status::{Returning, Row, Summary};
+use micadyke_membership::{Change, Letter, MOST_MEMBERS, Member as Known, Post, Settings, State, shell};
 use micadyke_node::shell::Others;
 use micadyke_recovery::keeper::Keeper;
-use micadyke_recovery::phases::Fleet;
-use micadyke_recovery::record::Record;
+use micadyke_recovery::phases::{Fleet, Phase};
+use micadyke_recovery::record::{Kept as Before, Record};
+use micadyke_recovery::watched::{Stage, Watched};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -70,6 +71,7 @@
     tell: Option<mpsc::Receiver<News>>,
     fleet: Option<mpsc::Sender<Fleet>>,
     keeper: Option<Rc<Keeper>>,
+    returning: Option<watch::Receiver<Option<Returning>>>,
     directory: Option<Kept>,
 }
 
@@ -92,6 +94,35 @@
     pub fn keeps(&mut self, keeper: Rc<Keeper>) {
         self.keeper = Some(keeper);
     }
+
+    /// How far the recovery is that begins with what was kept is told to whoever asks the member.
+    pub fn watches(&mut self, kept: &mut Before) {
+        let (tell, told) = watch::channel(None);
+        self.returning = Some(told);
+        kept.watched = Watched::by(move |stage| {
+            let now = in_words(stage);
+            tell.send_if_modified(|last: &mut Option<Returning>| {
+                let same = last.as_ref().map(|r| (&r.phase, &r.waits_for))
+                    == now.as_ref().map(|r| (&r.phase, &r.waits_for));
+                if !same {
+                    *last = now;
+                }
+                !same
+            });
+        });
+    }
+}
+
+/// A stage as people see it; nothing in service.
+fn in_words(Stage { phase, waits_for, left }: Stage) -> Option<Returning> {
+    let phase = match phase {
+        Phase::List => "list",
+        Phase::View => "view",
+        Phase::Servers => "servers",
+        Phase::Parts => "parts",
+        Phase::Serving => return None,
+    };
+    Some(Returning { phase: phase.to_owned(), waits_for, left_ms: left / 1_000_000 })
 }
 
 /// Pieces of news that wait between member and node; more are lost, as datagrams may be.
@@ -132,7 +163,7 @@
 ) -> Result<T, Failure> {
     let Some(Member { mut settings, seal, .. }) = member else { return Ok(work.await) };
     let (stop, stopped) = oneshot::channel();
-    let Neighbours { parts, heard, tell, fleet, keeper, directory } = neighbours;
+    let Neighbours { parts, heard, tell, fleet, keeper, returning, directory } = neighbours;
     let mut living = BTreeMap::from([(settings.name.clone(), settings.start.unwrap_or_default())]);
     let mut epoch = 0;
     let (desk, post) = match directory {
@@ -182,9 +213,10 @@
         hand_over(change, zero, parts.as_ref(), heard.as_ref());
     };
     // Where nobody tells anything, the channel is closed and never heard of.
-    let tell = tell.unwrap_or_else(|| mpsc::channel(1).1);
-    let view =
-        tokio::task::spawn_local(shell::run(settings, seal, rand::random(), tell, post, stopped, told));
+    let news = tell.unwrap_or_else(|| mpsc::channel(1).1);
+    let returning = returning.unwrap_or_else(|| watch::channel(None).1);
+    let beside = Beside { news, post, returning };
+    let view = tokio::task::spawn_local(shell::run(settings, seal, rand::random(), beside, stopped, told));
     tokio::pin!(view, work, tools);
     tokio::select! {
         ended = &mut view => {
@@ -220,7 +252,13 @@
     }
 }
 
-/// Shows a member's view.
+/// Members are asked for so long at most how far their return is: one that is dead and not known for it should not hold up
+/// the table.
+const RETURNING: Duration = Duration::from_secs(1);
+/// How far the returns of those are that answered.
+type Told = BTreeMap<String, Option<Returning>>;
+
+/// Shows a member's view, and how far the return of each is.
 pub fn members(
     address: SocketAddr, membership: &Path, json: bool, watch: bool, wait: &str,
 ) -> Result<ExitCode, Failure> {
@@ -229,9 +267,14 @@
     let wait = Duration::from_nanos(given("--wait", wait, Unit::Time)? as u64);
     loop {
         let (summary, rows) = run(shell::look(address, &seal, wait))??;
+        let living = rows.iter().filter(|r| [State::Alive, State::Suspect].contains(&r.state));
+        let mut me = summary.me.clone();
+        me.addr = address;
+        let asked: Vec<Known> = living.map(|r| r.member.clone()).chain([me]).collect();
+        let told = run(shell::returning(&asked, &seal, wait.min(RETURNING)))??;
         match json {
-            true => println!("{}", as_json(&summary, &rows)),
-            false => print!("{}", as_table(&summary, &rows)),
+            true => println!("{}", as_json(&summary, &rows, &told)),
+            false => print!("{}", as_table(&summary, &rows, &told)),
         }
         if !watch {
             return Ok(ExitCode::SUCCESS);
@@ -285,14 +328,28 @@
     format!("{:?}", row.state).to_lowercase()
 }
 
-fn as_json(summary: &Summary, rows: &[Row]) -> Value {
+/// What a living member's column says: nothing in service, how far it is, or that it gave no answer.
+fn phase(told: &Told, name: &str) -> String {
+    match told.get(name) {
+        Some(None) => String::new(),
+        Some(Some(r)) => format!("{}: {}; {} s at most", r.phase, r.waits_for, r.left_ms.div_ceil(1000)),
+        None => "no answer".into(),
+    }
+}
+
+fn as_json(summary: &Summary, rows: &[Row], told: &Told) -> Value {
+    let back = |name: &str| {
+        let back = told.get(name)?.as_ref()?;
+        Some(json!({"phase": back.phase, "waits_for": back.waits_for, "left_ms": back.left_ms}))
+    };
     let row = |r: &Row| {
         json!({"name": r.member.name, "state": state(r), "address": r.member.addr.to_string(), "start": r.member.start,
             "turn": r.member.turn, "since_ms": r.since_ms, "heard_ms": r.heard_ms,
-            "digest": r.digest.map(|d| format!("{d:016x}"))})
+            "digest": r.digest.map(|d| format!("{d:016x}")), "answered": told.contains_key(&r.member.name),
+            "recovery": back(&r.member.name)})
     };
     let (me, c) = (&summary.me, &summary.counts);
-    json!({"name": me.name, "start": me.start, "turn": me.turn, "living": summary.living,
+    json!({"name": me.name, "recovery": back(&me.name), "start": me.start, "turn": me.turn, "living": summary.living,
         "digest": format!("{:016x}", summary.digest), "settled": summary.unsettled.is_none(), "why_not": summary.unsettled,
         "part": summary.part.as_ref().map(|p| json!({"always": p.always, "leased": p.leased, "left_ms": p.left_ms,
             "epoch": p.epoch.as_ref().map(|e| json!({"number": e.0, "leader": e.1})), "members": p.members})),
@@ -302,7 +359,7 @@
             "stood_still": c.stood_still}})
 }
 
-fn as_table(summary: &Summary, rows: &[Row]) -> String {
+fn as_table(summary: &Summary, rows: &[Row], told: &Told) -> String {
     let mut text = String::new();
     let settled =
         summary.unsettled.as_ref().map_or("settled".to_owned(), |why| format!("not settled: {why}"));
@@ -312,10 +369,13 @@
         "{} start {}.{}: {} living, digest {digest:016x}, {settled}",
         me.name, me.start, me.turn, summary.living
     );
+    if let Some(Some(_)) = told.get(&me.name) {
+        let _ = writeln!(text, "{} comes back, {}", me.name, phase(told, &me.name));
+    }
     let _ = writeln!(
         text,
-        "{:<20} {:<8} {:<22} {:>16} {:>9} {:>9}  digest",
-        "name", "state", "address", "start", "since", "heard"
+        "{:<20} {:<8} {:<22} {:>16} {:>9} {:>9}  {:<16}  recovery",
+        "name", "state", "address", "start", "since", "heard", "digest"
     );
     if let Some(p) = &summary.part {
         let epoch = p.epoch.as_ref().map_or("none".into(), |e| format!("{} by {}", e.0, e.1));
@@ -330,14 +390,67 @@
         let start = format!("{}.{}", r.member.start, r.member.turn);
         let heard = r.heard_ms.map_or("-".into(), seconds);
         let digest = r.digest.map_or("-".into(), |d| format!("{d:016x}"));
-        let _ = writeln!(
-            text,
-            "{:<20} {:<8} {:<22} {start:>16} {:>9} {heard:>9}  {digest}",
+        let living = [State::Alive, State::Suspect].contains(&r.state);
+        let phase = if living { phase(told, &r.member.name) } else { String::new() };
+        let line = format!(
+            "{:<20} {:<8} {:<22} {start:>16} {:>9} {heard:>9}  {digest:<16}  {phase}",
             r.member.name,
             state(r),
             r.member.addr.to_string(),
             seconds(r.since_ms)
         );
+        let _ = writeln!(text, "{}", line.trim_end());
     }
     text
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use micadyke_membership::Counts;
+
+    #[test]
+    fn the_table_shows_who_comes_back_what_is_waited_for_and_until_when() {
+        let member = |n: usize| Known::new(&format!("n{n}"), ([10, 0, 0, n as u8], 7946).into(), 7);
+        let row = |n, state| Row { member: member(n), state, since_ms: 1500, heard_ms: None, digest: None };
+        let rows = [row(1, State::Alive), row(2, State::Alive), row(3, State::Down), row(4, State::Suspect)];
+        let summary = Summary {
+            me: member(0),
+            living: 4,
+            digest: 9,
+            unsettled: None,
+            counts: Counts::default(),
+            part: None,
+        };
+        let back = |phase, left| in_words(Stage { phase, waits_for: "the others".into(), left });
+        let told: Told =
+            [("n0", back(Phase::List, 0)), ("n1", back(Phase::View, 2_100_000_000)), ("n2", None)]
+                .map(|(name, told)| (name.to_owned(), told))
+                .into();
+        // Name, what its line ends with, and what JSON has of it.
+        let table = [
+            (
+                "n1",
+                "view: the others; 3 s at most",
+                json!({"phase": "view", "waits_for": "the others", "left_ms": 2100}),
+            ),
+            ("n2", "-", Value::Null),
+            ("n3", "-", Value::Null),
+            ("n4", "no answer", Value::Null),
+        ];
+        let (text, json) = (as_table(&summary, &rows, &told), as_json(&summary, &rows, &told));
+        assert!(text.contains("n0 comes back, list: the others; 0 s at most\n"), "{text}");
+        assert_eq!(json["recovery"]["phase"], "list");
+        for (i, (name, end, recovery)) in table.into_iter().enumerate() {
+            let line = text.lines().find(|l| l.starts_with(name)).expect("it has a line");
+            assert!(line.ends_with(end), "{line}");
+            assert_eq!(json["members"][i]["recovery"], recovery, "{name}");
+            assert_eq!(json["members"][i]["answered"], told.contains_key(name), "{name}");
+        }
+        // Nobody comes back: the column is empty.
+        let told: Told = (0..5).map(|n| (format!("n{n}"), None)).collect();
+        let text = as_table(&summary, &rows, &told);
+        assert!(text.lines().skip(2).all(|l| l.ends_with("-")) && !text.contains("comes back"), "{text}");
+        assert_eq!(in_words(Stage { phase: Phase::Serving, waits_for: String::new(), left: 0 }), None);
+    }
+}
--- a/crates/membership/src/io.rs
+++ b/crates/membership/src/io.rs
@@ -5,6 +5,7 @@
 use crate::letter::Letter;
 use crate::news::News;
 use crate::share::Part;
+use crate::status::Returning;
 use std::net::SocketAddr;
 
 /// Something that happened.
@@ -30,6 +31,8 @@
         /// When the call was made.
         called: Nanos,
     },
+    /// How far this member's return from a power loss is, for people's tools; `None`: it is in service.
+    Returning(Option<&'a Returning>),
     /// A letter to the member that it names, on whatever stands on the view. It goes at once or never: as any datagram it
     /// may be lost, and [`crate::View::letters`] counts what was not sent, and why.
     Send(&'a Letter),
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -7,9 +7,10 @@
 use crate::letter::{Letter, Post};
 use crate::news::News;
 use crate::settings::Settings;
-use crate::status::{self, Page, Row, Summary};
+use crate::status::{self, Page, Returning, Row, Summary};
 use crate::view::View;
 use crate::{Nanos, SECOND};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
@@ -24,6 +25,9 @@
 const REFUSAL: Duration = Duration::from_millis(200);
 /// A page is asked for again after this.
 const AGAIN: Duration = Duration::from_millis(300);
+/// Members that are asked at a time for how far they are, and the time until more are.
+const ASKED: usize = 64;
+const BETWEEN: Duration = Duration::from_millis(10);
 /// Pages of a view at most.
 const PAGES: u16 = 1024;
 
@@ -57,17 +61,28 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
+/// What a member's shell is handed by those beside it.
+#[derive(Debug)]
+pub struct Beside {
+    /// What this member found out, to be told to the others.
+    pub news: mpsc::Receiver<News>,
+    /// Letters of what stands on the view.
+    pub post: Post,
+    /// How far the process's return from a power loss is, for people's tools.
+    pub returning: watch::Receiver<Option<Returning>>,
+}
+
 /// Runs a member until `stop` is told or dropped; then it takes its leave. Changes go to `told`, in order, with the
-/// moment from which the view's time counts; what `news` brings is told to the others, and `post` takes and brings letters
-/// of what stands on the view. Those that it has no room for are lost, as datagrams may be.
+/// moment from which the view's time counts. Letters and news that there is no room for are lost, as datagrams may be.
 ///
 /// # Errors
 ///
 /// Where it cannot listen.
 pub async fn run(
-    settings: Settings, seal: Seal, seed: u64, mut news: mpsc::Receiver<News>, mut post: Post,
-    mut stop: oneshot::Receiver<()>, mut told: impl FnMut(&Change, Instant),
+    settings: Settings, seal: Seal, seed: u64, beside: Beside, mut stop: oneshot::Receiver<()>,
+    mut told: impl FnMut(&Change, Instant),
 ) -> Result<(), Error> {
+    let Beside { mut news, mut post, mut returning } = beside;
     let listen = settings.listen;
     let socket = UdpSocket::bind(listen).await.map_err(|why| Error::Listen { at: listen, why })?;
     let started = settings.start.unwrap_or_else(by_clock);
@@ -94,6 +109,10 @@
             Some((name, called)) = proofs.recv() => {
                 view.handle(now(), Input::Refused { name: &name, called }, &mut out);
             }
+            Ok(()) = returning.changed() => {
+                let stage = returning.borrow_and_update().clone();
+                view.handle(now(), Input::Returning(stage.as_ref()), &mut out);
+            }
             Some(news) = news.recv() => view.handle(now(), Input::Tell(&news), &mut out),
             Some(letter) = post.take.recv() => {
                 view.handle(now(), Input::Send(&letter), &mut out);
@@ -232,3 +251,43 @@
     }
     None
 }
+
+/// Asks members how far their return from a power loss is, each at its address; whoever does not answer within `limit` is
+/// not in what is returned.
+///
+/// # Errors
+///
+/// Where no socket is to be had.
+pub async fn returning(
+    members: &[Member], seal: &Seal, limit: Duration,
+) -> Result<BTreeMap<String, Option<Returning>>, Error> {
+    let mut told = BTreeMap::new();
+    let mut bytes = [0u8; LONGEST + 1];
+    let until = Instant::now() + limit;
+    let Some(first) = members.first() else { return Ok(told) };
+    let any: SocketAddr = if first.addr.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    let socket = UdpSocket::bind(any).await.map_err(Error::Socket)?;
+    let Some(ask) = status::ask(seal, &Member::new("asker", any, 0), status::RETURNING) else {
+        return Ok(told);
+    };
+    while told.len() < members.len() && Instant::now() < until {
+        let silent: Vec<SocketAddr> =
+            members.iter().filter(|m| !told.contains_key(&m.name)).map(|m| m.addr).collect();
+        for some in silent.chunks(ASKED) {
+            // What the system does not take is asked for again.
+            some.iter().for_each(|to| drop(socket.try_send_to(&ask, *to)));
+            let pause = if some.len() < ASKED { AGAIN } else { BETWEEN };
+            let until = until.min(Instant::now() + pause);
+            while told.len() < members.len() && Instant::now() < until {
+                let left = until.saturating_duration_since(Instant::now());
+                if let Ok(Ok((n, from))) = tokio::time::timeout(left, socket.recv_from(&mut bytes)).await
+                    && let Some((who, stage)) = status::read_returning(seal, &bytes[..n])
+                    && members.iter().any(|m| m.name == who.name && m.addr == from)
+                {
+                    told.insert(who.name, stage);
+                }
+            }
+        }
+    }
+    Ok(told)
+}
--- a/crates/membership/src/status.rs
+++ b/crates/membership/src/status.rs
@@ -52,6 +52,47 @@
     pub members: u32,
 }
 
+/// How far a member's return from a power loss is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Returning {
+    /// Where it stands.
+    pub phase: String,
+    /// What it waits for.
+    pub waits_for: String,
+    /// For how long yet at most, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// The page under this number bears no rows but how far the member's own return is. Members before this version answer
+/// with an empty page, which reads as nothing.
+pub const RETURNING: u16 = u16::MAX;
+/// Bytes of each text of [`Returning`] at most; what is longer is cut.
+const WORDS: usize = 256;
+
+fn cut(text: &str) -> &str {
+    let end = (0..=WORDS.min(text.len())).rev().find(|i| text.is_char_boundary(*i)).unwrap_or(0);
+    &text[..end]
+}
+
+/// The page of [`RETURNING`].
+pub(crate) fn returning_page(returning: Option<&Returning>) -> Vec<u8> {
+    let short = |r: &Returning| Returning {
+        phase: cut(&r.phase).to_owned(),
+        waits_for: cut(&r.waits_for).to_owned(),
+        left_ms: r.left_ms,
+    };
+    let page = Page { number: RETURNING, more: false, summary: None, rows: Vec::new() };
+    postcard::to_allocvec(&(page, returning.map(short))).unwrap_or_default()
+}
+
+/// Whose return a datagram tells of, and how far it is; `None` where it is none of this fleet, or another page.
+pub fn read_returning(seal: &Seal, bytes: &[u8]) -> Option<(Member, Option<Returning>)> {
+    let (head, payload) = seal.open(bytes).ok().filter(|o| o.0.kind == Kind::Page)?;
+    let (page, rest) = postcard::take_from_bytes::<Page>(payload).ok()?;
+    let told = if rest.is_empty() { None } else { postcard::from_bytes(rest).ok()? };
+    (page.number == RETURNING).then_some((head.sender, told))
+}
+
 /// A page of the table.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Page {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -3,7 +3,6 @@
 //! A carrier, and topics on it: who lives, shares, news of servers, letters of other packages. The view hands each its
 //! datagrams and its turns.
 
-use crate::Nanos;
 use crate::carrier::Carrier;
 use crate::frame::{Head, Kind, ROOM, Seal};
 use crate::identity::Member;
@@ -15,8 +14,9 @@
 use crate::settings::Settings;
 use crate::share::{Part, Word};
 use crate::spread::Spread;
-use crate::status::{self, Row, Summary};
+use crate::status::{self, Returning, Row, Summary};
 use crate::topic::Topic;
+use crate::{MS, Nanos};
 use std::net::SocketAddr;
 
 /// A member's view of its fleet.
@@ -41,6 +41,8 @@
     parts: Option<Parts>,
     spread: Spread,
     posts: Posts,
+    /// How far its return is, and when that was told.
+    returning: Option<(Returning, Nanos)>,
 }
 
 impl std::fmt::Debug for View {
@@ -60,6 +62,7 @@
             parts: settings.shares.map(|terms| Parts::new(terms, &me.name, start, now)),
             spread: Spread::new(),
             posts: Posts::default(),
+            returning: None,
             on: Carrier::new(settings, seal, me, !seed, now),
         }
     }
@@ -148,6 +151,7 @@
                     self.parts.iter_mut().for_each(|p| p.refused(on, now, name, called));
                 }
                 Input::Send(letter) => self.posts.send(on, letter),
+                Input::Returning(told) => self.returning = told.map(|r| (r.clone(), now)),
             }
             self.lives.settle(&mut self.on);
             self.parts.iter_mut().for_each(|p| p.tell(&mut self.on));
@@ -158,7 +162,10 @@
     fn datagram(&mut self, from: SocketAddr, bytes: &[u8]) {
         let Some((head, payload)) = self.on.open(bytes) else { return };
         if let Kind::Ask { page } = head.kind {
-            let page = status::page(&self.summary(), &self.rows(), page, ROOM);
+            let page = match page {
+                status::RETURNING => status::returning_page(self.returning().as_ref()),
+                _ => status::page(&self.summary(), &self.rows(), page, ROOM),
+            };
             return self.on.send(from, Kind::Page, &page);
         }
         if self.lives.admits(&mut self.on, &head) {
@@ -189,6 +196,13 @@
         self.on.book.rows(self.on.now, |name| self.lives.suspected(name))
     }
 
+    /// How far this member's return from a power loss is, by what was last told of it.
+    fn returning(&self) -> Option<Returning> {
+        let (told, at) = self.returning.as_ref()?;
+        let gone = self.on.now.saturating_sub(*at) / MS;
+        Some(Returning { left_ms: told.left_ms.saturating_sub(gone), ..told.clone() })
+    }
+
     /// What stands above the rows.
     pub fn summary(&self) -> Summary {
         Summary {
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod spread;
 pub mod store;
 pub mod trust;
+pub mod watched;
 
 /// A point in time or a span of it, in nanoseconds. What is kept bears Unix time; phases count by one clock that never runs
 /// backwards.
--- a/crates/recovery/src/phases.rs
+++ b/crates/recovery/src/phases.rs
@@ -15,6 +15,7 @@
 use crate::Nanos;
 use crate::record::Kept;
 use crate::trust::{Age, Fact, Fell, Trust, Word, trust};
+use crate::watched::{Stage, Watched};
 use std::collections::BTreeMap;
 
 /// A member whose start is this much before one's own lived through whatever ended one's former process, where one has kept
@@ -142,6 +143,7 @@
     list: Option<u64>,
     answered: bool,
     leased: bool,
+    watched: Watched,
     /// A limit was reached on the way.
     pub limited: bool,
 }
@@ -159,7 +161,7 @@
         let before = before.map(|v| v.1.clone()).unwrap_or_default();
         let written = kept.list.as_ref().map_or(0, |l| l.2);
         let warmth = trust(Fact::Warmth, Age::of(written, unix), Fell::Some, Word::Nothing);
-        Phases {
+        let phases = Phases {
             limits,
             me: me.0.to_owned(),
             start: me.1,
@@ -175,8 +177,11 @@
             list: None,
             answered: false,
             leased: false,
+            watched: kept.watched.clone(),
             limited: false,
-        }
+        };
+        phases.watched.tell(|| phases.stage(now));
+        phases
     }
 
     /// Where recovery stands.
@@ -239,6 +244,12 @@
             Heard::Leased => self.leased = true,
             Heard::Wake => {}
         }
+        self.go_on(now, out);
+        self.watched.tell(|| self.stage(now));
+    }
+
+    /// Goes through all phases that are over.
+    fn go_on(&mut self, now: Nanos, out: &mut Vec<Asks>) {
         while self.phase < Phase::Serving {
             let over = now >= self.wake_at();
             if !self.met() && !over {
@@ -278,10 +289,22 @@
         }
     }
 
-    /// What is waited for, for people; `now` is the machine's clock.
+    /// How far it is, for people; `now` as in [`Phases::handle`].
+    pub fn stage(&self, now: Nanos) -> Stage {
+        let left = if self.phase == Phase::Serving { 0 } else { self.wake_at().saturating_sub(now) };
+        Stage { phase: self.phase, waits_for: self.what(), left }
+    }
+
+    /// What is waited for, for people, and until when; `now` as in [`Phases::handle`].
     pub fn waits_for(&self, now: Nanos) -> String {
-        let left = self.wake_at().saturating_sub(now).div_ceil(crate::SECOND);
-        let what = match self.phase {
+        match self.phase {
+            Phase::Serving => self.what(),
+            _ => format!("{}; {} s at most", self.what(), self.stage(now).left.div_ceil(crate::SECOND)),
+        }
+    }
+
+    fn what(&self) -> String {
+        match self.phase {
             Phase::List => match self.list {
                 Some(v) => format!("a list of version {} (the bus has {v})", self.kept_list),
                 None => "a list from the bus".to_owned(),
@@ -293,8 +316,7 @@
             }
             Phase::Servers => "the servers that were asked".to_owned(),
             Phase::Parts => "a lease of cold budgets".to_owned(),
-            Phase::Serving => return "nothing: in service".to_owned(),
-        };
-        format!("{what}; {left} s at most")
+            Phase::Serving => "nothing: in service".to_owned(),
+        }
     }
 }
--- a/crates/recovery/src/record.rs
+++ b/crates/recovery/src/record.rs
@@ -1,6 +1,7 @@
 //! What is kept: the last record written of each [`Key`]. Some kinds have one record, some one for each seat or session.
 
 use crate::Nanos;
+use crate::watched::Watched;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
@@ -285,6 +286,8 @@
     pub holders: BTreeMap<String, (u64, u64)>,
     /// Title and class of an issuer's leases, by holder and number.
     pub leases: BTreeMap<(String, u64), (String, String)>,
+    /// Who is told how far the recovery is that begins with this.
+    pub watched: Watched,
 }
 
 impl Kept {
--- a/crates/recovery/tests/phases.rs
+++ b/crates/recovery/tests/phases.rs
@@ -253,6 +253,32 @@
     }
 }
 
+#[test]
+fn whoever_watches_is_told_each_stage_and_until_when() {
+    use micadyke_recovery::watched::{Stage, Watched};
+    use std::sync::{Arc, Mutex};
+    let told: Arc<Mutex<Vec<Stage>>> = Arc::default();
+    let tell = told.clone();
+    let mut kept = kept(9, &[("n1", 1)], NOW - SECOND);
+    kept.watched = Watched::by(move |stage| tell.lock().expect("not poisoned").push(stage));
+    let mut p = phases(&kept, NOW);
+    feed(&mut p, SECOND, &[Heard::List { version: 8 }]);
+    feed(&mut p, 2 * SECOND, &[Heard::List { version: 9 }]);
+    feed(&mut p, 5 * SECOND, &[Heard::Lives { name: "n1", start: 1 }, Heard::Settled(true)]);
+    let told = std::mem::take(&mut *told.lock().expect("not poisoned"));
+    let told: Vec<_> = told.iter().map(|s| (s.phase, s.waits_for.as_str(), s.left / SECOND)).collect();
+    let view = "the others: 0 of 1 from before, the view is not settled";
+    let back = "the others: 1 of 1 from before, the view is not settled";
+    let table = [
+        (Phase::List, "a list from the bus", 10),
+        (Phase::List, "a list of version 9 (the bus has 8)", 9),
+        (Phase::View, view, 20),
+        (Phase::View, back, 17),
+        (Phase::Serving, "nothing: in service", 0),
+    ];
+    assert_eq!(told, table);
+}
+
 #[test]
 fn in_every_order_of_events_it_opens_after_the_list_and_in_the_end() {
     let kept = kept(9, &[("n1", 1), ("n2", 2)], NOW - SECOND);
