--- a/crates/lab/examples/measure.rs
+++ b/crates/lab/examples/measure.rs
@@ -1,5 +1,6 @@
 //! What the view costs and how soon it knows, in virtual time: `cargo run --release -p micadyke-lab --example measure --
-//! 60 300`, a row for each size; `--wrong`: living members given up at 20% loss alone; with `--features`, a row for each feature taken out of the first size too. No
+//! 60 300`, a row for each size; `--known`: when one that went is known, `--wrong`: living members given up
+//! at 20% loss, each alone; with `--features`, a row for each feature taken out of the first size too. No
 //! part of CI.
 
 use micadyke_membership::{Change, Feature, MS, SECOND};
@@ -43,6 +44,21 @@
     (at.get(at.len() / 2).copied().unwrap_or(f64::NAN), at.last().copied().unwrap_or(f64::NAN))
 }
 
+/// When one that is killed is known, and one that goes with its machine: the median, the worst.
+fn known(n: usize, without: Option<Feature>) -> String {
+    let faults: [fn(&mut World, usize); 2] = [World::kill, World::vanish];
+    let known = faults.map(|gone| {
+        let (mut w, _) = joined(n, without);
+        w.told.clear();
+        let from = w.now;
+        gone(&mut w, n / 2);
+        w.run(10 * SECOND);
+        let (median, worst) = detection(&w, from, &name(n / 2));
+        format!("{median:.1}, {worst:.1}")
+    });
+    known.join(" | ")
+}
+
 /// Resident memory of this process, in bytes.
 fn resident() -> f64 {
     let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
@@ -127,6 +143,15 @@
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let sizes: Vec<usize> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    if std::env::args().any(|a| a == "--known") {
+        // When one that went is known, alone, with the fixed time beside it.
+        std::thread::scope(|s| {
+            for (n, without) in sizes.iter().flat_map(|n| [(*n, None), (*n, Some(Feature::Doubt))]) {
+                s.spawn(move || println!("| {n} | {without:?} | {} |", known(n, without)));
+            }
+        });
+        return;
+    }
     if std::env::args().any(|a| a == "--wrong") {
         // The last column's 20% alone, with the fixed time beside it.
         for (n, without) in sizes.iter().flat_map(|n| [(*n, None), (*n, Some(Feature::Doubt))]) {
