A node waits for the others under the name that they know it by

Phases took the platform's name of the process, membership's settings may give another: such a node counted itself among those to wait for and passed over the member that bears its platform name, and so waited 20 s for a view that it had.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -100,7 +100,7 @@
         let keeper = keeper.map(Rc::new);
         member.iter_mut().for_each(|m| m.starts(start));
         keeper.iter().for_each(|k| neighbours.keeps(k.clone()));
-        NodeRecovers { kept, start, keeper }
+        NodeRecovers { name, kept, start, keeper }
     });
     run(with_member(member, neighbours, micadyke_node::shell::run(path, config, module, others, back)))???;
     Ok(ExitCode::SUCCESS)
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -145,6 +145,8 @@
 /// What a node that keeps a store comes back with.
 #[derive(Debug)]
 pub struct Recovers {
+    /// Its name, as the others know it: membership's settings may give another than the platform.
+    pub name: String,
     /// What was kept.
     pub kept: Kept,
     /// This start, as the others know it.
@@ -177,9 +179,9 @@
     if others.as_ref().is_some_and(|o| o.directory.is_some()) {
         node.has_directory();
     }
-    let keeper = recovers.and_then(|Recovers { kept, start, keeper }| {
+    let keeper = recovers.and_then(|Recovers { name, kept, start, keeper }| {
         let leases = others.as_ref().is_some_and(|o| o.parts.is_some());
-        let me = (config.name.as_str(), start);
+        let me = (name.as_str(), start);
         node.recovers(Phases::new(care::RECOVERY, me, &kept, epoch, leases, others.is_none(), epoch), &kept);
         keeper
     });
