Cuts find set-ups on their way and a crowd at cold servers: rules 1, 2 and 4 are tried

The viewers of the power cuts asked one after the other, so that no cut fell between a set-up and its answer, and no server was cold when it was asked much; all asked for one title, which one server had.

Each cut now finds six set-ups a node on their way, whose viewers read on through it. Titles differ. Servers write down their starts, and a check of rule 4 counts the set-ups in each window of a cold one; one case returns servers that warm in 8 s together with the bus, under a crowd that does not wait. Where most nodes return, no log may tell that the view was waited for until its limit. Viewers ask for 2.5 s while the bus is down, longer than the other phases take. Records are by the system's monotonic clock: Unix time, once set anew between two processes' starts, told of set-ups before they were asked for.

--- a/crates/cli/tests/plant/mod.rs
+++ b/crates/cli/tests/plant/mod.rs
@@ -7,7 +7,7 @@
 use micadyke_isup::kind;
 use micadyke_membership::frame::Seal;
 use micadyke_membership::shell::look;
-use micadyke_standin::platform::{Record, Seen, killed, verdict};
+use micadyke_standin::platform::{Bears, Record, Seen, killed, pushed_over, verdict};
 use micadyke_standin::platform_net::Scene;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -18,6 +18,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
+use tokio::task::{JoinHandle, spawn_local};
 
 /// Ample: a whole recovery by its limits takes 38 s at the most, and a tenth of that where all return.
 pub const LIMIT: Duration = Duration::from_secs(90);
@@ -88,6 +89,8 @@
     session: u64,
     /// What killed servers could not write down.
     unsaid: Record,
+    /// What its servers bear while they are cold.
+    pub bears: Bears,
     /// While the bus had no power: from, until.
     pub without_bus: Vec<(u64, u64)>,
 }
@@ -129,6 +132,14 @@
             session: 0,
             unsaid: Record::new(),
             without_bus: Vec::new(),
+            // As the settings of the nodes say.
+            bears: Bears {
+                places: 400.0,
+                cold_for: 1000 * MS,
+                cold_from: 0.5,
+                multiple: 3.0,
+                window: 1000 * MS,
+            },
             dir,
         };
         plant.servers_up();
@@ -277,8 +288,9 @@
     /// Everything loses power.
     pub fn all_down(&mut self) {
         self.kill(&self.all());
-        self.bus_down();
+        // What nodes had written to them is read by nobody then, or before the bus is gone.
         self.servers_down();
+        self.bus_down();
     }
 
     /// Each node that runs passes the platform's test.
@@ -332,6 +344,7 @@
         let listen: Vec<SocketAddr> = self.nodes.values().map(|n| n.listen).collect();
         for at in listen {
             let mut v = Viewer::connect(at).await;
+            v.titles = true;
             for _ in 0..times {
                 self.session += 1;
                 let class = if self.session.is_multiple_of(3) { "paid" } else { "free" };
@@ -343,6 +356,26 @@
         played
     }
 
+    /// Viewers at every node that runs, all at once, who don't wait for one answer before they ask for the next session.
+    /// Whose node is gone gives up. How many come to play.
+    pub async fn burst(&mut self, times: u64) -> Vec<JoinHandle<usize>> {
+        let mut out = Vec::new();
+        let listen: Vec<SocketAddr> = self.nodes.values().map(|n| n.listen).collect();
+        for at in listen {
+            let mut v = Viewer::connect(at).await;
+            v.titles = true;
+            let ids: BTreeSet<u64> = (1..=times).map(|n| self.session + n).collect();
+            self.session += times;
+            for id in &ids {
+                let (class, paid) = if id % 3 == 0 { ("paid", true) } else { ("free", false) };
+                self.scene.note(Seen::Asked { id: *id, patience: 4000 * MS, paid, floor: usize::from(paid) });
+                v.wish(*id, class).await;
+            }
+            out.push(spawn_local(answered(v, ids, self.scene.clone())));
+        }
+        out
+    }
+
     /// Full service again: all are in service, see each other, and whoever asks plays.
     pub async fn whole(&mut self) {
         let stands = self.servers.iter_mut().filter_map(|s| s.process.as_mut()).chain(self.bus.as_mut());
@@ -380,6 +413,7 @@
         let record = self.record();
         let broken = verdict(&record, self.scene.now());
         let mut broken: Vec<String> = broken.into_iter().filter(|b| !b.contains("not released")).collect();
+        broken.extend(pushed_over(&record, &self.bears));
         if !self.dark().is_empty() {
             broken.push(format!("sent while the bus had no power: {:?}", self.dark()));
         }
@@ -393,6 +427,15 @@
         sent.filter_map(|r| if let Seen::Sent { id, .. } = r.1 { Some(id) } else { None }).collect()
     }
 
+    /// Nodes that waited for the view until its limit.
+    pub fn waited(&self) -> Vec<usize> {
+        let waited = |i: &usize| {
+            let log = std::fs::read_to_string(self.log(*i)).unwrap_or_default();
+            log.lines().any(|l| l.contains("\"phase\":\"Servers\"") && l.contains("\"limited\":true"))
+        };
+        self.all().into_iter().filter(waited).collect()
+    }
+
     /// The phase that a node last told of since it started, in the log's words; `None`: it has not begun, or is through.
     pub fn phase(&self, i: usize) -> Option<String> {
         let log = std::fs::read_to_string(self.log(i)).ok()?;
@@ -405,6 +448,37 @@
     }
 }
 
+/// Reads what a viewer is owed; how many of its sessions came to play.
+async fn answered(mut v: Viewer, mut owed: BTreeSet<u64>, scene: Scene) -> usize {
+    let mut played = 0;
+    while !owed.is_empty() {
+        // Beyond what anybody's patience allows: the verdict names who was not answered.
+        let Ok(m) = tokio::time::timeout(ms(8000), v.next()).await else { break };
+        let Some(m) = m else {
+            owed.iter().for_each(|id| scene.note(Seen::GaveUp { id: *id }));
+            break;
+        };
+        let id = m.session;
+        if owed.remove(&id) {
+            played += usize::from(m.kind == kind::ANSWER);
+            v.answered(&scene, &m);
+        } else {
+            scene.note(Seen::Released { id });
+        }
+    }
+    std::mem::forget(v);
+    played
+}
+
+/// How many sessions of a burst came to play.
+pub async fn answers(out: Vec<JoinHandle<usize>>) -> usize {
+    let mut played = 0;
+    for viewer in out {
+        played += viewer.await.expect("a viewer");
+    }
+    played
+}
+
 /// What is on a disk after a cut is drawn.
 pub fn draw_disk(random: &mut StdRng, path: &Path, older: Option<&Vec<u8>>) {
     match (random.random_range(0..4), older) {
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -73,6 +73,8 @@
     pub blocks: Option<u32>,
     /// Its log is added to this file.
     pub log: Option<PathBuf>,
+    /// What its settings say in place of the usual: each text, and the one that stands for it.
+    pub settings: Vec<(&'static str, &'static str)>,
 }
 
 /// Under conditions of the test's choice.
@@ -82,6 +84,11 @@
 ) -> Running {
     let config = std::env::temp_dir().join(format!("micadyke-node-{name}-{}.json", std::process::id()));
     write_config(&config, listen, bus, rows);
+    if !under.settings.is_empty() {
+        let text = std::fs::read_to_string(&config).expect("it was written");
+        let text = under.settings.iter().fold(text, |text, (from, to)| text.replace(from, to));
+        std::fs::write(&config, text).expect("written");
+    }
     let membership = membership.map(|text| {
         std::fs::write(config.with_extension("key"), "a key of the test's own").expect("written");
         let file = config.with_extension("sexp");
@@ -140,6 +147,8 @@
 pub struct Viewer {
     pub stream: TcpStream,
     parser: Parser,
+    /// Each session is of a title of its own; else all are of one, whose place is one server while it can.
+    pub titles: bool,
 }
 
 impl Viewer {
@@ -148,7 +157,7 @@
         let start = std::time::Instant::now();
         while start.elapsed() < Duration::from_secs(60) {
             if let Ok(stream) = TcpStream::connect(to).await {
-                return Viewer { stream, parser: Parser::default() };
+                return Viewer { stream, parser: Parser::default(), titles: false };
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -183,22 +192,35 @@
     pub async fn ask(&mut self, scene: &Scene, id: u64, class: &str) -> Message {
         let (paid, floor) = (class == "paid", usize::from(class == "paid"));
         scene.note(Seen::Asked { id, patience: 4000 * MS, paid, floor });
-        self.send(&set_up(id, class)).await;
+        self.wish(id, class).await;
         self.answer(scene, id).await
     }
 
+    /// Sends a set-up.
+    pub async fn wish(&mut self, id: u64, class: &str) {
+        let mut message = set_up(id, class);
+        let title = message.parameters.iter_mut().find(|p| self.titles && p.0 == code::TITLE);
+        title.into_iter().for_each(|t| t.1 = format!("{:016x}", !id.wrapping_mul(0x9e37_79b9)).into_bytes());
+        self.send(&message).await;
+    }
+
     pub async fn answer(&mut self, scene: &Scene, id: u64) -> Message {
         loop {
             let m = self.next().await.expect("an answer");
             if m.session == id {
-                let description =
-                    (m.kind == kind::ANSWER).then(|| m.get(code::DESCRIPTION).unwrap_or_default().to_vec());
-                let refused = description.is_none() && matches!(m.stated_cause(), Some(34 | 42 | 102));
-                scene.note(Seen::Answered { id, description, refused });
+                self.answered(scene, &m);
                 return m;
             }
         }
     }
+
+    /// Notes a final answer.
+    pub fn answered(&self, scene: &Scene, m: &Message) {
+        let description =
+            (m.kind == kind::ANSWER).then(|| m.get(code::DESCRIPTION).unwrap_or_default().to_vec());
+        let refused = description.is_none() && matches!(m.stated_cause(), Some(34 | 42 | 102));
+        scene.note(Seen::Answered { id: m.session, description, refused });
+    }
 }
 
 pub fn set_up(id: u64, class: &str) -> Message {
--- a/crates/cli/tests/recovery.rs
+++ b/crates/cli/tests/recovery.rs
@@ -8,6 +8,7 @@
 mod plant;
 mod platform;
 
+use micadyke_standin::platform::Bears;
 use plant::fronts::Fronts;
 use plant::*;
 use platform::*;
@@ -37,6 +38,8 @@
     let all = plant.all();
     let older = plant.disks();
     assert!(plant.crowd(3).await > 0);
+    // The cut finds set-ups on their way.
+    let out = plant.burst(6).await;
     match cut {
         Cut::Servers => {
             plant.servers_down();
@@ -72,6 +75,7 @@
             later.iter().for_each(|i| plant.start(*i));
         }
     }
+    answers(out).await;
     plant.whole().await;
     fronts.play(2, true).await;
 }
@@ -86,11 +90,21 @@
         let pause = plant.random.random_range(0..100);
         tokio::time::sleep(ms(pause)).await;
     }
-    plant.crowd(3).await;
+    in_the_dark(plant).await;
     plant.bus_up();
     plant.whole().await;
 }
 
+/// Viewers ask while the bus has no power: for longer than all other phases take, so that a node which does not wait for the
+/// bus is found out.
+async fn in_the_dark(plant: &mut Plant) {
+    let start = Instant::now();
+    while start.elapsed() < ms(2500) {
+        plant.crowd(1).await;
+        tokio::time::sleep(ms(100)).await;
+    }
+}
+
 fn on_one_thread_for<F: Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test);
@@ -159,6 +173,8 @@
     BusBegunAnew,
     /// Half of the nodes return while the clock shows ten minutes more.
     HalfLater,
+    /// Servers that warm slowly return together with the bus, and a crowd does not wait for them to be warm.
+    Crowd,
     /// Nodes are killed and run without their stores, to see that the check fails.
     NoStore,
 }
@@ -167,9 +183,13 @@
     let tag = format!("{case:?}").to_lowercase().replace(['"', '(', ')'], "");
     let mut plant = Plant::new(&tag, 7, (4, 3), case != Hard::NoStore).await;
     let all = plant.all();
-    let unix = (plant.scene.now() / 1_000_000_000) as i64;
+    let unix = micadyke_membership::clock::unix().as_secs() as i64;
     let clock = |seconds: i64| Under { clock: seconds, ..Under::default() };
     assert!(plant.crowd(3).await > 0);
+    // Who asks a node that sleeps is not answered in time.
+    let sleeper = (case == Hard::Slept).then(|| plant.nodes.remove(&2).expect("it runs"));
+    sleeper.iter().for_each(|s| s.signal("-STOP"));
+    let out = plant.burst(6).await;
     match case {
         Hard::Clock1970 | Hard::DayAhead => {
             plant.all_down();
@@ -257,16 +277,14 @@
             back(&mut plant).await;
         }
         Hard::Slept => {
-            plant.nodes[&2].signal("-STOP");
-            let sleeper = plant.nodes.remove(&2).expect("it runs");
             plant.all_down();
             plant.servers_up();
             [3, 0, 1].into_iter().for_each(|i| plant.start(i));
-            plant.crowd(3).await;
+            in_the_dark(&mut plant).await;
             plant.bus_up();
             plant.whole().await;
-            sleeper.signal("-CONT");
-            plant.nodes.insert(2, sleeper);
+            sleeper.iter().for_each(|s| s.signal("-CONT"));
+            plant.nodes.extend(sleeper.map(|s| (2, s)));
         }
         Hard::AnothersAddress => {
             plant.all_down();
@@ -278,7 +296,7 @@
             plant.all_down();
             plant.servers_up();
             all.iter().for_each(|i| plant.start(*i));
-            plant.crowd(3).await;
+            in_the_dark(&mut plant).await;
             plant.bus_begins_anew();
         }
         Hard::HalfLater => {
@@ -290,6 +308,24 @@
             plant.under = [0, 3].into_iter().map(|i| (i, clock(600))).collect();
             [0, 3].into_iter().for_each(|i| plant.start(i));
         }
+        Hard::Crowd => {
+            plant.all_down();
+            plant.bears = Bears { cold_for: 8000 * MS, ..plant.bears };
+            let settings = vec![("\"cold_ns\":1000000000", "\"cold_ns\":8000000000")];
+            plant.under =
+                all.iter().map(|i| (*i, Under { settings: settings.clone(), ..Under::default() })).collect();
+            all.iter().for_each(|i| plant.start(*i));
+            plant.crowd(1).await;
+            plant.servers_up();
+            plant.bus_up();
+            let (start, mut played) = (Instant::now(), 0);
+            while start.elapsed() < ms(6000) {
+                let crowd = plant.burst(8).await;
+                played += answers(crowd).await;
+                tokio::time::sleep(ms(20)).await;
+            }
+            assert!(played > 0, "some play while servers are cold");
+        }
         Hard::NoStore => {
             plant.all_down();
             back(&mut plant).await;
@@ -297,8 +333,18 @@
             return;
         }
     }
-    plant.whole().await;
+    answers(out).await;
+    if case == Hard::Crowd {
+        // All its places are taken: that all play can't be asked for.
+        plant.agree().await;
+    } else {
+        plant.whole().await;
+    }
     assert_eq!(plant.broken(), Vec::<String>::new(), "{case:?}");
+    // Where most return, nobody waits for those who don't.
+    let waited = plant.waited();
+    let may = matches!(case, Hard::HalfLater | Hard::BusBegunAnew);
+    assert!(waited.is_empty() || may, "{case:?}: {waited:?} waited for others in vain");
 }
 
 #[test]
@@ -316,6 +362,7 @@
         Hard::Again("Servers"),
         Hard::Again("Parts"),
         Hard::TenInARow,
+        Hard::Crowd,
         Hard::Slept,
         Hard::AnothersAddress,
         Hard::NoStore,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -64,6 +64,8 @@
     Over { id: u64 },
     /// The bus told that a server takes nothing new.
     Told { server: String },
+    /// A server's process started: it is cold.
+    Started { server: String },
 }
 
 /// What was seen, with the time.
@@ -319,6 +321,55 @@
     sse::Event { id: offset.to_string(), data, ..Default::default() }.encode()
 }
 
+/// What a server bears while it is cold: so many set-ups within any window as it has places over its warm-up, times the share
+/// that it has warmed, times the multiple, times the window. Beyond that it falls.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bears {
+    /// Places of a warm one.
+    pub places: f64,
+    /// It warms in so many nanoseconds.
+    pub cold_for: u64,
+    /// The share that it has when it starts.
+    pub cold_from: f64,
+    /// How often that it bears.
+    pub multiple: f64,
+    /// Nanoseconds of a window.
+    pub window: u64,
+}
+
+/// Servers that were pushed over while they were cold (rule 4), each with its worst window.
+pub fn pushed_over(record: &Record, bears: &Bears) -> Vec<String> {
+    let mut fallen = Vec::new();
+    let mut cold: BTreeMap<&str, (u64, VecDeque<u64>)> = BTreeMap::new();
+    for (at, seen) in record {
+        match seen {
+            Seen::Started { server } => drop(cold.insert(server, (*at, VecDeque::new()))),
+            Seen::Sent { server, .. } => {
+                let Some((start, window)) = cold.get_mut(server.as_str()) else { continue };
+                let warmed = (at - *start) as f64 / bears.cold_for as f64;
+                if warmed >= 1.0 {
+                    cold.remove(server.as_str());
+                    continue;
+                }
+                window.push_back(*at);
+                while window.front().is_some_and(|first| first + bears.window <= *at) {
+                    window.pop_front();
+                }
+                let share = bears.cold_from + (1.0 - bears.cold_from) * warmed;
+                let span = bears.window as f64 / bears.cold_for as f64;
+                let most = (bears.places * share * bears.multiple * span).max(1.0);
+                if window.len() as f64 > most {
+                    let (n, age) = (window.len(), (at - *start) / 1_000_000);
+                    fallen.push(format!("rule 4: {server} got {n} set-ups, {most:.1} borne, {age} ms old"));
+                    cold.remove(server.as_str());
+                }
+            }
+            _ => {}
+        }
+    }
+    fallen
+}
+
 /// Grace of the verdicts, beside what the rules allow.
 const SLACK: u64 = 50_000_000;
 /// Nothing new reaches a server later than this after it was told that it drains.
--- a/crates/standin/src/platform_net.rs
+++ b/crates/standin/src/platform_net.rs
@@ -11,31 +11,22 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{AbortHandle, spawn_local};
 
 /// What all stand-ins of one platform share: the clock and the record. Processes of one machine share the clock too: it is
-/// Unix time as it was when the scene began, and goes on evenly from there.
-#[derive(Debug, Clone)]
+/// the system's monotonic one, which nobody sets.
+#[derive(Debug, Clone, Default)]
 pub struct Scene {
-    start: Instant,
-    unix: u64,
     /// What crossed, as far as it was not written to a file.
     pub record: Rc<RefCell<Record>>,
     file: Option<Rc<RefCell<File>>>,
     unkept: Rc<RefCell<Option<std::io::Error>>>,
 }
 
-impl Default for Scene {
-    fn default() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
-        Scene { start: Instant::now(), unix, record: Rc::default(), file: None, unkept: Rc::default() }
-    }
-}
-
 impl Scene {
     /// A scene whose record is a file, a JSON line each. What is there stays. Each line is handed to the operating system
     /// before what it tells of has an effect beyond this process, so that a process which is killed leaves all of them.
@@ -55,9 +46,10 @@
         whole.lines().map(|l| serde_json::from_str(l).map_err(std::io::Error::from)).collect()
     }
 
-    /// Nanoseconds of Unix time.
+    /// Nanoseconds of the system's monotonic clock (`CLOCK_MONOTONIC`).
     pub fn now(&self) -> u64 {
-        self.unix + self.start.elapsed().as_nanos() as u64
+        let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+        now.tv_sec as u64 * 1_000_000_000 + now.tv_nsec as u64
     }
 
     /// Notes what was seen.
--- a/crates/standin/src/platform_process.rs
+++ b/crates/standin/src/platform_process.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the platform as a process of its own: one media server, or the event bus. It ends by itself after a stated
 //! time, whoever started it; what it saw stays in a file. For a `LocalSet`.
 
-use crate::platform::{MediaServer, Treat};
+use crate::platform::{MediaServer, Seen, Treat};
 use crate::platform_net::{Bus, Listening, Scene};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -81,6 +81,8 @@
             let at_file = |why| Error::File { file: seen.clone(), why };
             let scene = Scene::in_file(&seen).map_err(at_file)?;
             let model = MediaServer::new(&id, delay.as_nanos() as u64, Treat::Serve(life.as_nanos() as u64));
+            // Whoever finds it listening finds it started.
+            scene.note(Seen::Started { server: id });
             let server = Listening::start(at, model, scene.clone()).await.map_err(refused)?;
             listens(server.addr);
             let watch = async {
