--- a/crates/cli/tests/plant/mod.rs
+++ b/crates/cli/tests/plant/mod.rs
@@ -105,7 +105,7 @@
 }
 
 impl Plant {
-    /// A plant in service. Its last server drains from the start, by an event that no node was handed over at its start.
+    /// A plant in service. Its first server drains from the start, by an event that no node was handed over at its start.
     pub async fn new(tag: &str, seed: u64, (nodes, servers): (usize, usize), stores: bool) -> Self {
         let dir = std::env::temp_dir().join(format!("micadyke-plant-{tag}-{seed}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
@@ -146,8 +146,8 @@
         plant.bus_begins_anew();
         (0..nodes).for_each(|i| plant.start(i));
         plant.in_service().await;
-        let last = plant.servers.last().expect("servers").id.clone();
-        plant.drain(&last).await;
+        let first = plant.servers[0].id.clone();
+        plant.drain(&first).await;
         plant
     }
 
--- a/crates/cli/tests/recovery.rs
+++ b/crates/cli/tests/recovery.rs
@@ -288,7 +288,7 @@
         }
         Hard::AnothersAddress => {
             plant.all_down();
-            plant.replaced(0, "g");
+            plant.replaced(1, "g");
             plant.members.swap(1, 2);
             back(&mut plant).await;
         }
@@ -404,3 +404,37 @@
         assert_eq!(plant.broken(), Vec::<String>::new());
     });
 }
+
+#[test]
+fn a_stand_in_of_the_platform_ends_by_itself_and_says_what_is_wrong() {
+    on_one_thread_for(async {
+        let dir = std::env::temp_dir().join(format!("micadyke-standin-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let path = |name: &str| dir.join(name).display().to_string();
+        std::fs::write(path("sound"), "full \npart \n").expect("written");
+        std::fs::write(path("wrong"), "full \nmore \n").expect("written");
+        // Exit code, what is said, arguments.
+        let table = [
+            (0, "", vec!["--platform-bus", "sound", "--lifetime", "50ms"]),
+            (0, "", vec!["--platform-server", "a", "--seen", "seen", "--lifetime", "50ms"]),
+            (2, "line 2 begins with neither", vec!["--platform-bus", "wrong"]),
+            (2, "longer than a stand-in may live", vec!["--platform-bus", "sound", "--lifetime", "5h"]),
+            (2, "on loopback only", vec!["--platform-bus", "sound", "--listen", "0.0.0.0:0"]),
+            (2, "no/seen", vec!["--platform-server", "a", "--seen", "no/seen"]),
+            (2, "cannot be used with", vec!["--platform-bus", "sound", "--seen", "seen"]),
+            (2, "required", vec!["--platform-server", "a"]),
+            (2, "required", vec!["--lifetime", "1s"]),
+        ];
+        for (code, said, args) in table {
+            let of_dir =
+                |a: &str| if dir.join(a).exists() || a.ends_with("seen") { path(a) } else { a.into() };
+            let args: Vec<String> =
+                args.into_iter().map(|a| if a.starts_with('-') { a.into() } else { of_dir(a) }).collect();
+            let run =
+                std::process::Command::new(BINARY).arg("standin").args(&args).output().expect("it runs");
+            let err = String::from_utf8_lossy(&run.stderr).into_owned();
+            assert!(run.status.code() == Some(code) && err.contains(said), "{args:?}: {err}");
+        }
+        std::fs::remove_dir_all(&dir).expect("removed");
+    });
+}
