--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -12,7 +12,7 @@
 use crate::{Nanos, SECOND};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{info, warn};
@@ -58,7 +58,7 @@
 
 /// The start of a process by its clock: milliseconds of Unix time.
 pub fn by_clock() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    crate::clock::unix().as_millis() as u64
 }
 
 /// What a member's shell is handed by those beside it.
