Sessions of before are asked for as fast as their boxes answer, not by a clock

A front that came back asked for its sessions 4,000 a second, whatever front and boxes could do. On a slow machine (debug build, load 170) what was asked for waited beyond its two seconds in a queue, was asked for again, and was given up after four losses: 8,958 of 10,000 sessions were back, the last 13.4 s after the kill; time to start was 0.8 s and no part of it.

The next session is asked for when one before it is settled (its event stream open, or not to be had): 64 at a box, 256 in all, boxes in turn, so that one that stands still holds up few. A change of layer waits until its session's box was asked. The shell tells of a stream's beginning (Input::StreamOpened), and the head of a stream has the time of a call. What the module is asked for a session stands once (Front::wish).

In made-up time 2,000 sessions at boxes that do 450 things a second: 2,000 back; with the bounds taken away 899, 2,202 calls out at once, which fails the test. micadyke-bench kill plays it on processes, 10,000 by default.

--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -210,18 +210,32 @@
     })
 }
 
-/// Sets sessions up and leaves them playing; the connections are closed.
-pub fn hold(addr: SocketAddr, sessions: usize) -> Result<(), Failure> {
+/// Sets sessions up and leaves them playing; their resources. The connections are closed.
+pub fn hold(addr: SocketAddr, sessions: usize) -> Result<Vec<String>, Failure> {
     run(async move {
+        let mut all = Vec::with_capacity(sessions);
         for chunk in 0..sessions.div_ceil(50) {
             let mut client = Client::open(addr).await?;
             for n in 0..50.min(sessions - chunk * 50) {
                 let created = client.call(&request((chunk * 50 + n) as u64)).await?;
-                if created.status != 201 {
-                    return Err(format!("answered {}", created.status).into());
+                match created.headers.get("location").filter(|_| created.status == 201) {
+                    Some(location) => all.push(location.to_owned()),
+                    None => return Err(format!("answered {}", created.status).into()),
                 }
             }
         }
-        Ok(())
+        Ok(all)
+    })
+}
+
+/// Ends sessions, one after the other; how many the front knew.
+pub fn end_all(addr: SocketAddr, all: &[String]) -> Result<usize, Failure> {
+    run(async move {
+        let (mut client, mut ended) = (Client::open(addr).await?, 0);
+        for location in all {
+            let answer = client.call(&Request::new(Method::Delete, location).encode("h")).await?;
+            ended += usize::from(answer.status == 200);
+        }
+        Ok(ended)
     })
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements on loopback, each beside a named baseline in the same run. No part of CI: machines are noisy, so
 //! what counts is the ratio.
 
+mod kill;
 mod load;
 mod peers;
 mod seats;
@@ -11,7 +12,7 @@
 use peers::{Peer, lean_box, our_front, plain_hyper};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -62,6 +63,18 @@
         #[arg(long, default_value_t = 15)]
         rounds: usize,
     },
+    /// A front with a store, killed while its sessions play: which are back, and when.
+    Kill {
+        /// Sessions.
+        #[arg(long, default_value_t = 10_000)]
+        sessions: usize,
+        /// Boxes that they play at.
+        #[arg(long, default_value_t = 4)]
+        boxes: u32,
+        /// Seconds after which a box ends a session that no event stream tells of.
+        #[arg(long, default_value_t = 15)]
+        patience: u64,
+    },
     /// Times of set-ups in the first second after a front with seats, stopped under load, is let go.
     Wake {
         /// How many stops.
@@ -76,6 +89,12 @@
     Front {
         /// Folder with the list of boxes.
         folder: String,
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Where it keeps its book of sessions.
+        #[arg(long)]
+        store: Option<PathBuf>,
     },
 }
 
@@ -107,8 +126,14 @@
             seats::measure();
             seat_cost()
         }
-        What::Front { folder } => {
-            let peer = our_front(Path::new(&folder));
+        What::Kill { sessions, boxes, patience } => {
+            let dir = folder("kill")?;
+            let done = kill::measure(&dir, sessions, boxes, Duration::from_secs(patience));
+            let _ = std::fs::remove_dir_all(dir);
+            done
+        }
+        What::Front { folder, listen, store } => {
+            let peer = peers::our_front_at(Path::new(&folder), listen, store.as_deref());
             println!("{}", peer.addr);
             std::io::stdout().flush()?;
             peer.thread.join().map_err(|_| "the front broke down")?;
@@ -119,11 +144,12 @@
 
 pub(crate) fn rows(addrs: &[SocketAddr]) -> Vec<BoxRow> {
     let mut rows = BoxRow::on_loopback(addrs.len() as u32);
-    rows.iter_mut().zip(addrs).for_each(|(row, address)| row.address = *address);
+    // The settings have two cells.
+    rows.iter_mut().zip(addrs).for_each(|(row, address)| (row.address, row.cell) = (*address, row.cell % 2));
     rows
 }
 
-fn write_list(folder: &Path, rows: &[BoxRow]) -> std::io::Result<()> {
+pub(crate) fn write_list(folder: &Path, rows: &[BoxRow]) -> std::io::Result<()> {
     let config = read_config(SETTINGS, "settings").unwrap_or_else(|e| panic!("{e:?}"));
     let next = folder.join("next");
     std::fs::write(&next, write_boxes(rows, &config))?;
@@ -333,17 +359,26 @@
 
 /// A front in a process of its own, by a folder; its process and address.
 fn front_process(dir: &Path) -> Result<(std::process::Child, SocketAddr), Failure> {
-    let mut child = Command::new(std::env::current_exe()?)
-        .args(["front", &dir.display().to_string()])
-        .stdout(Stdio::piped())
-        .spawn()?;
-    let mut line = String::new();
-    BufReader::new(child.stdout.take().ok_or("no pipe")?).read_line(&mut line)?;
-    let addr = line.trim().parse()?;
+    let (child, addr) = front_child(dir, SocketAddr::from(([127, 0, 0, 1], 0)), None)?;
     std::thread::sleep(Duration::from_millis(300));
     Ok((child, addr))
 }
 
+/// The same, as soon as it listens, at an address and with a store.
+pub(crate) fn front_child(
+    dir: &Path, listen: SocketAddr, store: Option<&Path>,
+) -> Result<(std::process::Child, SocketAddr), Failure> {
+    let mut command = Command::new(std::env::current_exe()?);
+    command.arg("front").arg(dir).args(["--listen", &listen.to_string()]);
+    if let Some(store) = store {
+        command.arg("--store").arg(store);
+    }
+    let mut child = command.stdout(Stdio::piped()).spawn()?;
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().ok_or("no pipe")?).read_line(&mut line)?;
+    Ok((child, line.trim().parse()?))
+}
+
 fn wake(stops: usize, length: Duration) -> Result<(), Failure> {
     const RATE: f64 = 1_000.0;
     let (dir, plain, issuer) = (folder("wake")?, lean_box(false), peers::issuer());
--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -19,7 +19,7 @@
 use micadyke_tokens::bound::{Guard, SharedKey};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, mpsc};
@@ -28,6 +28,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
 
+/// Any port of this machine.
+pub const ANYWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// The secret that fronts and boxes share.
 const SECRET: &[u8] = b"a secret for measurements, 32 bytes and more";
 
@@ -54,6 +56,14 @@
 }
 
 fn start<F, R>(name: &str, serve: F) -> Peer
+where
+    F: FnOnce(TcpListener, Arc<Mutex<Option<Instant>>>) -> R + Send + 'static,
+    R: Future<Output = ()>,
+{
+    start_at(name, ANYWHERE, serve)
+}
+
+fn start_at<F, R>(name: &str, at: SocketAddr, serve: F) -> Peer
 where
     F: FnOnce(TcpListener, Arc<Mutex<Option<Instant>>>) -> R + Send + 'static,
     R: Future<Output = ()>,
@@ -64,7 +74,7 @@
     let thread = std::thread::Builder::new().name(name.into()).spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
         LocalSet::new().block_on(&runtime, async move {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+            let listener = TcpListener::bind(at).await.expect("a listener");
             let stat = std::fs::read_to_string("/proc/thread-self/stat").unwrap_or_default();
             let task = stat.split(' ').next().and_then(|t| t.parse().ok()).unwrap_or(0);
             tell.send((listener.local_addr().expect("an address"), task)).expect("it is awaited");
@@ -186,8 +196,13 @@
 
 /// The front, by the list in a folder, and by the settings there if there are any.
 pub fn our_front(folder: &Path) -> Peer {
+    our_front_at(folder, ANYWHERE, None)
+}
+
+/// The same, at an address and with a store.
+pub fn our_front_at(folder: &Path, listen: SocketAddr, store: Option<&Path>) -> Peer {
     let own = std::fs::read_to_string(folder.join("settings.sexp"));
-    front_with(folder, own.as_deref().unwrap_or(SETTINGS))
+    front_at(folder, own.as_deref().unwrap_or(SETTINGS), listen, store)
 }
 
 /// The front with settings, by the list in a folder; with an issuer its log of seats lies there too.
@@ -197,10 +212,14 @@
 
 /// The same; with `store` it keeps its book of sessions there.
 pub fn front_keeping(folder: &Path, settings: &str, store: Option<&Path>) -> Peer {
+    front_at(folder, settings, ANYWHERE, store)
+}
+
+fn front_at(folder: &Path, settings: &str, listen: SocketAddr, store: Option<&Path>) -> Peer {
     let store = store.map(Path::to_owned);
     let list = folder.join("boxes.sexp");
     let (log, settings) = (folder.join("seats.log"), settings.to_owned());
-    start("front", move |listener, _| async move {
+    start_at("front", listen, move |listener, _| async move {
         let config = Rc::new(read_config(&settings, "settings").unwrap_or_else(|e| panic!("{e:?}")));
         let seats = config.issuer.as_ref().map(|_| {
             let opened = micadyke_front::keeping::open(&log).expect("a store");
--- a/crates/front/src/core.rs
+++ b/crates/front/src/core.rs
@@ -5,6 +5,7 @@
 //! again and whether at all are its choices. The core keeps what those choices must hold to on the wire: one
 //! answer to each request, one attempt of a session out at a time, nothing left behind at a box.
 
+use crate::asking::Asking;
 use crate::books::{Calls, Owed, Plays, Publications, Sessions, Visits};
 use crate::endpoint::{SDP, dress};
 use crate::hints::Ladder;
@@ -90,6 +91,7 @@
             counts: Counts::default(),
             keeping: false,
             returning: None,
+            asking: Asking::default(),
             spread: None,
             cold_from: 0,
             out: Vec::new(),
@@ -156,6 +158,7 @@
             }
             Input::Reply { call, result } => self.reply(call, result),
             Input::Closed { call } => self.closed(call),
+            Input::StreamOpened { stream } => self.stream_opened(stream),
             Input::Event { stream, event } => self.event(stream, &event),
             Input::StreamEnded { stream, cut } => self.stream_ended(stream, cut),
             Input::Tick => self.tick(),
@@ -297,6 +300,7 @@
         let (session, stream) = self.sessions.close(id, self.config.bounds.ended)?;
         self.seats(|s, now| s.closed(now, id, &session));
         self.keep_no_more(&session);
+        self.asked_for(id);
         if let Phase::Playing(p) = &session.phase
             && let Some(b) = self.boxes.get_mut(&p.place.server)
         {
--- a/crates/front/src/io.rs
+++ b/crates/front/src/io.rs
@@ -73,6 +73,11 @@
         /// Which call.
         call: CallId,
     },
+    /// A stream is open: its box has begun to answer.
+    StreamOpened {
+        /// Which stream.
+        stream: StreamId,
+    },
     /// An event of a stream.
     Event {
         /// Which stream.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,6 +5,7 @@
 //! layer around it: one current-thread runtime, tasks on a `LocalSet`, no locks. [`list`] brings the list of boxes.
 #![warn(missing_docs)]
 
+mod asking;
 mod books;
 pub mod core;
 mod endpoint;
--- a/crates/front/src/returning.rs
+++ b/crates/front/src/returning.rs
@@ -4,19 +4,17 @@
 //! A session of before is a hint: it is in the books, so that its viewer can end it, and its box is asked for its events
 //! before anything else is done. A box that does not know it has ended it.
 
-use crate::io::{Output, Purpose, Timer};
+use crate::io::{Output, Purpose, StreamId};
 use crate::session::{Phase as Stage, Place, Playing, Session};
 use crate::state::Front;
-use micadyke::interface::{
-    ClassId, Event, Nanos, Outcome, ServerId, ServerState, SessionId, SessionRequest, TitleId,
-};
+use micadyke::interface::{Event, Nanos, Outcome, ServerId, ServerState, SessionId};
 use micadyke_config::{BoxRow, RouteKind, Title};
 use micadyke_http::Method;
+use micadyke_recovery::SECOND;
 use micadyke_recovery::phases::{Asks, Heard, Limits, Phase, Phases, Serve};
 use micadyke_recovery::record::{self, Change, Kept, Key, Record, Server};
 use micadyke_recovery::spread::{Spread, borne};
 use micadyke_recovery::trust::{Age, Fact, Trust, Word, trust};
-use micadyke_recovery::{MS, SECOND};
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use tracing::info;
@@ -26,9 +24,6 @@
     Limits { list: 10 * SECOND, view: 20 * SECOND, servers: 2 * SECOND, parts: 6 * SECOND };
 /// Boxes that one front asks whether they live.
 const ASKED: usize = 8;
-/// From one session of before that is asked for to the next: 4,000 a second, so that 10,000 are asked for well before a box
-/// misses their event streams.
-const ASK_EVERY: Nanos = MS / 4;
 
 /// A front's recovery.
 pub(crate) struct Returning {
@@ -254,11 +249,11 @@
             self.cold_from = epoch.saturating_add(self.now);
         }
         let hint = trust(Fact::Session, r.age, serve.fell, Word::Nothing) != Trust::Void;
-        let mut asked = 0;
+        let mut asked = 0u64;
         self.list(rows, epoch);
         for id in r.sessions {
             let Some(s) = self.sessions.get_mut(id) else { continue };
-            let (class, title, kind, top) = (s.class, s.title.clone(), s.kind, s.top);
+            let (title, kind) = (s.title.clone(), s.kind);
             let Some(p) = s.playing() else { continue };
             let (server, addr) = (p.place.server, p.place.addr);
             let cell = self.boxes.get(&server).filter(|b| b.row.address == addr).map(|b| b.row.cell);
@@ -279,20 +274,41 @@
             if let Some(b) = self.boxes.get_mut(&server) {
                 b.playing.insert(id);
             }
-            let wish = SessionRequest {
-                session: id,
-                class: ClassId(class),
-                title: TitleId(title),
-                base: place.base,
-                spread: place.spread,
-                top,
-                give_up_at: self.now,
-                again: true,
-            };
-            self.tell(Event::Adopted { wish, server });
-            self.timer(ASK_EVERY * asked, Timer::Resubscribe(id));
+            if let Some(wish) = self.wish(id, place, self.now, true) {
+                self.tell(Event::Adopted { wish, server });
+            }
+            self.asking.add(server, id);
             asked += 1;
         }
+        self.ask_on();
         info!(?serve, limited = r.phases.limited, sessions = asked, "recovery is over: in service");
     }
+
+    /// Asks for sessions of before, as many as may be asked for at a time.
+    fn ask_on(&mut self) {
+        while let Some(id) = self.asking.next() {
+            self.subscribe(id);
+            let asks = |p: &mut Playing| p.subscribing || p.stream.is_some();
+            if !self.sessions.get_mut(id).and_then(Session::playing).is_some_and(asks) {
+                // Its box tells of no events: there is nothing to ask for.
+                self.asking.settled(id);
+                self.change_layer(id);
+            }
+        }
+    }
+
+    /// What a session's box was asked for is settled, one way or another: the next one's turn.
+    pub(crate) fn asked_for(&mut self, id: SessionId) {
+        if self.asking.settled(id) {
+            self.change_layer(id);
+            self.ask_on();
+        }
+    }
+
+    /// A stream of events is open.
+    pub(crate) fn stream_opened(&mut self, stream: StreamId) {
+        if let Some(id) = self.sessions.by_stream(stream) {
+            self.asked_for(id);
+        }
+    }
 }
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -613,10 +613,13 @@
     ) -> Result<(), CallError> {
         let connect = Duration::from_nanos(self.config.bounds.connect);
         let mut connection = Connection::open(to, connect, self.limits()).await?;
-        let head = connection.open_stream(&request).await?;
+        let call = Duration::from_nanos(self.config.bounds.call);
+        let head = tokio::time::timeout(call, connection.open_stream(&request)).await;
+        let head = head.unwrap_or(Err(CallError::Reset))?;
         if head.status != 200 || head.media_type().as_deref() != Some("text/event-stream") {
             return Ok(());
         }
+        self.feed(Input::StreamOpened { stream });
         let (mut parser, mut events) = (sse::Parser::new(EVENT), Vec::new());
         while let Some(bytes) = connection.chunk().await? {
             if parser.feed(&bytes, &mut events).is_err() {
--- a/crates/front/src/signalling.rs
+++ b/crates/front/src/signalling.rs
@@ -194,16 +194,7 @@
         self.counts.taken += 1;
         debug!(session = id.0, title = &*title, again, "taken");
         opened(self, id);
-        let wish = SessionRequest {
-            session: id,
-            class: ClassId(class),
-            title: TitleId(title),
-            base: place.base,
-            spread: place.spread,
-            top,
-            give_up_at: self.now.saturating_add(patience),
-            again,
-        };
+        let Some(wish) = self.wish(id, place, self.now.saturating_add(patience), again) else { return };
         if self.seated(class) {
             self.seats(|s, now| s.acquire(now, wish));
         } else {
@@ -211,6 +202,23 @@
         }
     }
 
+    /// What the module is asked for a session that is in the books.
+    pub(crate) fn wish(
+        &self, id: SessionId, place: Title, give_up_at: Nanos, again: bool,
+    ) -> Option<SessionRequest> {
+        let Session { class, title, top, .. } = self.sessions.get(id)?;
+        Some(SessionRequest {
+            session: id,
+            class: ClassId(*class),
+            title: TitleId(title.clone()),
+            base: place.base,
+            spread: place.spread,
+            top: *top,
+            give_up_at,
+            again,
+        })
+    }
+
     /// Where a title lies, or may be published.
     pub(crate) fn title(&self, kind: RouteKind, title: &str) -> Result<Title, Response> {
         let (fixed, live) = (self.config.titles.get(title), self.publications.find(title));
@@ -655,7 +663,11 @@
     }
 
     /// Brings the box's layer to the rung that the module wants, one call at a time.
-    fn change_layer(&mut self, id: SessionId) {
+    pub(crate) fn change_layer(&mut self, id: SessionId) {
+        // What all sessions of before are to play at would go out in one turn: each waits until its box was asked for it.
+        if self.asking.holds(id) {
+            return;
+        }
         let Some(session) = self.sessions.get_mut(id) else { return };
         let (rung, kind, in_force) = (session.rung, session.kind, session.in_force);
         let Some(p) = session.playing() else { return };
@@ -766,6 +778,7 @@
     /// A session's event stream is not there: it is opened again after a pause, the first time at once where one
     /// had been open.
     fn lost_stream(&mut self, id: SessionId, was_open: bool) {
+        self.asked_for(id);
         let Some(p) = self.sessions.get_mut(id).and_then(Session::playing) else { return };
         p.lost = p.lost.saturating_add(1);
         if p.lost > LOST_MOST {
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -1,6 +1,7 @@
 //! The front as all its parts see it: what it holds, beneath [`crate::core`], `signalling`, `media` and `seating`, which
 //! each write in it.
 
+use crate::asking::Asking;
 use crate::books::{Calls, Owed, Plays, Publications, Sessions, Visits};
 use crate::hints::Ladder;
 use crate::io::{Output, Timer};
@@ -76,6 +77,8 @@
     pub(crate) keeping: bool,
     /// The front comes back from before, until it serves.
     pub(crate) returning: Option<Box<Returning>>,
+    /// Sessions of before that their boxes are asked for.
+    pub(crate) asking: Asking,
     /// When those that are refused meanwhile are told to come back.
     pub(crate) spread: Option<Spread>,
     /// After a power loss no box is warmer than one that started at this Unix time.
