--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -235,6 +235,9 @@
         for location in all {
             let answer = client.call(&Request::new(Method::Delete, location).encode("h")).await?;
             ended += usize::from(answer.status == 200);
+            if answer.status != 200 {
+                eprintln!("{} for {location}", answer.status);
+            }
         }
         Ok(ended)
     })
