--- a/crates/bench/src/peers.rs
+++ b/crates/bench/src/peers.rs
@@ -234,7 +234,7 @@
         let extras = Extras { seats, recovers, bound, ..Extras::default() };
         let source = Box::new(WatchedFile::new(list, config.clone()));
         let made = config.clone();
-        let front = move |now| Front::new(made, [9; 32], now).expect("sound settings");
+        let front = move |now| Front::new(made, rand::random(), now).expect("sound settings");
         serve(listener, front, config, source, extras, std::future::pending()).await;
     })
 }
