The module can be told what the fleet makes of a server: a preference, a figure

One event says whether a server lies outside the front's working subset and what it carries over all fronts. Outside counts as 0.2 of use, so it turns what is alike and excludes nothing; a gap moves the account by the front's own part, through a filter of 20 s, and fades 8 s after it was counted. Untold, nothing changes.

Seen to fail: no weight, no gain, figures that never age, and a preference that excludes.

--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -55,6 +55,14 @@
 const FAILED: f64 = 0.5;
 /// What counts for a server whose calls do not come up: more than any use, so that it is tried last.
 const LAST: f64 = 1e3;
+/// Use that counts against a server outside the working subset: more than those within usually differ by.
+const OUTSIDE: f64 = 0.2;
+/// What all fronts together answer of a gap that all hear of, over FILTER: swings at delays past 13 s alone.
+const GAIN: f64 = 3.0;
+/// Time constant of that answer.
+const FILTER: Nanos = 20 * SECOND;
+/// A figure older than this counts for nothing.
+const STALE: Nanos = 8 * SECOND;
 /// A playing session steps up only where the higher rung's limit would hold with this much left.
 const UP_GAP: f64 = 0.12;
 /// A step up must promise this many times its cost over the time that a session lasts: it may be taken back.
@@ -235,6 +243,8 @@
     told: bool,
     /// Whether there is a way to it.
     reach: Reach,
+    /// Outside the working subset; a gap that all hear of, until then; the use that this front makes of it.
+    fleet: (bool, f64, Nanos, f64),
     /// When an attempt there last failed; 0: the last one came to play.
     failed_at: Nanos,
 }
@@ -253,6 +263,7 @@
             gives,
             told: false,
             reach,
+            fleet: (false, 0.0, 0, 0.0),
             failed_at: 0,
         }
     }
@@ -361,6 +372,13 @@
             }
             Event::Part { .. } => {}
             Event::Reach { server, reach } => self.reach(server, reach),
+            Event::Fleet { server, outside, figure } => {
+                let Some(s) = self.servers.get_mut(&server) else { return };
+                let over = |f: Figure| (f.carried / f.wanted - 1.0).clamp(-1.0, 1.0) * f.complete;
+                let gap = figure.map_or(s.fleet.1, over).clamp(-1.0, 1.0);
+                let until = figure.map_or(s.fleet.2, |f| self.now + STALE.saturating_sub(f.age));
+                s.fleet = (outside, if gap.is_finite() { gap } else { 0.0 }, until, s.fleet.3);
+            }
             Event::Request(wish) => self.request(wish, out),
             Event::Adopted { wish, server } => self.adopt(wish, server),
             Event::Started { session } => self.started(session),
@@ -374,6 +392,12 @@
             Event::Timer { .. } => {
                 out.push(Action::SetTimer { after: TICK, token: 0 });
                 self.average();
+                // A gap that all hear of is closed by all: this front answers as much of it as is its own.
+                let (view, now) = (self.view(), self.now);
+                for s in self.servers.values_mut() {
+                    let gap = if now < s.fleet.2 { s.fleet.1 * s.link.usage(view) } else { 0.0 };
+                    s.fleet.3 += (GAIN * gap * s.link.share(view) - s.fleet.3) * TICK as f64 / FILTER as f64;
+                }
                 // News is answered at the next tick, when all figures are in; own accounts now and then.
                 let guess = self.s.note_period == 0 && self.chance() < 0.2;
                 let news =
@@ -809,7 +833,8 @@
                 };
                 let lot = (jitter + n as f64 * 0.618).fract() * HERD;
                 let doubt = server.doubt(self.now);
-                holders.push((self.usage(server) + cross + call + doubt + lot, server.entry.server));
+                let fleet = server.fleet.3 + if server.fleet.0 { OUTSIDE } else { 0.0 };
+                holders.push((self.usage(server) + cross + call + doubt + lot + fleet, server.entry.server));
             }
             holders.sort_by(|a, b| a.0.total_cmp(&b.0));
             choice = holders.iter().find_map(|&(_, h)| Some((h, self.fit(&self.servers[&h], s, prices)?)));
--- a/crates/micadyke/src/interface.rs
+++ b/crates/micadyke/src/interface.rs
@@ -267,6 +267,19 @@
     Lost,
 }
 
+/// What one server carries over all fronts, as they count it together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Figure {
+    /// Streams counted there.
+    pub carried: f64,
+    /// Its weight's part of all streams counted in the same way.
+    pub wanted: f64,
+    /// How old it is.
+    pub age: Nanos,
+    /// The part of the fronts that was counted: 1 for all.
+    pub complete: f64,
+}
+
 /// What a note on a playing session tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoteKind {
@@ -307,6 +320,15 @@
         /// Until then.
         until: Nanos,
     },
+    /// What the fleet makes of a server, from then on. Where none is told all servers count alike.
+    Fleet {
+        /// Which server.
+        server: ServerId,
+        /// It lies outside the servers that this front works with first: a preference, never an exclusion.
+        outside: bool,
+        /// What it carries over all fronts, where that was counted.
+        figure: Option<Figure>,
+    },
     /// A viewer wants a session.
     Request(SessionRequest),
     /// A session that already plays is handed over; it counts as attempt 0.
--- a/crates/micadyke/tests/failures.rs
+++ b/crates/micadyke/tests/failures.rs
@@ -677,3 +677,72 @@
     assert_eq!(rung_at(0.4, 0.4), Some(3), "all alike: so is this one");
     assert!(rung_at(0.1, 0.7) < Some(3), "{:?}", rung_at(0.1, 0.7));
 }
+
+/// Of forty set-ups, one at a time, between two servers alike: how many go to the second, when this was told at each of
+/// so many ticks, and nothing at so many after.
+fn to_the_second(events: &[Event], ticks: usize, silent: usize) -> usize {
+    let mut f = Front::new(settings(vec![class(IDEMPOTENT, 0, 0)]), 2);
+    for n in 0..ticks + silent {
+        events.iter().filter(|_| n < ticks).for_each(|e| drop(f.feed(e.clone())));
+        f.now += 200 * MS;
+        f.tick();
+    }
+    let mut go = |id| {
+        let to = sent(&f.request(id, 0, "a")).expect("sent").0;
+        f.end(id, to, Outcome::Served, true);
+        to
+    };
+    (1..=40).filter(|id| go(*id) == ServerId(1)).count()
+}
+
+#[test]
+fn a_preference_turns_what_is_alike_and_excludes_nothing() {
+    let told = |server: u32, outside| Event::Fleet { server: ServerId(server), outside, figure: None };
+    let even = to_the_second(&[], 1, 0);
+    // (what is told, how many go to the second)
+    for (events, wanted) in [
+        (vec![told(0, false), told(1, false)], even..=even),
+        (vec![told(1, true)], 0..=0),
+        (vec![told(0, true)], 40..=40),
+        (vec![told(0, true), told(1, true)], even..=even),
+        (vec![told(1, true), told(1, false)], even..=even),
+        (vec![told(7, true)], even..=even),
+    ] {
+        let went = to_the_second(&events, 1, 0);
+        assert!(wanted.contains(&went), "{went} of 40 by {events:?}");
+    }
+    // The one that is preferred drains, or is full: the other is asked.
+    let mut f = Front::new(settings(vec![class(IDEMPOTENT, 0, 0)]), 2);
+    f.feed(told(1, true));
+    let first = sent(&f.request(1, 0, "a")).expect("sent").0;
+    f.end(1, first, Outcome::Full, false);
+    assert_eq!(first, ServerId(0));
+    f.feed(Event::List { kind: ListKind::Delta, entries: vec![entry(0, ServerState::Draining, 0)] });
+    assert_eq!(sent(&f.request(2, 0, "a")).map(|s| s.0), Some(ServerId(1)));
+}
+
+#[test]
+fn a_figure_moves_the_account_by_the_own_part_of_the_gap_while_it_is_young() {
+    let told = |carried, wanted, age, complete| Event::Fleet {
+        server: ServerId(1),
+        outside: false,
+        figure: Some(Figure { carried, wanted, age, complete }),
+    };
+    let even = to_the_second(&[], 100, 0);
+    // For a time constant of the filter.
+    for (event, wanted) in [
+        (told(150.0, 100.0, 0, 1.0), 0..=even / 2),
+        (told(50.0, 100.0, 0, 1.0), even + even / 2..=40),
+        (told(100.0, 100.0, 0, 1.0), even..=even),
+        (told(150.0, 100.0, 0, 0.0), even..=even),
+        (told(150.0, 100.0, 9 * SECOND, 1.0), even..=even),
+        (told(f64::NAN, 100.0, 0, 1.0), even..=even),
+        (told(150.0, 100.0, 0, f64::NAN), even..=even),
+    ] {
+        let went = to_the_second(std::slice::from_ref(&event), 100, 0);
+        assert!(wanted.contains(&went), "{went} of 40, {even} untold, by {event:?}");
+    }
+    // Minutes later it counts for nothing.
+    let gap = [told(150.0, 100.0, 0, 1.0)];
+    assert_eq!(to_the_second(&gap, 100, 1400), to_the_second(&[], 1500, 0));
+}
