A node works first with a subset of the servers and takes turns at silent ones, where set

With the form (subset ...) beside (membership ...), checked by 'check', it draws its working subset and its turns from the settled view and the list, at most each 2 s, widens while servers are silent, draining, cold or full, and tells the module by the one new event. Of the nodes only the one on turn looks at a silent server, is stood in for slot by slot, and its finding travels as news; what was silent comes back cold.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -321,21 +321,19 @@
 
 pub fn check(file: &Path, boxes: Option<&Path>) -> Result<ExitCode, Failure> {
     if crate::members::is_membership(file) {
-        return Ok(
-            match checked(file, |text, name| micadyke_membership::settings::read(text, name, None))? {
-                Ok(s) => {
-                    println!(
-                        "{}: sound; {} of fleet {}, {} seeds",
-                        file.display(),
-                        s.name,
-                        s.fleet,
-                        s.seeds.len()
-                    );
-                    ExitCode::SUCCESS
-                }
-                Err(faults) => refused(&faults),
-            },
-        );
+        return Ok(match checked(file, |text, name| crate::members::read(text, name, None))? {
+            Ok((s, _)) => {
+                println!(
+                    "{}: sound; {} of fleet {}, {} seeds",
+                    file.display(),
+                    s.name,
+                    s.fleet,
+                    s.seeds.len()
+                );
+                ExitCode::SUCCESS
+            }
+            Err(faults) => refused(&faults),
+        });
     }
     let config = match checked(file, read_config)? {
         Ok(config) => config,
--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -2,7 +2,8 @@
 
 use crate::desk::{self, Desk};
 use crate::ground::{Failure, at, beside, checked, given, run, told};
-use micadyke_config::sexp;
+use micadyke_config::Diagnostic;
+use micadyke_config::sexp::{self, Node};
 use micadyke_config::units::Unit;
 use micadyke_directory::settings::Terms;
 use micadyke_membership::frame::{KEY, Seal};
@@ -14,6 +15,7 @@
 use micadyke_recovery::keeper::Keeper;
 use micadyke_recovery::phases::Fleet;
 use micadyke_recovery::record::Record;
+use micadyke_subset::settings::Terms as Choices;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -30,6 +32,8 @@
     seal: Seal,
     /// A directory is kept with the others.
     directory: Option<Terms>,
+    /// A node chooses servers with the others.
+    chooses: Option<Choices>,
 }
 
 impl Member {
@@ -45,17 +49,41 @@
 
     /// Reads both; `name` stands in where the settings give none.
     pub fn load(file: &Path, name: Option<&str>) -> Result<Self, Failure> {
-        let read = |text: &str, file: &str| micadyke_membership::settings::read(text, file, name);
-        let settings = checked(file, read)?.map_err(told)?;
+        let (settings, chooses) = checked(file, |text, file| read(text, file, name))?.map_err(told)?;
         let directory = checked(file, micadyke_directory::settings::read)?.map_err(told)?;
         let path = beside(file, &settings.key_file);
         let key = std::fs::read(&path).map_err(at(&path))?;
         let seal = Seal::new(&settings.fleet, key.trim_ascii());
         let seal = seal.ok_or_else(|| format!("{}: a key of {KEY} bytes at least is due", path.display()))?;
-        Ok(Member { settings, seal, directory })
+        Ok(Member { settings, seal, directory, chooses })
     }
 }
 
+/// Reads membership's settings, and how a node chooses servers with the others, from one text.
+pub fn read(
+    text: &str, file: &str, name: Option<&str>,
+) -> Result<(Settings, Option<Choices>), Vec<Diagnostic>> {
+    let chooses = micadyke_subset::settings::read(text, file)?;
+    Ok((micadyke_membership::settings::read(&without(text, "subset"), file, name)?, chooses))
+}
+
+/// A text with blanks in place of the forms of this word, so that all else keeps its place; membership's reader knows
+/// which forms may stand beside its own, and this is none of them.
+fn without(text: &str, word: &str) -> String {
+    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+    let nodes = sexp::read(text).unwrap_or_default();
+    let ours = |n: &Node| n.list().and_then(|l| l.first()?.atom()) == Some(word);
+    let begins: Vec<((u32, u32), bool)> = nodes.iter().map(|n| ((n.at.line, n.at.column), ours(n))).collect();
+    let (mut at, mut out) = ((1, 1), String::with_capacity(text.len()));
+    for c in text.chars() {
+        // Whatever stands between two forms goes with the first of them.
+        let blank = begins.iter().rfind(|b| b.0 <= at).is_some_and(|b| b.1);
+        out.push(if blank && c != '\n' { ' ' } else { c });
+        at = if c == '\n' { (at.0 + 1, 1) } else { (at.0, at.1 + 1) };
+    }
+    out
+}
+
 /// Whether a file holds settings of membership.
 pub fn is_membership(file: &Path) -> bool {
     let nodes = std::fs::read_to_string(file).ok().and_then(|t| sexp::read(&t).ok()).unwrap_or_default();
@@ -122,7 +150,9 @@
         fleet: Some(seen),
         ..Neighbours::default()
     };
-    (neighbours, Some(Others { parts: shares.then_some(parts), heard, tell, fleet, directory: directed }))
+    let chooses = member.chooses.clone().map(|terms| (member.name().to_owned(), terms));
+    let parts = shares.then_some(parts);
+    (neighbours, Some(Others { parts, heard, tell, fleet, directory: directed, chooses }))
 }
 
 /// Runs a member beside `work`, where one is to run: it takes its leave when the work is over. Where it cannot listen,
@@ -341,3 +371,33 @@
     }
     text
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn settings_beside_membership_are_read_by_whose_they_are_and_faults_keep_their_place() {
+        let membership = r#"(membership (fleet "f") (name "n0") (listen "127.0.0.1:7946") (key-file "k"))"#;
+        let subset = "(subset (working (least 9)) (turns (slots 4)))";
+        // (the text, whether it is sound, where its first fault lies)
+        for (text, fault) in [
+            (membership.to_owned(), None),
+            (format!("{membership}\n{subset}"), None),
+            (format!("\u{feff}{membership} {subset} ; a word\n(directory)"), None),
+            (format!("{membership}\n{subset}{subset}"), Some((2, 47))),
+            (format!("{membership}\n(subset (turns (slots 40)))"), Some((2, 16))),
+            (format!("{membership}\n(subset (turn))"), Some((2, 9))),
+            (format!("{membership}\n(subset)\n (stranger)"), Some((3, 2))),
+            (format!("{membership}\n(subset"), Some((2, 1))),
+        ] {
+            let got = read(&text, "n0.sexp", None);
+            let at = got.as_ref().err().map(|f| (f[0].at.line, f[0].at.column));
+            assert_eq!(at, fault, "{text}: {got:?}");
+            let chooses = got.ok().and_then(|g| g.1);
+            let wanted = fault.is_none() && text.contains("subset");
+            let terms = chooses.map(|c| (c.working.map(|w| w.0.least), c.turns.map(|t| t.slots)));
+            assert_eq!(terms, wanted.then_some((Some(9), Some(4))), "{text}");
+        }
+    }
+}
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -3,6 +3,7 @@
 
 use crate::bus::Follower;
 use crate::care;
+use crate::choosing::Choosing;
 use crate::io::{ConnId, Output};
 use crate::list::{Numbers, Row};
 use micadyke::interface::*;
@@ -160,6 +161,10 @@
     pub(crate) keeps: bool,
     /// Servers count as started then at the earliest.
     pub(crate) cold_from: Nanos,
+    /// A started server is warm after this at the latest.
+    pub(crate) cold_for: Nanos,
+    /// It chooses with the others which servers it works with first, and who looks at silent ones.
+    pub(crate) choosing: Option<Choosing>,
     /// Looks at servers for what others found: how many are left, as of then.
     pub(crate) looks: (f64, Nanos),
     pub(crate) stopping: Option<Nanos>,
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -98,6 +98,16 @@
     (left + now.saturating_sub(at) as f64 / SECOND as f64 * LOOKS).min(LOOKS)
 }
 
+// ----- subsets and turns
+
+/// A working subset is drawn again this long after the last at the earliest: views and lists change in bursts, and the
+/// drawing takes the loop's time, some tens of milliseconds for hundreds of nodes.
+pub const REDRAW: Nanos = 2 * SECOND;
+/// A server that turned a set-up away counts as full for so long: a note's usual period.
+pub const FULL: Nanos = 2 * SECOND;
+/// Set-ups stay away for so long from a server that somebody looks at in this window or did in the one before.
+pub const TURN: Nanos = SECOND;
+
 // ----- at the door
 
 /// Connections of viewers at most, as a part of the descriptors: usual viewers hold a third at most.
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -64,6 +64,8 @@
             unconfirmed: BTreeMap::new(),
             keeps: false,
             cold_from: 0,
+            cold_for: config.site.settings.cold_for,
+            choosing: None,
             looks: (care::LOOKS, now),
             follower: Follower::new(config.bus, config.offset, now),
             stopping: None,
@@ -158,7 +160,10 @@
             }
             Input::Heard(news) => self.heard_of(news),
             Input::End(what) => self.end_all(what),
-            Input::Fleet(fact) => self.recover(fact.heard()),
+            Input::Fleet(fact) => {
+                self.recover(fact.heard());
+                self.fleet(fact);
+            }
             Input::Stop => {
                 if self.stopping.is_none() {
                     info!(owed = self.held().0, "stopping: what is owed is answered first");
@@ -263,6 +268,9 @@
         session.early.clear();
         self.forget_attempt(link, id);
         self.count(outcome);
+        if outcome == Outcome::Full {
+            self.turned_away(server);
+        }
         self.events.push_back(Event::Ended { session: id, server, outcome, finished });
     }
 
@@ -328,6 +336,7 @@
             }
             self.server_row(number, row);
         }
+        self.servers_changed();
         self.version = self.version.max(change.version);
         self.own_word();
         if kind != ListKind::Cached {
@@ -389,6 +398,7 @@
                 Due::Tidy => {
                     self.set(self.now + TIDY, Due::Tidy);
                     self.tidy_viewers();
+                    self.tidy_choosing();
                     self.tidy_servers();
                     self.tidy_releases();
                     self.tidy_recovery();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod books;
 pub mod bus;
 pub mod care;
+mod choosing;
 pub mod config;
 pub mod core;
 mod directed;
--- a/crates/node/src/others.rs
+++ b/crates/node/src/others.rs
@@ -20,6 +20,11 @@
     /// Another node tells of a server.
     pub(crate) fn heard_of(&mut self, news: &News) {
         let Some(id) = self.numbers.known(news.server()) else { return };
+        if let News::Found { what, .. } = news
+            && self.found_by_turns(id, *what)
+        {
+            return;
+        }
         let Some(server) = self.servers.get(&id).filter(|s| s.row.state == ServerState::Ready) else {
             return;
         };
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -115,6 +115,7 @@
         let entries = rows.iter().map(|(id, row)| self.entry(row, *id)).collect();
         self.events.push_back(Event::List { kind: ListKind::Full, entries });
         self.events.extend(r.adopted);
+        self.servers_changed();
         for server in self.servers.values_mut() {
             // Told again as it stands.
             server.reach = Reach::default();
@@ -125,7 +126,7 @@
     pub(crate) fn held_back(&mut self, event: Event) -> Option<Event> {
         let Some(r) = &mut self.recovering else { return Some(event) };
         match event {
-            Event::List { .. } | Event::Reach { .. } => None,
+            Event::List { .. } | Event::Reach { .. } | Event::Fleet { .. } => None,
             Event::Adopted { .. } => {
                 if r.adopted.len() < ADOPTED {
                     r.adopted.push(event);
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -62,6 +62,7 @@
             self.unsend(id);
         }
         if let Some(server) = anew {
+            self.answers_again(id);
             self.tell_others(News::Found { server, what: Finding::Anew });
         }
     }
@@ -250,6 +251,7 @@
         (link.up, link.heard, link.used) = (true, now, now);
         let (id, waiting) = (link.server, link.open.clone());
         let mut queue = VecDeque::new();
+        self.found_alive(id);
         if let Some(server) = self.servers.get_mut(&id) {
             (server.calls, server.call_at, server.heard, server.lost_until) = (0, 0, now, 0);
             queue = std::mem::take(&mut server.queue);
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -18,6 +18,7 @@
 use micadyke_recovery::keeper::Keeper;
 use micadyke_recovery::phases::{Fleet, Phases};
 use micadyke_recovery::record::Kept;
+use micadyke_subset::settings::Terms;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -140,6 +141,8 @@
     pub fleet: mpsc::Receiver<Fleet>,
     /// The directory that is kept with them, if one is.
     pub directory: Option<Directed>,
+    /// This node's name in the view, and how it chooses with them; none: for itself.
+    pub chooses: Option<(String, Terms)>,
 }
 
 /// What a node that keeps a store comes back with.
@@ -177,6 +180,9 @@
     if others.as_ref().is_some_and(|o| o.directory.is_some()) {
         node.has_directory();
     }
+    if let Some((me, terms)) = others.as_ref().and_then(|o| o.chooses.clone()) {
+        node.chooses(&me, terms);
+    }
     let keeper = recovers.map(|Recovers { kept, start, keeper }| {
         let leases = others.as_ref().is_some_and(|o| o.parts.is_some());
         let me = (config.name.as_str(), start);
--- a/crates/node/tests/drawn.rs
+++ b/crates/node/tests/drawn.rs
@@ -4,8 +4,12 @@
 mod world;
 
 use micadyke_isup::{Message, code, kind};
+use micadyke_membership::news::{Finding, News};
+use micadyke_node::Input;
 use micadyke_node::config::{Config, read};
+use micadyke_recovery::phases::Fleet as Fact;
 use micadyke_standin::platform::{Record, Seen, Treat};
+use micadyke_subset::settings::Terms;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -248,6 +252,37 @@
     broken
 }
 
+/// How the node chooses with others.
+fn terms(r: &mut StdRng) -> Terms {
+    let least = *[1, 1, 3, 20].choose(r).unwrap();
+    let (rate, burst) = (r.random_range(1..20), r.random_range(1..5));
+    let (slots, slot) = (r.random_range(1..9), *[100, 400, 3000].choose(r).unwrap());
+    let mut text = String::from("(subset ");
+    if r.random_bool(0.7) {
+        text +=
+            &format!("(working (least {least}) (held-by {burst}) (rate {rate}) (burst {burst}) (hold 1s))");
+    }
+    if r.random_bool(0.7) {
+        text += &format!("(turns (window {}ms) (slots {slots}))", slot * slots);
+    }
+    text += r#"(nodes "n" (zone "d0") (capacity 2)) (nodes "m" (zone "d1")))"#;
+    micadyke_subset::settings::read(&text, "n").unwrap_or_else(|e| panic!("{text}: {e:?}")).unwrap()
+}
+
+/// What the fleet tells now: members come and go, the view settles, or somebody found something, whether true or not.
+fn fleet(w: &mut World, r: &mut StdRng, servers: usize) {
+    let member = format!("m{}", r.random_range(0..9));
+    let server = format!("s-{}", r.random_range(0..servers));
+    let what = *[Finding::Silent, Finding::Refused, Finding::Anew].choose(r).unwrap();
+    match r.random_range(0..8) {
+        0 | 1 => w.feed(Input::Fleet(&Fact::Lives(member, 1))),
+        2 => w.feed(Input::Fleet(&Fact::Gone(member))),
+        3 | 4 => w.feed(Input::Fleet(&Fact::Settled(r.random_bool(0.8)))),
+        5 | 6 => w.feed(Input::Heard(&News::Found { server, what })),
+        _ => {}
+    }
+}
+
 /// A day of a drawn deployment; what broke, if anything did.
 fn day(seed: u64, how: Option<Break>) -> (Site, Vec<String>) {
     let mut r = StdRng::seed_from_u64(seed);
@@ -255,6 +290,12 @@
     let config = config_of(&site, seed);
     let servers = site.places.len();
     let mut w = World::with(config, servers, how);
+    let mut chosen = StdRng::seed_from_u64(!seed);
+    let chooses = chosen.random_bool(0.5);
+    if chooses {
+        w.node.has_others();
+        w.node.chooses("n", terms(&mut chosen));
+    }
     w.servers.values_mut().for_each(|s| s.usual = Treat::Serve(2 * SECOND));
     let (mut viewer, mut id, mut offset) = (w.viewer(), 1, 1);
     let (mut asked, mut drained, mut open) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
@@ -266,6 +307,9 @@
             viewer = w.viewer();
         }
         let n = r.random_range(0..servers);
+        if chooses {
+            fleet(&mut w, &mut chosen, servers);
+        }
         match r.random_range(0..100) {
             dice if dice < crowd || dice >= 96 => {
                 let class = r.random_range(0..site.classes.len());
@@ -335,6 +379,12 @@
     w.refusing.clear();
     (0..servers).for_each(|s| w.back(server_addr(s)));
     w.run(30 * SECOND);
+    // A server that was silent is looked at when its turn comes, windows later; the connection is idle then.
+    for _ in 0..20 {
+        if chooses && w.node.books()[1] > 0 {
+            w.run(7 * SECOND);
+        }
+    }
     let mut broken: Vec<String> =
         w.broken_rules().into_iter().filter(|b| how.is_some() || !b.contains("not released")).collect();
     broken.extend(broken_terms(&site, &w.record, &asked));
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -92,6 +92,8 @@
     pub refusing: BTreeSet<SocketAddr>,
     /// Nothing comes from or goes there.
     pub vanished: BTreeSet<SocketAddr>,
+    /// Calls of servers.
+    pub calls: Vec<(u64, SocketAddr)>,
     /// Connections of the node to servers, where to, and how many bytes were written.
     links: BTreeMap<u64, (SocketAddr, bool, u64)>,
     viewers: BTreeMap<u64, micadyke_isup::Parser>,
@@ -140,6 +142,7 @@
             servers: made.collect(),
             refusing: BTreeSet::new(),
             vanished: BTreeSet::new(),
+            calls: Vec::new(),
             links: BTreeMap::new(),
             viewers: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -404,6 +407,7 @@
                 }
             }
             Output::Connect { conn, addr } => {
+                self.calls.push((self.now, addr));
                 self.links.insert(conn.0, (addr, false, 0));
                 if self.vanished.contains(&addr) {
                 } else if self.refusing.contains(&addr) || !self.servers.contains_key(&addr) {
--- a/crates/subset/src/lib.rs
+++ b/crates/subset/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`working`]: the subset itself, with the part of a node's traffic for each server ([`plan`]);
 //! - [`widen`]: how a node goes beyond it, at a bounded rate, and comes back;
 //! - [`turns`]: who looks at a silent server in a window, who asks the directory for a zone;
-//! - [`damp`]: the control law by which each node answers its own part of a gap.
+//! - [`damp`]: the control law by which each node answers its own part of a gap;
+//! - [`settings`]: what an operator states.
 #![warn(missing_docs)]
 
 pub mod damp;
 mod error;
 mod hash;
+pub mod settings;
 pub mod turns;
 pub mod widen;
 pub mod working;
--- a/crates/subset/src/turns.rs
+++ b/crates/subset/src/turns.rs
@@ -140,6 +140,19 @@
         self.heard = Some(self.heard.map_or(window, |h| h.max(window)));
     }
 
+    /// Whether somebody acted in the window of `wall` or in the one before.
+    ///
+    /// ```
+    /// use micadyke_subset::{Watch, turns::Terms};
+    /// let (terms, mut watch) = (Terms { window: 4_000, slots: 4 }, Watch::default());
+    /// assert!(!watch.lately(&terms, 4_100));
+    /// watch.heard(&terms, 4_100, 4_100);
+    /// assert!(watch.lately(&terms, 11_900) && !watch.lately(&terms, 12_000));
+    /// ```
+    pub fn lately(&self, terms: &Terms, wall: Nanos) -> bool {
+        self.heard.is_some_and(|h| h.saturating_add(1) >= terms.window_at(wall))
+    }
+
     /// When this node's turn comes in the window of `wall`: at or before `wall`, it acts now, and says so by
     /// [`Watch::heard`]. None if somebody has acted in the window, or the window has no turn for it.
     ///
