--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -386,7 +386,7 @@
             (format!("{membership}\n{subset}"), None),
             (format!("\u{feff}{membership} {subset} ; a word\n(directory)"), None),
             (format!("{membership}\n{subset}{subset}"), Some((2, 47))),
-            (format!("{membership}\n(subset (turns (slots 40)))"), Some((2, 16))),
+            (format!("{membership}\n(subset (turns (slots 40)))"), Some((2, 23))),
             (format!("{membership}\n(subset (turn))"), Some((2, 9))),
             (format!("{membership}\n(subset)\n (stranger)"), Some((3, 2))),
             (format!("{membership}\n(subset"), Some((2, 1))),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod choices;
 pub mod fleet;
+pub mod joined;
 pub mod splits;
 pub mod waits;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! Tables: `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`, what parts of cold budgets are good for; `subsets [SEEDS]`, ways
-//! to draw working subsets; `turns [SEEDS]`, who looks at a silent server; `damped [SEEDS]`, shared figures and who answers.
+//! to draw working subsets; `turns [SEEDS]`, who looks at a silent server; `damped [SEEDS]`, shared figures and who answers;
+//! `joined [SEEDS [NODES [PRICE [ROW]]]]`, subsets and turns in the program as it runs, with a handshake's
+//! price in thousandths of all worth; one row of the table alone, where given.
 //! `micadyke-lab waits [SEEDS [PRICE [MEMBERS [TIMES]]]]`: how much of an oracle's worth learned deadlines reach, as a table;
 //! the price of a second in whole answers, with 60 and 300 members or one of them alone, and
 //! one kind of times alone.
@@ -7,6 +9,7 @@
 
 use micadyke_lab::choices::{self, DRAWS, Followed, Follows};
 use micadyke_lab::fleet::{Fleet, MS, Parts, Plan, SECOND};
+use micadyke_lab::joined::{self, Way};
 use micadyke_lab::splits::{self, FAULTS, Outcome, Splits};
 use micadyke_lab::waits::{self, Times};
 
@@ -197,6 +200,46 @@
     }
 }
 
+/// Subsets and turns joined to the program, on and off, each alone, beside other ways to draw.
+fn joins(seeds: u64, nodes: usize, price: f64, only: usize) {
+    head(
+        "nodes | price of a handshake | subsets | turns | figures | connections a node | handshakes a request | load, most over mean | p99 over mean | served | refused | calls a second at a silent server | set-ups in vain a second | s until its return is known | join moves, over least | 7 in 10 killed move | served then",
+    );
+    let rows = [
+        (Way::All, false, false),
+        (Way::Random, false, false),
+        (Way::Rendezvous, false, false),
+        (Way::Working, false, false),
+        (Way::All, true, false),
+        (Way::All, false, true),
+        (Way::Working, true, false),
+        (Way::Working, true, true),
+    ];
+    let on = |on| if on { "on" } else { "off" };
+    for (way, turns, figures) in
+        rows.into_iter().enumerate().filter(|r| only == 0 || r.0 + 1 == only).map(|r| r.1)
+    {
+        let columns = row(seeds, |seed| {
+            let j = joined::run(joined::Plan { seed, nodes, servers: SERVERS, way, turns, figures, price });
+            [
+                j.connections,
+                j.handshakes,
+                j.most,
+                j.p99,
+                j.served,
+                j.refused,
+                j.calls,
+                j.in_vain,
+                j.known,
+                j.join,
+                j.killed,
+                j.served_killed,
+            ]
+        });
+        println!("| {nodes} | {price} | {way:?} | {} | {} | {columns} |", on(turns), on(figures));
+    }
+}
+
 fn waits(seeds: u64, price: f64, only: u64, like: &str) {
     println!(
         "| members | times | rule | steady | 1st hundred after all took thrice | 2nd hundred | 2nd hundred after the return | whole run |"
@@ -290,6 +333,9 @@
         Some("parts") => parts(number(1, 60) as usize, number(2, 40) as u32, number(3, 10)),
         Some("subsets") => subsets(number(1, 10)),
         Some("turns") => turns(number(1, 10)),
+        Some("joined") => {
+            joins(number(1, 10), number(2, 60) as usize, number(3, 50) as f64 / 1e3, number(4, 0) as usize)
+        }
         Some("damped") => damped(number(1, 10)),
         Some("waits") => waits(
             number(1, 10),
@@ -300,7 +346,7 @@
         Some("splits") => splits(number(1, 1_000)),
         _ => {
             eprintln!(
-                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | waits [SEEDS [PRICE [MEMBERS [TIMES]]]] | splits [SPLITS]"
+                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | joined [SEEDS [NODES [PRICE [ROW]]]] | waits [SEEDS [PRICE [MEMBERS [TIMES]]]] | splits [SPLITS]"
             );
             std::process::exit(2);
         }
