--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -376,6 +376,21 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_node_chooses_with_others_where_the_form_says_so_and_not_where_the_platform_starts_it() {
+        let membership = r#"(membership (fleet "f") (name "n0") (listen "127.0.0.1:7946") (key-file "k"))"#;
+        let told = |text: &str| {
+            let (settings, chooses) = read(text, "n0.sexp", None).expect("sound");
+            let seal = Seal::new(&settings.fleet, &[7; KEY]).expect("long enough");
+            let member = Member { settings, seal, directory: None, chooses };
+            others(Some(&member)).1.and_then(|o| o.chooses).map(|c| c.0)
+        };
+        assert_eq!(told(membership), None);
+        assert_eq!(told(&format!("{membership} (subset (turns))")), Some("n0".into()));
+        // 'run' names no membership: there is nobody to choose with.
+        assert!(others(None).1.is_none());
+    }
+
     #[test]
     fn settings_beside_membership_are_read_by_whose_they_are_and_faults_keep_their_place() {
         let membership = r#"(membership (fleet "f") (name "n0") (listen "127.0.0.1:7946") (key-file "k"))"#;
