What a drawing of subsets costs is stated as measured

The constant's reason guessed the cost of a drawing. Measured: with 200 servers 0.7 ms for 60 nodes, 5 ms for 300 and 40 ms for 2,400.

--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -156,8 +156,11 @@
         );
         let directory = self.desks.get(i).map(|at| format!("(directory (ask \"{at}\"))\n"));
         // Half of them choose servers with the others: nothing between members differs by it.
-        let chooses =
-            if i % 2 == 0 { "(subset (working (least 2)) (turns) (nodes \"n\" (zone \"z\")))\n" } else { "" };
+        let chooses = if i.is_multiple_of(2) {
+            "(subset (working (least 2)) (turns) (nodes \"n\" (zone \"z\")))\n"
+        } else {
+            ""
+        };
         let text = text + &directory.unwrap_or_default() + chooses;
         let path = self.dir.join(format!("n{i}.sexp"));
         std::fs::write(&path, text).expect("written");
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -101,7 +101,7 @@
 // ----- subsets and turns
 
 /// A working subset is drawn again this long after the last at the earliest: views and lists change in bursts, and the
-/// drawing takes the loop's time, some tens of milliseconds for hundreds of nodes.
+/// drawing takes the loop's time: with 200 servers 5 ms for 300 nodes, 40 ms for 2,400.
 pub const REDRAW: Nanos = 2 * SECOND;
 /// A server that turned a set-up away counts as full for so long: a note's usual period.
 pub const FULL: Nanos = 2 * SECOND;
