--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -203,7 +203,7 @@
 /// Subsets and turns joined to the program, on and off, each alone, beside other ways to draw.
 fn joins(seeds: u64, nodes: usize, price: f64, only: usize) {
     head(
-        "nodes | price of a handshake | subsets | turns | figures | connections a node | handshakes a request | load, most over mean | p99 over mean | served | refused | calls a second at a silent server | set-ups in vain a second | s until its return is known | join moves, over least | 7 in 10 killed move | served then",
+        "nodes | price of a handshake | subsets | turns | figures | connections a node | handshakes in 100 requests | load, most over mean | p99 over mean | served in 100 | refused in 100 | calls a second at a silent server | set-ups in vain a second | s until its return is known | join moves, over least | 7 in 10 killed move | served in 100 then",
     );
     let rows = [
         (Way::All, false, false),
@@ -223,17 +223,17 @@
             let j = joined::run(joined::Plan { seed, nodes, servers: SERVERS, way, turns, figures, price });
             [
                 j.connections,
-                j.handshakes,
+                100.0 * j.handshakes,
                 j.most,
                 j.p99,
-                j.served,
-                j.refused,
+                100.0 * j.served,
+                100.0 * j.refused,
                 j.calls,
                 j.in_vain,
                 j.known,
                 j.join,
                 j.killed,
-                j.served_killed,
+                100.0 * j.served_killed,
             ]
         });
         println!("| {nodes} | {price} | {way:?} | {} | {} | {columns} |", on(turns), on(figures));
