--- a/crates/directory/src/answer.rs
+++ b/crates/directory/src/answer.rs
@@ -1,9 +1,10 @@
 //! Answers, and how much they are worth.
 
 use crate::{Key, Nanos};
+use serde::{Deserialize, Serialize};
 
-/// Sessions of a key at a server, as a node's book had them.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Sessions of a key at a server, as a node's book had them; so it is carried as well.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The node.
     pub node: String,
@@ -15,7 +16,7 @@
     pub at: String,
     /// How many sessions.
     pub count: u32,
-    /// When its node last vouched for it, at most: so long before the answer, in milliseconds.
+    /// When its node last vouched for it, at most: so long before the answer, in milliseconds. On its way: before the owner's.
     pub age_ms: u64,
 }
 
--- a/crates/directory/src/asking.rs
+++ b/crates/directory/src/asking.rs
@@ -1,7 +1,6 @@
 //! Questions that this member asked: what has arrived, what is missing, and when the wait is over.
 
 use crate::answer::{Answer, Entry, Report, Why};
-use crate::wire::Row;
 use crate::{Key, MS, Nanos};
 use micadyke_deadline::{Deadline, Open, Waited};
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,7 +15,7 @@
     of: u8,
     covered: Option<Vec<u8>>,
     oldest_ms: u64,
-    rows: Vec<Row>,
+    rows: Vec<Entry>,
 }
 
 /// A page that came.
@@ -26,7 +25,7 @@
     pub cut: bool,
     pub covered: Option<Vec<u8>>,
     pub oldest_ms: u64,
-    pub rows: Vec<Row>,
+    pub rows: Vec<Entry>,
 }
 
 /// A question.
@@ -43,8 +42,8 @@
     gone: BTreeSet<String>,
     busy: BTreeSet<String>,
     pages: BTreeMap<String, Pages>,
-    /// Rows by node and server; whether who told a row vouched for its node's book as well.
-    rows: BTreeMap<(String, String), (bool, Row)>,
+    /// Entrys by node and server; whether who told a row vouched for its node's book as well.
+    rows: BTreeMap<(String, String), (bool, Entry)>,
     me: String,
     /// Those that lived when it was asked, by name, and whether their books are accounted for.
     roster: Vec<(String, bool)>,
@@ -57,7 +56,8 @@
 impl Question {
     /// A question to these, in a view of those; the asker's own rows are told at once.
     pub fn new(
-        key: Key, now: Nanos, limit: Nanos, waited: Vec<Waited>, roster: Vec<String>, me: &str, own: Vec<Row>,
+        key: Key, now: Nanos, limit: Nanos, waited: Vec<Waited>, roster: Vec<String>, me: &str,
+        own: Vec<Entry>,
     ) -> Self {
         let roster = roster.into_iter().map(|n| (n == me, n)).map(|(own, n)| (n, own)).collect();
         let rows = own.into_iter().map(|r| ((r.node.clone(), r.at.clone()), (true, r))).collect();
@@ -137,8 +137,8 @@
         let Some(pages) = self.pages.get_mut(from).filter(|_| self.closed.is_none()) else { return };
         let (bits, rows) = (pages.covered.take().unwrap_or_default(), std::mem::take(&mut pages.rows));
         let covers = |place: usize| bits.get(place / 8).is_some_and(|b| b >> (place % 8) & 1 == 1);
-        let vouched = |row: &Row| self.roster.binary_search_by(|r| r.0.cmp(&row.node)).is_ok_and(covers);
-        let rows: Vec<(bool, Row)> = rows.into_iter().map(|r| (vouched(&r), r)).collect();
+        let vouched = |row: &Entry| self.roster.binary_search_by(|r| r.0.cmp(&row.node)).is_ok_and(covers);
+        let rows: Vec<(bool, Entry)> = rows.into_iter().map(|r| (vouched(&r), r)).collect();
         rows.into_iter().for_each(|r| self.row(r));
         let oldest_ms = self.pages.get(from).map_or(0, |p| p.oldest_ms);
         for (_, held) in self.roster.iter_mut().enumerate().filter(|(place, _)| covers(*place)) {
@@ -147,13 +147,13 @@
         }
     }
 
-    fn row(&mut self, (vouched, row): (bool, Row)) {
+    fn row(&mut self, (vouched, row): (bool, Entry)) {
         // Of the own book nobody else is heard.
         if row.node == self.me {
             return;
         }
         let place = (row.node.clone(), row.at.clone());
-        let rank = |vouched: bool, row: &Row| (vouched, row.start, row.seq);
+        let rank = |vouched: bool, row: &Entry| (vouched, row.start, row.seq);
         if self.rows.get(&place).is_none_or(|held| rank(held.0, &held.1) < rank(vouched, &row)) {
             self.rows.insert(place, (vouched, row));
         }
@@ -194,7 +194,7 @@
         self.closed = Some(now);
         // Pages of those that have not told all: rows that nobody vouches for.
         let rest = self.pages.values_mut().flat_map(|p| std::mem::take(&mut p.rows));
-        let rest: Vec<Row> = rest.collect();
+        let rest: Vec<Entry> = rest.collect();
         rest.into_iter().for_each(|r| self.row((false, r)));
         let required = || self.roster.iter().filter(|r| !self.gone.contains(&r.0));
         let members = required().count();
@@ -223,15 +223,8 @@
         let hint = |node: &str| !whole && place(node).map_or(true, |n| !self.roster[n].1);
         let rows = std::mem::take(&mut self.rows).into_values().filter(|r| r.0 || hint(&r.1.node));
         let rows = rows.map(|r| r.1).filter(|r| r.count > 0);
-        let entry = |r: Row| Entry {
-            node: r.node,
-            start: r.start,
-            seq: r.seq,
-            at: r.at,
-            count: r.count,
-            age_ms: r.age_ms.saturating_add(wait_ms),
-        };
-        Answer::judge(rows.map(entry).collect(), report)
+        let aged = rows.map(|r| Entry { age_ms: r.age_ms.saturating_add(wait_ms), ..r });
+        Answer::judge(aged.collect(), report)
     }
 
     /// It is forgotten: who never answered is told to the deadline.
--- a/crates/directory/src/wire.rs
+++ b/crates/directory/src/wire.rs
@@ -1,7 +1,7 @@
 //! What members say to each other.
 
 use crate::shelf::{Place, Sum, place};
-use crate::{Key, TEXT};
+use crate::{Entry, Key, TEXT};
 use serde::{Deserialize, Serialize};
 
 /// Bytes of a message at most.
@@ -22,17 +22,6 @@
     }
 }
 
-/// A line of an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Row {
-    pub node: String,
-    pub start: u64,
-    pub seq: u64,
-    pub at: String,
-    pub count: u32,
-    pub age_ms: u64,
-}
-
 /// A question: the start of who asks, and its number there.
 pub(crate) type Id = (u64, u64);
 
@@ -75,7 +64,15 @@
     Ask { id: Id, key: Key, view: u64 },
     /// An answer's page. `covered`: members whose books the copy was found equal to, in the order of names, a bit each;
     /// none where the views differ. `cut`: there are more lines than are told.
-    Found { id: Id, page: u8, pages: u8, cut: bool, covered: Option<Vec<u8>>, oldest_ms: u64, rows: Vec<Row> },
+    Found {
+        id: Id,
+        page: u8,
+        pages: u8,
+        cut: bool,
+        covered: Option<Vec<u8>>,
+        oldest_ms: u64,
+        rows: Vec<Entry>,
+    },
     /// Too many ask.
     Busy { id: Id },
     /// Withdrawals known to the sender.
