Questions of the directory wait by what was learned, where '(deadline ...)' is set

Need: the directory waited 150 ms for whoever is slow; what learns waits was joined to nothing.

Change: '(directory (deadline ...))' with curve, price, first guess and most, for each kind of question; without it the wait is as it was. At each arrival, suspicion, word and end of a member the wait is reckoned anew by what is accounted for: an answer weighs the books that it adds, what is missing stands to those that are missing. Who is given up is not waited for; who is suspected, or silent for three rounds, by the chance that such a one lives, as seen so far. Late answers teach; 'too much to do' does not. The own loop is looked at while an answer may come, after the end too, and a timer's grain is no late loop (at 300 members it would have been: nothing was ever learned). Beats carry the zone. Answers say who is missing or given up, the wait, the deadline and a word why; 'ask' prints it; 'check' reads the form and says what it does not promise.

Three processes print it, learned and fixed.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -323,17 +323,30 @@
     if crate::members::is_membership(file) {
         return Ok(
             match checked(file, |text, name| micadyke_membership::settings::read(text, name, None))? {
-                Ok(s) => {
-                    println!(
-                        "{}: sound; {} of fleet {}, {} seeds",
-                        file.display(),
-                        s.name,
-                        s.fleet,
-                        s.seeds.len()
+                Ok(s) => match checked(file, micadyke_directory::settings::read)? {
+                    Ok(directory) => {
+                        println!(
+                            "{}: sound; {} of fleet {}, {} seeds{}",
+                            file.display(),
+                            s.name,
+                            s.fleet,
+                            s.seeds.len(),
+                            if directory.is_some() { ", a directory" } else { "" }
+                        );
+                        let notes = directory.map(|d| d.not_promised(s.expected as usize, s.rate));
+                        for note in notes.into_iter().flatten() {
+                            println!("{}: not promised: directory: {note}", file.display());
+                        }
+                        ExitCode::SUCCESS
+                    }
+                    Err(faults) => refused(&faults),
+                },
+                Err(mut faults) => {
+                    faults.extend(
+                        checked(file, micadyke_directory::settings::read)?.err().into_iter().flatten(),
                     );
-                    ExitCode::SUCCESS
+                    refused(&faults)
                 }
-                Err(faults) => refused(&faults),
             },
         );
     }
--- a/crates/cli/src/desk.rs
+++ b/crates/cli/src/desk.rs
@@ -1,7 +1,6 @@
 //! The directory beside a member: its clock, its letters, and the desk at which people's tools ask it.
 
 use crate::ground::Failure;
-use micadyke_deadline::Fixed;
 use micadyke_directory::settings::Terms;
 use micadyke_directory::{
     self as directory, Answer, Directory, Entry, Error, Input, Key, Output, Progress, Seen,
@@ -28,8 +27,6 @@
 const TOOLS: usize = 16;
 /// A tool says what it wants within this.
 const HURRY: Duration = Duration::from_secs(2);
-/// How long an owner is waited for, until deadlines are learned.
-const WAIT: directory::Nanos = 150 * directory::MS;
 /// Frames of an answer to a tool at most.
 const FRAMES: usize = 512;
 
@@ -66,10 +63,15 @@
 pub fn open(name: &str, terms: Terms) -> (Rc<Desk>, Directed, mpsc::Receiver<Letter>, Post) {
     let (ours, theirs) = Post::pair();
     let (told, ends) = mpsc::channel(ENDS);
-    let settings =
-        directory::Settings { rate: terms.rate, lines: terms.lines, ..directory::Settings::new(name, 0) };
+    let settings = directory::Settings {
+        rate: terms.rate,
+        lines: terms.lines,
+        zone: terms.zone.clone(),
+        ..directory::Settings::new(name, 0)
+    };
+    let waits = terms.waits().expect("settings of deadlines were checked as they were read");
     let desk = Rc::new(Desk {
-        directory: RefCell::new(Directory::new(settings, Box::new(Fixed(WAIT)), directory::SECOND)),
+        directory: RefCell::new(Directory::new(settings, waits, directory::SECOND)),
         // Its time is never 0.
         zero: Instant::now(),
         name: name.to_owned(),
@@ -225,11 +227,12 @@
             }
             _ => {
                 let (answered, answer) = oneshot::channel();
-                let limit = self.now() + self.terms.patience;
+                let limit = self.now() + self.terms.limit(&key);
                 let id = self.directory.borrow_mut().ask(self.now(), key, limit, &mut out)?;
                 self.waiting.borrow_mut().entry(id).or_default().push(answered);
                 self.carry(out);
-                answer.await.map(|a| as_json(&a)).map_err(|_| Error::Rate)
+                let answer = answer.await.map_err(|_| Error::Rate)?;
+                Ok(as_json(&answer, self.terms.deadline.is_some()))
             }
         }
     }
@@ -241,7 +244,7 @@
         "confirmed": progress.confirmed, "waits": waits})
 }
 
-fn as_json(answer: &Answer) -> Value {
+fn as_json(answer: &Answer, learned: bool) -> Value {
     let report = answer.report();
     let entry = |e: &Entry| json!({"node": e.node, "start": e.start, "server": e.at, "sessions": e.count, "seq": e.seq, "age_ms": e.age_ms});
     // A partial answer's words are others than a whole one's.
@@ -259,12 +262,16 @@
     told["asked"] = json!(report.asked);
     told["answered"] = json!(report.answered);
     told["busy"] = json!(report.busy);
+    told["missing"] = json!(report.missing());
+    told["given_up"] = json!(report.given_up);
     told["weight"] = json!(report.weight());
     told["members"] = json!([report.covered, report.members]);
     told["oldest_ms"] = json!(report.oldest_ms);
     told["cut"] = json!(report.cut);
     told["deadline_ms"] = json!(wait(report.deadline));
     told["took_ms"] = json!(wait(report.ended_at));
+    told["wait"] = json!(if learned { "learned" } else { "fixed" });
+    told["why"] = json!(report.ended.word());
     told["ended"] = json!(report.ended.to_string());
     told
 }
@@ -357,17 +364,27 @@
             (format!("PARTIAL: at least {} sessions", told["sessions_at_least"]), &told["entries_at_least"])
         }
     };
+    let number = |name: &str| told[name].as_f64().unwrap_or_default();
     let mut text = format!(
-        "{} {sum}; books of {} of {} members, the oldest word {} ms old; {} of {} answered in {:.1} ms: {}\n",
+        "{} {sum}; books of {} of {} members (weight {:.2}), the oldest word {} ms old; {} of {} answered in {:.1} ms, the {} deadline was {:.1} ms: {}\n",
         told["about"].as_str().unwrap_or_default(),
         told["members"][0],
         told["members"][1],
+        number("weight"),
         told["oldest_ms"],
         list(&told["answered"]).len(),
         list(&told["asked"]).len(),
-        told["took_ms"].as_f64().unwrap_or_default(),
+        number("took_ms"),
+        told["wait"].as_str().unwrap_or_default(),
+        number("deadline_ms"),
         told["ended"].as_str().unwrap_or_default(),
     );
+    for what in ["missing", "busy", "given_up"] {
+        let names = list(&told[what]);
+        if !names.is_empty() {
+            text += &format!("  {}: {}\n", what.replace('_', " "), names.join(", "));
+        }
+    }
     for e in entries.as_array().into_iter().flatten() {
         let word = |name: &str| e[name].as_str().unwrap_or_default().to_owned();
         text += &format!(
--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -94,6 +94,9 @@
     }
 }
 
+/// How members' directories learn to wait.
+const LEARNS: &str = r#"(deadline (usual (curve 0% 0% 50% 30% 100% 100%) (price 0.001) (first 5ms) (most 300ms)) (kind "viewer" (price 0.01)))"#;
+
 /// Exit code and answer of the directory.
 type Told = (Option<i32>, serde_json::Value);
 
@@ -154,7 +157,10 @@
             advertised[1],
             self.listen.len()
         );
-        let directory = self.desks.get(i).map(|at| format!("(directory (ask \"{at}\"))\n"));
+        // The last one's waits are fixed.
+        let learns = if i + 1 < self.listen.len() { LEARNS } else { "" };
+        let directory =
+            self.desks.get(i).map(|at| format!("(directory (ask \"{at}\") (zone \"z{i}\") {learns})\n"));
         let text = text + &directory.unwrap_or_default();
         let path = self.dir.join(format!("n{i}.sexp"));
         std::fs::write(&path, text).expect("written");
@@ -439,6 +445,32 @@
     assert_eq!(files, Vec::<PathBuf>::new());
 }
 
+/// An answer of the directory says who was asked and answered, what part of the whole it is, how old, and when it was to
+/// end and why it did; and is whole just where each book is accounted for and nothing was left out.
+fn says_how_it_came_about(answer: &serde_json::Value, wait: &str, most: f64) {
+    let names = |what: &str| -> BTreeSet<String> {
+        let list = answer[what].as_array().unwrap_or_else(|| panic!("{what} lacks in {answer}"));
+        list.iter().map(|n| n.as_str().expect("a name").to_owned()).collect()
+    };
+    let number = |what: &str| answer[what].as_f64().unwrap_or_else(|| panic!("{what} lacks in {answer}"));
+    let (asked, answered, missing) = (names("asked"), names("answered"), names("missing"));
+    assert!(answered.is_subset(&asked) && missing.is_subset(&asked), "{answer}");
+    assert!(missing.is_disjoint(&answered) && answer["wait"] == wait, "{answer}");
+    let (covered, members) = (answer["members"][0].as_u64(), answer["members"][1].as_u64());
+    let weight = covered.expect("a number") as f64 / members.expect("a number") as f64;
+    assert!((number("weight") - weight).abs() < 1e-9 && number("oldest_ms") >= 0.0, "{answer}");
+    assert_eq!(answer["whole"] == true, covered == members && answer["cut"] == false, "{answer}");
+    assert_eq!(answer["whole"] == true, answer["sessions_at_least"].is_null(), "{answer}");
+    assert_ne!(answer["whole"] == true, answer["sessions"].is_null(), "{answer}");
+    // The deadline lies within the patience; how late the process is beyond it is the machine's.
+    assert!((0.0..=most).contains(&number("deadline_ms")), "{answer}");
+    let why = answer["why"].as_str().expect("a word");
+    assert!(["covered", "all-answered", "not-worth", "patience", "given-up"].contains(&why), "{answer}");
+    assert_eq!(why == "covered", answer["whole"] == true, "{answer}");
+    // Who was waited for to the end is named.
+    assert_eq!(matches!(why, "not-worth" | "patience"), !missing.is_empty() && why != "covered", "{answer}");
+}
+
 #[tokio::test(flavor = "current_thread")]
 async fn a_directory_answers_whole_and_a_withdrawal_waits_for_one_that_stands_still() {
     let mut f = Fleet::new("directory", 3, 5);
@@ -447,10 +479,13 @@
     drop(held);
     (0..3).for_each(|i| f.start(i));
     f.settles().await;
-    let ask = |extra: &[&str]| -> Told {
+    let told = |at: usize, what: [&str; 2], extra: &[&str]| {
         let mut command = Command::new(BINARY);
-        command.args(["ask", "title", "t1", "--json", "--at", &f.desks[0].to_string(), "--membership"]);
-        let out = command.arg(f.dir.join("n0.sexp")).args(extra).output().expect("it runs");
+        command.arg("ask").args(what).args(["--at", &f.desks[at].to_string(), "--membership"]);
+        command.arg(f.dir.join("n0.sexp")).args(extra).output().expect("it runs")
+    };
+    let ask = |extra: &[&str]| -> Told {
+        let out = told(0, ["title", "t1"], &[&["--json"], extra].concat());
         (out.status.code(), serde_json::from_slice(&out.stdout).unwrap_or_default())
     };
     let until = async |done: &dyn Fn(&Told) -> bool, extra: &[&str]| {
@@ -466,6 +501,26 @@
     };
     let whole = until(&|g| g.0 == Some(0) && g.1["answer"]["whole"] == true, &[]).await;
     assert_eq!((&whole["answer"]["sessions"], &whole["answer"]["members"][1]), (&0.into(), &3.into()));
+    says_how_it_came_about(&whole["answer"], "learned", 300.0);
+    // In words, at one whose waits are fixed, while one does not answer: what is not whole is not called so.
+    f.signal(1, "-STOP");
+    for n in 0..12 {
+        let (title, json) = (format!("t{n}"), ["--json"]);
+        for (at, wait, most) in [(0, "learned", 300.0), (2, "fixed", 150.0)] {
+            let out = told(at, ["title", &title], &json);
+            let answer: serde_json::Value = serde_json::from_slice(&out.stdout).expect("an answer");
+            let answer = &answer["answer"];
+            assert_eq!(answer["whole"] == true, out.status.code() == Some(0), "{answer}");
+            says_how_it_came_about(answer, wait, most);
+        }
+    }
+    let words = told(2, ["title", "t1"], &[]);
+    let text = String::from_utf8_lossy(&words.stdout).into_owned();
+    assert_eq!(text.contains(" whole: "), words.status.code() == Some(0), "{text}");
+    assert_eq!(text.contains(" PARTIAL: "), words.status.code() == Some(3), "{text}");
+    assert!(text.contains("the fixed deadline was") && text.contains("weight"), "{text}");
+    f.signal(1, "-CONT");
+    until(&|g| g.0 == Some(0) && g.1["answer"]["whole"] == true, &[]).await;
     f.signal(2, "-STOP");
     let waits = |g: &Told| g.0 == Some(3) && g.1["answer"]["waits"].to_string().contains("n2");
     until(&waits, &["--withdraw", "1h"]).await;
--- a/crates/deadline/src/decide.rs
+++ b/crates/deadline/src/decide.rs
@@ -199,8 +199,9 @@
 /// See [`decide`].
 pub(crate) fn decide_by(worth: &Worth, now: Nanos, open: &Open, laws: &[&Law]) -> Nanos {
     let now = now.max(open.asked_at);
-    if now >= open.limit {
-        return open.limit;
+    let limit = open.limit.min(open.asked_at.saturating_add(worth.most));
+    if now >= limit {
+        return limit;
     }
     let whole: f64 = open.waited.iter().filter(|w| w.counts()).map(|w| w.weight).sum();
     let spent = now - open.asked_at;
@@ -224,13 +225,13 @@
     let price = worth.price / crate::MS as f64;
     let (mut best, mut until, mut cost, mut from, mut not_all) = (0.0, now, 0.0, now, 1.0);
     for b in bin(spent)..=BINS {
-        let end = if b < BINS { open.asked_at.saturating_add(edge(b)).min(open.limit) } else { open.limit };
+        let end = if b < BINS { open.asked_at.saturating_add(edge(b)).min(limit) } else { limit };
         if end <= from {
             continue;
         }
         let (mut mean, mut var, mut all) = (here, 0.0, 1.0);
         for m in &missing {
-            let by = if end < open.limit { m.law.at(b, 0) } else { m.law.by(end - open.asked_at) };
+            let by = if end < limit { m.law.at(b, 0) } else { m.law.by(end - open.asked_at) };
             let p = m.lives * ((by - m.so_far) / (1.0 - m.so_far).max(1e-9)).clamp(0.0, 1.0);
             mean += m.part * p;
             var += m.part * m.part * p * (1.0 - p);
@@ -246,7 +247,7 @@
             (best, until) = (value, end);
         }
         // Nothing that is still missing pays for more.
-        if end >= open.limit || worth.of(can) - stands <= cost {
+        if end >= limit || worth.of(can) - stands <= cost {
             break;
         }
     }
--- a/crates/deadline/src/settings.rs
+++ b/crates/deadline/src/settings.rs
@@ -3,7 +3,7 @@
 //! ```text
 //! (deadline
 //!   (remember 48)                                    ; what was heard counts a third after so many questions
-//!   (usual (curve 0% 0% 100% 100%) (price 0.0005) (first 20ms))
+//!   (usual (curve 0% 0% 100% 100%) (price 0.0005) (first 20ms) (most 300ms))
 //!   (kind "where" (curve 0% 0% 50% 80% 100% 100%) (price 0.002)))    ; the rest as usual
 //! ```
 
@@ -14,6 +14,8 @@
 
 /// Points of a curve at most.
 pub const MOST_POINTS: usize = 32;
+/// The longest time that may be stated.
+const LONGEST: Nanos = 10_000 * MS;
 /// Kinds of question at most: what further ones bring is not learned from, their first guess stands.
 pub const MOST_KINDS: usize = 16;
 
@@ -38,6 +40,9 @@
     /// The first guess.
     #[error("first: {0} ns does not lie within 1 ms and 10 s")]
     First(Nanos),
+    /// The longest wait.
+    #[error("most: {0} ns does not lie within 1 ms and 10 s")]
+    Most(Nanos),
     /// What is remembered.
     #[error("remember: {0} questions; 8 to 4096 are due")]
     Remember(u32),
@@ -64,6 +69,9 @@
             Error::First(_) => {
                 "State about how long an answer usually takes; it only guides the first questions."
             }
+            Error::Most(_) => {
+                "State the longest wait that is of use, or leave it out: patience bounds it then."
+            }
             Error::Remember(_) => "Leave it out: 48 questions find a change within 200.",
             Error::Kinds(_) => "Give kinds that are worth the same one number.",
         }
@@ -87,17 +95,23 @@
     pub price: f64,
     /// An answer's usual time, in nanoseconds: guides until answers were heard.
     pub first: Nanos,
+    /// No wait is longer whatever was learned, in nanoseconds; the asker's patience may be shorter.
+    pub most: Nanos,
 }
 
 impl Default for Worth {
-    /// Worth what it holds, 2 s at most, 20 ms at first.
+    /// Worth what it holds, nothing after 2 s, 20 ms at first; only the asker's patience bounds the wait.
     fn default() -> Self {
-        Worth { curve: vec![(0.0, 0.0), (1.0, 1.0)], price: 0.0005, first: 20 * MS }
+        Worth { curve: vec![(0.0, 0.0), (1.0, 1.0)], price: 0.0005, first: 20 * MS, most: LONGEST }
     }
 }
 
 impl Worth {
     /// What a completeness is worth.
+    ///
+    /// ```
+    /// assert_eq!(micadyke_deadline::Worth::default().of(0.4), 0.4);
+    /// ```
     pub fn of(&self, completeness: f64) -> f64 {
         let c = completeness.clamp(0.0, 1.0);
         let after = self.curve.partition_point(|p| p.0 < c);
@@ -109,6 +123,11 @@
     }
 
     /// What a completeness is worth after a span, in nanoseconds.
+    ///
+    /// ```
+    /// // Half of it after a second, at 0.0005 a millisecond.
+    /// assert_eq!(micadyke_deadline::Worth::default().after(0.5, 1_000_000_000), 0.0);
+    /// ```
     pub fn after(&self, completeness: f64, took: Nanos) -> f64 {
         self.of(completeness) - self.price * took as f64 / MS as f64
     }
@@ -116,6 +135,11 @@
     /// # Errors
     ///
     /// The first fault.
+    ///
+    /// ```
+    /// use micadyke_deadline::{Error, Worth};
+    /// assert_eq!(Worth { most: 0, ..Worth::default() }.check(), Err(Error::Most(0)));
+    /// ```
     pub fn check(&self) -> Result<(), Error> {
         let (Some(first), Some(last), 2..=MOST_POINTS) =
             (self.curve.first(), self.curve.last(), self.curve.len())
@@ -136,9 +160,12 @@
         if !(self.price > 0.0 && self.price <= 1.0) {
             return Err(Error::Price(self.price));
         }
-        if !(MS..=10_000 * MS).contains(&self.first) {
+        if !(MS..=LONGEST).contains(&self.first) {
             return Err(Error::First(self.first));
         }
+        if !(MS..=LONGEST).contains(&self.most) {
+            return Err(Error::Most(self.most));
+        }
         Ok(())
     }
 }
@@ -173,6 +200,11 @@
 
 impl Settings {
     /// What answers of a kind are worth.
+    ///
+    /// ```
+    /// let settings = micadyke_deadline::Settings::default();
+    /// assert_eq!(settings.worth(7), &settings.usual);
+    /// ```
     pub fn worth(&self, kind: u8) -> &Worth {
         self.kinds.get(&kind).unwrap_or(&self.usual)
     }
@@ -180,6 +212,11 @@
     /// # Errors
     ///
     /// The first fault.
+    ///
+    /// ```
+    /// use micadyke_deadline::{Error, Settings};
+    /// assert_eq!(Settings { remember: 1, ..Settings::default() }.check(), Err(Error::Remember(1)));
+    /// ```
     pub fn check(&self) -> Result<(), Error> {
         if self.kinds.len() > MOST_KINDS {
             return Err(Error::Kinds(self.kinds.len()));
@@ -228,11 +265,12 @@
 
 /// Reads what answers are worth; `or` where a part is missing.
 fn worth(form: &Form, or: &Worth) -> Worth {
-    form.allow(&["curve", "price", "first"], &[]);
+    form.allow(&["curve", "price", "first", "most"], &[]);
     let mut read = Worth {
         curve: or.curve.clone(),
         price: form.get("price", Unit::Number, (0.0, 1.0), Some(or.price)),
         first: form.get("first", Unit::Time, (1e6, 10e9), Some(or.first as f64)) as Nanos,
+        most: form.get("most", Unit::Time, (1e6, 10e9), Some(or.most as f64)) as Nanos,
     };
     if let Some(curve) = form.part("curve") {
         let shares =
--- a/crates/deadline/tests/hard_points.rs
+++ b/crates/deadline/tests/hard_points.rs
@@ -202,6 +202,15 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+#[test]
+fn no_wait_is_longer_than_the_most_that_is_stated() {
+    let usual = Worth { price: 1e-6, most: 40 * MS, ..Worth::default() };
+    let mut a = Asker::new(1e-6, None);
+    assert!(a.wait(0, &twenty(), &NAMES, 1.0) > 40);
+    a.learned = Learned::new(Settings { usual, ..Settings::default() }).expect("sound");
+    assert_eq!(a.wait(0, &twenty(), &NAMES, 1.0), 40);
+}
+
 #[test]
 fn a_part_that_will_not_come_counts_in_the_whole_and_is_not_waited_for() {
     let mut a = Asker::new(0.0005, None);
--- a/crates/deadline/tests/settings.rs
+++ b/crates/deadline/tests/settings.rs
@@ -20,6 +20,7 @@
         (curve(&[(0.0, 0.0), (0.5, 0.1), (0.5, 0.8), (1.0, 1.0)]), Error::Falls(0.5, 0.8)),
         (usual(Worth { price: 0.0, ..Worth::default() }), Error::Price(0.0)),
         (usual(Worth { first: 1, ..Worth::default() }), Error::First(1)),
+        (usual(Worth { most: 1, ..Worth::default() }), Error::Most(1)),
         (Settings { remember: 2, ..Settings::default() }, Error::Remember(2)),
         (
             Settings { kinds: (0..17).map(|k| (k, Worth::default())).collect(), ..Settings::default() },
@@ -32,7 +33,7 @@
         said.insert(fault.advice());
         assert!(!fault.to_string().contains(fault.advice()));
     }
-    assert_eq!(said.len(), 8, "each has advice of its own");
+    assert_eq!(said.len(), 9, "each has advice of its own");
     let unknown = curve(&[(0.0, f64::NAN), (1.0, 1.0)]).check();
     assert!(matches!(unknown, Err(Error::Outside(..))), "{unknown:?}");
 }
@@ -60,6 +61,7 @@
         ("(usual (curve 0% nothing))", "not a share"),
         ("(usual (price 0))", "patience"),
         ("(usual (prise 1))", "'price'?"),
+        ("(usual (most 1us))", "most"),
         ("(remember 2)", "no whole number"),
     ];
     for (part, what) in table {
--- a/crates/directory/src/answer.rs
+++ b/crates/directory/src/answer.rs
@@ -58,6 +58,8 @@
     pub answered: Vec<String>,
     /// Who had too much to do.
     pub busy: Vec<String>,
+    /// Who was asked, or lived when it was, and was given up by the view meanwhile: no part of the whole.
+    pub given_up: Vec<String>,
     /// Living members in the asker's view, itself included.
     pub members: usize,
     /// Members whose books are accounted for.
@@ -76,11 +78,52 @@
     pub ended: Why,
 }
 
+impl Why {
+    /// The word for it that programs read.
+    ///
+    /// ```
+    /// assert_eq!(micadyke_directory::Why::NotWorth.word(), "not-worth");
+    /// ```
+    pub fn word(self) -> &'static str {
+        match self {
+            Why::Covered => "covered",
+            Why::AllAnswered => "all-answered",
+            Why::NotWorth => "not-worth",
+            Why::Patience => "patience",
+            Why::Gone => "given-up",
+        }
+    }
+}
+
 impl Report {
     /// The part of the living members whose books are accounted for, 0 to 1.
+    ///
+    /// ```
+    /// use micadyke_deadline::Fixed;
+    /// use micadyke_directory::{Directory, Input, Key, MS, Output, SECOND, Seen, Settings};
+    ///
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Wake, &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// // n2 never answered: half of the two books are accounted for.
+    /// let answer = out.iter().find_map(|o| if let Output::Answered { answer, .. } = o { Some(answer) } else { None });
+    /// let report = answer.unwrap().report();
+    /// assert_eq!((report.weight(), report.missing(), report.ended.word()), (0.5, vec!["n2"], "not-worth"));
+    /// # Ok::<(), micadyke_directory::Error>(())
+    /// ```
     pub fn weight(&self) -> f64 {
         self.covered as f64 / self.members.max(1) as f64
     }
+
+    /// Who was asked and neither answered, nor was busy, nor was given up; see [`Report::weight`].
+    pub fn missing(&self) -> Vec<&str> {
+        let heard = [&self.answered, &self.busy, &self.given_up];
+        let silent = self.asked.iter().filter(|a| !heard.iter().any(|h| h.contains(a)));
+        silent.map(String::as_str).collect()
+    }
 }
 
 /// An answer in which the book of each living member is accounted for. Nothing but the directory makes one.
--- a/crates/directory/src/asking.rs
+++ b/crates/directory/src/asking.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{Answer, Entry, Report, Why};
 use crate::{Key, MS, Nanos};
-use micadyke_deadline::{Deadline, Open, Waited};
+use micadyke_deadline::{Deadline, LOST, Open, Waited};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Pages of an answer at most: a title that plays at more servers and nodes than these hold is told in part.
@@ -84,23 +84,57 @@
         self.limit
     }
 
-    /// Asks the deadline anew.
+    pub fn asked_at(&self) -> Nanos {
+        self.asked_at
+    }
+
+    /// Whether an answer may still come, in time or late.
+    pub fn awaits(&self) -> bool {
+        self.waited.iter().any(|w| w.arrived.is_none() && !self.gone.contains(&w.name))
+    }
+
+    /// Asks the deadline anew, of those that the view has not given up.
     pub fn reckon(&mut self, now: Nanos, deadline: &mut dyn Deadline) {
-        // Who was given up is not waited for; what is known here came from nobody.
-        let others = self.waited.iter().filter(|w| w.name != self.me);
-        let waited = others.filter(|w| !self.gone.contains(&w.name) && !self.busy.contains(&w.name));
-        let waited = waited.cloned().collect();
+        // What is known here came from nobody.
+        let others = |w: &&Waited| w.name != self.me;
+        let counts = |w: &&Waited| !self.gone.contains(&w.name) && !self.busy.contains(&w.name);
+        let mut waited: Vec<Waited> = self.waited.iter().filter(others).filter(counts).cloned().collect();
+        if waited.is_empty() {
+            self.until = now.min(self.limit);
+            return;
+        }
+        // A book that is accounted for stands to who covered it first; what is not yet, to those that are missing alike.
+        let (members, covered) = self.covered();
+        let rest = (members - covered) as f64 / members.max(1) as f64;
+        let missing = waited.iter().filter(|w| w.arrived.is_none()).count().max(1) as f64;
+        waited.iter_mut().filter(|w| w.arrived.is_none()).for_each(|w| w.weight = rest / missing);
+        let known = 1.0 - waited.iter().map(|w| w.weight).sum::<f64>();
+        if known > 0.0 {
+            // Known here from the start: a part of the whole, and no word of how quick others are.
+            let (name, zone) = (self.me.clone(), String::new());
+            waited.push(Waited { name, zone, weight: known, lives: LOST, arrived: Some(self.asked_at) });
+        }
         let open = Open { kind: self.key.parts().0, asked_at: self.asked_at, limit: self.limit, waited };
         self.until = deadline.until(now, &open).min(self.limit);
     }
 
-    fn arrived(&mut self, now: Nanos, from: &str, deadline: &mut dyn Deadline) {
+    /// Books that are due, and those of them that are accounted for.
+    fn covered(&self) -> (usize, usize) {
+        let due = self.roster.iter().filter(|r| !self.gone.contains(&r.0));
+        due.fold((0, 0), |(all, covered), r| (all + 1, covered + usize::from(r.1)))
+    }
+
+    /// An answer is there, with so many books that were not accounted for before; none: it said that it has too much to do,
+    /// which is no word of how quick its answers are.
+    fn arrived(&mut self, now: Nanos, from: &str, books: Option<usize>, deadline: &mut dyn Deadline) {
         let (kind, took, own) = (self.key.parts().0, now - self.asked_at, self.own_delay);
+        let members = self.covered().0.max(1) as f64;
         let Some(waited) = self.waited.iter_mut().find(|w| w.name == from && w.arrived.is_none()) else {
             return;
         };
         waited.arrived = Some(now);
-        if from != self.me {
+        waited.weight = books.unwrap_or_default() as f64 / members;
+        if from != self.me && books.is_some() {
             deadline.arrived(kind, from, &waited.zone, took, own);
         }
         if self.closed.is_none() {
@@ -127,24 +161,27 @@
             self.cut |= page.cut;
         }
         if pages.seen.len() == usize::from(pages.of) {
-            self.complete(from);
-            self.arrived(now, from, deadline);
+            let books = self.complete(from);
+            self.arrived(now, from, Some(books), deadline);
         }
     }
 
-    /// All pages of an owner are there.
-    fn complete(&mut self, from: &str) {
-        let Some(pages) = self.pages.get_mut(from).filter(|_| self.closed.is_none()) else { return };
+    /// All pages of an owner are there: how many books are accounted for by them first.
+    fn complete(&mut self, from: &str) -> usize {
+        let Some(pages) = self.pages.get_mut(from).filter(|_| self.closed.is_none()) else { return 0 };
         let (bits, rows) = (pages.covered.take().unwrap_or_default(), std::mem::take(&mut pages.rows));
         let covers = |place: usize| bits.get(place / 8).is_some_and(|b| b >> (place % 8) & 1 == 1);
         let vouched = |row: &Entry| self.roster.binary_search_by(|r| r.0.cmp(&row.node)).is_ok_and(covers);
         let rows: Vec<(bool, Entry)> = rows.into_iter().map(|r| (vouched(&r), r)).collect();
         rows.into_iter().for_each(|r| self.row(r));
         let oldest_ms = self.pages.get(from).map_or(0, |p| p.oldest_ms);
+        let mut books = 0;
         for (_, held) in self.roster.iter_mut().enumerate().filter(|(place, _)| covers(*place)) {
+            books += usize::from(!held.1);
             held.1 = true;
             self.oldest_ms = self.oldest_ms.max(oldest_ms);
         }
+        books
     }
 
     fn row(&mut self, (vouched, row): (bool, Entry)) {
@@ -163,13 +200,27 @@
     pub fn busy(&mut self, now: Nanos, from: &str, deadline: &mut dyn Deadline) {
         if self.waited.iter().any(|w| w.name == from) {
             self.busy.insert(from.to_owned());
-            self.arrived(now, from, deadline);
+            self.arrived(now, from, None, deadline);
         }
     }
 
-    /// The view gave it up.
-    pub fn gone(&mut self, name: &str) {
-        self.gone.insert(name.to_owned());
+    /// The view gave it up: it is not waited for.
+    pub fn gone(&mut self, now: Nanos, name: &str, deadline: &mut dyn Deadline) {
+        let due = self.roster.binary_search_by(|r| r.0.as_str().cmp(name)).is_ok();
+        if due && self.gone.insert(name.to_owned()) && self.closed.is_none() {
+            self.reckon(now, deadline);
+        }
+    }
+
+    /// The chance that it lives is another one.
+    pub fn lives(&mut self, now: Nanos, name: &str, chance: f64, deadline: &mut dyn Deadline) {
+        let Some(waited) = self.waited.iter_mut().find(|w| w.name == name && w.arrived.is_none()) else {
+            return;
+        };
+        waited.lives = chance;
+        if self.closed.is_none() {
+            self.reckon(now, deadline);
+        }
     }
 
     /// Why it is over, if it is.
@@ -196,9 +247,7 @@
         let rest = self.pages.values_mut().flat_map(|p| std::mem::take(&mut p.rows));
         let rest: Vec<Entry> = rest.collect();
         rest.into_iter().for_each(|r| self.row((false, r)));
-        let required = || self.roster.iter().filter(|r| !self.gone.contains(&r.0));
-        let members = required().count();
-        let covered = required().filter(|r| r.1).count();
+        let (members, covered) = self.covered();
         let names =
             |of: &dyn Fn(&&Waited) -> bool| self.waited.iter().filter(of).map(|w| w.name.clone()).collect();
         let report = Report {
@@ -206,6 +255,7 @@
             asked: names(&|_| true),
             answered: names(&|w| w.arrived.is_some() && !self.busy.contains(&w.name)),
             busy: self.busy.iter().cloned().collect(),
+            given_up: self.gone.iter().cloned().collect(),
             members,
             covered: if without_judgement { members } else { covered },
             oldest_ms: self.oldest_ms,
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -8,12 +8,14 @@
 use crate::wire::{LONGEST, Message, read, write};
 use crate::withdrawal::{FOLLOWERS, Progress, Said, Table, Track};
 use crate::{Key, MS, Nanos, Owners, Point, Rendezvous, SECOND, folded, hash};
+use doubt::Doubt;
 use micadyke_deadline::Deadline;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 mod book;
 mod decrees;
+mod doubt;
 mod questions;
 
 /// Bytes a second where none are stated: half of membership's, which carries them and adds its frame.
@@ -33,6 +35,16 @@
 const SLACK: Nanos = SECOND;
 /// Changes of the view within this time make one change of the map.
 const MAP_LAG: Nanos = 100 * MS;
+/// The longest name of a zone that is carried, in bytes.
+pub(crate) const ZONE: usize = 32;
+/// A member of which nothing was heard for so many rounds may be dead.
+const ROUNDS_SILENT: u64 = 3;
+/// A timer is late by so much where the loop is not.
+const GRAIN: Nanos = 2 * MS;
+/// While an answer may come, the own loop is looked at so often: a sixteenth of what the youngest question has taken, and no
+/// sooner than this. What is learned from leaves out spans of which the loop was late in an eighth.
+const PULSE: Nanos = 5 * MS;
+const PULSES: u64 = 16;
 /// Maps that are remembered: older words of members' books count for nothing.
 const MAPS: usize = 16;
 /// Room for lines in a message beside its head.
@@ -53,6 +65,23 @@
 /// Parts of the rate, in hundredths.
 const LANES: [u64; 4] = [40, 10, 20, 30];
 
+/// Time from one beat to the next, to so many others.
+fn interval(rate: u64, zone: &str, peers: usize) -> Nanos {
+    let bytes = BEAT + zone.len() as u64;
+    let by_rate = bytes * SECOND * 100 / (rate * LANES[Lane::Beat as usize]).max(1);
+    by_rate.max(ROUND / peers.max(1) as u64)
+}
+
+/// Time in which so many others are beaten once.
+fn round(rate: u64, zone: &str, peers: usize) -> Nanos {
+    interval(rate, zone, peers) * peers.max(1) as u64
+}
+
+/// See [`Directory::bound`].
+pub(crate) fn bound(rate: u64, zone: &str, peers: usize) -> Nanos {
+    COVERED * round(rate, zone, peers) + SLACK
+}
+
 /// What a directory is told at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -60,7 +89,7 @@
     pub name: String,
     /// Its start.
     pub start: u64,
-    /// Its zone.
+    /// Its zone, told to the others; empty where there are none.
     pub zone: String,
     /// Bytes a second sent at most, beyond 16 KiB at one time for each of four kinds.
     pub rate: u64,
@@ -244,6 +273,8 @@
     start: u64,
     zone: String,
     suspected: bool,
+    /// When anything was heard of it; spans in which the own loop was late count for nothing.
+    heard_at: Nanos,
     /// Its time, as last heard.
     mark: u64,
     /// Its withdrawals were others at its last beat; and when it was last told all.
@@ -300,6 +331,9 @@
     flush_at: Nanos,
     questions: BTreeMap<u64, Question>,
     question: u64,
+    /// When the own loop is looked at.
+    pulse_at: Nanos,
+    doubt: Doubt,
     table: Table,
     tracks: BTreeMap<Key, Track>,
     look_at: Nanos,
@@ -342,6 +376,8 @@
             flush_at: Nanos::MAX,
             questions: BTreeMap::new(),
             question: 0,
+            pulse_at: Nanos::MAX,
+            doubt: Doubt::default(),
             table: Table::default(),
             tracks: BTreeMap::new(),
             look_at: Nanos::MAX,
@@ -381,12 +417,11 @@
 
     /// Time in which each living member is beaten once.
     fn round(&self) -> Nanos {
-        self.interval() * self.peers.len().max(1) as u64
+        round(self.settings.rate, &self.settings.zone, self.peers.len())
     }
 
     fn interval(&self) -> Nanos {
-        let by_rate = BEAT * SECOND * 100 / (self.settings.rate * LANES[Lane::Beat as usize]).max(1);
-        by_rate.max(ROUND / self.peers.len().max(1) as u64)
+        interval(self.settings.rate, &self.settings.zone, self.peers.len())
     }
 
     /// The bound: what stood in a living member's book for longer than that before a question was asked, and still does, is
@@ -401,7 +436,7 @@
     /// assert_eq!(alone.bound(), 5 * SECOND);
     /// ```
     pub fn bound(&self) -> Nanos {
-        COVERED * self.round() + SLACK
+        bound(self.settings.rate, &self.settings.zone, self.peers.len())
     }
 
     /// Digest of this member's copy of a member's book, or of its own book as far as it owns it; and of how many lines.
@@ -443,7 +478,7 @@
     pub fn wake_at(&self) -> Nanos {
         let questions = self.questions.values().map(|q| q.closed.map_or(q.until, |at| at + questions::LATE));
         let again = self.tracks.values().filter(|t| !t.ended).map(|t| t.again_at);
-        let timers = [self.map_at, self.flush_at, self.look_at, self.table.next_end()];
+        let timers = [self.map_at, self.flush_at, self.look_at, self.table.next_end(), self.pulse_at];
         let beat = if self.peers.is_empty() { Nanos::MAX } else { self.beat_at };
         questions.chain(again).chain(timers).min().unwrap_or(Nanos::MAX).min(beat)
     }
@@ -479,8 +514,12 @@
     fn turn(&mut self, now: Nanos) {
         let late = now.saturating_sub(self.wake_at().max(self.now));
         self.now = self.now.max(now);
-        // A loop that was late has not looked at what came meanwhile: the span is its own.
-        self.questions.values_mut().filter(|q| q.closed.is_none()).for_each(|q| q.own_delay += late);
+        if late <= GRAIN {
+            return;
+        }
+        // A loop that was late has not looked at what came meanwhile: the span is its own, and nobody's silence.
+        self.questions.values_mut().filter(|q| q.awaits()).for_each(|q| q.own_delay += late);
+        self.peers.values_mut().for_each(|p| p.heard_at = (p.heard_at + late).min(now));
     }
 
     fn due(&mut self) {
@@ -540,7 +579,10 @@
                 self.lost.remove(&(name.clone(), start));
                 match self.peers.get_mut(&name) {
                     Some(peer) if peer.start == start => {
-                        peer.suspected = false;
+                        if !zone.is_empty() {
+                            peer.zone = zone;
+                        }
+                        self.clear(&name);
                         return;
                     }
                     Some(peer) if peer.start > start => return,
@@ -556,15 +598,15 @@
             }
             Seen::Suspected(name) => {
                 self.peers.get_mut(&name).into_iter().for_each(|p| p.suspected = true);
-                return;
-            }
-            Seen::Cleared(name) => {
-                self.peers.get_mut(&name).into_iter().for_each(|p| p.suspected = false);
-                return;
+                return self.wait_for(&name);
             }
+            Seen::Cleared(name) => return self.clear(&name),
             Seen::Down(name) => {
                 if let Some(peer) = self.peers.get(&name) {
                     let lost = (name.clone(), peer.start);
+                    if self.doubted(peer) {
+                        self.doubt.gone();
+                    }
                     self.give_up(lost);
                 }
                 self.drop_peer(&name);
@@ -608,6 +650,7 @@
             start,
             zone,
             suspected: false,
+            heard_at: self.now,
             mark: 0,
             gossip_at: 0,
             copy: Shelf::default(),
@@ -630,7 +673,8 @@
             self.held -= peer.copy.len();
         }
         self.soon.remove(name);
-        self.questions.values_mut().for_each(|q| q.gone(name));
+        let (now, deadline) = (self.now, &mut *self.deadline);
+        self.questions.values_mut().for_each(|q| q.gone(now, name, deadline));
     }
 
     fn owners_of(&self, point: Point) -> Vec<String> {
@@ -701,8 +745,12 @@
             self.counts.dropped += 1;
             return;
         }
+        self.spoke(from);
         match message {
-            Message::Beat { map, mark, echo, seq, sum, withdrawn } => {
+            Message::Beat { map, mark, echo, seq, sum, withdrawn, zone } => {
+                if let Some(peer) = self.peers.get_mut(from).filter(|_| !zone.is_empty()) {
+                    peer.zone = zone;
+                }
                 self.beaten(from, map, mark, echo, (seq, sum));
                 self.differs(from, withdrawn);
             }
--- a/crates/directory/src/directory/book.rs
+++ b/crates/directory/src/directory/book.rs
@@ -92,6 +92,7 @@
             seq: self.seq,
             sum,
             withdrawn: self.table.digest(),
+            zone: self.settings.zone.clone(),
         };
         self.send(Lane::Beat, &next, &beat);
     }
--- a/crates/directory/src/directory/questions.rs
+++ b/crates/directory/src/directory/questions.rs
@@ -1,6 +1,6 @@
 //! Questions to the owners of a key, and answers to those of others.
 
-use super::{Directory, Feature, Lane, Output, Own, Peer, ROOM};
+use super::{Directory, Feature, Lane, Output, Own, PULSE, PULSES, Peer, ROOM};
 use crate::answer::{Answer, Entry};
 use crate::asking::{PAGES, Page, Question};
 use crate::shelf::{LOW, Place};
@@ -51,8 +51,9 @@
             Waited {
                 name: name.clone(),
                 zone: peer.map_or(self.settings.zone.clone(), |p| p.zone.clone()),
-                weight: 1.0 / owners.len().max(1) as f64,
-                lives: if peer.is_some_and(|p| p.suspected) { 0.5 } else { 1.0 },
+                // What it adds to what is accounted for is known when it has answered.
+                weight: 0.0,
+                lives: peer.map_or(1.0, |p| self.chance(p)),
                 arrived: None,
             }
         };
@@ -67,6 +68,7 @@
             question.page(self.now, &me, page, &mut *self.deadline);
         }
         question.reckon(self.now, &mut *self.deadline);
+        self.pulse_at = self.now + PULSE;
         self.questions.insert(self.question, question);
         let id = self.question;
         self.due();
@@ -171,12 +173,17 @@
                 self.out.push(Output::Answered { id: *id, answer });
             }
         }
+        if self.now >= self.pulse_at {
+            let youngest = self.questions.values().filter(|q| q.awaits()).map(|q| q.asked_at()).max();
+            let after = |at: Nanos| self.now + PULSE.max((self.now - at) / PULSES);
+            self.pulse_at = youngest.map_or(Nanos::MAX, after);
+        }
         let closed = self.questions.values().filter(|q| q.closed.is_some()).count();
         let mut surplus = closed.saturating_sub(CLOSED);
         let (now, deadline) = (self.now, &mut self.deadline);
         self.questions.retain(|_, question| {
             let Some(at) = question.closed else { return true };
-            let stays = now < at + LATE && surplus == 0;
+            let stays = now < at + LATE && surplus == 0 && question.awaits();
             if !stays {
                 surplus = surplus.saturating_sub(1);
                 question.forget(now, &mut **deadline);
--- a/crates/directory/src/wire.rs
+++ b/crates/directory/src/wire.rs
@@ -1,5 +1,6 @@
 //! What members say to each other.
 
+use crate::directory::ZONE;
 use crate::shelf::{Place, Sum, place};
 use crate::{Entry, Key, TEXT};
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,8 @@
         sum: Sum,
         /// Digest of the withdrawals known to the sender.
         withdrawn: u64,
+        /// Its zone; empty where it has none.
+        zone: String,
     },
     /// Lines that changed.
     Put { told: Vec<Told> },
@@ -99,6 +102,7 @@
     let ((start, message), rest) = postcard::take_from_bytes::<(u64, Message)>(within).ok()?;
     let sound = match &message {
         Message::Put { told } | Message::Fill { told, .. } => sound(told),
+        Message::Beat { zone, .. } => zone.len() <= ZONE,
         Message::Ask { key, .. } => key.text().len() <= TEXT,
         _ => true,
     };
