--- a/crates/deadline/src/asking.rs
+++ b/crates/deadline/src/asking.rs
@@ -76,6 +76,12 @@
 
 impl Asking {
     /// Nothing asked yet.
+    ///
+    /// ```
+    /// use micadyke_deadline::asking::{Asking, Bounds, Refused};
+    /// let mut asking = Asking::new(Bounds { burst: 1.0, ..Bounds::default() });
+    /// assert_eq!(asking.ask(0, 7, &["n1", "n2"]), Err(Refused::Rate));
+    /// ```
     pub fn new(bounds: Bounds) -> Self {
         Asking { left: bounds.burst, bounds, at: 0, questions: BTreeMap::new(), owed: BTreeMap::new() }
     }
@@ -86,6 +92,13 @@
     /// # Errors
     ///
     /// A bound is reached.
+    ///
+    /// ```
+    /// use micadyke_deadline::asking::{Asking, Bounds, Refused};
+    /// let mut asking = Asking::new(Bounds { open: 1, ..Bounds::default() });
+    /// assert_eq!(asking.ask(0, 7, &["n1"]), Ok(vec!["n1"]));
+    /// assert_eq!(asking.ask(0, 8, &["n1"]), Err(Refused::Open(1)));
+    /// ```
     pub fn ask<'a>(&mut self, now: Nanos, question: u64, names: &[&'a str]) -> Result<Vec<&'a str>, Refused> {
         self.left += now.saturating_sub(self.at) as f64 / 1e9 * self.bounds.rate;
         self.left = self.left.min(self.bounds.burst);
@@ -115,6 +128,14 @@
     }
 
     /// An answer came, in time or late; false: it was not owed.
+    ///
+    /// ```
+    /// use micadyke_deadline::asking::{Asking, Bounds};
+    /// let mut asking = Asking::new(Bounds::default());
+    /// asking.ask(0, 7, &["n1"])?;
+    /// assert!(asking.answered(7, "n1") && !asking.answered(7, "n1"));
+    /// # Ok::<(), micadyke_deadline::asking::Refused>(())
+    /// ```
     pub fn answered(&mut self, question: u64, name: &str) -> bool {
         let Some(q) = self.questions.get_mut(&question) else { return false };
         let was = q.1.remove(name);
@@ -128,6 +149,15 @@
     }
 
     /// The view gave a member up: it owes nothing, and may be asked as soon as it is back.
+    ///
+    /// ```
+    /// use micadyke_deadline::asking::{Asking, Bounds};
+    /// let mut asking = Asking::new(Bounds::default());
+    /// asking.ask(0, 7, &["n1"])?;
+    /// asking.given_up("n1");
+    /// assert_eq!(asking.ask(0, 7, &["n1"])?, ["n1"]);
+    /// # Ok::<(), micadyke_deadline::asking::Refused>(())
+    /// ```
     pub fn given_up(&mut self, name: &str) {
         self.questions.retain(|_, q| {
             q.1.remove(name);
--- a/crates/deadline/src/decide.rs
+++ b/crates/deadline/src/decide.rs
@@ -66,6 +66,15 @@
     }
 
     /// Nobody is waited for who may still answer.
+    ///
+    /// ```
+    /// use micadyke_deadline::{Open, Waited};
+    /// let w = |lives, arrived| Waited { name: "n".into(), zone: "z".into(), weight: 1.0, lives, arrived };
+    /// let mut open = Open { kind: 0, asked_at: 0, limit: 9, waited: vec![w(1.0, Some(3)), w(0.0, None)] };
+    /// assert!(open.nobody());
+    /// open.waited.push(w(0.5, None));
+    /// assert!(!open.nobody());
+    /// ```
     pub fn nobody(&self) -> bool {
         self.waited.iter().all(|w| w.arrived.is_some() || w.lives <= crate::LOST)
     }
--- a/crates/deadline/src/law.rs
+++ b/crates/deadline/src/law.rs
@@ -38,6 +38,11 @@
 
 impl Law {
     /// A law that is known: `by` gives the chance by a span in nanoseconds, never falling, within 0 and 1.
+    ///
+    /// ```
+    /// let law = micadyke_deadline::Law::of(|took| if took >= 5_000_000 { 0.9 } else { 0.0 });
+    /// assert_eq!(law.by(60_000_000_000), 0.9);   // one in ten never answers
+    /// ```
     pub fn of(by: impl Fn(Nanos) -> f64) -> Self {
         Law { by: (0..BINS).map(|b| by(edge(b)).clamp(0.0, 1.0)).collect() }
     }
@@ -67,6 +72,11 @@
     }
 
     /// The chance by a span, in nanoseconds; straight between the ends of bins.
+    ///
+    /// ```
+    /// let law = micadyke_deadline::Law::of(|took| (took as f64 / 1e9).min(1.0));
+    /// assert!((law.by(500_000_000) - 0.5).abs() < 0.01);
+    /// ```
     pub fn by(&self, took: Nanos) -> f64 {
         let b = bin(took);
         let (low, high) = (self.at(b, 1), self.at(b, 0));
--- a/crates/deadline/src/learned.rs
+++ b/crates/deadline/src/learned.rs
@@ -253,6 +253,11 @@
     /// # Errors
     ///
     /// The settings' first fault.
+    ///
+    /// ```
+    /// use micadyke_deadline::{Error, Learned, Settings};
+    /// assert_eq!(Learned::new(Settings { remember: 1, ..Settings::default() }).err(), Some(Error::Remember(1)));
+    /// ```
     pub fn new(settings: Settings) -> Result<Self, Error> {
         settings.check()?;
         let keep = 1.0 - 1.0 / f64::from(settings.remember);
--- a/crates/deadline/src/lib.rs
+++ b/crates/deadline/src/lib.rs
@@ -69,6 +69,23 @@
 }
 
 /// Decides how long to wait.
+///
+/// ```
+/// use micadyke_deadline::{Deadline, Nanos, Open};
+///
+/// /// Two fifths of the patience, whoever is slow.
+/// struct Share;
+///
+/// impl Deadline for Share {
+///     fn until(&mut self, _: Nanos, open: &Open) -> Nanos {
+///         open.asked_at + (open.limit - open.asked_at) * 2 / 5
+///     }
+///     fn arrived(&mut self, _: u8, _: &str, _: &str, _: Nanos, _: Nanos) {}
+///     fn missed(&mut self, _: u8, _: &str, _: &str, _: Nanos) {}
+/// }
+/// let open = Open { kind: 0, asked_at: 100, limit: 500, waited: Vec::new() };
+/// assert_eq!(Share.until(120, &open), 260);
+/// ```
 pub trait Deadline {
     /// When the wait is over if nothing more arrives; asked at the start and after each arrival.
     fn until(&mut self, now: Nanos, open: &Open) -> Nanos;
@@ -82,6 +99,12 @@
 }
 
 /// The same deadline for all.
+///
+/// ```
+/// use micadyke_deadline::{Deadline, Fixed, Open};
+/// let open = Open { kind: 0, asked_at: 100, limit: 500, waited: Vec::new() };
+/// assert_eq!((Fixed(50).until(120, &open), Fixed(900).until(120, &open)), (150, 500));
+/// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fixed(pub Nanos);
 
--- a/crates/directory/src/answer.rs
+++ b/crates/directory/src/answer.rs
@@ -118,7 +118,26 @@
         self.covered as f64 / self.members.max(1) as f64
     }
 
-    /// Who was asked and neither answered, nor was busy, nor was given up; see [`Report::weight`].
+    /// Who was asked and neither answered, nor was busy, nor was given up.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!(partial.report().missing(), ["n2"]);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn missing(&self) -> Vec<&str> {
         let heard = [&self.answered, &self.busy, &self.given_up];
         let silent = self.asked.iter().filter(|a| !heard.iter().any(|h| h.contains(a)));
@@ -151,16 +170,52 @@
 
 impl Whole {
     /// Where it plays, as of the age of each.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// assert_eq!((whole.entries()[0].node.as_str(), whole.entries()[0].at.as_str()), ("n1", "s3"));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn entries(&self) -> &[Entry] {
         &self.entries
     }
 
     /// How many sessions there are.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// assert_eq!(whole.sum(), 1);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn sum(&self) -> u64 {
         sum(&self.entries)
     }
 
     /// How it came about.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// assert_eq!((whole.report().weight(), whole.report().ended), (1.0, Why::Covered));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn report(&self) -> &Report {
         &self.report
     }
@@ -168,16 +223,73 @@
 
 impl Partial {
     /// Where it plays at least.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!(partial.at_least().len(), 1);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn at_least(&self) -> &[Entry] {
         &self.entries
     }
 
     /// How many sessions there are at least.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!(partial.sum_at_least(), 1);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn sum_at_least(&self) -> u64 {
         sum(&self.entries)
     }
 
     /// How it came about.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!((partial.report().covered, partial.report().members), (1, 2));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn report(&self) -> &Report {
         &self.report
     }
@@ -198,6 +310,19 @@
     }
 
     /// How it came about.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// let answer = Answer::Whole(whole);
+    /// assert_eq!(answer.report().asked, ["n1"]);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn report(&self) -> &Report {
         match self {
             Answer::Whole(whole) => whole.report(),
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -99,6 +99,11 @@
 
 impl Settings {
     /// Settings with the usual figures: 32 kB/s, 200,000 lines.
+    ///
+    /// ```
+    /// let settings = micadyke_directory::Settings { rate: 64_000, ..micadyke_directory::Settings::new("n1", 1) };
+    /// assert_eq!((settings.lines, settings.zone.as_str()), (200_000, ""));
+    /// ```
     pub fn new(name: &str, start: u64) -> Self {
         Settings { name: name.into(), start, zone: String::new(), rate: RATE, lines: LINES }
     }
@@ -117,6 +122,12 @@
 
 impl Session {
     /// A session.
+    ///
+    /// ```
+    /// // Nobody knows its viewer.
+    /// let session = micadyke_directory::Session::new("news", "", "s3");
+    /// assert_eq!((session.title.as_str(), session.viewer.as_str()), ("news", ""));
+    /// ```
     pub fn new(title: &str, viewer: &str, server: &str) -> Self {
         Session { title: title.into(), viewer: viewer.into(), server: server.into() }
     }
@@ -351,6 +362,13 @@
 
 impl Directory {
     /// The directory of a member that has just started, and knows of no other.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// assert_eq!((alone.members(), alone.wake_at()), (1, Nanos::MAX));
+    /// ```
     pub fn new(settings: Settings, deadline: Box<dyn Deadline>, now: Nanos) -> Self {
         let map: Box<dyn Owners> = Box::new(Rendezvous::new([settings.name.as_str()]));
         Directory {
@@ -401,16 +419,47 @@
     }
 
     /// What was counted.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// assert_eq!((alone.counts().whole, alone.counts().partial, alone.counts().sent), (1, 0, 0));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn counts(&self) -> Counts {
         self.counts
     }
 
     /// Sizes of the books: lines of the own, lines of others, questions, withdrawals.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// // A line each for its title, its viewer and its server.
+    /// assert_eq!(alone.books(), [3, 0, 0, 0]);
+    /// ```
     pub fn books(&self) -> [usize; 4] {
         [self.own.len(), self.held, self.questions.len(), self.table.len()]
     }
 
     /// Living members, this one included.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// let up = Seen::Up { name: "n2".into(), start: 7, zone: "east".into() };
+    /// alone.handle(0, Input::View(up), &mut out);
+    /// assert_eq!(alone.members(), 2);
+    /// ```
     pub fn members(&self) -> usize {
         self.peers.len() + 1
     }
@@ -440,6 +489,16 @@
     }
 
     /// Digest of this member's copy of a member's book, or of its own book as far as it owns it; and of how many lines.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// assert_eq!(alone.digest("n1").map(|d| d.1), Some(3));
+    /// assert_eq!(alone.digest("n2"), None);
+    /// ```
     pub fn digest(&self, name: &str) -> Option<(u64, u32)> {
         if name == self.settings.name {
             let mine = self.own.values().filter(|o| o.owners.iter().any(|w| **w == *name));
@@ -449,12 +508,33 @@
     }
 
     /// Digest of that part of the own book that a member owns.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// let up = Seen::Up { name: "n2".into(), start: 7, zone: "east".into() };
+    /// alone.handle(0, Input::View(up), &mut out);
+    /// assert_eq!((alone.part("n2"), alone.part("n3")), (Some((0, 0)), None));
+    /// ```
     pub fn part(&self, name: &str) -> Option<(u64, u32)> {
         self.peers.get(name).map(|p| p.part)
     }
 
     /// Digest of a range of points over all books that are copied here; the same at both owners of a range once they have
     /// heard the same.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// let point = Key::Title("news".into()).point();
+    /// assert_eq!(alone.range(0, Point::MAX).1, 3);
+    /// assert_eq!(alone.range(0, point - 1).1 + alone.range(point, Point::MAX).1, 3);
+    /// ```
     pub fn range(&self, first: Point, last: Point) -> (u64, u32) {
         let within = |place: &Place| (first..=last).contains(&place.1.point());
         let copies = self.peers.values().flat_map(|p| p.copy.all()).filter(|l| within(l.0)).map(|l| l.1.mark);
@@ -464,17 +544,45 @@
     }
 
     /// The owners of a key, by the map in force.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// assert_eq!(alone.owners(&Key::Server("s3".into())), ["n1"]);
+    /// ```
     pub fn owners(&self, key: &Key) -> Vec<String> {
         self.owners_of(key.point())
     }
 
     /// Whether sessions of this title or of this viewer are to end.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.withdraw(0, Key::Viewer("v1".into()), SECOND, &mut out)?;
+    /// assert!(alone.withdrawn("news", "v1") && !alone.withdrawn("news", "v2"));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn withdrawn(&self, title: &str, viewer: &str) -> bool {
         let keys = [Key::Title(title.to_owned()), Key::Viewer(viewer.to_owned())];
         keys.into_iter().any(|k| self.table.holds(&k.folded()))
     }
 
     /// When [`Input::Wake`] is due.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// assert_eq!(alone.wake_at(), Nanos::MAX);
+    /// alone.withdraw(0, Key::Viewer("v1".into()), 5 * SECOND, &mut out)?;
+    /// assert!(alone.wake_at() <= SECOND);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn wake_at(&self) -> Nanos {
         let questions = self.questions.values().map(|q| q.closed.map_or(q.until, |at| at + questions::LATE));
         let again = self.tracks.values().filter(|t| !t.ended).map(|t| t.again_at);
@@ -484,6 +592,17 @@
     }
 
     /// Takes one input at time `now`; what is to be done is appended to `out`, in order.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// let up = Seen::Up { name: "n2".into(), start: 7, zone: "east".into() };
+    /// alone.handle(0, Input::View(up), &mut out);
+    /// // The first beat is on its way.
+    /// assert!(matches!(&out[..], [Output::Send { to, .. }] if to == "n2"));
+    /// ```
     pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
         self.turn(now);
         match input {
--- a/crates/directory/src/directory/decrees.rs
+++ b/crates/directory/src/directory/decrees.rs
@@ -63,6 +63,19 @@
     /// # Errors
     ///
     /// [`Error::Unknown`]: it is not in force here.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// let what = Key::Title("news".into());
+    /// assert_eq!(alone.lift(0, what.clone(), &mut out), Err(Error::Unknown(what.clone())));
+    /// alone.withdraw(0, what.clone(), 60 * SECOND, &mut out)?;
+    /// alone.lift(SECOND, what, &mut out)?;
+    /// assert!(!alone.withdrawn("news", "v1"));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn lift(&mut self, now: Nanos, what: Key, out: &mut Vec<Output>) -> Result<(), Error> {
         self.turn(now);
         let what = what.folded();
@@ -109,6 +122,20 @@
     }
 
     /// How far a withdrawal that is followed here has come.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// let what = Key::Title("news".into());
+    /// assert_eq!(alone.progress(&what), None);
+    /// alone.withdraw(0, what.clone(), 60 * SECOND, &mut out)?;
+    /// // Whom it waits for, and why.
+    /// let waits = alone.progress(&what).unwrap().waits;
+    /// assert_eq!((waits.len(), waits[0].name.as_str(), &waits[0].why), (1, "n1", &Holds::Unsettled));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn progress(&self, what: &Key) -> Option<Progress> {
         let what = what.clone().folded();
         let track = self.tracks.get(&what)?;
@@ -291,6 +318,17 @@
     }
 
     /// What is withdrawn, or was lifted, as far as this member knows.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.withdraw(0, Key::Title("news".into()), 60 * SECOND, &mut out)?;
+    /// let known = alone.withdrawals().next().unwrap();
+    /// assert_eq!((known.lifted, known.left, known.origin.as_str()), (false, 60 * SECOND, "n1"));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn withdrawals(&self) -> impl Iterator<Item = Known> {
         self.table.live().map(|(what, held)| Known {
             what: what.clone(),
--- a/crates/directory/src/directory/questions.rs
+++ b/crates/directory/src/directory/questions.rs
@@ -20,6 +20,17 @@
     /// # Errors
     ///
     /// [`Error::Open`] and [`Error::Rate`]: too much is asked. Nothing was sent.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// let id = alone.ask(MS, Key::Viewer("v1".into()), SECOND, &mut out)?;
+    /// assert!(matches!(&out[..], [Output::Answered { id: i, answer: Answer::Whole(w) }] if *i == id && w.sum() == 1));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn ask(&mut self, now: Nanos, key: Key, limit: Nanos, out: &mut Vec<Output>) -> Result<u64, Error> {
         self.turn(now);
         let key = key.folded();
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -80,6 +80,12 @@
 
 impl Key {
     /// Its place on the ring.
+    ///
+    /// ```
+    /// use micadyke_directory::Key;
+    ///
+    /// assert_eq!(Key::Title("a".into()).point(), Key::Title("a".into()).point());
+    /// ```
     pub fn point(&self) -> Point {
         let (tag, text) = self.parts();
         hash(&[&[tag], text.as_bytes()])
@@ -95,6 +101,10 @@
     }
 
     /// Its text.
+    ///
+    /// ```
+    /// assert_eq!(micadyke_directory::Key::Viewer("v1".into()).text(), "v1");
+    /// ```
     pub fn text(&self) -> &str {
         self.parts().1
     }
@@ -132,6 +142,15 @@
 }
 
 /// Who is responsible for a point.
+///
+/// ```
+/// use micadyke_directory::{Owners, Rendezvous};
+///
+/// let map = Rendezvous::new(["n1", "n2", "n3"]);
+/// let owners = map.owners(42);
+/// assert!(owners.len() == 2 && owners[0] != owners[1]);
+/// assert_eq!(map.number(), Rendezvous::new(["n3", "n1", "n2"]).number());
+/// ```
 pub trait Owners {
     /// The number of the map; two maps of one number are the same map. Where maps are numbered, it only grows.
     fn number(&self) -> u64;
--- a/crates/directory/tests/deadlines.rs
+++ b/crates/directory/tests/deadlines.rs
@@ -52,7 +52,7 @@
     fn chance(&mut self, one_in: u64) -> bool {
         self.random =
             self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.random >> 33) % one_in == 0
+        (self.random >> 33).is_multiple_of(one_in)
     }
 
     /// The owners' words at this time: answers to `asked`, and beats.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,8 @@
 //! Tables: `micadyke-lab parts [FRONTS [SERVERS [SEEDS]]]`, what parts of cold budgets are good for; `subsets [SEEDS]`, ways
 //! to draw working subsets; `turns [SEEDS]`, who looks at a silent server; `damped [SEEDS]`, shared figures and who answers.
-//! `micadyke-lab waits [SEEDS [PRICE [MEMBERS [TIMES]]]]`: how much of an oracle's worth learned deadlines reach, as a table;
-//! the price of a second in whole answers, with 60 and 300 members or one of them alone, and
-//! one kind of times alone.
+//! `micadyke-lab waits [SEEDS [PRICE [MEMBERS [TIMES [FIRST SEED]]]]]`: how much of an oracle's worth learned deadlines reach,
+//! as a table; the price of a second in whole answers, with 60 and 300 members or as many as stated, and one kind of times
+//! alone. `micadyke-lab asks [QUESTIONS]`: what a question to the directory costs its asker, waits fixed and learned in turn.
 //! `micadyke-lab splits [SPLITS]`: splits under load with faults, as a table.
 
 use micadyke_lab::choices::{self, DRAWS, Followed, Follows};
@@ -197,15 +197,15 @@
     }
 }
 
-fn waits(seeds: u64, price: f64, only: u64, like: &str) {
+fn waits(seeds: u64, price: f64, only: u64, like: &str, first: u64) {
     println!(
         "| members | times | rule | steady | 1st hundred after all took thrice | 2nd hundred | 2nd hundred after the return | whole run |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
-    for members in [60, 300].into_iter().filter(|m| only == 0 || *m as u64 == only) {
+    for members in if only == 0 { vec![60, 300] } else { vec![only as usize] } {
         for times in Times::ALL.into_iter().filter(|t| format!("{t:?}").starts_with(like)) {
             let runs: Vec<_> = std::thread::scope(|s| {
-                let all: Vec<_> = (1..=seeds)
+                let all: Vec<_> = (first..first + seeds)
                     .map(|seed| s.spawn(move || waits::shares(members, times, price, seed)))
                     .collect();
                 all.into_iter().filter_map(|r| r.join().ok()).collect()
@@ -223,6 +223,16 @@
     }
 }
 
+/// What a question to the directory costs its asker.
+fn asks(questions: usize) {
+    println!("| members | fixed wait: us p50, p99 | learned: us p50, p99 |");
+    println!("| --- | --- | --- |");
+    for members in [8, 60, 300] {
+        let waits::Cost { fixed, learned } = waits::cost(members, questions);
+        println!("| {members} | {:.0}, {:.0} | {:.0}, {:.0} |", fixed.0, fixed.1, learned.0, learned.1);
+    }
+}
+
 /// One hundredth, and half, of what was measured is at least so much, in units of `unit`.
 fn quantiles(mut all: Vec<u64>, unit: u64) -> [f64; 2] {
     all.sort_unstable();
@@ -296,11 +306,13 @@
             number(2, 1) as f64 / 1e3,
             number(3, 0),
             args.get(4).map_or("", String::as_str),
+            number(5, 1),
         ),
+        Some("asks") => asks(number(1, 2_000) as usize),
         Some("splits") => splits(number(1, 1_000)),
         _ => {
             eprintln!(
-                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | waits [SEEDS [PRICE [MEMBERS [TIMES]]]] | splits [SPLITS]"
+                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | waits [SEEDS [PRICE [MEMBERS [TIMES [FIRST SEED]]]]] | asks [QUESTIONS] | splits [SPLITS]"
             );
             std::process::exit(2);
         }
--- a/crates/lab/src/waits.rs
+++ b/crates/lab/src/waits.rs
@@ -5,10 +5,12 @@
 use micadyke_deadline::{
     Deadline, Feature, Law, Learned, Nanos, Open, Settings, Waited, Worth, decide, split,
 };
+use micadyke_directory::{Directory, Input, Key, Output, SECOND, Seen, Session, heard};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::time::Instant;
 
 /// The asker's patience.
 const PATIENCE: Nanos = 1_000 * MS;
@@ -471,3 +473,118 @@
     });
     of.to_vec()
 }
+
+/// What a question costs, in microseconds of this machine, median and 99 in 100: of the directory as it asks two owners of a
+/// fleet of `members`, from the asking until both have answered and the answer is told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cost {
+    /// With a fixed wait.
+    pub fixed: (f64, f64),
+    /// With a learned one.
+    pub learned: (f64, f64),
+}
+
+/// Asks so often, with a fixed wait and a learned one in turn, so that both meet the same machine.
+pub fn cost(members: usize, questions: usize) -> Cost {
+    let settings = || Settings { usual: worth(0.001), ..Settings::default() };
+    let waits: [Box<dyn Deadline>; 2] = [
+        Box::new(micadyke_deadline::Fixed(150 * MS)),
+        Box::new(Learned::new(settings()).expect("settings as above are sound")),
+    ];
+    let name = |n: usize| format!("n{n:04}");
+    let mut both = waits.map(|wait| Asked::new(members, wait, &name));
+    let mut took: [Vec<f64>; 2] = [Vec::new(), Vec::new()];
+    for q in 0..questions {
+        let turn = [q % 2, 1 - q % 2];
+        for side in turn {
+            took[side].push(both[side].one(q));
+        }
+    }
+    let [fixed, learned] = took.map(|mut of| {
+        of.sort_by(f64::total_cmp);
+        let at = |q: f64| of.get((of.len() as f64 * q) as usize).copied().unwrap_or(f64::NAN);
+        (at(0.5), at(0.99))
+    });
+    Cost { fixed, learned }
+}
+
+/// An asker in a fleet, and one owner that stands in for both: it answers by its own book.
+struct Asked {
+    asker: Directory,
+    owners: Vec<Directory>,
+    key: Key,
+    now: Nanos,
+}
+
+impl Asked {
+    fn new(members: usize, wait: Box<dyn Deadline>, name: &dyn Fn(usize) -> String) -> Self {
+        use micadyke_directory::Settings;
+        let mut asker = Directory::new(Settings::new(&name(0), 1), wait, 0);
+        let see = |d: &mut Directory| {
+            for n in 0..members {
+                let up = Seen::Up { name: name(n), start: 1, zone: format!("z{}", n % 3) };
+                d.handle(0, Input::View(up), &mut Vec::new());
+            }
+            d.handle(SECOND, Input::Wake, &mut Vec::new());
+        };
+        see(&mut asker);
+        // A title that others own.
+        let keys = (0..).map(|n| Key::Title(format!("t{n}")));
+        let mut others = keys.map(|k| (asker.owners(&k), k)).filter(|(o, _)| !o.contains(&name(0)));
+        let (owners, key) = others.next().expect("there are others");
+        let owners = owners.iter().map(|o| {
+            let mut d = Directory::new(Settings::new(o, 1), Box::new(micadyke_deadline::Fixed(MS)), 0);
+            see(&mut d);
+            for n in 0..20 {
+                let session = Session::new(key.text(), &format!("v{n}"), &format!("s{n}"));
+                d.handle(SECOND, Input::Started(&session), &mut Vec::new());
+            }
+            d
+        });
+        Asked { owners: owners.collect(), asker, key, now: SECOND }
+    }
+
+    /// Microseconds that the asker takes for one question, its own turns only.
+    fn one(&mut self, q: usize) -> f64 {
+        self.now += SECOND;
+        let (mut out, mut spent) = (Vec::new(), 0.0);
+        self.asker.handle(self.now, Input::Wake, &mut out);
+        out.clear();
+        let owners = self.asker.owners(&self.key);
+        let mut timed = |asker: &mut Directory, what: &dyn Fn(&mut Directory, &mut Vec<Output>)| {
+            let start = Instant::now();
+            what(asker, &mut out);
+            spent += start.elapsed().as_secs_f64() * 1e6;
+            std::mem::take(&mut out)
+        };
+        let asks = timed(&mut self.asker, &|d, out| {
+            let _ = d.ask(self.now, self.key.clone(), self.now + 400 * MS, out);
+        });
+        let mut at = self.now;
+        for (owner, name) in self.owners.iter_mut().zip(&owners) {
+            at += (5 + q as u64 % 7) * MS;
+            let mut said = Vec::new();
+            for ask in &asks {
+                if let Output::Send { to, bytes } = ask
+                    && to == name
+                {
+                    owner.handle(self.now, Input::Message { from: "n0000", bytes }, &mut said);
+                }
+            }
+            for word in said {
+                if let Output::Send { bytes, .. } = word
+                    && heard(&bytes).is_some()
+                {
+                    let told = Input::Message { from: name, bytes: &bytes };
+                    let told = std::cell::RefCell::new(Some(told));
+                    timed(&mut self.asker, &|d, out| {
+                        told.borrow_mut().take().into_iter().for_each(|t| d.handle(at, t, out));
+                    });
+                }
+            }
+        }
+        let end = self.now + 400 * MS;
+        timed(&mut self.asker, &|d, out| d.handle(end, Input::Wake, out));
+        spent
+    }
+}
