--- a/crates/deadline/src/learned.rs
+++ b/crates/deadline/src/learned.rs
@@ -181,6 +181,10 @@
     /// Learns from what was heard in the last question, at its scale.
     fn digest(&mut self, keep: f64, order: bool) {
         let clear = order && !self.blurred && self.last.is_some();
+        if self.blurred && self.pending.is_empty() {
+            // What teaches nothing makes nothing older: else who is late for long would forget what it knew.
+            self.asked = self.asked.saturating_sub(1);
+        }
         self.laws.clear();
         let (steps, now) = (if clear { likeliest(&self.scale) } else { 0 }, self.asked);
         for h in std::mem::take(&mut self.pending) {
--- a/crates/deadline/tests/hard_points.rs
+++ b/crates/deadline/tests/hard_points.rs
@@ -202,6 +202,14 @@
     assert!(wrong.is_empty(), "{wrong:?}");
 }
 
+#[test]
+fn who_is_late_for_long_forgets_nothing() {
+    let mut a = Asker::new(0.0005, None);
+    a.ask(100, &twenty(), 0, |r, _, _| about(r, 2.0));
+    a.ask(400, &twenty(), 200, |r, _, _| about(r, 2.0));
+    assert!(a.learned.law(0).by(5 * MS) > 0.9);
+}
+
 #[test]
 fn no_wait_is_longer_than_the_most_that_is_stated() {
     let usual = Worth { price: 1e-6, most: 40 * MS, ..Worth::default() };
--- a/crates/deadline/tests/settings.rs
+++ b/crates/deadline/tests/settings.rs
@@ -34,6 +34,12 @@
         assert!(!fault.to_string().contains(fault.advice()));
     }
     assert_eq!(said.len(), 9, "each has advice of its own");
+    // The operator's page says the same.
+    said.extend([Refused::Open(1), Refused::Rate].map(|r| r.advice()));
+    let page = include_str!("../../../docs/operate/deadline.md");
+    for advice in said {
+        assert!(page.contains(&format!(" | {advice} |")), "{advice}");
+    }
     let unknown = curve(&[(0.0, f64::NAN), (1.0, 1.0)]).check();
     assert!(matches!(unknown, Err(Error::Outside(..))), "{unknown:?}");
 }
--- a/crates/directory/src/asking.rs
+++ b/crates/directory/src/asking.rs
@@ -277,8 +277,12 @@
         Answer::judge(aged.collect(), report)
     }
 
-    /// It is forgotten: who never answered is told to the deadline.
+    /// It is forgotten: who never answered is told to the deadline; not where the own loop was late for an eighth of the time,
+    /// for then answers may have been lost here.
     pub fn forget(&self, now: Nanos, deadline: &mut dyn Deadline) {
+        if self.own_delay.saturating_mul(8) > now.saturating_sub(self.asked_at) {
+            return;
+        }
         for w in self.waited.iter().filter(|w| w.arrived.is_none() && !self.gone.contains(&w.name)) {
             deadline.missed(self.key.parts().0, &w.name, &w.zone, now.saturating_sub(self.asked_at));
         }
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -637,7 +637,10 @@
             return;
         }
         // A loop that was late has not looked at what came meanwhile: the span is its own, and nobody's silence.
-        self.questions.values_mut().filter(|q| q.awaits()).for_each(|q| q.own_delay += late);
+        self.questions
+            .values_mut()
+            .filter(|q| q.awaits())
+            .for_each(|q| q.own_delay = q.own_delay.saturating_add(late));
         self.peers.values_mut().for_each(|p| p.heard_at = (p.heard_at + late).min(now));
     }
 
@@ -747,6 +750,8 @@
             return;
         }
         self.settings.start = start;
+        // What answers the former start is not taken: that is nobody's silence.
+        self.questions.values_mut().for_each(|q| q.own_delay = Nanos::MAX);
         for (place, own) in &mut self.own {
             own.line = Line::new(place, start, own.line.seq, own.line.count, self.now);
         }
