Test of late answers: its loop is in time after its stall, so that silence counts

Cause: it woke the directory once after 30 s; a loop that late no longer blames who is silent, and the test waited for the blame.

Change: it wakes when it is due.

--- a/crates/directory/tests/directory.rs
+++ b/crates/directory/tests/directory.rs
@@ -205,7 +205,10 @@
     asker.handle(SECOND + 500 * MS, Input::Wake, &mut out);
     assert!(out.iter().any(|o| matches!(o, Output::Answered { answer: Answer::Partial(_), .. })));
     asker.handle(SECOND + 600 * MS, Input::Message { from: "b", bytes: &answer.unwrap() }, &mut out);
-    asker.handle(30 * SECOND, Input::Wake, &mut out);
+    // From now on the loop is in time, so who is silent is so itself.
+    while asker.wake_at() < 30 * SECOND {
+        asker.handle(asker.wake_at(), Input::Wake, &mut out);
+    }
     let told = told.borrow();
     assert_eq!(told.len(), 2, "{told:?}");
     assert!(told[0].starts_with("0 600 ") && !told[0].ends_with(" 0"), "{told:?}");
