--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -338,17 +338,28 @@
 pub fn check(file: &Path, boxes: Option<&Path>) -> Result<ExitCode, Failure> {
     if crate::members::is_membership(file) {
         return Ok(match checked(file, |text, name| crate::members::read(text, name, None))? {
-            Ok((s, _)) => {
-                println!(
-                    "{}: sound; {} of fleet {}, {} seeds",
-                    file.display(),
-                    s.name,
-                    s.fleet,
-                    s.seeds.len()
-                );
-                ExitCode::SUCCESS
+            Ok((s, _)) => match checked(file, micadyke_directory::settings::read)? {
+                Ok(directory) => {
+                    println!(
+                        "{}: sound; {} of fleet {}, {} seeds{}",
+                        file.display(),
+                        s.name,
+                        s.fleet,
+                        s.seeds.len(),
+                        if directory.is_some() { ", a directory" } else { "" }
+                    );
+                    let notes = directory.map(|d| d.not_promised(s.expected as usize, s.rate));
+                    for note in notes.into_iter().flatten() {
+                        println!("{}: not promised: directory: {note}", file.display());
+                    }
+                    ExitCode::SUCCESS
+                }
+                Err(faults) => refused(&faults),
+            },
+            Err(mut faults) => {
+                faults.extend(checked(file, micadyke_directory::settings::read)?.err().into_iter().flatten());
+                refused(&faults)
             }
-            Err(faults) => refused(&faults),
         });
     }
     let config = match checked(file, read_config)? {
--- a/crates/directory/src/answer.rs
+++ b/crates/directory/src/answer.rs
@@ -1,9 +1,10 @@
 //! Answers, and how much they are worth.
 
 use crate::{Key, Nanos};
+use serde::{Deserialize, Serialize};
 
-/// Sessions of a key at a server, as a node's book had them.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Sessions of a key at a server, as a node's book had them; so it is carried as well.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// The node.
     pub node: String,
@@ -15,7 +16,7 @@
     pub at: String,
     /// How many sessions.
     pub count: u32,
-    /// When its node last vouched for it, at most: so long before the answer, in milliseconds.
+    /// When its node last vouched for it, at most: so long before the answer, in milliseconds. On its way: before the owner's.
     pub age_ms: u64,
 }
 
@@ -57,6 +58,8 @@
     pub answered: Vec<String>,
     /// Who had too much to do.
     pub busy: Vec<String>,
+    /// Who was asked, or lived when it was, and was given up by the view meanwhile: no part of the whole.
+    pub given_up: Vec<String>,
     /// Living members in the asker's view, itself included.
     pub members: usize,
     /// Members whose books are accounted for.
@@ -75,11 +78,71 @@
     pub ended: Why,
 }
 
+impl Why {
+    /// The word for it that programs read.
+    ///
+    /// ```
+    /// assert_eq!(micadyke_directory::Why::NotWorth.word(), "not-worth");
+    /// ```
+    pub fn word(self) -> &'static str {
+        match self {
+            Why::Covered => "covered",
+            Why::AllAnswered => "all-answered",
+            Why::NotWorth => "not-worth",
+            Why::Patience => "patience",
+            Why::Gone => "given-up",
+        }
+    }
+}
+
 impl Report {
     /// The part of the living members whose books are accounted for, 0 to 1.
+    ///
+    /// ```
+    /// use micadyke_deadline::Fixed;
+    /// use micadyke_directory::{Directory, Input, Key, MS, Output, SECOND, Seen, Settings};
+    ///
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Wake, &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// // n2 never answered: half of the two books are accounted for.
+    /// let answer = out.iter().find_map(|o| if let Output::Answered { answer, .. } = o { Some(answer) } else { None });
+    /// let report = answer.unwrap().report();
+    /// assert_eq!((report.weight(), report.missing(), report.ended.word()), (0.5, vec!["n2"], "not-worth"));
+    /// # Ok::<(), micadyke_directory::Error>(())
+    /// ```
     pub fn weight(&self) -> f64 {
         self.covered as f64 / self.members.max(1) as f64
     }
+
+    /// Who was asked and neither answered, nor was busy, nor was given up.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!(partial.report().missing(), ["n2"]);
+    /// # Ok::<(), Error>(())
+    /// ```
+    pub fn missing(&self) -> Vec<&str> {
+        let heard = [&self.answered, &self.busy, &self.given_up];
+        let silent = self.asked.iter().filter(|a| !heard.iter().any(|h| h.contains(a)));
+        silent.map(String::as_str).collect()
+    }
 }
 
 /// An answer in which the book of each living member is accounted for. Nothing but the directory makes one.
@@ -107,16 +170,52 @@
 
 impl Whole {
     /// Where it plays, as of the age of each.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// assert_eq!((whole.entries()[0].node.as_str(), whole.entries()[0].at.as_str()), ("n1", "s3"));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn entries(&self) -> &[Entry] {
         &self.entries
     }
 
     /// How many sessions there are.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// assert_eq!(whole.sum(), 1);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn sum(&self) -> u64 {
         sum(&self.entries)
     }
 
     /// How it came about.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// assert_eq!((whole.report().weight(), whole.report().ended), (1.0, Why::Covered));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn report(&self) -> &Report {
         &self.report
     }
@@ -124,16 +223,73 @@
 
 impl Partial {
     /// Where it plays at least.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!(partial.at_least().len(), 1);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn at_least(&self) -> &[Entry] {
         &self.entries
     }
 
     /// How many sessions there are at least.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!(partial.sum_at_least(), 1);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn sum_at_least(&self) -> u64 {
         sum(&self.entries)
     }
 
     /// How it came about.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut d = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let (up, mut out) = (Seen::Up { name: "n2".into(), start: 1, zone: String::new() }, Vec::new());
+    /// d.handle(0, Input::View(up), &mut out);
+    /// d.handle(SECOND, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// d.ask(SECOND, Key::Title("news".into()), 2 * SECOND, &mut out)?;
+    /// // n2 does not answer.
+    /// d.handle(2 * SECOND, Input::Wake, &mut out);
+    /// let partial = out.iter().find_map(|o| match o {
+    ///     Output::Answered { answer: Answer::Partial(partial), .. } => Some(partial),
+    ///     _ => None,
+    /// });
+    /// let partial = partial.expect("the book of n2 is not accounted for");
+    /// assert_eq!((partial.report().covered, partial.report().members), (1, 2));
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn report(&self) -> &Report {
         &self.report
     }
@@ -154,6 +310,19 @@
     }
 
     /// How it came about.
+    ///
+    /// ```
+    /// # use micadyke_deadline::Fixed;
+    /// # use micadyke_directory::*;
+    /// let mut alone = Directory::new(Settings::new("n1", 1), Box::new(Fixed(50 * MS)), 0);
+    /// let mut out = Vec::new();
+    /// alone.handle(0, Input::Started(&Session::new("news", "v1", "s3")), &mut out);
+    /// alone.ask(MS, Key::Title("news".into()), SECOND, &mut out)?;
+    /// let Some(Output::Answered { answer: Answer::Whole(whole), .. }) = out.pop() else { panic!("nobody else lives") };
+    /// let answer = Answer::Whole(whole);
+    /// assert_eq!(answer.report().asked, ["n1"]);
+    /// # Ok::<(), Error>(())
+    /// ```
     pub fn report(&self) -> &Report {
         match self {
             Answer::Whole(whole) => whole.report(),
--- a/crates/directory/src/asking.rs
+++ b/crates/directory/src/asking.rs
@@ -1,9 +1,8 @@
 //! Questions that this member asked: what has arrived, what is missing, and when the wait is over.
 
 use crate::answer::{Answer, Entry, Report, Why};
-use crate::wire::Row;
 use crate::{Key, MS, Nanos};
-use micadyke_deadline::{Deadline, Open, Waited};
+use micadyke_deadline::{Deadline, LOST, Open, Waited};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Pages of an answer at most: a title that plays at more servers and nodes than these hold is told in part.
@@ -16,7 +15,7 @@
     of: u8,
     covered: Option<Vec<u8>>,
     oldest_ms: u64,
-    rows: Vec<Row>,
+    rows: Vec<Entry>,
 }
 
 /// A page that came.
@@ -26,7 +25,7 @@
     pub cut: bool,
     pub covered: Option<Vec<u8>>,
     pub oldest_ms: u64,
-    pub rows: Vec<Row>,
+    pub rows: Vec<Entry>,
 }
 
 /// A question.
@@ -43,8 +42,8 @@
     gone: BTreeSet<String>,
     busy: BTreeSet<String>,
     pages: BTreeMap<String, Pages>,
-    /// Rows by node and server; whether who told a row vouched for its node's book as well.
-    rows: BTreeMap<(String, String), (bool, Row)>,
+    /// Entrys by node and server; whether who told a row vouched for its node's book as well.
+    rows: BTreeMap<(String, String), (bool, Entry)>,
     me: String,
     /// Those that lived when it was asked, by name, and whether their books are accounted for.
     roster: Vec<(String, bool)>,
@@ -57,7 +56,8 @@
 impl Question {
     /// A question to these, in a view of those; the asker's own rows are told at once.
     pub fn new(
-        key: Key, now: Nanos, limit: Nanos, waited: Vec<Waited>, roster: Vec<String>, me: &str, own: Vec<Row>,
+        key: Key, now: Nanos, limit: Nanos, waited: Vec<Waited>, roster: Vec<String>, me: &str,
+        own: Vec<Entry>,
     ) -> Self {
         let roster = roster.into_iter().map(|n| (n == me, n)).map(|(own, n)| (n, own)).collect();
         let rows = own.into_iter().map(|r| ((r.node.clone(), r.at.clone()), (true, r))).collect();
@@ -84,23 +84,57 @@
         self.limit
     }
 
-    /// Asks the deadline anew.
+    pub fn asked_at(&self) -> Nanos {
+        self.asked_at
+    }
+
+    /// Whether an answer may still come, in time or late.
+    pub fn awaits(&self) -> bool {
+        self.waited.iter().any(|w| w.arrived.is_none() && !self.gone.contains(&w.name))
+    }
+
+    /// Asks the deadline anew, of those that the view has not given up.
     pub fn reckon(&mut self, now: Nanos, deadline: &mut dyn Deadline) {
-        // Who was given up is not waited for; what is known here came from nobody.
-        let others = self.waited.iter().filter(|w| w.name != self.me);
-        let waited = others.filter(|w| !self.gone.contains(&w.name) && !self.busy.contains(&w.name));
-        let waited = waited.cloned().collect();
+        // What is known here came from nobody.
+        let others = |w: &&Waited| w.name != self.me;
+        let counts = |w: &&Waited| !self.gone.contains(&w.name) && !self.busy.contains(&w.name);
+        let mut waited: Vec<Waited> = self.waited.iter().filter(others).filter(counts).cloned().collect();
+        if waited.is_empty() {
+            self.until = now.min(self.limit);
+            return;
+        }
+        // A book that is accounted for stands to who covered it first; what is not yet, to those that are missing alike.
+        let (members, covered) = self.covered();
+        let rest = (members - covered) as f64 / members.max(1) as f64;
+        let missing = waited.iter().filter(|w| w.arrived.is_none()).count().max(1) as f64;
+        waited.iter_mut().filter(|w| w.arrived.is_none()).for_each(|w| w.weight = rest / missing);
+        let known = 1.0 - waited.iter().map(|w| w.weight).sum::<f64>();
+        if known > 0.0 {
+            // Known here from the start: a part of the whole, and no word of how quick others are.
+            let (name, zone) = (self.me.clone(), String::new());
+            waited.push(Waited { name, zone, weight: known, lives: LOST, arrived: Some(self.asked_at) });
+        }
         let open = Open { kind: self.key.parts().0, asked_at: self.asked_at, limit: self.limit, waited };
         self.until = deadline.until(now, &open).min(self.limit);
     }
 
-    fn arrived(&mut self, now: Nanos, from: &str, deadline: &mut dyn Deadline) {
+    /// Books that are due, and those of them that are accounted for.
+    fn covered(&self) -> (usize, usize) {
+        let due = self.roster.iter().filter(|r| !self.gone.contains(&r.0));
+        due.fold((0, 0), |(all, covered), r| (all + 1, covered + usize::from(r.1)))
+    }
+
+    /// An answer is there, with so many books that were not accounted for before; none: it said that it has too much to do,
+    /// which is no word of how quick its answers are.
+    fn arrived(&mut self, now: Nanos, from: &str, books: Option<usize>, deadline: &mut dyn Deadline) {
         let (kind, took, own) = (self.key.parts().0, now - self.asked_at, self.own_delay);
+        let members = self.covered().0.max(1) as f64;
         let Some(waited) = self.waited.iter_mut().find(|w| w.name == from && w.arrived.is_none()) else {
             return;
         };
         waited.arrived = Some(now);
-        if from != self.me {
+        waited.weight = books.unwrap_or_default() as f64 / members;
+        if from != self.me && books.is_some() {
             deadline.arrived(kind, from, &waited.zone, took, own);
         }
         if self.closed.is_none() {
@@ -127,33 +161,36 @@
             self.cut |= page.cut;
         }
         if pages.seen.len() == usize::from(pages.of) {
-            self.complete(from);
-            self.arrived(now, from, deadline);
+            let books = self.complete(from);
+            self.arrived(now, from, Some(books), deadline);
         }
     }
 
-    /// All pages of an owner are there.
-    fn complete(&mut self, from: &str) {
-        let Some(pages) = self.pages.get_mut(from).filter(|_| self.closed.is_none()) else { return };
+    /// All pages of an owner are there: how many books are accounted for by them first.
+    fn complete(&mut self, from: &str) -> usize {
+        let Some(pages) = self.pages.get_mut(from).filter(|_| self.closed.is_none()) else { return 0 };
         let (bits, rows) = (pages.covered.take().unwrap_or_default(), std::mem::take(&mut pages.rows));
         let covers = |place: usize| bits.get(place / 8).is_some_and(|b| b >> (place % 8) & 1 == 1);
-        let vouched = |row: &Row| self.roster.binary_search_by(|r| r.0.cmp(&row.node)).is_ok_and(covers);
-        let rows: Vec<(bool, Row)> = rows.into_iter().map(|r| (vouched(&r), r)).collect();
+        let vouched = |row: &Entry| self.roster.binary_search_by(|r| r.0.cmp(&row.node)).is_ok_and(covers);
+        let rows: Vec<(bool, Entry)> = rows.into_iter().map(|r| (vouched(&r), r)).collect();
         rows.into_iter().for_each(|r| self.row(r));
         let oldest_ms = self.pages.get(from).map_or(0, |p| p.oldest_ms);
+        let mut books = 0;
         for (_, held) in self.roster.iter_mut().enumerate().filter(|(place, _)| covers(*place)) {
+            books += usize::from(!held.1);
             held.1 = true;
             self.oldest_ms = self.oldest_ms.max(oldest_ms);
         }
+        books
     }
 
-    fn row(&mut self, (vouched, row): (bool, Row)) {
+    fn row(&mut self, (vouched, row): (bool, Entry)) {
         // Of the own book nobody else is heard.
         if row.node == self.me {
             return;
         }
         let place = (row.node.clone(), row.at.clone());
-        let rank = |vouched: bool, row: &Row| (vouched, row.start, row.seq);
+        let rank = |vouched: bool, row: &Entry| (vouched, row.start, row.seq);
         if self.rows.get(&place).is_none_or(|held| rank(held.0, &held.1) < rank(vouched, &row)) {
             self.rows.insert(place, (vouched, row));
         }
@@ -163,13 +200,27 @@
     pub fn busy(&mut self, now: Nanos, from: &str, deadline: &mut dyn Deadline) {
         if self.waited.iter().any(|w| w.name == from) {
             self.busy.insert(from.to_owned());
-            self.arrived(now, from, deadline);
+            self.arrived(now, from, None, deadline);
         }
     }
 
-    /// The view gave it up.
-    pub fn gone(&mut self, name: &str) {
-        self.gone.insert(name.to_owned());
+    /// The view gave it up: it is not waited for.
+    pub fn gone(&mut self, now: Nanos, name: &str, deadline: &mut dyn Deadline) {
+        let due = self.roster.binary_search_by(|r| r.0.as_str().cmp(name)).is_ok();
+        if due && self.gone.insert(name.to_owned()) && self.closed.is_none() {
+            self.reckon(now, deadline);
+        }
+    }
+
+    /// The chance that it lives is another one.
+    pub fn lives(&mut self, now: Nanos, name: &str, chance: f64, deadline: &mut dyn Deadline) {
+        let Some(waited) = self.waited.iter_mut().find(|w| w.name == name && w.arrived.is_none()) else {
+            return;
+        };
+        waited.lives = chance;
+        if self.closed.is_none() {
+            self.reckon(now, deadline);
+        }
     }
 
     /// Why it is over, if it is.
@@ -194,11 +245,9 @@
         self.closed = Some(now);
         // Pages of those that have not told all: rows that nobody vouches for.
         let rest = self.pages.values_mut().flat_map(|p| std::mem::take(&mut p.rows));
-        let rest: Vec<Row> = rest.collect();
+        let rest: Vec<Entry> = rest.collect();
         rest.into_iter().for_each(|r| self.row((false, r)));
-        let required = || self.roster.iter().filter(|r| !self.gone.contains(&r.0));
-        let members = required().count();
-        let covered = required().filter(|r| r.1).count();
+        let (members, covered) = self.covered();
         let names =
             |of: &dyn Fn(&&Waited) -> bool| self.waited.iter().filter(of).map(|w| w.name.clone()).collect();
         let report = Report {
@@ -206,6 +255,7 @@
             asked: names(&|_| true),
             answered: names(&|w| w.arrived.is_some() && !self.busy.contains(&w.name)),
             busy: self.busy.iter().cloned().collect(),
+            given_up: self.gone.iter().cloned().collect(),
             members,
             covered: if without_judgement { members } else { covered },
             oldest_ms: self.oldest_ms,
@@ -223,19 +273,16 @@
         let hint = |node: &str| !whole && place(node).map_or(true, |n| !self.roster[n].1);
         let rows = std::mem::take(&mut self.rows).into_values().filter(|r| r.0 || hint(&r.1.node));
         let rows = rows.map(|r| r.1).filter(|r| r.count > 0);
-        let entry = |r: Row| Entry {
-            node: r.node,
-            start: r.start,
-            seq: r.seq,
-            at: r.at,
-            count: r.count,
-            age_ms: r.age_ms.saturating_add(wait_ms),
-        };
-        Answer::judge(rows.map(entry).collect(), report)
+        let aged = rows.map(|r| Entry { age_ms: r.age_ms.saturating_add(wait_ms), ..r });
+        Answer::judge(aged.collect(), report)
     }
 
-    /// It is forgotten: who never answered is told to the deadline.
+    /// It is forgotten: who never answered is told to the deadline; not where the own loop was late for an eighth of the time,
+    /// for then answers may have been lost here.
     pub fn forget(&self, now: Nanos, deadline: &mut dyn Deadline) {
+        if self.own_delay.saturating_mul(8) > now.saturating_sub(self.asked_at) {
+            return;
+        }
         for w in self.waited.iter().filter(|w| w.arrived.is_none() && !self.gone.contains(&w.name)) {
             deadline.missed(self.key.parts().0, &w.name, &w.zone, now.saturating_sub(self.asked_at));
         }
--- a/crates/directory/src/wire.rs
+++ b/crates/directory/src/wire.rs
@@ -1,7 +1,8 @@
 //! What members say to each other.
 
+use crate::directory::ZONE;
 use crate::shelf::{Place, Sum, place};
-use crate::{Key, TEXT};
+use crate::{Entry, Key, TEXT};
 use serde::{Deserialize, Serialize};
 
 /// Bytes of a message at most.
@@ -22,17 +23,6 @@
     }
 }
 
-/// A line of an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Row {
-    pub node: String,
-    pub start: u64,
-    pub seq: u64,
-    pub at: String,
-    pub count: u32,
-    pub age_ms: u64,
-}
-
 /// A question: the start of who asks, and its number there.
 pub(crate) type Id = (u64, u64);
 
@@ -62,6 +52,8 @@
         sum: Sum,
         /// Digest of the withdrawals known to the sender.
         withdrawn: u64,
+        /// Its zone; empty where it has none.
+        zone: String,
     },
     /// Lines that changed.
     Put { told: Vec<Told> },
@@ -75,7 +67,15 @@
     Ask { id: Id, key: Key, view: u64 },
     /// An answer's page. `covered`: members whose books the copy was found equal to, in the order of names, a bit each;
     /// none where the views differ. `cut`: there are more lines than are told.
-    Found { id: Id, page: u8, pages: u8, cut: bool, covered: Option<Vec<u8>>, oldest_ms: u64, rows: Vec<Row> },
+    Found {
+        id: Id,
+        page: u8,
+        pages: u8,
+        cut: bool,
+        covered: Option<Vec<u8>>,
+        oldest_ms: u64,
+        rows: Vec<Entry>,
+    },
     /// Too many ask.
     Busy { id: Id },
     /// Withdrawals known to the sender.
@@ -102,6 +102,7 @@
     let ((start, message), rest) = postcard::take_from_bytes::<(u64, Message)>(within).ok()?;
     let sound = match &message {
         Message::Put { told } | Message::Fill { told, .. } => sound(told),
+        Message::Beat { zone, .. } => zone.len() <= ZONE,
         Message::Ask { key, .. } => key.text().len() <= TEXT,
         _ => true,
     };
