Read once more: the form of subsets stands beside membership's like the directory's

Cause: members.rs blanked the form out of the text before membership read it, a special case on top of the list of forms that may stand beside membership's own (BESIDE).

Change: "subset" is in that list; without() and its scan of the text are gone.

--- a/crates/cli/src/members.rs
+++ b/crates/cli/src/members.rs
@@ -3,7 +3,7 @@
 use crate::desk::{self, Desk};
 use crate::ground::{Failure, at, beside, checked, given, run, told};
 use micadyke_config::Diagnostic;
-use micadyke_config::sexp::{self, Node};
+use micadyke_config::sexp;
 use micadyke_config::units::Unit;
 use micadyke_directory::settings::Terms;
 use micadyke_membership::frame::{KEY, Seal};
@@ -65,24 +65,7 @@
     text: &str, file: &str, name: Option<&str>,
 ) -> Result<(Settings, Option<Choices>), Vec<Diagnostic>> {
     let chooses = micadyke_subset::settings::read(text, file)?;
-    Ok((micadyke_membership::settings::read(&without(text, "subset"), file, name)?, chooses))
-}
-
-/// A text with blanks in place of the forms of this word, so that all else keeps its place; membership's reader knows
-/// which forms may stand beside its own, and this is none of them.
-fn without(text: &str, word: &str) -> String {
-    let text = text.strip_prefix('\u{feff}').unwrap_or(text);
-    let nodes = sexp::read(text).unwrap_or_default();
-    let ours = |n: &Node| n.list().and_then(|l| l.first()?.atom()) == Some(word);
-    let begins: Vec<((u32, u32), bool)> = nodes.iter().map(|n| ((n.at.line, n.at.column), ours(n))).collect();
-    let (mut at, mut out) = ((1, 1), String::with_capacity(text.len()));
-    for c in text.chars() {
-        // Whatever stands between two forms goes with the first of them.
-        let blank = begins.iter().rfind(|b| b.0 <= at).is_some_and(|b| b.1);
-        out.push(if blank && c != '\n' { ' ' } else { c });
-        at = if c == '\n' { (at.0 + 1, 1) } else { (at.0, at.1 + 1) };
-    }
-    out
+    Ok((micadyke_membership::settings::read(text, file, name)?, chooses))
 }
 
 /// Whether a file holds settings of membership.
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -32,7 +32,7 @@
 /// Seeds at most.
 const SEEDS: usize = 64;
 /// Forms of others that may stand in the same file.
-const BESIDE: [&str; 1] = ["directory"];
+const BESIDE: [&str; 2] = ["directory", "subset"];
 /// Rate of sending where none is stated, in bytes a second.
 const RATE: u64 = 64_000;
 
