Connections that bear sessions are closed last, and releases go to who asks

Ruled out: late news of the end (n5 wrote the release on time by its own rule), servers (their releases came), descriptors (309 of 544).

Cause: care::evict took a connection whose viewer watches in silence for as idle as one that merely tested the node (rank 1 for whatever had spoken, the longest idle first), and care::bearer let a release go out on any connection that had sent nothing unsound after 0.5 s. Viewers keep a connection for as long as they watch, and close others after 4 s.

Change: a connection is known by its use (silent, tests, set-ups, sessions). Room is made by the silent and those that only test first, by those that bear sessions last; a release waits for one that brought a set-up, and takes any other only in the last second before it is given up.

--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -238,6 +238,8 @@
     pub(crate) last: Nanos,
     /// It has sent a sound message.
     pub(crate) spoke: bool,
+    /// It brought a set-up.
+    pub(crate) asked: bool,
     /// A session that came by it has stood.
     pub(crate) proven: bool,
     /// Sessions that came by it and stand.
@@ -251,7 +253,20 @@
 impl Viewer {
     pub(crate) fn bearer(&self) -> care::Bearer {
         let (standing, proven, unsound) = (self.standing, self.proven, self.unsound > 0);
-        care::Bearer { standing, proven, unsound, last: self.last }
+        care::Bearer { standing, proven, used: self.used(), unsound, last: self.last }
+    }
+
+    pub(crate) fn idler(&self) -> care::Idler {
+        care::Idler { free: self.open.is_empty(), used: self.used(), last: self.last }
+    }
+
+    fn used(&self) -> care::Use {
+        match (self.standing > 0, self.asked, self.spoke) {
+            (true, ..) => care::Use::Sessions,
+            (false, true, _) => care::Use::SetUps,
+            (false, false, true) => care::Use::Tests,
+            (false, false, false) => care::Use::Silent,
+        }
     }
 
     /// A session that came by it stands.
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -135,8 +135,10 @@
 pub const STAY_AWAY: Nanos = SECOND;
 /// A release that no connection could take is kept for so long: it is due within 8 s of the session's end.
 pub const RELEASE_KEPT: Nanos = 8 * SECOND;
-/// A release waits so long for a connection that is known for a viewer's before any other is used.
+/// A release waits so long for a connection that is known for a viewer's before another that brought a set-up is used.
 pub const RELEASE_CHOOSY: Nanos = 500 * MS;
+/// Then any connection is used that sent nothing unsound: better than none, before the release is given up.
+pub const RELEASE_ANY: Nanos = RELEASE_KEPT - SECOND;
 
 /// Connections of viewers and of servers that a node with so many descriptors holds at most.
 pub fn shares(descriptors: usize) -> (usize, usize) {
@@ -182,26 +184,43 @@
     }
 }
 
+/// What a viewer's connection has shown itself to be.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Use {
+    /// It has sent nothing sound.
+    #[default]
+    Silent,
+    /// It sent sound messages, but no set-up: what tests a node from outside does no more.
+    Tests,
+    /// It brought a set-up.
+    SetUps,
+    /// Sessions that came by it stand: their releases are owed to it.
+    Sessions,
+}
+
 /// A viewer's connection that might be closed to make room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Idler {
     /// No set-up is open on it.
     pub free: bool,
-    /// It has sent a sound message.
-    pub spoke: bool,
-    /// When it last sent one, or connected.
+    /// What it has been used for.
+    pub used: Use,
+    /// When it last sent a sound message, or connected.
     pub last: Nanos,
 }
 
-/// Which connection makes room for a new one: of those with no set-up open one that has had time to speak and never sent
-/// a sound message, the oldest first; else the longest idle one that has not just sent; else the oldest that has not
-/// spoken yet. `None`: none may be closed.
+/// Which connection makes room for a new one: of those with no set-up open one that has had time to speak and never
+/// brought a set-up, the silent ones first; else the longest idle one that brought set-ups, has not just sent and bears no
+/// session; else the oldest that has not had time to speak; else the longest idle one that bears sessions, for viewers keep
+/// those and leave others after seconds. Of equals the one that is idle longest. `None`: none may be closed.
 pub fn evict(idlers: impl Iterator<Item = (u64, Idler)>, now: Nanos) -> Option<u64> {
-    let rank = |i: &Idler| match (i.spoke, now >= i.last + YOUNG, now >= i.last + JUST_SENT) {
-        (false, true, _) => Some(0),
-        (true, _, true) => Some(1),
-        (false, false, _) => Some(2),
-        (true, _, false) => None,
+    let rank = |i: &Idler| match (i.used, now >= i.last + YOUNG, now >= i.last + JUST_SENT) {
+        (Use::Silent, true, _) => Some(0),
+        (Use::Tests, true, _) => Some(1),
+        (Use::SetUps, _, true) => Some(2),
+        (Use::Silent | Use::Tests, false, _) => Some(3),
+        (Use::Sessions, _, true) => Some(4),
+        (Use::SetUps | Use::Sessions, _, false) => None,
     };
     let may = idlers.filter(|i| i.1.free).filter_map(|(id, i)| Some((rank(&i)?, i.last, id)));
     may.min().map(|m| m.2)
@@ -214,6 +233,8 @@
     pub standing: usize,
     /// A session that came by it has stood.
     pub proven: bool,
+    /// What it has been used for.
+    pub used: Use,
     /// It sent something unsound.
     pub unsound: bool,
     /// When it last sent a sound message, or connected.
@@ -221,13 +242,15 @@
 }
 
 /// Which connection bears a release: one by which sessions came that stand, for viewers keep those open; else one that
-/// has brought a session that stood; else, once the release has waited for [`RELEASE_CHOOSY`], any that sent nothing
-/// unsound. What merely sent a set-up may be a bad client, which reads for nobody else. The latest of equals.
+/// has brought one that stood; else, once the release has waited for [`RELEASE_CHOOSY`], one that brought a set-up; else,
+/// after [`RELEASE_ANY`], any. What merely sent a set-up or a test may be no viewer's, and then reads for nobody else: after
+/// anything unsound it is not used. The latest of equals.
 pub fn bearer(bearers: impl Iterator<Item = (u64, Bearer)>, waited: Nanos) -> Option<u64> {
-    let rank = |b: &Bearer| match (b.standing > 0, b.proven) {
-        (true, _) => Some(2),
-        (false, true) => Some(1),
-        (false, false) => (waited >= RELEASE_CHOOSY && !b.unsound).then_some(0),
+    let rank = |b: &Bearer| match (b.standing > 0, b.proven, b.used) {
+        (true, ..) => Some(3),
+        (false, true, _) => Some(2),
+        (false, false, Use::SetUps | Use::Sessions) => (waited >= RELEASE_CHOOSY && !b.unsound).then_some(1),
+        (false, false, Use::Silent | Use::Tests) => (waited >= RELEASE_ANY && !b.unsound).then_some(0),
     };
     bearers.filter_map(|(id, b)| Some((rank(&b)?, b.last, id))).max().map(|m| m.2)
 }
@@ -239,16 +262,26 @@
     #[test]
     fn who_makes_room() {
         let now = 10 * SECOND;
-        let idler = |free, spoke, ago| Idler { free, spoke, last: now - ago * MS };
+        let idler = |free, used, ago| Idler { free, used, last: now - ago * MS };
+        let (silent, tests, set_ups, sessions) = (Use::Silent, Use::Tests, Use::SetUps, Use::Sessions);
         // (who is there, who goes)
-        let table: [(&[Idler], Option<u64>); 7] = [
-            (&[idler(false, true, 9000), idler(false, false, 9000)], None),
-            (&[idler(true, true, 500)], None),
-            (&[idler(true, true, 9000), idler(true, false, 150)], Some(1)),
-            (&[idler(true, true, 9000), idler(true, false, 50)], Some(0)),
-            (&[idler(true, true, 2000), idler(true, true, 3000)], Some(1)),
-            (&[idler(true, true, 500), idler(true, false, 50), idler(true, false, 60)], Some(2)),
-            (&[idler(true, false, 200), idler(true, false, 1900), idler(false, false, 5000)], Some(1)),
+        let table: [(&[Idler], Option<u64>); 12] = [
+            (&[idler(false, set_ups, 9000), idler(false, silent, 9000)], None),
+            (&[idler(true, set_ups, 500)], None),
+            (&[idler(true, set_ups, 9000), idler(true, silent, 150)], Some(1)),
+            (&[idler(true, set_ups, 9000), idler(true, silent, 50)], Some(0)),
+            (&[idler(true, set_ups, 2000), idler(true, set_ups, 3000)], Some(1)),
+            (&[idler(true, set_ups, 500), idler(true, silent, 50), idler(true, silent, 60)], Some(2)),
+            (&[idler(true, silent, 200), idler(true, silent, 1900), idler(false, silent, 5000)], Some(1)),
+            // A connection that bears sessions goes last, however long it has said nothing.
+            (&[idler(true, sessions, 60_000), idler(true, tests, 150)], Some(1)),
+            (&[idler(true, sessions, 60_000), idler(true, set_ups, 1500)], Some(1)),
+            (&[idler(true, sessions, 60_000), idler(true, silent, 10)], Some(1)),
+            (
+                &[idler(true, sessions, 3000), idler(true, sessions, 60_000), idler(true, set_ups, 10)],
+                Some(1),
+            ),
+            (&[idler(true, tests, 150), idler(true, silent, 120), idler(true, set_ups, 9000)], Some(1)),
         ];
         for (idlers, goes) in table {
             let there = idlers.iter().enumerate().map(|(i, v)| (i as u64, *v));
@@ -258,15 +291,21 @@
 
     #[test]
     fn who_bears_a_release() {
-        let bearer_of = |standing, proven, unsound, last| Bearer { standing, proven, unsound, last };
+        let bearer_of =
+            |standing, proven, unsound, last| Bearer { standing, proven, used: Use::SetUps, unsound, last };
         let flood = bearer_of(0, false, false, 9);
-        let table: [(&[Bearer], Nanos, Option<u64>); 6] = [
+        let tester = Bearer { used: Use::Tests, ..bearer_of(0, false, false, 9) };
+        let table: [(&[Bearer], Nanos, Option<u64>); 9] = [
             (&[flood], 0, None),
             (&[flood], RELEASE_CHOOSY, Some(0)),
             (&[bearer_of(0, false, true, 9)], RELEASE_KEPT, None),
             (&[flood, bearer_of(0, true, false, 1)], RELEASE_CHOOSY, Some(1)),
             (&[flood, bearer_of(0, true, false, 8), bearer_of(2, true, false, 1)], 0, Some(2)),
             (&[bearer_of(1, true, false, 1), bearer_of(1, true, false, 2)], 0, Some(1)),
+            // What only tested the node is hardly a viewer's.
+            (&[tester], RELEASE_CHOOSY, None),
+            (&[tester], RELEASE_ANY, Some(0)),
+            (&[tester, bearer_of(0, false, false, 1)], RELEASE_ANY, Some(1)),
         ];
         for (bearers, waited, bears) in table {
             let there = bearers.iter().enumerate().map(|(i, b)| (i as u64, *b));
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -42,10 +42,7 @@
 impl<D: Decide> Node<D> {
     pub(crate) fn viewer_opened(&mut self, conn: ConnId) {
         if self.viewers.len() >= self.most_viewers {
-            let idlers = self
-                .viewers
-                .iter()
-                .map(|(c, v)| (c.0, care::Idler { free: v.open.is_empty(), spoke: v.spoke, last: v.last }));
+            let idlers = self.viewers.iter().map(|(c, v)| (c.0, v.idler()));
             match care::evict(idlers, self.now) {
                 Some(old) => self.turn_out(ConnId(old), "room"),
                 None => return self.out.push(Output::Close { conn }),
@@ -57,6 +54,7 @@
             since: self.now,
             last: self.now,
             spoke: false,
+            asked: false,
             proven: false,
             standing: 0,
             unsound: 0,
@@ -167,6 +165,9 @@
             Ok(set_up) => set_up,
             Err(what) => return self.unsound(conn, id.0, what),
         };
+        if let Some(viewer) = self.viewers.get_mut(&conn) {
+            viewer.asked = true;
+        }
         if let Some(server) = set_up.at {
             return self.adopt(conn, set_up.wish, set_up.name, &server);
         }
