A stopping node ends when what the system held is read, and slow readers have theirs

Need: read for races, crates/node/src/shell.rs showed that run() ended as soon as the core was done: it dropped the listener with connections that the operating system had accepted, never read what lay in sockets, and cut what peers had still to take after 200 ms, although a node may go on until 50 ms before it may be killed. Signals were heard only after the listener stood. Closed connections that wait for a slow peer held descriptors that no bound counted, and connections were accepted up to 128 in a row before those that made room for them were closed. A connection closed with bytes unread is reset, which may drop what its peer was not sent yet.

Change: run() hears signals first, and ends once the core owes nothing, two looks of 5 ms in a row found nothing new from viewers, and everything is written, or at Node::ends_by (longest deadline, 3 s at most, and 0.65 s). Eight closed connections at most wait for their peers; bytes that came on a closed one are read away; accepting takes turns with closing.

Not tested: the order of signals and listener, the bound on closed connections.

--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -152,12 +152,17 @@
 }
 
 impl Viewer {
+    /// On a connection that is up.
+    pub fn over(stream: TcpStream) -> Self {
+        Viewer { stream, parser: Parser::default(), titles: false }
+    }
+
     pub async fn connect(to: SocketAddr) -> Self {
         // Ample, so that a node that never listens fails a test in place of holding it up.
         let start = std::time::Instant::now();
         while start.elapsed() < Duration::from_secs(60) {
             if let Ok(stream) = TcpStream::connect(to).await {
-                return Viewer { stream, parser: Parser::default(), titles: false };
+                return Viewer::over(stream);
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -28,6 +28,8 @@
 const LINGER_MOST: Nanos = 500 * care::MS;
 /// Of a longer deadline a stopping node is given no more than this.
 const LINGER_DEADLINE: Nanos = 3 * SECOND;
+/// Then a stopping node ends, whatever its peers have not taken: after the last answers, and before it may be killed.
+const FLUSH_MOST: Nanos = 50 * care::MS;
 /// Releases kept for lack of a connection at most; the oldest is dropped for a newer one.
 const RELEASES: usize = 4096;
 
@@ -117,6 +119,11 @@
         now >= since + LINGER && (!owed || now >= since + self.linger_most() + TIDY)
     }
 
+    /// When a stopping node ends at the latest, whatever is left.
+    pub fn ends_by(&self) -> Option<Nanos> {
+        self.stopping.map(|since| since + self.linger_most() + TIDY + FLUSH_MOST)
+    }
+
     /// How long a node serves on at most once it is to stop.
     fn linger_most(&self) -> Nanos {
         (self.terms.deadline.min(LINGER_DEADLINE) + LINGER_MOST).max(LINGER)
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -37,8 +37,15 @@
 const BACKLOG: u32 = 1024;
 /// A connection that is closed with bytes still to write waits so long for its peer to take them.
 const FLUSH: Duration = Duration::from_secs(2);
+/// Closed connections that may wait for that at a time: each holds a descriptor that the core no longer counts, and
+/// [`care::OWN_DESCRIPTORS`] has room for so many.
+const FLUSHES: usize = 8;
+/// Bytes that are read and thrown away from a connection that is closed, at most.
+const UNREAD: usize = 64 << 10;
 /// Accepting is tried again after this when descriptors are short.
 const SHORT: Duration = Duration::from_millis(20);
+/// A stopping node looks so often whether it may end. Two looks have the operating system asked in between for what came.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// Reads the configuration from its file.
 ///
@@ -65,12 +72,20 @@
     closing: Cell<bool>,
     paused: Cell<Option<Instant>>,
     backlog: usize,
+    /// It is a viewer's.
+    viewer: bool,
 }
 
 impl Conn {
-    fn new(stream: Option<TcpStream>, backlog: usize) -> Rc<Self> {
-        let stream = RefCell::new(stream.map(Rc::new));
-        Rc::new(Conn { stream, backlog, ..Conn::default() })
+    /// A connection of the node's own making, not up yet.
+    fn outgoing(backlog: usize) -> Rc<Self> {
+        Rc::new(Conn { backlog, ..Conn::default() })
+    }
+
+    /// A viewer's connection.
+    fn accepted(stream: TcpStream) -> Rc<Self> {
+        let stream = RefCell::new(Some(Rc::new(stream)));
+        Rc::new(Conn { stream, backlog: care::VIEWER_BACKLOG, viewer: true, ..Conn::default() })
     }
 
     /// Writes what the operating system takes now; the rest waits. False: the connection is of no further use.
@@ -105,6 +120,10 @@
     /// Inputs that came up while outputs were carried out.
     later: RefCell<VecDeque<(ConnId, u64)>>,
     next: Cell<u64>,
+    /// Connections, bytes and closes that came from viewers so far.
+    from_viewers: Cell<u64>,
+    /// Connections that are closed but for bytes that their peers have not taken.
+    flushing: Cell<usize>,
     wake: Notify,
     armed: Cell<Nanos>,
     /// To the other nodes, where there are any.
@@ -172,10 +191,11 @@
     path: PathBuf, config: Config, decide: impl FnOnce(Nanos) -> D, others: Option<Others>,
     recovers: Option<Recovers>,
 ) -> Result<Counts, Error> {
-    let listener = listen(config.listen).map_err(|why| Error::Listen { at: config.listen, why })?;
+    // Signals first: once a connection can be accepted, none of them may end the process by its default action.
     let mut term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
     let mut int = signal(SignalKind::interrupt()).map_err(Error::Signals)?;
     let hup = signal(SignalKind::hangup()).map_err(Error::Signals)?;
+    let listener = listen(config.listen).map_err(|why| Error::Listen { at: config.listen, why })?;
     let epoch = micadyke_membership::clock::unix().as_nanos() as u64;
     let kept = recovers.as_ref().map(|r| &r.kept);
     let module = Advised::new(decide(epoch), &config.site.settings, kept);
@@ -202,6 +222,8 @@
         conns: RefCell::default(),
         later: RefCell::default(),
         next: Cell::new(1),
+        from_viewers: Cell::new(0),
+        flushing: Cell::new(0),
         wake: Notify::new(),
         armed: Cell::new(Nanos::MAX),
         tell: others.as_ref().map(|o| o.tell.clone()),
@@ -220,16 +242,8 @@
         _ = int.recv() => {}
     }
     shell.feed(Input::Stop);
-    while !shell.core.borrow().done(shell.now()) {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    shell.serve_until_done().await;
     accept.abort();
-    // What was handed over for writing is written by the connections' own tasks: let them.
-    let until = Instant::now() + Duration::from_millis(200);
-    let left = || shell.conns.borrow().values().any(|c| !c.waiting.borrow().is_empty());
-    while left() && Instant::now() < until {
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
     reload.abort();
     timers.abort();
     others.into_iter().for_each(|o| o.abort());
@@ -250,6 +264,35 @@
         self.epoch + self.start.elapsed().as_nanos() as u64
     }
 
+    /// Serves on until a stopping node may end: the core owes nothing, what it said was taken by its peers, and the
+    /// operating system held nothing more of viewers. Not for longer than the core allows.
+    async fn serve_until_done(&self) {
+        let mut seen = None;
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now = self.now();
+            let core = self.core.borrow();
+            if core.ends_by().is_none_or(|by| now >= by) {
+                return;
+            }
+            let came = self.from_viewers.get();
+            let quiet = seen.replace(came) == Some(came);
+            if core.done(now) && quiet && !self.unwritten() {
+                return;
+            }
+        }
+    }
+
+    /// Whether peers have not taken all that they were told.
+    fn unwritten(&self) -> bool {
+        self.flushing.get() > 0 || self.conns.borrow().values().any(|c| !c.waiting.borrow().is_empty())
+    }
+
+    /// Notes that something came from a viewer.
+    fn came(&self, from: &Conn) {
+        self.from_viewers.set(self.from_viewers.get() + u64::from(from.viewer));
+    }
+
     /// Hands an input to the core and carries out what it says.
     fn feed(self: &Rc<Self>, input: Input) {
         let mut out = Vec::new();
@@ -298,12 +341,12 @@
                 c.changed.notify_one();
             }
             Output::Connect { conn, addr } => {
-                let c = Conn::new(None, care::LINK_BACKLOG);
+                let c = Conn::outgoing(care::LINK_BACKLOG);
                 self.conns.borrow_mut().insert(conn, c.clone());
                 spawn_local(self.clone().link(conn, addr, c));
             }
             Output::Listen { conn, addr, last } => {
-                let c = Conn::new(None, 0);
+                let c = Conn::outgoing(0);
                 self.conns.borrow_mut().insert(conn, c.clone());
                 spawn_local(self.clone().bus(conn, addr, last, c));
             }
@@ -373,10 +416,13 @@
             let _ = stream.set_nodelay(true);
             self.next.set(self.next.get() + 2);
             let conn = ConnId(self.next.get());
-            let c = Conn::new(Some(stream), care::VIEWER_BACKLOG);
+            let c = Conn::accepted(stream);
             self.conns.borrow_mut().insert(conn, c.clone());
+            self.came(&c);
             self.feed(Input::ViewerOpened { conn });
             spawn_local(self.clone().serve(conn, c));
+            // What makes room for it is closed before the next is accepted: both hold descriptors until then.
+            tokio::task::yield_now().await;
         }
     }
 
@@ -406,7 +452,7 @@
         let Some(stream) = c.stream.borrow().clone() else { return };
         loop {
             if c.closing.get() {
-                return finish(&stream, &c).await;
+                return self.finish(&stream, &c).await;
             }
             if let Some(until) = c.paused.take() {
                 tokio::select! {
@@ -432,6 +478,7 @@
             if !matches!(read, Ok(1..)) {
                 break;
             }
+            self.came(&c);
             // Fair turns: one that sends without end does not keep the others waiting.
             tokio::task::yield_now().await;
         }
@@ -483,16 +530,34 @@
             }
         }
     }
-}
 
-/// Writes what is left, then closes.
-async fn finish(stream: &TcpStream, c: &Conn) {
-    let rest = async {
-        while !c.waiting.borrow().is_empty() {
-            if stream.writable().await.is_err() || !c.write(&[]) {
-                return;
+    /// Writes what is left of a connection that is closed, unless too many wait for that already.
+    async fn finish(&self, stream: &TcpStream, c: &Conn) {
+        let rest = async {
+            while !c.waiting.borrow().is_empty() {
+                if stream.writable().await.is_err() || !c.write(&[]) {
+                    return;
+                }
             }
+        };
+        if !c.waiting.borrow().is_empty() && self.flushing.get() < FLUSHES {
+            self.flushing.set(self.flushing.get() + 1);
+            let _ = tokio::time::timeout(FLUSH, rest).await;
+            self.flushing.set(self.flushing.get() - 1);
         }
-    };
-    let _ = tokio::time::timeout(FLUSH, rest).await;
+        discard_unread(stream);
+    }
+}
+
+/// Reads away what came on a connection that is closed: with bytes unread, the operating system would reset it and drop
+/// what the peer has not been sent yet.
+fn discard_unread(stream: &TcpStream) {
+    let mut buffer = [0u8; 8192];
+    let mut left = UNREAD;
+    while left > 0 {
+        match stream.try_read(&mut buffer) {
+            Ok(n @ 1..) => left = left.saturating_sub(n),
+            _ => return,
+        }
+    }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -114,6 +114,8 @@
     pub next: VecDeque<Treat>,
     /// What is done with a set-up otherwise.
     pub usual: Treat,
+    /// Bytes by which descriptions are longer than usual.
+    pub padding: usize,
     parsers: BTreeMap<u64, Parser>,
     out: BTreeMap<u64, u64>,
     standing: BTreeMap<u64, u64>,
@@ -131,6 +133,7 @@
             delay,
             next: VecDeque::new(),
             usual,
+            padding: 0,
             parsers: BTreeMap::new(),
             out: BTreeMap::new(),
             standing: BTreeMap::new(),
@@ -263,7 +266,8 @@
     fn answer(
         &mut self, now: u64, id: u64, conn: u64, treat: Treat, record: &mut Record, acts: &mut Vec<Act>,
     ) {
-        let description = format!("{} gives {id:016x}\r\n\0", self.id).into_bytes();
+        let mut description = format!("{} gives {id:016x}\r\n\0", self.id).into_bytes();
+        description.resize(description.len() + self.padding, b'.');
         let server = self.id.clone();
         let good = Message::response(200, 1).session(id).content(&description).encode();
         let ended = |ran| (now, Seen::Ended { id, server: server.clone(), ran });
