Draft, not built and not run: viewers that have gone, set-ups before blocked servers

Change, a draft so far: `Input::Blocked` and `Input::Writable` tell the core, which takes back what was not begun (`blocked.rs`) and begins nothing on such a connection; a withdrawal that is not taken within 100 ms closes it. `Node::leave` removes a session on which the module has not decided.

Measured: nothing.

--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -1,6 +1,7 @@
 //! The books that both sides and the turn share: sessions, attempts, connections, servers, and the node that holds them.
 //! Nothing here depends on who writes in them: [`crate::core`] has the turn, `servers` and `viewers` the two sides.
 
+use crate::blocked::{About, Handed};
 use crate::bus::Follower;
 use crate::care;
 use crate::choosing::Choosing;
@@ -131,6 +132,8 @@
     pub(crate) now: Nanos,
     pub(crate) random: StdRng,
     pub(crate) out: Vec<Output>,
+    /// Messages to servers among them.
+    pub(crate) handed: Vec<Handed>,
     pub(crate) events: VecDeque<Event>,
     pub(crate) timers: BTreeMap<(Nanos, u64), Due>,
     pub(crate) timer: u64,
@@ -194,6 +197,13 @@
     pub(crate) open: BTreeSet<SessionId>,
     /// Bytes handed over for writing.
     pub(crate) sent: u64,
+    /// The operating system takes nothing more on it for now.
+    pub(crate) blocked: bool,
+    /// Messages that wait until it does, and their bytes.
+    pub(crate) pending: VecDeque<(About, Message)>,
+    pub(crate) backlog: usize,
+    /// Since when a withdrawal has waited among them.
+    pub(crate) withdrawing: Option<Nanos>,
     /// When something last came.
     pub(crate) heard: Nanos,
     /// When it was last of use.
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -47,6 +47,10 @@
 /// Bytes that wait to be written to a server at most; a server that lets more pile up reads nothing.
 pub const LINK_BACKLOG: usize = 256 << 10;
 
+/// A withdrawal that a connection to a server does not take within this closes the connection, for what has been withdrawn
+/// must not run on: with the look that follows each 100 ms, it is given up within 0.3 s.
+pub const WITHDRAWAL: Nanos = 100 * MS;
+
 // ----- recovery
 
 /// How long a node that comes back waits at most: for the bus, which tells all within its own pause of half a second once it
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -44,6 +44,7 @@
             now,
             random: StdRng::seed_from_u64(config.seed),
             out: Vec::new(),
+            handed: Vec::new(),
             events: VecDeque::new(),
             timers: BTreeMap::new(),
             timer: 0,
@@ -139,6 +140,9 @@
     /// Takes one input at Unix time `now`; what is to be done is appended to `out`, in order.
     pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        if !matches!(input, Input::Blocked { .. }) {
+            self.handed.clear();
+        }
         match input {
             Input::ViewerOpened { conn } => self.viewer_opened(conn),
             Input::Data { conn, bytes } => self.data(conn, bytes),
@@ -147,6 +151,8 @@
             Input::Closed { conn, .. } if self.follower.owns(conn) => self.bus_closed(),
             Input::Closed { conn, .. } if self.viewers.contains_key(&conn) => self.viewer_closed(conn),
             Input::Closed { conn, written, refused } => self.link_closed(conn, written, refused),
+            Input::Blocked { conn, written } => self.link_blocked(conn, written),
+            Input::Writable { conn } => self.link_writable(conn),
             Input::BusMoved { addr } => {
                 if addr != self.follower.addr() {
                     info!(%addr, "the event bus moved");
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -56,6 +56,20 @@
         /// It was refused: nothing listens there.
         refused: bool,
     },
+    /// The operating system takes no more on a connection to a server for now. Of the messages written to it, those that
+    /// begin at or after `written` were dropped; the rest of one that began before goes out by itself. This input comes
+    /// right after the turn that wrote them, ahead of any other.
+    Blocked {
+        /// The connection.
+        conn: ConnId,
+        /// Bytes of it that the operating system has taken.
+        written: u64,
+    },
+    /// A connection that was blocked takes bytes again, and nothing of what was written to it is left.
+    Writable {
+        /// The connection.
+        conn: ConnId,
+    },
     /// The configuration names another address of the event bus.
     BusMoved {
         /// The address.
@@ -88,14 +102,15 @@
     },
     /// This is to be kept for the next start; only where there is a store ([`crate::Node::recovers`]).
     Keep(Record),
-    /// Write to a connection.
+    /// Write to a connection; to that of a server one whole message.
     Write {
         /// The connection.
         conn: ConnId,
         /// The bytes.
         bytes: Vec<u8>,
     },
-    /// Close a connection once what was written to it is out; nothing is heard of it any more.
+    /// Close a connection once what was written to it is out; nothing is heard of it any more. That of a server which is
+    /// blocked is aborted: a set-up of which a part was taken must not be completed.
     Close {
         /// The connection.
         conn: ConnId,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod advice;
+mod blocked;
 mod books;
 pub mod bus;
 pub mod care;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,5 +1,6 @@
 //! Servers: connections, attempts, notes, and whether a server lives.
 
+use crate::blocked::About;
 use crate::books::{Due, Link, Node, Server, Session, Stage, cause};
 use crate::care;
 use crate::io::{ConnId, Output};
@@ -111,7 +112,8 @@
         let usable: Vec<ConnId> = server.links.iter().copied().filter(|l| !self.links[l].retired).collect();
         let candidates: Vec<care::Candidate> = usable
             .iter()
-            .map(|l| care::Candidate { up: self.links[l].up, open: self.links[l].open.len() })
+            .map(|l| &self.links[l])
+            .map(|l| care::Candidate { up: l.up && !l.blocked, open: l.open.len() })
             .collect();
         // A server that does not come up is not waited for by set-ups until a call of the node's own got through.
         let out_of_reach = now < server.call_at && candidates.iter().all(|c| !c.up);
@@ -138,11 +140,12 @@
         }
     }
 
-    /// Writes the set-up of a session whose connection is up.
-    fn write_set_up(&mut self, id: SessionId) {
+    /// Writes the set-up of a session whose connection is up and takes bytes.
+    pub(crate) fn write_set_up(&mut self, id: SessionId) {
         let now = self.now;
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Stage::Waiting { server, link } = session.stage else { return };
+        let Some(from) = self.links.get(&link).filter(|l| !l.blocked).map(|l| l.sent) else { return };
         let patience = (session.due.saturating_sub(now) / care::MS).max(1);
         let mut message = Message::request("SETUP", &format!("rtsp://media/{}", session.title.0), 1)
             .session(id.0)
@@ -152,24 +155,19 @@
             message = message.with("Rate-Step", &rung.to_string());
         }
         let message = message.content(&session.description);
-        let from = self.links.get(&link).map_or(0, |l| l.sent);
         session.stage = Stage::Out { server, link, from, at: now };
         self.counts.attempts += 1;
-        self.write_link(link, &message);
+        self.write_about(link, About::SetUp(id), message);
     }
 
-    fn write_link(&mut self, conn: ConnId, message: &Message) {
-        let Some(link) = self.links.get_mut(&conn) else { return };
-        let bytes = message.encode();
-        link.sent += bytes.len() as u64;
-        link.used = self.now;
-        self.out.push(Output::Write { conn, bytes });
+    fn write_link(&mut self, conn: ConnId, message: Message) {
+        self.write_about(conn, About::Other, message);
     }
 
     /// Withdraws an attempt that is out.
     pub(crate) fn withdraw(&mut self, id: SessionId, link: ConnId) {
         let message = Message::request("TEARDOWN", &address(id), 2).session(id.0);
-        self.write_link(link, &message);
+        self.write_about(link, About::Withdrawal(id), message);
     }
 
     /// An attempt's time is up.
@@ -185,6 +183,10 @@
                     l.retired = true;
                 }
                 self.attempt_ended(id, Outcome::TimedOut);
+                if self.links.get(&link).is_some_and(|l| l.blocked) {
+                    // The withdrawal waits, and the next attempt may begin at once: what is out here is given up by a close.
+                    return self.drop_link(link, Outcome::Error);
+                }
                 self.drop_if_retired(link);
             }
             Stage::New | Stage::Standing { .. } => {}
@@ -223,6 +225,10 @@
             parser: Parser::default(),
             open: BTreeSet::new(),
             sent: 0,
+            blocked: false,
+            pending: VecDeque::new(),
+            backlog: 0,
+            withdrawing: None,
             heard: now,
             used: now,
             half: None,
@@ -257,7 +263,7 @@
             queue = std::mem::take(&mut server.queue);
         }
         self.tell_reach(id);
-        queue.into_iter().for_each(|m| self.write_link(conn, &m));
+        queue.into_iter().for_each(|m| self.write_link(conn, m));
         waiting.into_iter().for_each(|s| self.write_set_up(s));
     }
 
@@ -273,7 +279,10 @@
         let Some(id) = self.links.get(&conn).map(|l| l.server) else { return };
         self.out.push(Output::Close { conn });
         debug!(conn = conn.0, ?outcome, "a connection to a server is closed");
-        self.remove_link(conn, |_| outcome);
+        self.remove_link(conn, |stage| match stage {
+            Stage::Waiting { .. } => Outcome::NoConnection,
+            _ => outcome,
+        });
         self.keep_link(id);
         self.forget(id);
     }
@@ -285,9 +294,11 @@
     }
 
     fn remove_link(&mut self, conn: ConnId, outcome: impl Fn(&Stage) -> Outcome) {
-        let Some(link) = self.links.remove(&conn) else { return };
+        let Some(mut link) = self.links.remove(&conn) else { return };
         if let Some(server) = self.servers.get_mut(&link.server) {
             server.links.retain(|l| *l != conn);
+            let room = QUEUE.saturating_sub(server.queue.len());
+            server.queue.extend(link.untold().take(room));
         }
         self.tell_reach(link.server);
         for id in link.open {
@@ -449,7 +460,7 @@
 
     /// A server releases a session.
     fn released(&mut self, conn: ConnId, server: ServerId, id: SessionId, message: &Message) {
-        self.write_link(conn, &Message::response(200, message.number().unwrap_or(2)).session(id.0));
+        self.write_link(conn, Message::response(200, message.number().unwrap_or(2)).session(id.0));
         let reason = message.headers.get("reason").and_then(|r| r.trim().strip_prefix("cause="));
         let stated = reason.and_then(|c| c.trim().parse::<u8>().ok());
         match self.sessions.get(&id).map(|s| s.stage) {
@@ -538,9 +549,12 @@
         };
         let Some(s) = self.servers.get_mut(&server) else { return };
         let usable = |l: &ConnId| self.links.get(l).is_some_and(|l| l.up && !l.retired);
+        let takes = |l: &ConnId| usable(l) && self.links.get(l).is_some_and(|l| !l.blocked);
         let own = own.filter(|l| s.links.contains(l) && usable(l));
-        if let Some(conn) = own.or_else(|| s.links.iter().copied().find(|l| usable(l))) {
-            return self.write_link(conn, &message);
+        let others = || s.links.iter().copied();
+        let free = own.filter(takes).or_else(|| others().find(takes));
+        if let Some(conn) = free.or(own).or_else(|| others().find(usable)) {
+            return self.write_link(conn, message);
         }
         if s.row.state == ServerState::Gone {
             return;
@@ -563,7 +577,7 @@
             let last =
                 self.servers.get(&link.server).is_some_and(|s| !s.standing.is_empty() && s.links.len() == 1);
             let idle = link.up && link.open.is_empty() && now >= link.used + care::LINK_IDLE;
-            if link.half.is_some_and(|h| now >= h + care::HALF_MESSAGE) {
+            if link.stuck(now) || link.half.is_some_and(|h| now >= h + care::HALF_MESSAGE) {
                 self.drop_link(conn, Outcome::Error);
             } else if idle && !last {
                 self.drop_link(conn, Outcome::Cancelled);
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -61,6 +61,10 @@
     stream: RefCell<Option<Rc<TcpStream>>>,
     waiting: RefCell<VecDeque<u8>>,
     written: Cell<u64>,
+    /// It leads to a server.
+    server: bool,
+    /// The operating system takes no more on it; known of servers alone.
+    blocked: Cell<bool>,
     changed: Notify,
     closing: Cell<bool>,
     paused: Cell<Option<Instant>>,
@@ -73,6 +77,10 @@
         Rc::new(Conn { stream, backlog, ..Conn::default() })
     }
 
+    fn to_server() -> Rc<Self> {
+        Rc::new(Conn { server: true, backlog: care::LINK_BACKLOG, ..Conn::default() })
+    }
+
     /// Writes what the operating system takes now; the rest waits. False: the connection is of no further use.
     fn write(&self, bytes: &[u8]) -> bool {
         let mut waiting = self.waiting.borrow_mut();
@@ -93,6 +101,34 @@
         }
         waiting.len() <= self.backlog
     }
+
+    /// Writes one message to a server. One that is not begun is dropped, the rest of one that is waits. False: the
+    /// connection is of no further use.
+    fn offer(&self, message: &[u8]) -> bool {
+        if self.blocked.get() {
+            return true;
+        }
+        let before = self.written.get();
+        let sound = self.write(message);
+        if !self.waiting.borrow().is_empty() {
+            self.blocked.set(true);
+            if self.written.get() == before {
+                self.waiting.borrow_mut().clear();
+            }
+        }
+        sound
+    }
+
+    /// What was not taken is dropped, and what the operating system has not yet sent.
+    fn abort(&self) {
+        self.waiting.borrow_mut().clear();
+        let _ = self.stream.borrow().as_ref().map(|s| s.set_zero_linger());
+    }
+
+    /// What was left has gone out, and more would be taken.
+    fn unblocked(&self) -> bool {
+        self.waiting.borrow().is_empty() && self.blocked.replace(false)
+    }
 }
 
 /// A running node.
@@ -103,7 +139,7 @@
     epoch: u64,
     conns: RefCell<HashMap<ConnId, Rc<Conn>>>,
     /// Inputs that came up while outputs were carried out.
-    later: RefCell<VecDeque<(ConnId, u64)>>,
+    later: RefCell<VecDeque<Input<'static>>>,
     next: Cell<u64>,
     wake: Notify,
     armed: Cell<Nanos>,
@@ -256,8 +292,7 @@
         self.core.borrow_mut().handle(self.now(), input, &mut out);
         loop {
             out.drain(..).for_each(|o| self.carry_out(o));
-            let Some((conn, written)) = self.later.borrow_mut().pop_front() else { break };
-            let input = Input::Closed { conn, written, refused: false };
+            let Some(input) = self.later.borrow_mut().pop_front() else { break };
             self.core.borrow_mut().handle(self.now(), input, &mut out);
         }
         let at = self.core.borrow().wake_at();
@@ -270,12 +305,19 @@
         match output {
             Output::Write { conn, bytes } => {
                 let Some(c) = self.conns.borrow().get(&conn).cloned() else { return };
-                if !c.write(&bytes) {
+                let was_blocked = c.blocked.get();
+                let sound = if c.server { c.offer(&bytes) } else { c.write(&bytes) };
+                if !sound {
                     self.conns.borrow_mut().remove(&conn);
                     c.closing.set(true);
                     c.waiting.borrow_mut().clear();
                     c.changed.notify_one();
-                    self.later.borrow_mut().push_back((conn, c.written.get()));
+                    let closed = Input::Closed { conn, written: c.written.get(), refused: false };
+                    self.later.borrow_mut().push_back(closed);
+                } else if c.blocked.get() && !was_blocked {
+                    // Ahead of all else: the core takes back what it wrote in this turn.
+                    self.later.borrow_mut().push_front(Input::Blocked { conn, written: c.written.get() });
+                    c.changed.notify_one();
                 } else if !c.waiting.borrow().is_empty() {
                     c.changed.notify_one();
                 }
@@ -294,11 +336,14 @@
             }
             Output::Close { conn } => {
                 let Some(c) = self.conns.borrow_mut().remove(&conn) else { return };
+                if c.blocked.get() {
+                    c.abort();
+                }
                 c.closing.set(true);
                 c.changed.notify_one();
             }
             Output::Connect { conn, addr } => {
-                let c = Conn::new(None, care::LINK_BACKLOG);
+                let c = Conn::to_server();
                 self.conns.borrow_mut().insert(conn, c.clone());
                 spawn_local(self.clone().link(conn, addr, c));
             }
@@ -418,13 +463,16 @@
                 }
                 continue;
             }
-            let full = !c.waiting.borrow().is_empty();
+            let full = c.blocked.get() || !c.waiting.borrow().is_empty();
             let read = tokio::select! {
                 n = read_some(&stream, |bytes| self.feed(Input::Data { conn, bytes })) => n,
                 w = stream.writable(), if full => {
                     if w.is_err() || !c.write(&[]) {
                         break;
                     }
+                    if c.unblocked() {
+                        self.feed(Input::Writable { conn });
+                    }
                     continue;
                 }
                 () = c.changed.notified() => continue,
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -276,10 +276,13 @@
         self.leave(id);
     }
 
-    /// A set-up is owed nothing any more: its attempt is withdrawn.
+    /// A set-up is owed nothing any more: its attempt is withdrawn, and it leaves the books.
     pub(crate) fn leave(&mut self, id: SessionId) {
         let Some(session) = self.sessions.get(&id) else { return };
         let stage = session.stage;
+        if matches!(stage, Stage::Standing { .. }) {
+            return;
+        }
         self.events.push_back(Event::Left { session: id });
         match stage {
             Stage::Waiting { .. } => self.end_attempt(id, Outcome::NotSent, true),
@@ -287,7 +290,7 @@
                 self.withdraw(id, link);
                 self.end_attempt(id, Outcome::Cancelled, true);
             }
-            Stage::New | Stage::Standing { .. } => return,
+            Stage::New | Stage::Standing { .. } => {}
         }
         self.sessions.remove(&id);
     }
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod windows;
+
 use micadyke::decide::Controller;
 use micadyke_isup::{Frame, Message, code, kind};
 use micadyke_membership::news::News;
@@ -96,6 +98,8 @@
     pub calls: Vec<(u64, SocketAddr)>,
     /// Connections of the node to servers, where to, and how many bytes were written.
     links: BTreeMap<u64, (SocketAddr, bool, u64)>,
+    /// What connections to servers take.
+    pub windows: windows::Windows,
     viewers: BTreeMap<u64, micadyke_isup::Parser>,
     /// What each connection of viewers was sent, and when it was closed by the node.
     pub told: BTreeMap<u64, Vec<(u64, Message)>>,
@@ -144,6 +148,7 @@
             vanished: BTreeSet::new(),
             calls: Vec::new(),
             links: BTreeMap::new(),
+            windows: Default::default(),
             viewers: BTreeMap::new(),
             told: BTreeMap::new(),
             closed: BTreeMap::new(),
@@ -258,6 +263,21 @@
         }
     }
 
+    /// A server that was narrowed reads again.
+    pub fn widen(&mut self, server: SocketAddr) {
+        let conns: Vec<u64> = self.links.iter().filter(|l| l.1.0 == server).map(|l| *l.0).collect();
+        for (conn, rest) in self.windows.widen(server, &conns) {
+            self.links.get_mut(&conn).into_iter().for_each(|l| l.2 += rest.len() as u64);
+            self.at(self.now + WAY, Ev::ToServer(conn, rest));
+            self.feed(Input::Writable { conn: ConnId(conn) });
+        }
+    }
+
+    /// A connection to a server.
+    pub fn link_to(&self, server: SocketAddr) -> Option<u64> {
+        self.links.iter().find(|l| l.1.0 == server && l.1.1).map(|l| *l.0)
+    }
+
     pub fn links_to(&self, server: SocketAddr) -> usize {
         self.links.values().filter(|l| l.0 == server && l.1).count()
     }
@@ -358,8 +378,11 @@
     pub fn feed(&mut self, input: Input) {
         let mut out = Vec::new();
         self.node.handle(self.now, input, &mut out);
-        for o in out {
-            self.carry_out(o);
+        loop {
+            out.drain(..).for_each(|o| self.carry_out(o));
+            let Some(conn) = self.windows.news.pop_front() else { return };
+            let written = self.links.get(&conn).map_or(0, |l| l.2);
+            self.node.handle(self.now, Input::Blocked { conn: ConnId(conn), written }, &mut out);
         }
     }
 
@@ -371,6 +394,7 @@
             Output::Left { what, sessions } => self.left.push((what, sessions)),
             Output::Write { conn, mut bytes } => {
                 if let Some(link) = self.links.get_mut(&conn.0) {
+                    bytes = self.windows.offer(link.0, conn.0, bytes);
                     link.2 += bytes.len() as u64;
                     if self.sabotage == Some(Break::Overlap) && bytes.starts_with(b"TEARDOWN") {
                         return;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -388,6 +388,8 @@
 const SLACK: u64 = 50_000_000;
 /// Nothing new reaches a server later than this after it was told that it drains.
 const DRAIN: u64 = 250_000_000;
+/// No attempt begins later than this after its viewer has gone.
+const GONE: u64 = 100_000_000;
 /// A session that is over is released within this.
 const RELEASE: u64 = 1_000_000_000;
 
@@ -398,7 +400,7 @@
     floor: usize,
     /// A final answer came, and whether it was 'served'.
     answered: Option<bool>,
-    gave_up: bool,
+    gave_up: Option<u64>,
     out: Option<&'r str>,
     /// An attempt of it may have run.
     ran: bool,
@@ -441,13 +443,18 @@
             }
             continue;
         };
+        let late = r.gave_up.filter(|gone| *at > gone + GONE + SLACK);
+        if let (Seen::Sent { .. }, Some(gone)) = (seen, late) {
+            let ms = (at - gone) / 1_000_000;
+            broken.push(format!("gone: {id:016x} sent on {ms} ms after its viewer had gone"));
+        }
         let mut breach = |rule: u8, what: &str| broken.push(format!("rule {rule}: {id:016x} {what}"));
         match seen {
             Seen::Answered { description, refused, .. } => {
                 if r.answered.is_some() {
                     breach(1, "answered twice");
                 }
-                if *at > r.due + SLACK && !r.gave_up {
+                if *at > r.due + SLACK && r.gave_up.is_none() {
                     breach(1, "answered too late");
                 }
                 if description.as_ref().is_some_and(|d| !r.given.contains(&d.as_slice())) {
@@ -461,7 +468,7 @@
                 }
                 r.answered = Some(description.is_some());
             }
-            Seen::GaveUp { .. } => r.gave_up = true,
+            Seen::GaveUp { .. } => r.gave_up = r.gave_up.or(Some(*at)),
             Seen::Sent { server, rung, .. } => {
                 if r.out.is_some() {
                     breach(2, "two attempts out");
@@ -494,10 +501,10 @@
         }
     }
     for (id, r) in &requests {
-        if r.answered.is_none() && !r.gave_up && end > r.due + SLACK {
+        if r.answered.is_none() && r.gave_up.is_none() && end > r.due + SLACK {
             broken.push(format!("rule 1: {id:016x} never answered"));
         }
-        if r.over.is_some_and(|o| end > o + RELEASE + SLACK) && !r.gave_up {
+        if r.over.is_some_and(|o| end > o + RELEASE + SLACK) && r.gave_up.is_none() {
             broken.push(format!("rule 1: {id:016x} is over and was not released"));
         }
     }
