--- a/crates/cli/tests/platform/held.rs
+++ b/crates/cli/tests/platform/held.rs
@@ -143,6 +143,26 @@
     }
 }
 
+/// Waits until what is on its way to an address has not changed for a while: the buffers are full.
+pub async fn full(to: SocketAddr) {
+    let remote = format!(" 0100007F:{:04X} ", to.port());
+    let queues = || {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        let ours = table.lines().filter(|l| l.get(19..).is_some_and(|l| l.contains(&remote)));
+        let mut queues: Vec<String> =
+            ours.filter_map(|l| l.split_whitespace().nth(4)).map(str::to_owned).collect();
+        queues.sort();
+        queues
+    };
+    let (mut last, mut same) = (queues(), 0);
+    while same < 20 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let now = queues();
+        same = if now == last { same + 1 } else { 0 };
+        last = now;
+    }
+}
+
 /// Set-ups that servers read and whose end they have neither written nor been told.
 pub fn still_out(scene: &Scene) -> BTreeSet<u64> {
     let mut out = BTreeSet::new();
--- a/crates/node/src/blocked.rs
+++ b/crates/node/src/blocked.rs
@@ -5,7 +5,7 @@
 //! written in that turn and not begun is taken back. What the operating system has taken is out: its withdrawal follows
 //! it on the same connection, and where that is not taken either, the connection is closed, which aborts it.
 
-use crate::books::{Link, Node, Stage};
+use crate::books::{Due, Link, Node, Stage};
 use crate::care;
 use crate::io::{ConnId, Output};
 use micadyke::interface::*;
@@ -38,15 +38,18 @@
 
 impl Link {
     /// A message waits until the connection takes bytes again. One too many is dropped: the connection is closed for it.
-    fn wait(&mut self, about: About, message: Message, now: Nanos) {
+    /// Whether it is the first withdrawal that waits.
+    fn wait(&mut self, about: About, message: Message, now: Nanos) -> bool {
         self.backlog += message.encode().len();
         if self.backlog > care::LINK_BACKLOG {
-            return;
-        }
-        if matches!(about, About::Withdrawal(_)) {
-            self.withdrawing.get_or_insert(now);
+            return false;
         }
         self.pending.push_back((about, message));
+        let first = matches!(about, About::Withdrawal(_)) && self.withdrawing.is_none();
+        if first {
+            self.withdrawing = Some(now);
+        }
+        first
     }
 
     /// It reads nothing: a withdrawal waits for too long, or too much does.
@@ -54,11 +57,12 @@
         self.backlog > care::LINK_BACKLOG || self.withdrawing.is_some_and(|w| now >= w + care::WITHDRAWAL)
     }
 
-    /// What it would still have told its server about sessions that play there.
-    pub(crate) fn untold(&mut self) -> impl Iterator<Item = Message> {
+    /// What it would still have told its server: another connection tells it. A set-up that was withdrawn here may have
+    /// been answered, and play.
+    pub(crate) fn untold(&mut self) -> impl Iterator<Item = Message> + use<> {
         let requests = |m: &Message| matches!(m.start, Start::Request { .. });
-        let pending = std::mem::take(&mut self.pending);
-        pending.into_iter().filter(move |(a, m)| *a == About::Other && requests(m)).map(|(_, m)| m)
+        let pending = std::mem::take(&mut self.pending).into_iter().map(|(_, message)| message);
+        self.begun.take().into_iter().chain(pending).filter(requests)
     }
 }
 
@@ -69,7 +73,7 @@
         let Some(link) = self.links.get_mut(&conn) else { return };
         link.used = now;
         if link.blocked {
-            return link.wait(about, message, now);
+            return self.wait(conn, about, message);
         }
         let (from, bytes) = (link.sent, message.encode());
         link.sent += bytes.len() as u64;
@@ -78,6 +82,20 @@
         self.out.push(Output::Write { conn, bytes });
     }
 
+    fn wait(&mut self, conn: ConnId, about: About, message: Message) {
+        let now = self.now;
+        if self.links.get_mut(&conn).is_some_and(|link| link.wait(about, message, now)) {
+            self.set(now + care::WITHDRAWAL, Due::Withdrawal(conn));
+        }
+    }
+
+    /// A withdrawal may have waited for too long.
+    pub(crate) fn withdrawal_due(&mut self, conn: ConnId) {
+        if self.links.get(&conn).is_some_and(|link| link.stuck(self.now)) {
+            self.drop_link(conn, Outcome::Error);
+        }
+    }
+
     /// The operating system takes no more on a connection: what begins at or after `written` was not begun.
     pub(crate) fn link_blocked(&mut self, conn: ConnId, written: u64) {
         let now = self.now;
@@ -88,6 +106,14 @@
         debug!(conn = conn.0, written, back = back.len(), "a connection to a server takes no more for now");
         link.blocked = true;
         link.sent = back.first().map_or(link.sent, |first| first.from);
+        let part = link.sent > written;
+        if let Some(begun) = self.handed.iter_mut().rfind(|h| part && h.conn == conn) {
+            link.begun = begun.message.take();
+            if matches!(begun.about, About::Withdrawal(_)) {
+                link.withdrawing = Some(now);
+                self.set(now + care::WITHDRAWAL, Due::Withdrawal(conn));
+            }
+        }
         let mut never = BTreeSet::new();
         for Handed { from, about, message, .. } in back {
             match about {
@@ -98,9 +124,7 @@
                 }
                 About::Withdrawal(id) if never.contains(&id) => {}
                 About::Withdrawal(_) | About::Other => {
-                    if let (Some(link), Some(message)) = (self.links.get_mut(&conn), message) {
-                        link.wait(about, message, now);
-                    }
+                    message.into_iter().for_each(|message| self.wait(conn, about, message));
                 }
             }
         }
@@ -122,7 +146,7 @@
     /// A connection takes bytes again: what waits for it goes out, as far as it is still wanted.
     pub(crate) fn link_writable(&mut self, conn: ConnId) {
         let Some(link) = self.links.get_mut(&conn) else { return };
-        (link.blocked, link.backlog, link.withdrawing) = (false, 0, None);
+        (link.blocked, link.backlog, link.withdrawing, link.begun) = (false, 0, None, None);
         let (pending, waiting) = (std::mem::take(&mut link.pending), link.open.clone());
         pending.into_iter().for_each(|(about, message)| self.write_about(conn, about, message));
         waiting.into_iter().for_each(|s| self.write_set_up(s));
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -86,6 +86,8 @@
     Module(u64),
     Attempt(SessionId, u32),
     Connect(ConnId),
+    /// A withdrawal waits for a connection that takes no bytes.
+    Withdrawal(ConnId),
     /// A stopping node answers whatever is still open.
     Last,
     Tidy,
@@ -202,6 +204,8 @@
     /// Messages that wait until it does, and their bytes.
     pub(crate) pending: VecDeque<(About, Message)>,
     pub(crate) backlog: usize,
+    /// The message that was taken in part, unless it is a set-up.
+    pub(crate) begun: Option<Message>,
     /// Since when a withdrawal has waited among them.
     pub(crate) withdrawing: Option<Nanos>,
     /// When something last came.
--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -47,8 +47,8 @@
 /// Bytes that wait to be written to a server at most; a server that lets more pile up reads nothing.
 pub const LINK_BACKLOG: usize = 256 << 10;
 
-/// A withdrawal that a connection to a server does not take within this closes the connection, for what has been withdrawn
-/// must not run on: with the look that follows each 100 ms, it is given up within 0.3 s.
+/// A withdrawal that a connection to a server does not take within this closes the connection: no attempt may begin more than
+/// 0.1 s after its viewer has gone, and a set-up of which a part was taken would.
 pub const WITHDRAWAL: Nanos = 100 * MS;
 
 // ----- recovery
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -396,6 +396,7 @@
                 Due::Module(token) => self.events.push_back(Event::Timer { token }),
                 Due::Attempt(id, attempt) => self.attempt_due(id, attempt),
                 Due::Connect(conn) => self.connect_due(conn),
+                Due::Withdrawal(conn) => self.withdrawal_due(conn),
                 // Again each tick, for set-ups go on coming until the process has ended.
                 Due::Last => {
                     self.set(self.now + TIDY / 10, Due::Last);
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -228,6 +228,7 @@
             blocked: false,
             pending: VecDeque::new(),
             backlog: 0,
+            begun: None,
             withdrawing: None,
             heard: now,
             used: now,
@@ -275,7 +276,7 @@
     }
 
     /// Closes a connection; what is open on it ends with this outcome. Another is opened where one is needed.
-    fn drop_link(&mut self, conn: ConnId, outcome: Outcome) {
+    pub(crate) fn drop_link(&mut self, conn: ConnId, outcome: Outcome) {
         let Some(id) = self.links.get(&conn).map(|l| l.server) else { return };
         self.out.push(Output::Close { conn });
         debug!(conn = conn.0, ?outcome, "a connection to a server is closed");
@@ -297,9 +298,8 @@
         let Some(mut link) = self.links.remove(&conn) else { return };
         if let Some(server) = self.servers.get_mut(&link.server) {
             server.links.retain(|l| *l != conn);
-            let room = QUEUE.saturating_sub(server.queue.len());
-            server.queue.extend(link.untold().take(room));
         }
+        link.untold().for_each(|message| self.tell_on(None, link.server, message));
         self.tell_reach(link.server);
         for id in link.open {
             let Some(stage) = self.sessions.get(&id).map(|s| s.stage) else { continue };
@@ -547,6 +547,11 @@
             Some(Stage::Standing { link, .. }) => link,
             _ => None,
         };
+        self.tell_on(own, server, message);
+    }
+
+    /// The same, on this connection if it can be used.
+    fn tell_on(&mut self, own: Option<ConnId>, server: ServerId, message: Message) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         let usable = |l: &ConnId| self.links.get(l).is_some_and(|l| l.up && !l.retired);
         let takes = |l: &ConnId| usable(l) && self.links.get(l).is_some_and(|l| !l.blocked);
