--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -47,6 +47,10 @@
 /// Bytes that wait to be written to a server at most; a server that lets more pile up reads nothing.
 pub const LINK_BACKLOG: usize = 256 << 10;
 
+/// A withdrawal that a connection to a server does not take within this closes the connection: no attempt may begin more than
+/// 0.1 s after its viewer has gone, and a set-up of which a part was taken would.
+pub const WITHDRAWAL: Nanos = 100 * MS;
+
 // ----- recovery
 
 /// How long a node that comes back waits at most: for the bus, which tells all within its own pause of half a second once it
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -46,6 +46,7 @@
             now,
             random: StdRng::seed_from_u64(config.seed),
             out: Vec::new(),
+            handed: Vec::new(),
             events: VecDeque::new(),
             timers: BTreeMap::new(),
             timer: 0,
@@ -146,6 +147,9 @@
     /// Takes one input at Unix time `now`; what is to be done is appended to `out`, in order.
     pub fn handle(&mut self, now: Nanos, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        if !matches!(input, Input::Blocked { .. }) {
+            self.handed.clear();
+        }
         match input {
             Input::ViewerOpened { conn } => self.viewer_opened(conn),
             Input::Data { conn, bytes } => self.data(conn, bytes),
@@ -154,6 +158,8 @@
             Input::Closed { conn, .. } if self.follower.owns(conn) => self.bus_closed(),
             Input::Closed { conn, .. } if self.viewers.contains_key(&conn) => self.viewer_closed(conn),
             Input::Closed { conn, written, refused } => self.link_closed(conn, written, refused),
+            Input::Blocked { conn, written } => self.link_blocked(conn, written),
+            Input::Writable { conn } => self.link_writable(conn),
             Input::BusMoved { addr } => {
                 if addr != self.follower.addr() {
                     info!(%addr, "the event bus moved");
@@ -397,6 +403,7 @@
                 Due::Module(token) => self.events.push_back(Event::Timer { token }),
                 Due::Attempt(id, attempt) => self.attempt_due(id, attempt),
                 Due::Connect(conn) => self.connect_due(conn),
+                Due::Withdrawal(conn) => self.withdrawal_due(conn),
                 // Again each tick, for set-ups go on coming until the process has ended.
                 Due::Last => {
                     self.set(self.now + TIDY / 10, Due::Last);
