Tests of broken-off answers, floods, repeats, and final counts: written, not yet run

Change: standin::platform::final_counts over two new entries of the record (Ready, AskedAt); Word and the functions of platform/commanded.rs, with which a test writes a stand-in server's words itself; platform_commanded, such a server over sockets; Flow::Slow in the relay; crates/node/tests/answers.rs (virtual time) and crates/cli/tests/answers.rs (sockets on the program).

Result: formatted only. Nothing of it was built or run; no check in it was seen to fail yet.

--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -1,6 +1,9 @@
 //! `micadyke node` as the platform starts it, between stand-in servers, a bus and viewers on loopback.
 #![allow(dead_code)]
 
+pub mod commanded;
+pub mod counts;
+
 use micadyke_isup::{Frame, Message, Parser, code, kind};
 use micadyke_standin::platform::{MediaServer, Seen, Treat};
 use micadyke_standin::platform_net::{Listening, Scene};
@@ -149,6 +152,9 @@
     parser: Parser,
     /// Each session is of a title of its own; else all are of one, whose place is one server while it can.
     pub titles: bool,
+    /// The node that it is connected to, and whether that passed a test on this connection.
+    pub node: SocketAddr,
+    pub passed: bool,
 }
 
 impl Viewer {
@@ -157,7 +163,7 @@
         let start = std::time::Instant::now();
         while start.elapsed() < Duration::from_secs(60) {
             if let Ok(stream) = TcpStream::connect(to).await {
-                return Viewer { stream, parser: Parser::default(), titles: false };
+                return Viewer { stream, parser: Parser::default(), titles: false, node: to, passed: false };
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -186,12 +192,15 @@
 
     pub async fn test(&mut self) -> Option<u8> {
         self.send(&Message::new(kind::TEST, 1).cause(0)).await;
-        self.next().await.filter(|m| m.kind == kind::TESTED).and_then(|m| m.stated_cause())
+        let found = self.next().await.filter(|m| m.kind == kind::TESTED).and_then(|m| m.stated_cause());
+        self.passed |= found == Some(1);
+        found
     }
 
     pub async fn ask(&mut self, scene: &Scene, id: u64, class: &str) -> Message {
         let (paid, floor) = (class == "paid", usize::from(class == "paid"));
         scene.note(Seen::Asked { id, patience: 4000 * MS, paid, floor });
+        self.asked_at(scene, id);
         self.wish(id, class).await;
         self.answer(scene, id).await
     }
--- /dev/null
+++ b/crates/node/tests/answers.rs
@@ -0,0 +1,519 @@
+//! Answers of servers that break off at each byte, come twice, or bring more than belongs to them; requests that come in
+//! pieces, in floods, or again under the same number. At the core, in virtual time.
+
+mod world;
+
+use micadyke_isup::{Message, code, kind};
+use micadyke_standin::platform::Word;
+use world::wire::OpenAt;
+use world::*;
+
+/// How long viewers wait.
+const PATIENCE: u64 = 2000;
+/// A session that stands plays beyond the end of each test.
+const LIFE: u64 = 60 * SECOND;
+const ANSWER: Word = Word::Answer(LIFE);
+
+/// What follows the first part of a word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Then {
+    /// The server closes the connection behind it.
+    Fin,
+    /// The connection breaks with it, and what was not read yet is lost.
+    Reset,
+    /// Nothing; the connection stays open.
+    Silent,
+    /// The rest, 300 ms later.
+    Rest,
+    /// The rest, a byte each millisecond.
+    Bytes,
+}
+
+const THEN: [Then; 5] = [Then::Fin, Then::Reset, Then::Silent, Then::Rest, Then::Bytes];
+const WORDS: [Word; 5] = [ANSWER, Word::Refusal(453), Word::Refusal(500), Word::Release, Word::Note];
+
+/// The server's part of a cut word: the first part now, then what follows.
+fn say_cut(w: &mut World, at: OpenAt, word: Word, cut: usize, then: Then) {
+    let bytes = w.worded(at, word);
+    let (first, rest) = (bytes[..cut].to_vec(), bytes[cut..].to_vec());
+    match rest.is_empty() {
+        true => w.write_rest(at, word, &first),
+        false => w.write_part(at.conn, &first),
+    }
+    match then {
+        Then::Fin => w.later(MS, move |w| w.server_closes(at.conn)),
+        Then::Reset => w.server_closes(at.conn),
+        Then::Silent => {}
+        Then::Rest if !rest.is_empty() => w.later(300 * MS, move |w| w.write_rest(at, word, &rest)),
+        Then::Rest => {}
+        Then::Bytes => {
+            for (n, byte) in rest.iter().copied().enumerate() {
+                let last = n + 1 == rest.len();
+                w.later((n as u64 + 1) * MS, move |w| match last {
+                    true => w.write_rest(at, word, &[byte]),
+                    false => w.write_part(at.conn, &[byte]),
+                });
+            }
+        }
+    }
+}
+
+/// The set-up whose answer is cut.
+const CUT: u64 = 7;
+
+/// A server's word to one set-up is cut while `others` are out at the two servers; these are answered a while later, and
+/// what is sent from then on is served. Returns the world at its end, and the others that shared the connection.
+fn cut_word(word: Word, cut: usize, then: Then, class: &str, others: u64) -> (World, Vec<u64>, Vec<u64>) {
+    let mut w = World::new(2);
+    w.commanded(true);
+    let v = w.viewer();
+    w.ask(v, CUT, class, PATIENCE);
+    (0..others).for_each(|n| w.ask(v, 100 + n, class, PATIENCE));
+    w.run(10 * MS);
+    w.commanded(false);
+    let at = w.open_at(CUT).expect("it is out");
+    let there: Vec<OpenAt> = w.open_at_servers().into_iter().filter(|o| o.id != CUT).collect();
+    assert_eq!(there.len() as u64, others);
+    say_cut(&mut w, at, word, cut, then);
+    if word == Word::Note {
+        w.later(400 * MS, move |w| w.write_word(at, ANSWER));
+    }
+    for other in there.clone() {
+        w.later(500 * MS, move |w| w.write_word(other, ANSWER));
+    }
+    w.run(PATIENCE * MS + 200 * MS);
+    let (sharing, beside): (Vec<_>, Vec<_>) = there.into_iter().partition(|o| o.conn == at.conn);
+    let ids = |there: Vec<OpenAt>| there.iter().map(|o| o.id).collect();
+    (w, ids(sharing), ids(beside))
+}
+
+/// The word's length on the wire.
+fn length(word: Word) -> usize {
+    let mut w = World::new(2);
+    w.commanded(true);
+    let v = w.viewer();
+    w.ask(v, CUT, "free", PATIENCE);
+    w.run(10 * MS);
+    let at = w.open_at(CUT).expect("it is out");
+    w.worded(at, word).len()
+}
+
+/// Whether a word of this length is there whole for the node to read.
+fn whole(length: usize, cut: usize, then: Then) -> bool {
+    cut == length || then == Then::Bytes
+}
+
+#[test]
+fn a_word_cut_at_any_byte_is_answered_once_and_truthfully() {
+    for word in WORDS {
+        let length = length(word);
+        for cut in 0..=length {
+            for then in THEN {
+                for class in ["free", "paid"] {
+                    let case = format!("{word:?} cut at {cut}, then {then:?}, {class}");
+                    let (w, ..) = cut_word(word, cut, then, class, 0);
+                    assert_eq!(w.broken_rules(), Vec::<String>::new(), "{case}");
+                    let (_, served, refused) = w.answer(CUT).expect("an answer");
+                    assert!(!refused, "{case}: there is room elsewhere");
+                    // A free one is always served in the end; a paid one where nothing may have run before.
+                    let closed = matches!(then, Then::Fin | Then::Reset);
+                    let sound = match word {
+                        Word::Answer(_) | Word::Refusal(453) => whole(length, cut, then),
+                        Word::Note if closed => false,
+                        Word::Note => cut == 0 || whole(length, cut, then),
+                        _ => false,
+                    };
+                    let late = then == Then::Rest && cut == 0 && !matches!(word, Word::Note);
+                    let sound = sound || (late && matches!(word, Word::Answer(_) | Word::Refusal(453)));
+                    assert_eq!(served, sound || class == "free", "{case}");
+                    let harmless = matches!(word, Word::Refusal(453)) && sound;
+                    if class == "paid" && !harmless {
+                        assert_eq!(w.sends(CUT), 1, "{case}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn what_shares_a_connection_with_a_cut_word_is_answered_too() {
+    // Eight connections to two servers, three set-ups each or so.
+    for word in WORDS {
+        let length = length(word);
+        for cut in 0..=length {
+            for then in THEN {
+                for class in ["free", "paid"] {
+                    let case = format!("{word:?} cut at {cut}, then {then:?}, {class}");
+                    let (w, sharing, beside) = cut_word(word, cut, then, class, 23);
+                    assert_eq!(w.broken_rules(), Vec::<String>::new(), "{case}");
+                    assert!(w.answer(CUT).is_some(), "{case}");
+                    assert!(
+                        (1..=5).contains(&sharing.len()) && beside.len() >= 18,
+                        "{case}: {sharing:?} {beside:?}"
+                    );
+                    let served = |id: &u64| w.answer(*id).is_some_and(|a| a.1);
+                    assert!(beside.iter().all(served), "{case}");
+                    let stays = !matches!(then, Then::Fin | Then::Reset);
+                    let sound = cut == 0 || whole(length, cut, then);
+                    if class == "free" || (stays && sound) {
+                        assert!(sharing.iter().all(served), "{case}");
+                    }
+                    if class == "paid" {
+                        assert!(sharing.iter().all(|id| w.sends(*id) == 1), "{case}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// What comes with a good answer beyond it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum More {
+    /// The same again, so much later.
+    Copy(u64),
+    /// The same again once the session is over.
+    CopyAtEnd,
+    /// An answer under an unknown id in front.
+    Stranger,
+    /// Bytes that nobody can read, in the same piece.
+    Noise,
+    /// Half a message, in the same piece; the rest never comes.
+    Half,
+    /// A whole message that concerns nobody, in the same piece.
+    Foreign,
+    /// An answer to another set-up that is out on another connection.
+    Misplaced,
+}
+
+#[test]
+fn more_than_an_answer_changes_nothing_and_the_server_is_of_use_after_it() {
+    let table = [
+        More::Copy(0),
+        More::Copy(MS),
+        More::Copy(20 * MS),
+        More::CopyAtEnd,
+        More::Stranger,
+        More::Noise,
+        More::Half,
+        More::Foreign,
+        More::Misplaced,
+    ];
+    for more in table {
+        for class in ["free", "paid"] {
+            let case = format!("{more:?} {class}");
+            let mut w = World::new(1);
+            w.commanded(true);
+            let v = w.viewer();
+            w.ask(v, CUT, class, PATIENCE);
+            w.ask(v, 8, class, PATIENCE);
+            w.run(10 * MS);
+            let (at, other) = (w.open_at(CUT).expect("out"), w.open_at(8).expect("out"));
+            let life = if more == More::CopyAtEnd { 300 * MS } else { LIFE };
+            let answer = w.worded(at, Word::Answer(life));
+            let behind: Vec<u8> = match more {
+                More::Copy(_) | More::CopyAtEnd | More::Stranger => vec![],
+                More::Noise => b"\x00\x80\xffnoise\r\n\r\n".to_vec(),
+                More::Half => answer[..answer.len() / 2].to_vec(),
+                More::Foreign => foreign(),
+                More::Misplaced => w.worded(other, ANSWER),
+            };
+            match more {
+                More::Stranger => w.write_part(at.conn, &foreign()),
+                More::Copy(after) => {
+                    let copy = answer.clone();
+                    w.later(after, move |w| w.write_part(at.conn, &copy));
+                }
+                More::CopyAtEnd => {
+                    let copy = answer.clone();
+                    w.later(400 * MS, move |w| w.write_part(at.conn, &copy));
+                }
+                _ => {}
+            }
+            w.write_rest(at, Word::Answer(life), &[answer, behind].concat());
+            w.commanded(false);
+            w.run(50 * MS);
+            w.write_word(other, ANSWER);
+            // Further set-ups, at once and until well after half a message counts as the last.
+            for n in 0..12 {
+                w.ask(v, 100 + n, class, PATIENCE);
+                w.run(50 * MS);
+            }
+            w.run(SECOND);
+            assert_eq!(w.broken_rules(), Vec::<String>::new(), "{case}");
+            let ids = [CUT, 8].into_iter().chain(100..112);
+            let failed: Vec<u64> = ids.filter(|id| !w.answer(*id).is_some_and(|a| a.1)).collect();
+            assert_eq!(failed, [], "{case}");
+            let words = w.words_to_viewers(CUT);
+            let end = (more == More::CopyAtEnd).then_some((kind::RELEASE, Some(16)));
+            assert_eq!(
+                words,
+                [Some((kind::ANSWER, None)), end].into_iter().flatten().collect::<Vec<_>>(),
+                "{case}"
+            );
+        }
+    }
+}
+
+/// An answer under an id that nobody knows.
+fn foreign() -> Vec<u8> {
+    micadyke_rtsp::Message::response(200, 1).session(0xdead).content(b"for somebody else").encode()
+}
+
+#[test]
+fn an_answer_that_comes_after_the_set_up_went_elsewhere_is_nobodys() {
+    for crossing in [false, true] {
+        let mut w = World::new(2);
+        w.commanded(true);
+        let v = w.viewer();
+        w.ask(v, CUT, "free", 4000);
+        w.run(10 * MS);
+        w.commanded(false);
+        let at = w.open_at(CUT).expect("out");
+        let answer = w.worded(at, ANSWER);
+        // Withdrawn for its time, and served by the other.
+        let mut waited = 0;
+        while w.open_at(CUT) == Some(at) && waited < 4000 {
+            w.run(MS);
+            waited += 1;
+        }
+        if crossing {
+            w.write_part(at.conn, &answer);
+        }
+        w.run(200 * MS);
+        assert!(w.answer(CUT).is_some_and(|a| a.1), "{:?}", w.record);
+        w.write_part(at.conn, &answer);
+        w.write_part(at.conn, &released(CUT, 31));
+        w.run(2 * SECOND);
+        assert_eq!(w.broken_rules(), Vec::<String>::new());
+        assert_eq!(w.words_to_viewers(CUT), [(kind::ANSWER, None)]);
+        assert_eq!(w.node.held(), (0, 1), "it plays on at the other server");
+    }
+}
+
+fn released(id: u64, cause: u8) -> Vec<u8> {
+    let message = micadyke_rtsp::Message::request("TEARDOWN", &format!("rtsp://media/{id:016x}"), 2);
+    message.session(id).with("Reason", &format!("cause={cause}")).encode()
+}
+
+// ----- slow viewers
+
+#[test]
+fn a_set_up_in_single_bytes_is_answered_or_its_connection_is_closed_in_time() {
+    // Milliseconds between bytes, and what becomes of it where that is settled.
+    let table = [
+        (1, Some(true)),
+        (3, Some(true)),
+        (5, Some(true)),
+        (20, Some(false)),
+        (100, Some(false)),
+        (700, Some(false)),
+    ];
+    for spoke in [false, true] {
+        for (pace, answered) in table {
+            let case = format!("a byte each {pace} ms, spoke before: {spoke}");
+            let mut w = World::new(1);
+            let v = w.viewer();
+            if spoke {
+                w.ask(v, 1, "free", PATIENCE);
+                w.run(SECOND);
+            }
+            let first = w.now;
+            let bytes = World::set_up(CUT, "free", PATIENCE).encode().unwrap();
+            let length = bytes.len() as u64;
+            for (n, byte) in bytes.into_iter().enumerate() {
+                w.later(n as u64 * pace * MS, move |w| w.send(v, vec![byte]));
+            }
+            w.run(length * pace * MS + SECOND);
+            let served = w
+                .told
+                .get(&v)
+                .is_some_and(|m| m.iter().any(|m| m.1.session == CUT && m.1.kind == kind::ANSWER));
+            let closed = w.closed.get(&v).copied();
+            assert!(served != closed.is_some(), "{case}: either, and not both");
+            assert_eq!(Some(served), answered, "{case}");
+            // Within 3 s of its connecting, as of any that sends half a request.
+            assert!(closed.is_none_or(|at| at <= first + 1700 * MS), "{case}");
+            assert_eq!(w.node.held().0, 0, "{case}");
+        }
+    }
+}
+
+// ----- floods
+
+#[test]
+fn a_flood_on_one_connection_is_answered_whole_and_costs_usual_viewers_nothing() {
+    for repeated in [false, true] {
+        let mut w = World::new(2);
+        let (usual, flood) = (w.viewer(), w.viewer());
+        let ids = (0..500).map(|n| 1000 + if repeated { n % 100 } else { n });
+        let bytes: Vec<u8> = ids.flat_map(|id| World::set_up(id, "free", 4000).encode().unwrap()).collect();
+        for piece in bytes.chunks(8 << 10) {
+            w.send(flood, piece.to_vec());
+        }
+        for n in 0..20 {
+            w.ask(usual, 10 + n, "paid", PATIENCE);
+            w.run(20 * MS);
+        }
+        w.run(2600 * MS);
+        assert_eq!(w.broken_rules(), Vec::<String>::new());
+        let served = (10..30).filter(|id| w.answer(*id).is_some_and(|a| a.1)).count();
+        assert_eq!(served, 20, "repeated: {repeated}");
+        let told = w.told.get(&flood).map_or(&[][..], Vec::as_slice);
+        match repeated {
+            // Two requests under one number: nothing is answered 'served' under it.
+            true => {
+                assert!(w.closed.contains_key(&flood));
+                assert!(told.iter().all(|m| m.1.kind != kind::ANSWER), "{told:?}");
+            }
+            false => {
+                let finals = told.iter().filter(|m| matches!(m.1.kind, kind::ANSWER | kind::RELEASE));
+                let mut ids: Vec<u64> = finals.map(|m| m.1.session).collect();
+                ids.sort_unstable();
+                assert_eq!(ids, (1000..1500).collect::<Vec<_>>(), "each once");
+                let refused = |m: &&(u64, Message)| m.1.stated_cause() == Some(42);
+                assert!(told.iter().filter(refused).all(|m| m.1.text(code::STAY_AWAY).is_some()));
+                assert!(told.iter().filter(refused).count() >= 500 - 64 - 20);
+            }
+        }
+        w.run(30 * SECOND);
+        assert_eq!(w.node.held(), (0, 0), "repeated: {repeated}");
+    }
+}
+
+#[test]
+fn floods_from_many_and_silent_ones_by_the_hundred_leave_room_for_usual_viewers() {
+    for speak in [false, true] {
+        let mut w = World::new(2);
+        let crowd: Vec<u64> = (0..200).map(|_| w.viewer()).collect();
+        if speak {
+            for (c, conn) in crowd.iter().enumerate() {
+                for n in 0..20 {
+                    let id = 100_000 + 100 * c as u64 + n;
+                    w.send(*conn, World::set_up(id, "free", 1000).encode().unwrap());
+                }
+            }
+        }
+        let mut served = 0;
+        for n in 0..10 {
+            w.run(250 * MS);
+            let usual = w.viewer();
+            w.run(MS);
+            w.ask(usual, 10 + n, "paid", PATIENCE);
+            w.run(250 * MS);
+            served += usize::from(w.answer(10 + n).is_some_and(|a| a.1));
+            w.hang_up(usual);
+        }
+        assert_eq!(w.broken_rules(), Vec::<String>::new());
+        assert_eq!(served, 10, "speak: {speak}");
+        for conn in crowd {
+            let told = w.told.get(&conn).is_some_and(|m| m.iter().any(|m| m.0 <= START + 3 * SECOND));
+            let closed = w.closed.get(&conn).is_some_and(|at| *at <= START + 3 * SECOND);
+            assert!(told || closed, "{conn} heard nothing, speak: {speak}");
+        }
+    }
+}
+
+// ----- the same number again
+
+/// When the same number is asked for again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Again {
+    Open,
+    Answered,
+    Failed,
+    Refused,
+    GivenUp,
+}
+
+#[test]
+fn a_number_that_comes_again_breaks_no_rule_and_its_owner_gets_its_one_answer() {
+    for again in [Again::Open, Again::Answered, Again::Failed, Again::Refused, Again::GivenUp] {
+        for after in [0, 1, 50] {
+            for same_conn in [true, false] {
+                for same_description in [true, false] {
+                    for class in ["free", "paid"] {
+                        again_case(again, after, same_conn, same_description, class);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn again_case(again: Again, after: u64, same_conn: bool, same_description: bool, class: &str) {
+    let case = format!(
+        "{again:?} after {after} ms, same connection {same_conn}, same description {same_description}, {class}"
+    );
+    let mut w = World::new(1);
+    w.commanded(true);
+    let (owner, other) = (w.viewer(), w.viewer());
+    let second = if same_conn { owner } else { other };
+    w.ask(owner, CUT, class, PATIENCE);
+    w.run(10 * MS);
+    let at = w.open_at(CUT).expect("out");
+    let mut repeat = World::set_up(CUT, class, PATIENCE);
+    if !same_description {
+        let description = repeat.parameters.iter_mut().find(|p| p.0 == code::DESCRIPTION);
+        description.into_iter().for_each(|d| d.1 = b"another wish".to_vec());
+    }
+    match again {
+        Again::Open => {}
+        Again::Answered => w.write_word(at, ANSWER),
+        Again::GivenUp => w.give_up(owner, CUT),
+        Again::Failed => w.write_word(at, Word::Release),
+        Again::Refused => w.write_word(at, Word::Refusal(453)),
+    }
+    // Whatever is tried again ends the same way, until the viewer has its word.
+    let mut waited = 0;
+    while matches!(again, Again::Answered | Again::Failed | Again::Refused) && w.answer(CUT).is_none() {
+        w.run(MS);
+        waited += 1;
+        assert!(waited < 2 * PATIENCE, "{case}");
+        let word = if again == Again::Refused { Word::Refusal(453) } else { Word::Release };
+        if let Some(at) = w.open_at(CUT) {
+            w.write_word(at, word);
+        }
+    }
+    w.run(after * MS);
+    // After its end it is a request like any other; before, only the first has an owner.
+    let ended = !matches!(again, Again::Open | Again::Answered);
+    if ended {
+        let (paid, floor) = (class == "paid", usize::from(class == "paid"));
+        let seen = micadyke_standin::platform::Seen::Asked { id: CUT, patience: PATIENCE * MS, paid, floor };
+        w.record.push((w.now, seen));
+    }
+    let words = w.words_to_viewers(CUT).len();
+    w.send(second, repeat.encode().unwrap());
+    w.run(20 * MS);
+    w.commanded(false);
+    for at in w.open_at_servers() {
+        w.write_word(at, ANSWER);
+    }
+    w.run(PATIENCE * MS + 200 * MS);
+    let broken = w.broken_rules();
+    let told = w.words_to_viewers(CUT);
+    match again {
+        Again::Open if same_conn => {
+            // Nothing is answered under it.
+            assert!(
+                w.closed.contains_key(&owner) && told.iter().all(|t| t.0 != kind::ANSWER),
+                "{case} {told:?}"
+            );
+            let others = broken.iter().filter(|b| !b.contains("never answered"));
+            assert_eq!(others.count(), 0, "{case} {broken:?}");
+        }
+        Again::Open | Again::Answered => {
+            assert_eq!(told, [(kind::ANSWER, None)], "{case}");
+            assert_eq!(broken, Vec::<String>::new(), "{case}");
+            assert!(w.closed.contains_key(&second), "{case}");
+            assert_eq!(w.node.held(), (0, 1), "{case}");
+        }
+        Again::Failed | Again::Refused | Again::GivenUp => {
+            assert_eq!(broken, Vec::<String>::new(), "{case}");
+            assert_eq!(told.len(), words + 1, "{case} {told:?}");
+            assert_eq!(w.node.held().0, 0, "{case}");
+        }
+    }
+}
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod wire;
+
 use micadyke::decide::Controller;
 use micadyke_isup::{Frame, Message, code, kind};
 use micadyke_membership::news::News;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,6 +6,11 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod commanded;
+mod final_counts;
+pub use commanded::Word;
+pub use final_counts::{FinalCounts, final_counts};
+
 /// What a stand-in server does with a set-up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Treat {
@@ -68,6 +73,10 @@
     Told { server: String },
     /// A server's process started: it is cold.
     Started { server: String },
+    /// A front node passed a test.
+    Ready { node: String },
+    /// The set-up went to this front node.
+    AskedAt { id: u64, node: String },
 }
 
 /// What was seen, with the time.
@@ -121,6 +130,8 @@
     number: u64,
     /// Releases that are sent on the next connection too.
     unsent: Vec<u64>,
+    /// Bytes that its descriptions are longer by.
+    pub padding: usize,
 }
 
 impl MediaServer {
@@ -137,6 +148,7 @@
             due: BTreeMap::new(),
             number: 0,
             unsent: Vec::new(),
+            padding: 0,
         }
     }
 
@@ -263,7 +275,7 @@
     fn answer(
         &mut self, now: u64, id: u64, conn: u64, treat: Treat, record: &mut Record, acts: &mut Vec<Act>,
     ) {
-        let description = format!("{} gives {id:016x}\r\n\0", self.id).into_bytes();
+        let description = self.description(id);
         let server = self.id.clone();
         let good = Message::response(200, 1).session(id).content(&description).encode();
         let ended = |ran| (now, Seen::Ended { id, server: server.clone(), ran });
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,5 +1,5 @@
 //! A way between two processes that a test owns: connections are carried byte for byte, each direction by itself, and can be
-//! held up as by a network that loses packets, delayed, or reset. For a `LocalSet`.
+//! held up as by a network that loses packets, delayed, slowed down, or reset. For a `LocalSet`.
 
 use crate::server::bind;
 use micadyke_http::client::read_some;
@@ -25,6 +25,13 @@
     Late(Duration),
     /// They arrive when the cut is over, as what TCP sends again does.
     Cut,
+    /// They arrive a few at a time.
+    Slow {
+        /// So many at once; at least one.
+        bytes: usize,
+        /// And so long before each.
+        pause: Duration,
+    },
 }
 
 /// A way to one address, under an address of its own.
@@ -118,8 +125,7 @@
         let write = async move {
             while let Some((at, bytes)) = receive.recv().await {
                 tokio::time::sleep_until(at).await;
-                self.let_through(way).await;
-                if to.write_all(&bytes).await.is_err() {
+                if self.hand_over(way, &mut to, &bytes).await.is_err() {
                     return;
                 }
             }
@@ -128,4 +134,21 @@
         };
         tokio::join!(read, write);
     }
+
+    /// Writes what has arrived, at the pace that is set.
+    async fn hand_over(
+        &self, way: usize, to: &mut tokio::net::tcp::OwnedWriteHalf, mut bytes: &[u8],
+    ) -> std::io::Result<()> {
+        while !bytes.is_empty() {
+            self.let_through(way).await;
+            let mut piece = bytes.len();
+            if let Flow::Slow { bytes: at_once, pause } = self.flows[way].get() {
+                tokio::time::sleep(pause).await;
+                piece = piece.min(at_once.max(1));
+            }
+            to.write_all(&bytes[..piece]).await?;
+            bytes = &bytes[piece..];
+        }
+        Ok(())
+    }
 }
