A connection to a server that waits for half a message takes no further set-up

Cause: Node::send (servers.rs) took any connection that is up, carries nothing and is not retired. Where half a message came behind an answer, the next set-up went out on that connection; tidy_servers drops it 250 ms later (care::HALF_MESSAGE), the set-up ends as an error, and a paid one fails. Seen in crates/node/tests/answers.rs, more_than_an_answer_...: "Half free: [100]" not served.

Change: a connection with `half` set is no candidate. Ruled out: marking it retired, which would be for good although the rest may come.

Result: the test fails without the change (as quoted) and passes with it; both tests of floods pass with it. Other tests of the node not run.

--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -108,7 +108,9 @@
         let Some(server) = self.servers.get(&to).filter(|s| s.row.state == ServerState::Ready) else {
             return self.events.push_back(never(Outcome::NotSent));
         };
-        let usable: Vec<ConnId> = server.links.iter().copied().filter(|l| !self.links[l].retired).collect();
+        // Behind half a message nothing may ever be read: a connection that waits for its rest takes no further set-up.
+        let takes = |l: &ConnId| !self.links[l].retired && self.links[l].half.is_none();
+        let usable: Vec<ConnId> = server.links.iter().copied().filter(takes).collect();
         let candidates: Vec<care::Candidate> = usable
             .iter()
             .map(|l| care::Candidate { up: self.links[l].up, open: self.links[l].open.len() })
