--- a/crates/cli/tests/answers.rs
+++ b/crates/cli/tests/answers.rs
@@ -148,6 +148,12 @@
     on_one_thread(words_cut("cut-note", Word::Note, SETTLED));
 }
 
+/// The node gives the first attempt up by closing its connection, and sends the next at once.
+#[test]
+fn a_further_attempt_leaves_after_the_close_that_gives_the_first_up() {
+    on_one_thread(words_cut("cut-close", ANSWER, &[(Then::Silent, "free")]));
+}
+
 // ----- more than an answer
 
 #[test]
@@ -512,6 +518,22 @@
     nobody_left(scene);
 }
 
+#[test]
+fn a_client_that_withdraws_hundreds_at_once_gets_a_word_or_a_close_in_time() {
+    on_one_thread(async {
+        let site = Site::new("withdrawn", 2).await;
+        site.serve(true);
+        drop(site.viewer().await);
+        let both = |n: u64| {
+            let give_up = Message::new(kind::RELEASE, 91_000 + n).cause(16);
+            [set_up(91_000 + n, "free"), give_up].map(|m| m.encode().expect("it fits")).concat()
+        };
+        let (told, first, _) = bad_client(site.node.listen, (0..300).flat_map(both).collect(), false).await;
+        assert!(first <= BAD_CLIENT, "{first:?}");
+        assert!(told.iter().all(|m| m.kind != kind::ANSWER), "{told:?}");
+    });
+}
+
 #[test]
 fn what_comes_again_the_moment_it_is_turned_away_ends_with_its_connection() {
     on_one_thread(async {
--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -436,6 +436,18 @@
     }
 }
 
+#[test]
+fn a_usual_viewer_finds_room_beside_clients_that_have_just_sent() {
+    let mut w = World::new(2);
+    crowd(&mut w, 1);
+    w.run(250 * MS);
+    let fresh = w.viewer();
+    w.run(MS);
+    w.ask(fresh, 10, "paid", PATIENCE);
+    w.run(PATIENCE * MS);
+    assert!(w.answer(10).is_some(), "closed at {:?}", w.closed.get(&fresh).map(|at| (at - START) / MS));
+}
+
 // ----- the same number again
 
 /// When the same number is asked for again.
