Socket tests of the node end with the final counts

Need: no request is left with no answer and no process that is ready answers nobody, counted at the end of each socket test.

Not in the tests of killed nodes, of drains without a bus, or in kills.rs, recovery.rs, members.rs: not done.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -3,9 +3,10 @@
 mod platform;
 
 use micadyke_isup::{code, kind};
-use micadyke_standin::platform::{Seen, Treat, verdict};
+use micadyke_standin::platform::{Seen, Treat, final_counts, verdict};
 use micadyke_standin::platform_net::{Bus, Listening, Scene};
 use micadyke_standin::relay::{Flow, Relay};
+use platform::counts::nobody_left;
 use platform::*;
 use std::net::SocketAddr;
 use std::process::Command;
@@ -86,6 +87,7 @@
         let broken = verdict(&scene.record.borrow(), scene.now());
         let broken: Vec<_> = broken.into_iter().filter(|b| !b.contains("not released")).collect();
         assert_eq!(broken, Vec::<String>::new());
+        nobody_left(&scene);
     });
 }
 
@@ -333,12 +335,14 @@
         }
         assert!(after[0] > 0, "the way is whole again, and used");
         assert_eq!(w.broken(), Vec::<String>::new());
+        nobody_left(&w.scene);
         // The verdict sees a program that answers nobody: one that stands still.
         w.nodes[1].signal("-STOP");
         w.scene.note(Seen::Asked { id: 9, patience: 4000 * MS, paid: false, floor: 0 });
         w.viewers[1].send(&set_up(9, "free")).await;
         tokio::time::sleep(Duration::from_millis(4300)).await;
         assert!(w.broken().iter().any(|b| b.contains('9')), "{:?}", w.broken());
+        assert_eq!(final_counts(&w.scene.record.borrow()).unanswered, [9]);
         w.nodes[1].signal("-CONT");
     });
 }
@@ -371,5 +375,6 @@
         let there = w.ask(20_000, 10).await;
         assert!(there.iter().sum::<usize>() > 0, "{there:?}");
         assert_eq!(w.broken(), Vec::<String>::new());
+        nobody_left(&w.scene);
     });
 }
