A table of the socket tests has a named type

Cause: clippy (type_complexity) refused the table of more_than_an_answer_... in crates/cli/tests/answers.rs.

--- a/crates/cli/tests/answers.rs
+++ b/crates/cli/tests/answers.rs
@@ -156,6 +156,9 @@
 
 // ----- more than an answer
 
+/// What comes in front of an answer and behind it, whether that spoils the connection, and when a copy follows.
+type Beside<'a> = (&'a [u8], &'a [u8], bool, Option<u64>);
+
 #[test]
 fn more_than_an_answer_leaves_the_connection_of_use_to_those_that_come_after() {
     on_one_thread(async {
@@ -165,7 +168,7 @@
             b"RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: 000000000000dead\r\nContent-Length: 1\r\n\r\nx".to_vec();
         let stray = b"\x00\x80\xffnoise\r\n\r\n".to_vec();
         // In front of the answer, behind it in the same piece, and a copy of it so much later.
-        let table: [(&[u8], &[u8], bool, Option<u64>); 6] = [
+        let table: [Beside; 6] = [
             (&[], &[], false, Some(0)),
             (&[], &[], false, Some(1)),
             (&[], &[], false, Some(20)),
