--- a/crates/node/src/care.rs
+++ b/crates/node/src/care.rs
@@ -265,7 +265,7 @@
 
     #[test]
     fn who_makes_room() {
-        let now = 10 * SECOND;
+        let now = 100 * SECOND;
         let idler = |free, used, ago| Idler { free, used, last: now - ago * MS };
         let (silent, tests, set_ups, sessions) = (Use::Silent, Use::Tests, Use::SetUps, Use::Sessions);
         // (who is there, who goes)
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -109,7 +109,9 @@
         let Some(server) = self.servers.get(&to).filter(|s| s.row.state == ServerState::Ready) else {
             return self.events.push_back(never(Outcome::NotSent));
         };
-        let usable: Vec<ConnId> = server.links.iter().copied().filter(|l| !self.links[l].retired).collect();
+        // Behind half a message nothing may ever be read: a connection that waits for its rest takes no further set-up.
+        let takes = |l: &ConnId| !self.links[l].retired && self.links[l].half.is_none();
+        let usable: Vec<ConnId> = server.links.iter().copied().filter(takes).collect();
         let candidates: Vec<care::Candidate> = usable
             .iter()
             .map(|l| &self.links[l])
@@ -277,7 +279,15 @@
 
     /// Closes a connection; what is open on it ends with this outcome. Another is opened where one is needed.
     pub(crate) fn drop_link(&mut self, conn: ConnId, outcome: Outcome) {
-        let Some(id) = self.links.get(&conn).map(|l| l.server) else { return };
+        let Some(link) = self.links.get(&conn) else { return };
+        let id = link.server;
+        // The close may reach the server after a further attempt has reached another: what is out is given up first.
+        let on_it =
+            |s: &&SessionId| self.sessions.get(s).is_some_and(|s| matches!(s.stage, Stage::Out { .. }));
+        let out: Vec<SessionId> = link.open.iter().filter(on_it).copied().collect();
+        if !link.blocked {
+            out.into_iter().for_each(|s| self.withdraw(s, conn));
+        }
         self.out.push(Output::Close { conn });
         debug!(conn = conn.0, ?outcome, "a connection to a server is closed");
         self.remove_link(conn, |stage| match stage {
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 mod windows;
+pub mod wire;
 
 use micadyke::decide::Controller;
 use micadyke_isup::{Frame, Message, code, kind};
