SIGHUP: a half-written configuration is looked at again; the list tested over sockets

Cause: shell.rs 482 read the file once at the signal; one that was half written then left the node at the old bus until another signal came.

Change: Shell::reload looks again each 100 ms for 2 s; another signal begins anew. The file is read plainly, on no thread of its own. crates/cli/tests/discovery.rs runs the program between servers and a bus that answers on command (tests/platform/bus.rs): streams that stop, break off in half an event, skip, repeat and can't be read, calls that hang or are refused, moves by SIGHUP, a file half written, and 8 s without a bus among 200 idle clients with 256 descriptors. Each crossing is forced by a command, a signal or a line of the log.

Measured: with one look only the reload test fails: "it comes to an end: Elapsed(())" after 60 s, for the moved bus is never asked. First run: two failures. One was the test's: the list changed before both servers were sent anything ("43 set-ups test nothing"); it waits for that now. The other stands and is not in this change: with 64 descriptors and 60 idle clients the log says "no connection can be accepted" (the program's and the operating system's limit both 64). Then three runs, all passed (3 tests of discovery, 7 of node each). A configuration whose reading never ends still holds the node up.

--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -1,6 +1,8 @@
 //! `micadyke node` as the platform starts it, between stand-in servers, a bus and viewers on loopback.
 #![allow(dead_code)]
 
+pub mod bus;
+
 use micadyke_isup::{Frame, Message, Parser, code, kind};
 use micadyke_standin::platform::{MediaServer, Seen, Treat};
 use micadyke_standin::platform_net::{Listening, Scene};
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -40,6 +40,11 @@
 /// Accepting is tried again after this when descriptors are short.
 const SHORT: Duration = Duration::from_millis(20);
 
+/// A new configuration that can't be read is looked at again after this.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// So many looks at most: half of the time after which what its event bus tells counts as told.
+const LOOKS: u32 = 20;
+
 /// Reads the configuration from its file.
 ///
 /// # Errors
@@ -472,16 +477,32 @@
         Ok(())
     }
 
-    /// Reads the configuration again at each SIGHUP; one that can't be read changes nothing.
+    /// Reads the configuration again at each SIGHUP.
     async fn reload(self: Rc<Self>, path: PathBuf, mut hup: tokio::signal::unix::Signal) {
         while hup.recv().await.is_some() {
-            match load(&path) {
+            loop {
+                tokio::select! {
+                    () = self.read_again(&path) => break,
+                    // From the beginning: there may be another file by now.
+                    signal = hup.recv() => if signal.is_none() { return },
+                }
+            }
+        }
+    }
+
+    /// Reads the configuration. One that can't be read changes nothing; it is looked at again for a while, for it
+    /// may be half written.
+    async fn read_again(self: &Rc<Self>, path: &Path) {
+        for look in 0..LOOKS {
+            match load(path) {
                 Ok(config) => {
                     info!(bus = %config.bus, "configuration read again");
-                    self.feed(Input::BusMoved { addr: config.bus });
+                    return self.feed(Input::BusMoved { addr: config.bus });
                 }
-                Err(e) => warn!(advice = e.advice(), "the old configuration stays: {e}"),
+                Err(e) if look == 0 => warn!(advice = e.advice(), "the old configuration stays: {e}"),
+                Err(_) => {}
             }
+            tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
 }
