--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -1,6 +1,7 @@
 //! `micadyke node` as the platform starts it, between stand-in servers, a bus and viewers on loopback.
 #![allow(dead_code)]
 
+pub mod bus;
 pub mod commanded;
 pub mod counts;
 pub mod held;
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -47,6 +47,11 @@
 /// A stopping node looks so often whether it may end. Two looks have the operating system asked in between for what came.
 const LOOK: Duration = Duration::from_millis(5);
 
+/// A new configuration that can't be read is looked at again after this.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// So many looks at most: half of the time after which what its event bus tells counts as told.
+const LOOKS: u32 = 20;
+
 /// Reads the configuration from its file.
 ///
 /// # Errors
@@ -547,7 +552,8 @@
     }
 
     async fn listen_to(self: &Rc<Self>, conn: ConnId, addr: SocketAddr, last: u64) -> Result<(), CallError> {
-        let limit = Duration::from_nanos(care::BUS_SILENCE);
+        // How long a call may take is the core's to say; it closes the connection.
+        let limit = Duration::from_nanos(care::BUS_CALL_MOST);
         let mut bus = Connection::open(addr, limit, Limits::default()).await?;
         let request = Request::new(Method::Get, "/bus/read").with("accept", "text/event-stream");
         let answer = bus.open_stream(&request.with("last-event-id", last.to_string())).await?;
@@ -562,16 +568,32 @@
         Ok(())
     }
 
-    /// Reads the configuration again at each SIGHUP; one that can't be read changes nothing.
+    /// Reads the configuration again at each SIGHUP.
     async fn reload(self: Rc<Self>, path: PathBuf, mut hup: tokio::signal::unix::Signal) {
         while hup.recv().await.is_some() {
-            match load(&path) {
+            loop {
+                tokio::select! {
+                    () = self.read_again(&path) => break,
+                    // From the beginning: there may be another file by now.
+                    signal = hup.recv() => if signal.is_none() { return },
+                }
+            }
+        }
+    }
+
+    /// Reads the configuration. One that can't be read changes nothing; it is looked at again for a while, for it
+    /// may be half written.
+    async fn read_again(self: &Rc<Self>, path: &Path) {
+        for look in 0..LOOKS {
+            match load(path) {
                 Ok(config) => {
                     info!(bus = %config.bus, "configuration read again");
-                    self.feed(Input::BusMoved { addr: config.bus });
+                    return self.feed(Input::BusMoved { addr: config.bus });
                 }
-                Err(e) => warn!(advice = e.advice(), "the old configuration stays: {e}"),
+                Err(e) if look == 0 => warn!(advice = e.advice(), "the old configuration stays: {e}"),
+                Err(_) => {}
             }
+            tokio::time::sleep(LOOK_AGAIN).await;
         }
     }
 
