Tests of advice, asking, hints, reserve and members stand in test files, not in src

Change: they move to crates/node/tests/advice.rs, crates/front/tests/asking.rs and hints.rs, crates/tokens/tests/reserve.rs and crates/cli/tests/member.rs; what they use is public and documented. Assertions are the same but for three that read private fields: asking compares the whole with its default, where two fields were looked at (stricter); reserve asks known(); advice goes through Advised::new with settings of forty streams over ten seconds, and member through Member::load of a file, where both built the struct by hand.

Measured: the ten tests pass in their new places (asking 1, hints 4, reserve 1, advice 1, member 3).

--- a/crates/front/src/asking.rs
+++ b/crates/front/src/asking.rs
@@ -8,13 +8,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Asked for at one box at a time: fewer than its listener takes in at once, and one that stands still holds up few.
-const EACH: usize = 64;
+pub const EACH: usize = 64;
 /// Asked for at a time: what a viewer's request waits behind, on one thread.
-const ALL: usize = 256;
+pub const ALL: usize = 256;
 
 /// Sessions that are asked for, and those that wait for it.
-#[derive(Debug, Default)]
-pub(crate) struct Asking {
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct Asking {
     /// Those that wait, by box.
     waiting: BTreeMap<ServerId, VecDeque<SessionId>>,
     /// Boxes with some that wait, in turn.
@@ -28,7 +28,7 @@
 
 impl Asking {
     /// A session is to be asked for at its box.
-    pub(crate) fn add(&mut self, server: ServerId, id: SessionId) {
+    pub fn add(&mut self, server: ServerId, id: SessionId) {
         self.asked.insert(id, None);
         let waiting = self.waiting.entry(server).or_default();
         if waiting.is_empty() {
@@ -38,7 +38,7 @@
     }
 
     /// The one that is asked for now, if there is room: boxes take turns.
-    pub(crate) fn next(&mut self) -> Option<SessionId> {
+    pub fn ask_next(&mut self) -> Option<SessionId> {
         for _ in 0..self.turn.len() {
             if self.all >= ALL {
                 return None;
@@ -66,7 +66,7 @@
     }
 
     /// Its box has answered or will not, or the session has ended; whether it was to be asked for.
-    pub(crate) fn settled(&mut self, id: SessionId) -> bool {
+    pub fn settled(&mut self, id: SessionId) -> bool {
         let Some(asked) = self.asked.remove(&id) else { return false };
         if let Some(server) = asked {
             self.all -= 1;
@@ -79,51 +79,7 @@
     }
 
     /// Whether a session is still to be asked for, or its box's answer is waited for.
-    pub(crate) fn holds(&self, id: SessionId) -> bool {
+    pub fn holds(&self, id: SessionId) -> bool {
         self.asked.contains_key(&id)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn boxes_take_turns_and_one_that_stands_still_holds_up_few() {
-        // (sessions at each box, asked for at once at each)
-        let table: [(&[u64], &[usize]); 4] = [
-            (&[3], &[3]),
-            (&[100, 2], &[EACH, 2]),
-            (&[100, 100, 100], &[EACH, EACH, EACH]),
-            (&[900, 900, 900, 900, 900, 900, 900, 900], &[ALL / 8; 8]),
-        ];
-        for (boxes, at_once) in table {
-            let (mut asking, mut at) = (Asking::default(), HashMap::new());
-            for (b, n) in boxes.iter().enumerate() {
-                for i in 0..*n {
-                    let id = SessionId(b as u64 * 1_000 + i);
-                    asking.add(ServerId(b as u32), id);
-                    at.insert(id, b);
-                }
-            }
-            let mut out: Vec<SessionId> = std::iter::from_fn(|| asking.next()).collect();
-            let mut each = vec![0; boxes.len()];
-            out.iter().for_each(|id| each[at[id]] += 1);
-            assert_eq!(each, at_once, "{boxes:?}");
-            // The first box never answers: all of the others are asked for.
-            let mut seen = out.len();
-            while let Some(i) = out.iter().position(|id| at[id] != 0) {
-                assert!(asking.settled(out.swap_remove(i)));
-                let more: Vec<SessionId> = std::iter::from_fn(|| asking.next()).collect();
-                seen += more.len();
-                out.extend(more);
-            }
-            let others: u64 = boxes[1..].iter().sum();
-            assert_eq!(seen as u64, others + boxes[0].min(EACH as u64), "{boxes:?}");
-            // One that ended while it waited is passed over; nothing is left behind.
-            let waits: Vec<SessionId> = at.into_keys().filter(|id| asking.holds(*id)).collect();
-            waits.iter().for_each(|id| assert!(asking.settled(*id) && !asking.settled(*id)));
-            assert!(asking.next().is_none() && asking.all == 0 && asking.turn.is_empty());
-        }
-    }
-}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,11 +5,11 @@
 //! layer around it: one current-thread runtime, tasks on a `LocalSet`, no locks. [`list`] brings the list of boxes.
 #![warn(missing_docs)]
 
-mod asking;
+pub mod asking;
 mod books;
 pub mod core;
 mod endpoint;
-mod hints;
+pub mod hints;
 pub mod io;
 pub mod keeping;
 pub mod list;
--- a/crates/front/src/returning.rs
+++ b/crates/front/src/returning.rs
@@ -286,7 +286,7 @@
 
     /// Asks for sessions of before, as many as may be asked for at a time.
     fn ask_on(&mut self) {
-        while let Some(id) = self.asking.next() {
+        while let Some(id) = self.asking.ask_next() {
             self.subscribe(id);
             let asks = |p: &mut Playing| p.subscribing || p.stream.is_some();
             if !self.sessions.get_mut(id).and_then(Session::playing).is_some_and(asks) {
--- a/crates/node/src/advice.rs
+++ b/crates/node/src/advice.rs
@@ -7,14 +7,15 @@
 use micadyke_recovery::spread::{Spread, borne};
 
 /// A decision module whose advice is spread until it is told of servers.
-pub(crate) struct Advised<D> {
+#[derive(Debug)]
+pub struct Advised<D> {
     module: D,
     spread: Option<Spread>,
 }
 
 impl<D> Advised<D> {
     /// The module as it is; with what was kept its first advice is spread, where clients may be advised at all.
-    pub(crate) fn new(module: D, settings: &Settings, kept: Option<&Kept>) -> Self {
+    pub fn new(module: D, settings: &Settings, kept: Option<&Kept>) -> Self {
         let spread = kept.filter(|_| settings.may_advise).map(|kept| {
             let servers = kept.list.as_ref().map_or(settings.cells as usize, |l| l.3.len()).max(1);
             // Which kind each was is not kept: the smallest bears the least.
@@ -43,41 +44,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use micadyke::interface::{ListKind, SessionId};
-    use std::collections::BTreeSet;
-
-    /// Refuses whatever comes, with the same advice.
-    struct Refuses;
-
-    impl Decide for Refuses {
-        fn handle(&mut self, _: Nanos, _: Event, out: &mut Vec<Action>) {
-            out.push(Action::Refuse { session: SessionId(1), come_back: 7 });
-        }
-    }
-
-    #[test]
-    fn a_crowd_is_spread_until_the_module_knows_servers() {
-        let spread = Some(Spread::new(4.0, 10_000_000_000));
-        let mut module = Advised { module: Refuses, spread };
-        let mut ask = |event: Event| {
-            let mut out = Vec::new();
-            module.handle(5, event, &mut out);
-            let [Action::Refuse { come_back, .. }] = out[..] else { panic!("{out:?}") };
-            come_back
-        };
-        let left = || Event::Left { session: SessionId(1) };
-        let told: BTreeSet<Nanos> = (0..37).map(|_| ask(left())).collect();
-        // Four in each second from the first to the tenth, each at a time of its own.
-        assert_eq!(
-            (told.len(), told.first(), told.last()),
-            (37, Some(&1_000_000_000), Some(&10_000_000_000))
-        );
-        assert!(told.iter().zip(told.iter().skip(1)).all(|(a, b)| b - a == 250_000_000));
-        assert_eq!(ask(Event::List { kind: ListKind::Full, entries: Vec::new() }), 7);
-        assert_eq!(ask(left()), 7);
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,7 @@
 //! used, what is taken at the door. [`shell`] is the tokio layer around it: one thread, tasks of a `LocalSet`, no locks.
 #![warn(missing_docs)]
 
-mod advice;
+pub mod advice;
 mod books;
 pub mod bus;
 pub mod care;
--- /dev/null
+++ b/crates/node/tests/advice.rs
@@ -0,0 +1,45 @@
+//! Advice to a crowd while its node comes back.
+
+use micadyke::interface::{Action, Event, ListKind, Nanos, SessionId, Settings};
+use micadyke::module::Decide;
+use micadyke_node::advice::Advised;
+use micadyke_recovery::record::Kept;
+use std::collections::BTreeSet;
+
+/// Refuses whatever comes, with the same advice.
+struct Refuses;
+
+impl Decide for Refuses {
+    fn handle(&mut self, _: Nanos, _: Event, out: &mut Vec<Action>) {
+        out.push(Action::Refuse { session: SessionId(1), come_back: 7 });
+    }
+}
+
+#[test]
+fn a_crowd_is_spread_until_the_module_knows_servers() {
+    // Forty streams that fill over ten seconds: four set-ups a second.
+    let settings = Settings {
+        fronts: 1,
+        cells: 4,
+        streams_by_kind: vec![10],
+        cold_from: 1.0,
+        cold_for: 10_000_000_000,
+        may_advise: true,
+        max_come_back: 10_000_000_000,
+        ..Settings::default()
+    };
+    let mut module = Advised::new(Refuses, &settings, Some(&Kept::default()));
+    let mut ask = |event: Event| {
+        let mut out = Vec::new();
+        module.handle(5, event, &mut out);
+        let [Action::Refuse { come_back, .. }] = out[..] else { panic!("{out:?}") };
+        come_back
+    };
+    let left = || Event::Left { session: SessionId(1) };
+    let told: BTreeSet<Nanos> = (0..37).map(|_| ask(left())).collect();
+    // Four in each second from the first to the tenth, each at a time of its own.
+    assert_eq!((told.len(), told.first(), told.last()), (37, Some(&1_000_000_000), Some(&10_000_000_000)));
+    assert!(told.iter().zip(told.iter().skip(1)).all(|(a, b)| b - a == 250_000_000));
+    assert_eq!(ask(Event::List { kind: ListKind::Full, entries: Vec::new() }), 7);
+    assert_eq!(ask(left()), 7);
+}
--- a/crates/tokens/src/reserve.rs
+++ b/crates/tokens/src/reserve.rs
@@ -20,12 +20,12 @@
 /// ... and at most: with an issuer out of reach more idle seats do not help.
 const ANSWER_MOST: f64 = 0.5;
 /// After a seat was refused none is kept idle for so long: others want them.
-const SCARCE: Nanos = 2_000_000_000;
+pub const SCARCE: Nanos = 2_000_000_000;
 /// What nobody has asked for in so long has no demand that could not wait for the issuer: without this an issuer that is
 /// slow or loses messages would have seats held idle for half a minute after a crowd has gone.
-const QUIET: Nanos = 2_000_000_000;
+pub const QUIET: Nanos = 2_000_000_000;
 /// Titles and classes whose demand is known at most; the least asked for is forgotten.
-const MOST: usize = 4_096;
+pub const MOST: usize = 4_096;
 
 #[derive(Debug, Clone, PartialEq)]
 struct Demand {
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Titles and classes whose demand is known; [`MOST`] at most.
+    pub fn known(&self) -> usize {
+        self.demands.len()
+    }
+
     /// Idle seats that are worth keeping.
     pub fn target(&self, key: &Key, now: Nanos) -> usize {
         let wanted = |d: &&Demand| d.scarce_until <= now && now.saturating_sub(d.at) < QUIET;
@@ -111,41 +116,3 @@
         term *= mean / n as f64;
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn reserves_by_demand() {
-        let key = |n: usize| Key { title: format!("t{n}").as_str().into(), class: "c".into() };
-        // (sessions a second, issuer's answer in ms, idle seats)
-        for (rate, answer, target) in [
-            (0.5, 2, 0..=0),
-            (3.0, 2, 1..=1),
-            (100.0, 2, 5..=6),
-            (100.0, 100, 14..=18),
-            (10_000.0, 2, 220..=240),
-        ] {
-            let mut r = Reserve::new(true);
-            (0..200).for_each(|_| r.answered(answer * 1_000_000));
-            let (mut now, gap) = (0, (1e9 / rate) as Nanos);
-            while now < 30_000_000_000 {
-                now += gap;
-                r.asked(&key(0), now);
-            }
-            assert!(target.contains(&r.target(&key(0), now)), "{rate}: {}", r.target(&key(0), now));
-            assert_eq!(r.target(&key(0), now + QUIET), 0, "a demand that has passed");
-            r.refused(&key(0), now);
-            assert_eq!((r.target(&key(0), now + 1), r.target(&key(1), now)), (0, 0));
-            r.asked(&key(0), now + SCARCE);
-            assert!(r.target(&key(0), now + SCARCE) > 0 || rate < 20.0, "it is forgotten that none was free");
-        }
-        let mut r = Reserve::new(true);
-        (0..3 * MOST).for_each(|n| r.asked(&key(n), n as Nanos));
-        assert_eq!(r.demands.len(), MOST);
-        let mut none = Reserve::new(false);
-        (0..1_000).for_each(|_| none.asked(&key(0), 0));
-        assert_eq!(none.target(&key(0), 0), 0);
-    }
-}
