Settings are refused by the full path of the field; what may be missing is stated

The node's own configuration took bus port 0 and a seed of '+' and 15 digits, and an object's place held by a number was 'missing'.

Cause: at() and its readers in crates/settings/src/lib.rs knew no place in a list, and left ranges to Settings::check, which names its own fields; config.rs folded over 'v[key]', which is null in whatever is no object.

Change: a Field bears its path (field.rs); errors are Missing, Kind, Range, Against, Word and those of lists, each with advice. What Settings::check refused before (no ladder, cells, racks or attempts; rungs that don't rise) is refused by path. Errors of known.batch read as paths too.

--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -2,7 +2,7 @@
 
 use benchlink::wire::serve;
 
-const SETTINGS: &str = r#"{"classes":[{"name":"c","effect":"idempotent","promise_ns":1000000000,"worth":1.0}],"dcs":["z"],"models":["k"],"family_info":{"cells":2,"racks":1,"rung_kb":[100.0,200.0],"worth_by_rung":[0.4,1.0],"scale_by_class":[1.0],"floor_by_class":[0],"highest_rung":[1],"licence_cap":[0],"class_live":[false],"places_by_kind":[10],"kb_per_weight":1000.0,"uplink_kb":2000.0,"see_ns":500000000,"tell_ns":2000000000,"new":1},"group_size":1,"me":0,"zone":"z","weights":"nominal","permissions":{"max_attempts":3,"retry_after":true,"max_retry_after_ns":2000000000},"rules":{"cold_ns":1000000000,"start_capacity":0.5,"fall_multiple":2.0,"fall_ns":1000000000},"registry_mode":"automatic"}"#;
+const SETTINGS: &str = r#"{"classes":[{"name":"c","effect":"idempotent","promise_ns":1000000000,"deadline_ns":4000000000,"worth":1.0}],"dcs":["z"],"models":["k"],"family_info":{"cells":2,"racks":1,"rung_kb":[100.0,200.0],"worth_by_rung":[0.4,1.0],"scale_by_class":[1.0],"floor_by_class":[0],"highest_rung":[1],"licence_cap":[0],"class_live":[false],"places_by_kind":[10],"kb_per_weight":1000.0,"uplink_kb":2000.0,"see_ns":500000000,"tell_ns":2000000000,"new":1},"group_size":1,"me":0,"zone":"z","weights":"nominal","permissions":{"max_attempts":3,"retry_after":true,"max_retry_after_ns":2000000000},"rules":{"cold_ns":1000000000,"start_capacity":0.5,"fall_multiple":2.0,"fall_ns":1000000000},"registry_mode":"automatic"}"#;
 
 fn run(input: &str) -> (Result<(), String>, String) {
     let mut out = Vec::new();
@@ -57,7 +57,10 @@
         (format!("{start}bogus i=1\n"), "line 2: no instance 1 runs"),
         (format!("{}bogus i=3\n", spawn()), "line 6: unknown message 'bogus'"),
         (format!("{start}spawn i=1 seed=1 settings={{\n"), "line 2: settings can't be read"),
-        (format!("{start}spawn i=1 seed=1 settings={{}}\n"), "line 2: settings: ladder"),
+        (
+            format!("{start}spawn i=1 seed=1 settings={{}}\n"),
+            "line 2: settings.family_info.rung_kb is missing",
+        ),
         (format!("{start}spawn i=1 seed=x settings={{}}\n"), "line 2:"),
         (format!("{start}begin_batch time_ns=2\n"), "line 2: begin_batch inside a batch"),
         ("begin_batch time_ns=-5\n".to_owned(), "line 1: begin_batch: field time_ns holds '-5'"),
--- a/crates/cli/tests/errors.rs
+++ b/crates/cli/tests/errors.rs
@@ -58,13 +58,21 @@
     use micadyke_settings::Error as E;
     let all = every!(E;
         E::NotJson(_) => E::NotJson("EOF while parsing a value at line 1 column 1".into()),
-        E::NoObject { .. } => E::NoObject { path: "permissions.probes".into(), key: "probes".into(), held: "3".into() },
-        E::Kind { .. } => E::Kind { path: "permissions.probes".into(), held: "\"yes\"".into(), due: "true or false" },
-        E::Negative { .. } => E::Negative { path: "permissions.conn_idle_ns".into(), held: "-1".into() },
-        E::Word { .. } => E::Word { path: "classes[1].effect".into(), held: "never".into() },
+        E::Missing { .. } => E::Missing { path: "settings.classes[1].deadline_ns".into() },
+        E::Kind { .. } => E::Kind {
+            path: "settings.permissions.probes".into(), held: "\"yes\"".into(), due: "true or false"
+        },
+        E::Range { .. } => E::Range {
+            path: "settings.family_info.cells".into(), held: "0".into(), due: "a count from 1"
+        },
+        E::Against { .. } => E::Against {
+            path: "settings.family_info.floor_by_class[1]".into(), held: "2".into(),
+            other: "settings.family_info.highest_rung[1], whose last rung is 1".into(),
+        },
+        E::Word { .. } => E::Word { path: "settings.classes[1].effect".into(), held: "never".into() },
         E::Ladder => E::Ladder,
         E::PerClass { .. } => E::PerClass { name: "licence_cap", held: 1, known: 2 },
-        E::Twice { .. } => E::Twice { path: "classes[1].name".into(), held: "free".into() },
+        E::Twice { .. } => E::Twice { path: "settings.classes[1].name".into(), held: "free".into() },
     );
     page_says(NODE, "### Settings of the deployment", all);
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -32,8 +32,16 @@
     pub site: Site,
 }
 
+/// The field under a path, which is there; what should hold it is an object.
 fn field<'v>(v: &'v Value, path: &'static str) -> Result<&'v Value, Fault> {
-    let found = path.split('.').fold(v, |v, key| &v[key]);
+    let (mut found, mut end) = (v, 0);
+    for key in path.split('.') {
+        if !(found.is_object() || found.is_null()) {
+            return Err(Fault::Kind { field: &path[..end], due: "object" });
+        }
+        found = &found[key];
+        end += key.len() + usize::from(end > 0);
+    }
     if found.is_null() { Err(Fault::Missing(path)) } else { Ok(found) }
 }
 
@@ -57,8 +65,12 @@
 /// Which field is wrong, and how.
 pub fn read(json: &str) -> Result<Config, Fault> {
     let v: Value = serde_json::from_str(json).map_err(|e| Fault::NotJson(e.to_string()))?;
-    let seed = text(&v, "seed")?;
-    let seed = u64::from_str_radix(seed, 16).map_err(|_| Fault::Seed(seed.into()))?;
+    if !v.is_object() {
+        return Err(Fault::Kind { field: "the configuration", due: "object" });
+    }
+    let digits = text(&v, "seed")?;
+    let seed = u64::from_str_radix(digits, 16).ok().filter(|_| !digits.starts_with('+'));
+    let seed = seed.ok_or_else(|| Fault::Seed(digits.into()))?;
     let sockets = count(&v, "limits.sockets")?;
     if sockets < FEWEST_SOCKETS {
         return Err(Fault::FewSockets(sockets));
@@ -76,12 +88,17 @@
             known.push(change);
         }
     }
+    let bus = address(&v, "bus")?;
+    if bus.port() == 0 {
+        // Nothing can be called there. A listener takes any port for it, as tests have it.
+        return Err(Fault::Address { field: "bus", held: bus.to_string() });
+    }
     Ok(Config {
         name: text(&v, "name")?.to_owned(),
         listen: address(&v, "listen")?,
         seed,
         sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
-        bus: address(&v, "bus")?,
+        bus,
         known,
         offset,
         site: site(field(&v, "settings")?)?,
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -86,7 +86,7 @@
     #[error("limits.sockets holds {0}; a node needs {FEWEST_SOCKETS}")]
     FewSockets(u64),
     /// An event that can't be read.
-    #[error("known.batch[{at}]: {why}")]
+    #[error("known.batch[{at}].{why}")]
     Event {
         /// Its place in the batch.
         at: usize,
@@ -94,7 +94,7 @@
         why: Event,
     },
     /// An event that the batch can't hold.
-    #[error("known.batch[{at}]: offset {offset} is past known.offset {last}")]
+    #[error("known.batch[{at}].offset holds {offset}, past known.offset, which holds {last}")]
     Past {
         /// Its place in the batch.
         at: usize,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,14 +3,14 @@
 #![warn(missing_docs)]
 
 mod error;
+mod field;
 
 pub use error::Error;
 
+use field::{Field, Parsed};
 use micadyke::interface::*;
 use serde_json::Value;
 
-type Parsed<T> = Result<T, Error>;
-
 /// Names that an instance's settings give to classes, machine kinds and zones.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Names {
@@ -33,6 +33,8 @@
     pub connect_timeout: Nanos,
     /// Requests that a front may hold open; 0: no bound is stated.
     pub most_held: u32,
+    /// The longest wait that a client who is refused is told and obeys; 0: none is told.
+    pub come_back: Nanos,
     /// Servers may be tested.
     pub probes: bool,
     /// The longest deadline of a class.
@@ -55,216 +57,215 @@
     names.iter().position(|n| n == name)
 }
 
-/// A longer time is taken for this one, ten years: sums with the time of day stay far from the end of [`Nanos`].
-const LONGEST: f64 = 3.2e17;
-/// A greater count is taken for this one: sums of two stay far from the end of their type.
-const MOST: f64 = (1u32 << 30) as f64;
-
-/// What stands under a path; null where it is missing.
-fn at<'v>(value: &'v Value, path: &str) -> Parsed<&'v Value> {
-    let mut v = value;
-    for key in path.split('.') {
-        if !(v.is_object() || v.is_null()) {
-            return Err(Error::NoObject { path: path.into(), key: key.into(), held: v.to_string() });
-        }
-        v = &v[key];
-    }
-    Ok(v)
+/// Reads the settings object from its text.
+///
+/// # Errors
+///
+/// Which field is wrong, and how.
+pub fn read(json: &str) -> Result<Site, Error> {
+    let v: Value = serde_json::from_str(json).map_err(|e| Error::NotJson(e.to_string()))?;
+    site(&v)
 }
 
-/// A value that is not of the kind that is due.
-fn not(due: &'static str, held: impl ToString, path: &str) -> Error {
-    Error::Kind { path: path.into(), held: held.to_string(), due }
+/// Reads the settings object into the module's own words. What it accepts the module accepts.
+///
+/// # Errors
+///
+/// Which field is wrong, and how.
+pub fn site(v: &Value) -> Result<Site, Error> {
+    let all = Field::settings(v)?;
+    let ladder = ladder(&all)?;
+    let (class_names, classes, deadline) = classes(&all, ladder.len())?;
+    let (zones, zone) = zones(&all)?;
+    let names = Names { classes: class_names, kinds: texts(&all.get("models")?)?, zones };
+    let terms = terms(&all, deadline)?;
+    Ok(Site { settings: settings(&all, classes, ladder, zone)?, names, terms })
 }
 
-fn float(value: &Value, path: &str) -> Parsed<f64> {
-    let v = at(value, path)?;
-    if v.is_null() {
-        return Ok(0.0);
+/// Reads the ladder: its rungs rise in rate and worth.
+fn ladder(all: &Field<'_>) -> Parsed<Vec<Step>> {
+    let family = all.get("family_info")?;
+    let (rates, worths) = (family.get("rung_kb")?.due()?, family.get("worth_by_rung")?.due()?);
+    let of_rungs =
+        |list: &Field<'_>| -> Parsed<Vec<f64>> { list.items()?.iter().map(Field::positive).collect() };
+    let (rate, worth) = (of_rungs(&rates)?, of_rungs(&worths)?);
+    if rate.len() != worth.len() {
+        return Err(Error::Ladder);
     }
-    v.as_f64().ok_or_else(|| not("a number", v, path))
-}
-
-fn nanos(value: &Value, path: &str) -> Parsed<Nanos> {
-    let v = float(value, path)?;
-    if v < 0.0 {
-        return Err(Error::Negative { path: path.into(), held: v.to_string() });
+    if rate.is_empty() {
+        return Err(rates.outside("a rate for each rung, one at least"));
     }
-    Ok(v.min(LONGEST) as Nanos)
-}
-
-fn whole(v: f64, path: &str) -> Parsed<u32> {
-    if v < 0.0 || v.fract() != 0.0 {
-        return Err(not("a count", v, path));
+    for (list, values) in [(&rates, &rate), (&worths, &worth)] {
+        if let Some(i) = values.windows(2).position(|w| w[0] >= w[1]) {
+            return Err(list.items()?[i + 1].against(format!("{}[{i}], for rungs rise", list.path())));
+        }
     }
-    Ok(v.min(MOST) as u32)
+    Ok(rate.into_iter().zip(worth).map(|(rate, worth)| Step { rate, worth }).collect())
 }
 
-fn count(value: &Value, path: &str) -> Parsed<u32> {
-    whole(float(value, path)?, path)
+/// Reads the classes: their names, what the module is told of them, and the longest deadline.
+fn classes(all: &Field<'_>, rungs: usize) -> Parsed<(Vec<String>, Vec<Class>, Nanos)> {
+    let list = all.get("classes")?.due()?;
+    let fields = list.items()?;
+    if fields.is_empty() {
+        return Err(list.outside("a class at least"));
+    }
+    let scales = per_class(all, "scale_by_class", fields.len())?;
+    let floors = per_class(all, "floor_by_class", fields.len())?;
+    let tops = per_class(all, "highest_rung", fields.len())?;
+    let seats = per_class(all, "licence_cap", fields.len())?;
+    let (mut names, mut classes, mut longest) = (Vec::new(), Vec::new(), 0);
+    for (i, field) in fields.iter().enumerate() {
+        let (name, deadline) = (field.get("name")?.due()?, field.get("deadline_ns")?.due()?);
+        let text = name.text()?;
+        if text.is_empty() {
+            return Err(name.outside("a name"));
+        }
+        if position(&names, text).is_some() {
+            return Err(Error::Twice { path: name.path().into(), held: text.into() });
+        }
+        names.push(text.to_owned());
+        let within = deadline.nanos()?;
+        if within == 0 {
+            return Err(deadline.outside("a time above 0"));
+        }
+        longest = longest.max(within);
+        let (floor, top) = rungs_of(floors.get(i), tops.get(i), rungs)?;
+        classes.push(Class {
+            worth: field.get("worth")?.figure()?,
+            aim: field.get("promise_ns")?.nanos()?,
+            effect: effect(field)?,
+            scale: scales.get(i).map_or(Ok(1.0), Field::positive)?,
+            floor,
+            top,
+            seats: seats.get(i).map_or(Ok(0), Field::count)?,
+        });
+    }
+    Ok((names, classes, longest))
 }
 
-fn counts(value: &Value, path: &str) -> Parsed<Vec<u32>> {
-    floats(value, path)?.into_iter().map(|v| whole(v, path)).collect()
+/// A list with a value for each class, or an empty one where nothing is stated.
+fn per_class<'v>(all: &Field<'v>, name: &'static str, known: usize) -> Parsed<Vec<Field<'v>>> {
+    let values = all.get("family_info")?.get(name)?.items()?;
+    let held = values.len();
+    if held != 0 && held != known { Err(Error::PerClass { name, held, known }) } else { Ok(values) }
 }
 
-fn text<'v>(value: &'v Value, path: &str) -> Parsed<&'v str> {
-    let v = at(value, path)?;
-    if v.is_null() {
-        return Ok("");
+/// Reads the lowest and the highest rung of a class; else those of the ladder.
+fn rungs_of(floor: Option<&Field<'_>>, top: Option<&Field<'_>>, rungs: usize) -> Parsed<(Rung, Rung)> {
+    let (lowest, highest) = (floor.map_or(Ok(0), Field::count)?, top.map(Field::count).transpose()?);
+    let last = rungs.saturating_sub(1);
+    if let (Some(field), Some(held)) = (top, highest)
+        && held as Rung > last
+    {
+        return Err(field.against(format!("settings.family_info.rung_kb, whose last rung is {last}")));
     }
-    v.as_str().ok_or_else(|| not("a text", v, path))
-}
-
-fn list<'v>(value: &'v Value, path: &str) -> Parsed<&'v [Value]> {
-    let v = at(value, path)?;
-    if v.is_null() {
-        return Ok(&[]);
+    let highest = highest.map_or(last, |h| h as Rung);
+    match floor {
+        Some(field) if lowest as Rung > highest => {
+            let other = top.map_or("settings.family_info.rung_kb", Field::path);
+            Err(field.against(format!("{other}, whose last rung is {highest}")))
+        }
+        _ => Ok((lowest as Rung, highest)),
     }
-    v.as_array().map(Vec::as_slice).ok_or_else(|| not("a list", v, path))
 }
 
-fn truth(value: &Value, path: &str) -> Parsed<bool> {
-    let v = at(value, path)?;
-    if v.is_null() {
-        return Ok(false);
+/// Reads whether a class may be set up more than once.
+fn effect(class: &Field<'_>) -> Parsed<Effect> {
+    let deduplicated = Effect::Deduplicated { scope: Scope::All, window: 0 };
+    let effects = [
+        ("idempotent", Effect::Idempotent),
+        ("at_most_once", Effect::AtMostOnce),
+        ("deduplicated", deduplicated),
+    ];
+    let scopes = [("", Scope::All), ("all", Scope::All), ("zone", Scope::Zone), ("cell", Scope::Cell)];
+    let effect = class.get("effect")?.due()?.word(&effects)?;
+    if effect != deduplicated {
+        return Ok(effect);
     }
-    v.as_bool().ok_or_else(|| not("true or false", v, path))
+    let scope = class.get("dedup_scope")?.word(&scopes)?;
+    Ok(Effect::Deduplicated { scope, window: class.get("window_ns")?.nanos()? })
 }
 
-fn floats(value: &Value, path: &str) -> Parsed<Vec<f64>> {
-    list(value, path)?.iter().map(|v| v.as_f64().ok_or_else(|| not("a number", v, path))).collect()
+/// Reads the zones, and which is this front's own.
+fn zones(all: &Field<'_>) -> Parsed<(Vec<String>, u32)> {
+    let mut zones = texts(&all.get("dcs")?)?;
+    let own = all.get("zone")?.text()?;
+    if position(&zones, own).is_none() {
+        // Servers of this front's own zone are known for such, listed or not.
+        zones.push(own.to_owned());
+    }
+    let place = position(&zones, own).unwrap_or(zones.len());
+    Ok((zones, place as u32))
 }
 
-fn names(value: &Value, path: &str) -> Parsed<Vec<String>> {
-    let name = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| not("a name", v, path));
-    list(value, path)?.iter().map(name).collect()
+fn texts(list: &Field<'_>) -> Parsed<Vec<String>> {
+    list.items()?.iter().map(|f| f.text().map(str::to_owned)).collect()
 }
 
-/// Reads the settings object from its text.
-///
-/// # Errors
-///
-/// Which field is wrong, and how.
-pub fn read(json: &str) -> Parsed<Site> {
-    let v: Value = serde_json::from_str(json).map_err(|e| Error::NotJson(e.to_string()))?;
-    site(&v)
-}
-
-/// Reads what a class says of itself: its name, its deadline, and what the module is told.
-fn class(c: &Value) -> Parsed<(String, Nanos, Class)> {
-    let word = |path: &str, held: &str| Error::Word { path: path.into(), held: held.into() };
-    let effect = match text(c, "effect")? {
-        "idempotent" | "" => Effect::Idempotent,
-        "at_most_once" => Effect::AtMostOnce,
-        "deduplicated" => Effect::Deduplicated {
-            scope: match text(c, "dedup_scope")? {
-                "all" | "" => Scope::All,
-                "zone" => Scope::Zone,
-                "cell" => Scope::Cell,
-                other => return Err(word("dedup_scope", other)),
-            },
-            window: nanos(c, "window_ns")?,
+/// Reads what is said of connections.
+fn terms(all: &Field<'_>, deadline: Nanos) -> Parsed<Terms> {
+    let permissions = all.get("permissions")?;
+    Ok(Terms {
+        streams: permissions.get("max_streams")?.count()?,
+        idle: permissions.get("conn_idle_ns")?.nanos()?,
+        connect_timeout: permissions.get("connect_timeout_ns")?.nanos()?,
+        most_held: permissions.get("most_held")?.count()?,
+        come_back: match permissions.get("retry_after")?.truth()? {
+            true => permissions.get("max_retry_after_ns")?.nanos()?,
+            false => 0,
         },
-        other => return Err(word("effect", other)),
-    };
-    let (worth, aim) = (float(c, "worth")?, nanos(c, "promise_ns")?);
-    let class = Class { worth, aim, effect, scale: 1.0, floor: 0, top: 0, seats: 0 };
-    Ok((text(c, "name")?.to_owned(), nanos(c, "deadline_ns")?, class))
+        probes: permissions.get("probes")?.truth()?,
+        deadline,
+    })
 }
 
-/// Reads the settings object into the module's own words.
-///
-/// # Errors
-///
-/// Which field is wrong, and how.
-pub fn site(v: &Value) -> Parsed<Site> {
-    let mut zones = names(v, "dcs")?;
-    let zone_name = text(v, "zone")?;
-    if position(&zones, zone_name).is_none() {
-        // Servers of this front's own zone are known for such, listed or not.
-        zones.push(zone_name.to_owned());
-    }
-    let kinds = names(v, "models")?;
-    let scales = floats(v, "family_info.scale_by_class")?;
-    let floors = counts(v, "family_info.floor_by_class")?;
-    let tops = counts(v, "family_info.highest_rung")?;
-    let seats = counts(v, "family_info.licence_cap")?;
-    let rates = floats(v, "family_info.rung_kb")?;
-    let worths = floats(v, "family_info.worth_by_rung")?;
-    if rates.len() != worths.len() {
-        return Err(Error::Ladder);
-    }
-    let known = list(v, "classes")?.len();
-    let lists = [("floor_by_class", &floors), ("highest_rung", &tops), ("licence_cap", &seats)];
-    let lists = lists.into_iter().map(|(name, values)| (name, values.len()));
-    for (name, held) in lists.chain([("scale_by_class", scales.len())]) {
-        if held != 0 && held != known {
-            return Err(Error::PerClass { name, held, known });
-        }
+/// Reads the budget of further attempts, where one is stated.
+fn retry_budget(rules: &Field<'_>) -> Parsed<Option<RetryBudget>> {
+    let window = rules.get("counted_over_ns")?;
+    let spare = rules.get("spare_attempts")?.figure()?;
+    let share = rules.get("budget_share")?.figure()?;
+    // Each of the three may be missing; without the stretch over which it is counted there is no budget.
+    if window.is_missing() {
+        return Ok(None);
     }
-    let mut classes = Vec::new();
-    let mut class_names = Vec::new();
-    let mut deadline = 0;
-    for (i, c) in list(v, "classes")?.iter().enumerate() {
-        let (name, within, class) = class(c).map_err(|e| e.of_class(i))?;
-        if class_names.contains(&name) {
-            return Err(Error::Twice { path: format!("classes[{i}].name"), held: name });
-        }
-        class_names.push(name);
-        deadline = deadline.max(within);
-        let top = rates.len().saturating_sub(1);
-        classes.push(Class {
-            scale: scales.get(i).copied().unwrap_or(1.0),
-            floor: floors.get(i).map_or(0, |f| *f as Rung),
-            top: tops.get(i).map_or(top, |t| *t as Rung),
-            seats: seats.get(i).copied().unwrap_or(0),
-            ..class
-        });
-    }
-    let retry_budget = match at(v, "rules.counted_over_ns")?.is_null() {
-        true => None,
-        false => Some(RetryBudget {
-            spare: float(v, "rules.spare_attempts")?,
-            share: float(v, "rules.budget_share")?,
-            window: nanos(v, "rules.counted_over_ns")?,
-        }),
-    };
-    let s = Settings {
-        fronts: count(v, "group_size")?.max(1),
-        zone: position(&zones, zone_name).unwrap_or(zones.len()) as u32,
+    Ok(Some(RetryBudget { spare, share, window: window.nanos()? }))
+}
+
+/// Reads what the module is told beside classes, ladder and zone.
+fn settings(all: &Field<'_>, classes: Vec<Class>, ladder: Vec<Step>, zone: u32) -> Parsed<Settings> {
+    let (family, rules) = (all.get("family_info")?, all.get("rules")?);
+    let (permissions, penalties) = (all.get("permissions")?, all.get("penalties")?);
+    let places = family.get("places_by_kind")?.items()?;
+    Ok(Settings {
+        fronts: all.get("group_size")?.count()?.max(1),
+        zone,
         classes,
-        ladder: rates.iter().zip(&worths).map(|(&rate, &worth)| Step { rate, worth }).collect(),
-        cells: count(v, "family_info.cells")?,
-        racks: count(v, "family_info.racks")?,
-        streams_by_kind: counts(v, "family_info.places_by_kind")?,
-        uplink: float(v, "family_info.uplink_kb")?,
-        link_per_weight: float(v, "family_info.kb_per_weight")?,
-        weights_tell_size: matches!(text(v, "weights")?, "nominal" | "rough"),
-        full_from: float(v, "family_info.full_from")?,
-        change_cost_s: float(v, "family_info.switch_s")?,
-        note_delay: nanos(v, "family_info.see_ns")?,
-        note_period: nanos(v, "family_info.tell_ns")?,
-        listing: if text(v, "registry_mode")? == "subscribe" { Listing::Subscribed } else { Listing::Pushed },
-        max_attempts: count(v, "permissions.max_attempts")?,
-        may_advise: truth(v, "permissions.retry_after")?,
-        max_come_back: nanos(v, "permissions.max_retry_after_ns")?,
-        cross_price: float(v, "penalties.cross_zone")?,
-        handshake_price: float(v, "penalties.handshake")?,
-        ask_within: nanos(v, "rules.ask_within_ns")?,
-        cold_for: nanos(v, "rules.cold_ns")?,
-        cold_from: float(v, "rules.start_capacity")?,
-        fall_multiple: float(v, "rules.fall_multiple")?,
-        fall_window: nanos(v, "rules.fall_ns")?,
-        retry_budget,
-    };
-    let terms = Terms {
-        streams: count(v, "permissions.max_streams")?,
-        idle: nanos(v, "permissions.conn_idle_ns")?,
-        connect_timeout: nanos(v, "permissions.connect_timeout_ns")?,
-        most_held: count(v, "permissions.most_held")?,
-        probes: truth(v, "permissions.probes")?,
-        deadline,
-    };
-    Ok(Site { settings: s, names: Names { classes: class_names, kinds, zones }, terms })
+        ladder,
+        cells: family.get("cells")?.due()?.some()?,
+        racks: family.get("racks")?.due()?.some()?,
+        streams_by_kind: places.iter().map(Field::count).collect::<Parsed<_>>()?,
+        uplink: family.get("uplink_kb")?.figure()?,
+        link_per_weight: family.get("kb_per_weight")?.figure()?,
+        weights_tell_size: matches!(all.get("weights")?.text()?, "nominal" | "rough"),
+        full_from: family.get("full_from")?.figure()?,
+        change_cost_s: family.get("switch_s")?.figure()?,
+        note_delay: family.get("see_ns")?.nanos()?,
+        note_period: family.get("tell_ns")?.nanos()?,
+        listing: match all.get("registry_mode")?.text()? {
+            "subscribe" => Listing::Subscribed,
+            _ => Listing::Pushed,
+        },
+        max_attempts: permissions.get("max_attempts")?.due()?.some()?,
+        may_advise: permissions.get("retry_after")?.truth()?,
+        max_come_back: permissions.get("max_retry_after_ns")?.nanos()?,
+        cross_price: penalties.get("cross_zone")?.figure()?,
+        handshake_price: penalties.get("handshake")?.figure()?,
+        ask_within: rules.get("ask_within_ns")?.nanos()?,
+        cold_for: rules.get("cold_ns")?.nanos()?,
+        cold_from: rules.get("start_capacity")?.part()?,
+        fall_multiple: rules.get("fall_multiple")?.figure()?,
+        fall_window: rules.get("fall_ns")?.nanos()?,
+        retry_budget: retry_budget(&rules)?,
+    })
 }
