--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -180,9 +180,7 @@
         if viewer.open.len() >= care::OPEN_EACH || self.sessions.len() >= most {
             // Refused at the door: nothing of it was sent anywhere, so trying again is harmless.
             self.counts.turned_away += 1;
-            let wait = (care::STAY_AWAY / care::MS).to_string();
-            let refusal = Message::new(kind::RELEASE, id.0).cause(cause::REFUSED);
-            return self.write(conn, &refusal.with(code::STAY_AWAY, wait));
+            return self.refuse_at_the_door(conn, id);
         }
         self.counts.taken += 1;
         self.spoke(conn);
@@ -195,6 +193,16 @@
         self.events.push_back(Event::Request(set_up.wish));
     }
 
+    /// Refuses a set-up that the module was not told of, with advice where the settings allow it.
+    fn refuse_at_the_door(&mut self, conn: ConnId, id: SessionId) {
+        let refusal = Message::new(kind::RELEASE, id.0).cause(cause::REFUSED);
+        let refusal = match care::STAY_AWAY.min(self.terms.come_back) / care::MS {
+            0 => refusal,
+            ms => refusal.with(code::STAY_AWAY, ms.to_string()),
+        };
+        self.write(conn, &refusal);
+    }
+
     fn read_set_up(&self, message: Message) -> Result<SetUp, &'static str> {
         if message.session == 0 {
             return Err("no id");
