Ramp of cold servers in the laboratory: the sum over 20 and 30 processes, `ramps`

The ramp was never played with restarts of fronts and starts told late.

Change: micadyke-lab ramps [SEEDS [GROUP SIZE]] (ramp.rs, ramp/, ramps.rs) runs the decision module, unchanged, in virtual time: four drawn deployments, uneven traffic, fronts restarted never, rolling or seven in ten at once, lists late by up to 4 s, clocks apart. A server falls past the bound; the rule counts as broken where over two thirds of a fall's set-ups came from fronts that knew of the start.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod choices;
 pub mod fleet;
 pub mod joined;
+pub mod ramp;
 pub mod splits;
 pub mod waits;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,8 +5,11 @@
 //! `micadyke-lab waits [SEEDS [PRICE [MEMBERS [TIMES [FIRST SEED]]]]]`: how much of an oracle's worth learned deadlines reach,
 //! as a table; the price of a second in whole answers, with 60 and 300 members or as many as stated, and one kind of times
 //! alone. `micadyke-lab asks [QUESTIONS]`: what a question to the directory costs its asker, waits fixed and learned in turn.
+//! `micadyke-lab ramps [SEEDS [GROUP SIZE]]`: what cold servers get from all fronts together, beyond what they bear.
 //! `micadyke-lab splits [SPLITS [FAULT]]`: splits under load with faults, or with one, as a table.
 
+mod ramps;
+
 use micadyke_lab::choices::{self, DRAWS, Followed, Follows};
 use micadyke_lab::fleet::{Fleet, MS, Parts, Plan, SECOND};
 use micadyke_lab::joined::{self, Way};
@@ -354,11 +357,12 @@
             args.get(4).map_or("", String::as_str),
             number(5, 1),
         ),
+        Some("ramps") => ramps::table(number(1, 10), args.get(2).and_then(|a| a.parse().ok())),
         Some("asks") => asks(number(1, 2_000) as usize),
         Some("splits") => splits(number(1, 1_000), args.get(2).map_or("", String::as_str)),
         _ => {
             eprintln!(
-                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | joined [SEEDS [NODES [PRICE [ROW]]]] | waits [SEEDS [PRICE [MEMBERS [TIMES [FIRST SEED]]]]] | asks [QUESTIONS] | splits [SPLITS [FAULT]]"
+                "micadyke-lab parts [FRONTS [SERVERS [SEEDS]]] | subsets [SEEDS] | turns [SEEDS] | damped [SEEDS] | joined [SEEDS [NODES [PRICE [ROW]]]] | waits [SEEDS [PRICE [MEMBERS [TIMES [FIRST SEED]]]]] | ramps [SEEDS [GROUP SIZE]] | asks [QUESTIONS] | splits [SPLITS [FAULT]]"
             );
             std::process::exit(2);
         }
