The node logs that its configuration was read once it is accepted

Seen: customers and the console of docs/operate/node.md failed on the merged tree: a configuration of another name was refused, but the log said 'configuration read' ahead of it (commands.rs, node). Ruled out: the message and the exit code, which were the same.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -88,12 +88,12 @@
     let path = std::env::var_os("EDGE_CONFIG").ok_or(Error::NoConfig)?;
     let path = PathBuf::from(path);
     let config = micadyke_node::shell::load(&path)?;
-    tracing::info!(name = config.name, events = config.known.len(), "configuration read");
     let (name, addr) = (std::env::var("EDGE_NAME").ok(), std::env::var("EDGE_LISTEN").ok());
     let agreed = config.agrees(name.as_deref(), addr.as_deref());
     agreed.map_err(|why| Error::Config { path: path.clone(), why })?;
     let (settings, seed) = (config.site.settings.clone(), config.seed);
     settings.check().map_err(|why| Error::Settings { path: path.clone(), why })?;
+    tracing::info!(name = config.name, events = config.known.len(), "configuration read");
     let module = move |now| Controller::new(settings, seed, now).expect("settings were checked");
     let mut member = membership.map(|file| Member::load(file, Some(&config.name))).transpose()?;
     let name = member.as_ref().map_or(config.name.as_str(), |m| m.name()).to_owned();
