--- a/crates/cli/tests/discovery.rs
+++ b/crates/cli/tests/discovery.rs
@@ -403,3 +403,10 @@
         refused_for_8_s(256, 200).await;
     });
 }
+
+#[test]
+fn the_list_is_read_again_at_once_by_a_node_of_few_descriptors() {
+    on_one_thread(async {
+        refused_for_8_s(64, 60).await;
+    });
+}
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -260,6 +260,8 @@
     pub(crate) standing: usize,
     /// Unsound messages so far.
     pub(crate) unsound: u32,
+    /// Set-ups withdrawn in a row, none answered between them, and when the first of them was.
+    pub(crate) withdrawn: (u32, Nanos),
     /// Since when half a message has waited for its rest.
     pub(crate) half: Option<Nanos>,
 }
@@ -283,6 +285,23 @@
         }
     }
 
+    /// It was told the answer to a set-up.
+    pub(crate) fn answered(&mut self, id: SessionId) {
+        self.open.remove(&id);
+        self.withdrawn.0 = 0;
+    }
+
+    /// It withdrew a set-up. Whether it does nothing but withdraw what it has just asked for.
+    pub(crate) fn withdrew(&mut self, id: SessionId, now: Nanos) -> bool {
+        self.open.remove(&id);
+        let (in_a_row, since) = self.withdrawn;
+        self.withdrawn = match in_a_row > 0 && now <= since + care::WITHDRAWN_SPAN {
+            true => (in_a_row + 1, since),
+            false => (1, now),
+        };
+        self.withdrawn.0 >= care::WITHDRAWN_EACH && self.open.is_empty()
+    }
+
     /// A session that came by it stands.
     pub(crate) fn stood(&mut self) {
         (self.proven, self.standing) = (true, self.standing + 1);
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -144,7 +144,7 @@
             self.leave(id);
             self.counts.failed += 1;
             if let Some(v) = self.viewers.get_mut(&viewer) {
-                v.open.remove(&id);
+                v.answered(id);
                 self.write(viewer, &isup::Message::new(isup::kind::RELEASE, id.0).cause(cause::FAILED));
             }
         }
@@ -267,7 +267,7 @@
             _ => return warn!(session = id.0, "the module answered a session that is owed nothing"),
         };
         if let Some(viewer) = self.viewers.get_mut(&session.viewer) {
-            viewer.open.remove(&id);
+            viewer.answered(id);
             self.write(session.viewer, message);
         }
     }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -114,8 +114,14 @@
         let Some(server) = self.servers.get(&to).filter(|s| s.row.state == ServerState::Ready) else {
             return self.events.push_back(never(Outcome::NotSent));
         };
-        // Behind half a message nothing may ever be read: a connection that waits for its rest takes no further set-up.
-        let takes = |l: &ConnId| !self.links[l].retired && self.links[l].half.is_none();
+        // Behind half a message nothing may ever be read: a connection that waits for its rest takes no further set-up,
+        // nor does one that its server may be about to close.
+        let closed_after = self.terms.idle;
+        let takes = |l: &ConnId| {
+            let link = &self.links[l];
+            let closing = link.up && care::may_be_closed(link.used.max(link.heard), closed_after, now);
+            !link.retired && link.half.is_none() && (!closing || !link.open.is_empty())
+        };
         let usable: Vec<ConnId> = server.links.iter().copied().filter(takes).collect();
         let candidates: Vec<care::Candidate> = usable
             .iter()
@@ -452,7 +458,7 @@
                 self.counts.answered += 1;
                 self.forget_attempt(conn, id);
                 if let Some(v) = self.viewers.get_mut(&viewer) {
-                    v.open.remove(&id);
+                    v.answered(id);
                     v.stood();
                 }
                 if let Some(s) = self.servers.get_mut(&server) {
@@ -596,7 +602,8 @@
             // Never the last one that sessions need.
             let last =
                 self.servers.get(&link.server).is_some_and(|s| !s.standing.is_empty() && s.links.len() == 1);
-            let idle = link.up && link.open.is_empty() && now >= link.used + care::LINK_IDLE;
+            let idle_after = care::link_idle(self.terms.idle);
+            let idle = link.up && link.open.is_empty() && now >= link.used + idle_after;
             if link.stuck(now) || link.half.is_some_and(|h| now >= h + care::HALF_MESSAGE) {
                 self.drop_link(conn, Outcome::Error);
             } else if idle && !last {
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -58,6 +58,7 @@
             proven: false,
             standing: 0,
             unsound: 0,
+            withdrawn: (0, 0),
             half: None,
         };
         self.viewers.insert(conn, viewer);
@@ -126,10 +127,7 @@
                 // A set-up is given up by the connection that it came on.
                 Some((_, owner)) if owner == conn => {
                     self.spoke(conn);
-                    if let Some(viewer) = self.viewers.get_mut(&conn) {
-                        viewer.open.remove(&id);
-                    }
-                    self.give_up(id);
+                    self.withdrawn(conn, id);
                 }
                 _ => self.write(conn, &Message::new(kind::HEARD, id.0)),
             },
@@ -138,6 +136,14 @@
         }
     }
 
+    /// A viewer gives a set-up up on the connection that it came on.
+    fn withdrawn(&mut self, conn: ConnId, id: SessionId) {
+        self.give_up(id);
+        if self.viewers.get_mut(&conn).is_some_and(|viewer| viewer.withdrew(id, self.now)) {
+            self.turn_out(conn, "withdraws all that it asks for");
+        }
+    }
+
     fn spoke(&mut self, conn: ConnId) {
         let Some(viewer) = self.viewers.get_mut(&conn) else { return };
         (viewer.spoke, viewer.last) = (true, self.now);
@@ -202,6 +208,7 @@
             ms => refusal.with(code::STAY_AWAY, ms.to_string()),
         };
         self.write(conn, &refusal);
+        self.viewers.get_mut(&conn).into_iter().for_each(|viewer| viewer.answered(id));
     }
 
     fn read_set_up(&self, message: Message) -> Result<SetUp, &'static str> {
