Whoever is given up while a question is out is missing from it: the answer is partial

The asker was cut off; its view gave up all others in one look while the question was out, and Question::over and Question::answer (asking.rs) left who was given up out of the whole, so that the asker's own book alone made it. Ruled out: copies that differ from books under equal digests, late fills and lines, covers over a change of the map, pages of two answers mixed (no owner had answered at all).

Change: whole goes by all that lived in the asker's view when it was asked, but those that left since, whose work is over; the wait goes on by those that may still answer.

--- a/crates/directory/src/answer.rs
+++ b/crates/directory/src/answer.rs
@@ -31,7 +31,7 @@
     NotWorth,
     /// The asker's patience was over.
     Patience,
-    /// Those that had not answered were given up by the view.
+    /// Those that had not answered were given up by the view; their books, or others', are not accounted for.
     Gone,
 }
 
@@ -58,9 +58,10 @@
     pub answered: Vec<String>,
     /// Who had too much to do.
     pub busy: Vec<String>,
-    /// Who was asked, or lived when it was, and was given up by the view meanwhile: no part of the whole.
+    /// Who was asked, or lived when it was, and was given up by the view meanwhile, or left. Who was given up may be cut off
+    /// and play on: where its book is not accounted for, the answer is partial.
     pub given_up: Vec<String>,
-    /// Living members in the asker's view, itself included.
+    /// Members that lived in the asker's view when it was asked and have not left since, itself included.
     pub members: usize,
     /// Members whose books are accounted for.
     pub covered: usize,
@@ -145,7 +146,7 @@
     }
 }
 
-/// An answer in which the book of each living member is accounted for. Nothing but the directory makes one.
+/// An answer in which the book of each member is accounted for that lived when it was asked. Nothing but the directory makes one.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Whole {
     entries: Vec<Entry>,
--- a/crates/directory/src/asking.rs
+++ b/crates/directory/src/asking.rs
@@ -38,8 +38,10 @@
     /// Its answer was given; it stays for those that answer late.
     pub closed: Option<Nanos>,
     waited: Vec<Waited>,
-    /// Who was given up by the view.
+    /// Who was given up by the view, or left.
     gone: BTreeSet<String>,
+    /// Who left, having ended its work: its book is empty.
+    left: BTreeSet<String>,
     busy: BTreeSet<String>,
     pages: BTreeMap<String, Pages>,
     /// Entrys by node and server; whether who told a row vouched for its node's book as well.
@@ -69,6 +71,7 @@
             closed: None,
             waited,
             gone: BTreeSet::new(),
+            left: BTreeSet::new(),
             busy: BTreeSet::new(),
             pages: BTreeMap::new(),
             rows,
@@ -118,12 +121,19 @@
         self.until = deadline.until(now, &open).min(self.limit);
     }
 
-    /// Books that are due, and those of them that are accounted for.
+    /// Books that may still be accounted for, and those of them that are: what the wait goes by.
     fn covered(&self) -> (usize, usize) {
         let due = self.roster.iter().filter(|r| !self.gone.contains(&r.0));
         due.fold((0, 0), |(all, covered), r| (all + 1, covered + usize::from(r.1)))
     }
 
+    /// Books of all that lived when it was asked and did not leave, and those of them that are accounted for: what a whole
+    /// answer goes by. Who was given up meanwhile may be cut off and play on.
+    fn accounted(&self) -> (usize, usize) {
+        let members = self.roster.iter().filter(|(name, _)| !self.left.contains(name));
+        members.fold((0, 0), |(all, accounted), (_, covered)| (all + 1, accounted + usize::from(*covered)))
+    }
+
     /// An answer is there, with so many books that were not accounted for before; none: it said that it has too much to do,
     /// which is no word of how quick its answers are.
     fn arrived(&mut self, now: Nanos, from: &str, books: Option<usize>, deadline: &mut dyn Deadline) {
@@ -204,6 +214,12 @@
         }
     }
 
+    /// It left, its work being over.
+    pub fn left(&mut self, now: Nanos, name: &str, deadline: &mut dyn Deadline) {
+        self.left.insert(name.to_owned());
+        self.gone(now, name, deadline);
+    }
+
     /// The view gave it up: it is not waited for.
     pub fn gone(&mut self, now: Nanos, name: &str, deadline: &mut dyn Deadline) {
         let due = self.roster.binary_search_by(|r| r.0.as_str().cmp(name)).is_ok();
@@ -226,7 +242,8 @@
     /// Why it is over, if it is.
     pub fn over(&self, now: Nanos) -> Option<Why> {
         let lives = |name: &str| !self.gone.contains(name);
-        if !self.cut && self.roster.iter().all(|(name, covered)| *covered || !lives(name)) {
+        let (members, covered) = self.accounted();
+        if !self.cut && covered == members {
             return Some(Why::Covered);
         }
         let mut missing = self.waited.iter().filter(|w| w.arrived.is_none());
@@ -247,7 +264,7 @@
         let rest = self.pages.values_mut().flat_map(|p| std::mem::take(&mut p.rows));
         let rest: Vec<Entry> = rest.collect();
         rest.into_iter().for_each(|r| self.row((false, r)));
-        let (members, covered) = self.covered();
+        let (members, covered) = self.accounted();
         let names =
             |of: &dyn Fn(&&Waited) -> bool| self.waited.iter().filter(of).map(|w| w.name.clone()).collect();
         let report = Report {
@@ -267,7 +284,7 @@
         };
         let wait_ms = now.saturating_sub(self.asked_at) / MS;
         // Where a book is accounted for, only what came with that word counts: the rest may be over. So with all where all
-        // are; who was given up meanwhile is in no whole answer.
+        // are.
         let whole = covered == members && !self.cut;
         let place = |node: &str| self.roster.binary_search_by(|r| r.0.as_str().cmp(node));
         let hint = |node: &str| !whole && place(node).map_or(true, |n| !self.roster[n].1);
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -733,7 +733,11 @@
                 }
                 self.drop_peer(&name);
             }
-            Seen::Left(name) => self.drop_peer(&name),
+            Seen::Left(name) => {
+                let (now, deadline) = (self.now, &mut *self.deadline);
+                self.questions.values_mut().for_each(|q| q.left(now, &name, deadline));
+                self.drop_peer(&name);
+            }
             Seen::Settled(settled) => {
                 self.settled = settled;
                 return;
