--- a/crates/cli/src/desk.rs
+++ b/crates/cli/src/desk.rs
@@ -130,6 +130,8 @@
             Change::Up(m) | Change::Renewed { new: m, .. } | Change::Rejoined(m) => up(m),
             Change::Down(m) => Seen::Down(m.name.clone()),
             Change::Left(m) => Seen::Left(m.name.clone()),
+            Change::Suspected(m) => Seen::Suspected(m.name.clone()),
+            Change::Cleared(m) => Seen::Cleared(m.name.clone()),
             Change::Settled { .. } => Seen::Settled(true),
             Change::Unsettled(_) | Change::Superseded { .. } => Seen::Settled(false),
             _ => return,
--- a/crates/membership/src/io.rs
+++ b/crates/membership/src/io.rs
@@ -70,6 +70,10 @@
     Down(Member),
     /// A member took its leave.
     Left(Member),
+    /// A member does not answer, and may soon be given up. It lives for as long as that is not told.
+    Suspected(Member),
+    /// A member that was suspected showed that it lives.
+    Cleared(Member),
     /// A member is another start of its name, or took its place again.
     Renewed {
         /// Who bore the name.
--- a/crates/membership/src/lives.rs
+++ b/crates/membership/src/lives.rs
@@ -259,6 +259,8 @@
                 let suspect = Suspect { member: member_id.clone(), incarnation: *incarnation };
                 let how = (self.has(Feature::Confirm), self.has(Feature::Prove));
                 self.doubts.begins(on, suspect, how);
+                // Who goes by suspicions hears of it before it is over.
+                self.suspects_at = on.now;
             }
             self.timers.insert((on.now.saturating_add(after), self.timer), timer);
         }
@@ -398,6 +400,22 @@
 
     // ----- suspicion
 
+    /// Looks up who is suspected, and tells of whom that is so newly, or no longer.
+    fn look_up_suspects(&mut self, on: &mut Carrier) {
+        self.suspects_at = on.now + on.settings.period / 2;
+        let suspects = self.swim.iter_membership_state().filter(|m| m.state() == foca::State::Suspect);
+        let suspects = suspects.map(|m| (m.id().name.clone(), m.incarnation())).collect();
+        let before = std::mem::replace(&mut self.suspects, suspects);
+        // Whoever was given up, or left, is told of by that.
+        let living = |name: &String| on.book.known.get(name).filter(|k| k.active).map(|k| k.member.clone());
+        let began = self.suspects.keys().filter(|name| !before.contains_key(*name));
+        let began: Vec<Member> = began.filter_map(living).collect();
+        let ended = before.keys().filter(|name| !self.suspects.contains_key(*name));
+        let ended: Vec<Member> = ended.filter_map(living).collect();
+        began.into_iter().for_each(|member| on.tell(Change::Suspected(member)));
+        ended.into_iter().for_each(|member| on.tell(Change::Cleared(member)));
+    }
+
     /// The machine of a member refused a call that was made then. Whether that ends a suspicion here.
     pub(crate) fn refused(&mut self, on: &mut Carrier, name: &str, called: Nanos) -> bool {
         let ends = self.doubts.refused(name, called);
@@ -467,6 +485,7 @@
                     let alive = foca::Member::new(s.member.clone(), s.incarnation, foca::State::Alive);
                     let _ = self.swim.apply_many(std::iter::once(alive), true, &mut self.runtime);
                     self.carry_out(on);
+                    self.suspects_at = on.now;
                     self.doubts.here(on, &s);
                 }
             }
@@ -564,9 +583,7 @@
             self.doubt(on);
         }
         if on.now >= self.suspects_at {
-            self.suspects_at = on.now + on.settings.period / 2;
-            let suspects = self.swim.iter_membership_state().filter(|m| m.state() == foca::State::Suspect);
-            self.suspects = suspects.map(|m| (m.id().name.clone(), m.incarnation())).collect();
+            self.look_up_suspects(on);
         }
         if on.now >= self.mend_at {
             self.mend(on);
--- a/crates/membership/src/shell.rs
+++ b/crates/membership/src/shell.rs
@@ -184,6 +184,8 @@
             warn!(name = m.name, addr = %m.addr, start = m.start, "a member went without a word")
         }
         Change::Left(m) => info!(name = m.name, start = m.start, "a member took its leave"),
+        Change::Suspected(m) => tracing::debug!(name = m.name, start = m.start, "a member does not answer"),
+        Change::Cleared(m) => tracing::debug!(name = m.name, start = m.start, "a suspected member lives"),
         Change::Renewed { old, new } => {
             info!(
                 name = new.name,
--- a/crates/membership/tests/settles.rs
+++ b/crates/membership/tests/settles.rs
@@ -146,6 +146,52 @@
     assert!(accused > 0);
 }
 
+/// What each view told of one member, in order: suspected, cleared, given up.
+fn told_of(w: &World, name: &str) -> Vec<Vec<char>> {
+    let mut all = vec![Vec::new(); 12];
+    for (_, n, change) in &w.told {
+        match change {
+            Change::Suspected(m) if m.name == name => all[*n].push('s'),
+            Change::Cleared(m) if m.name == name => all[*n].push('c'),
+            Change::Down(m) if m.name == name => all[*n].push('d'),
+            _ => {}
+        }
+    }
+    all
+}
+
+#[test]
+fn a_suspicion_is_told_and_so_is_its_end() {
+    // One that stands still for less than it is suspected for, then one that is killed; whether it ends in a death.
+    let mut cleared = 0;
+    for (dies, seed) in (0..8).flat_map(|seed| [(false, seed), (true, seed)]) {
+        let mut w = World::settled(90 + seed, 12);
+        w.told.clear();
+        if dies {
+            w.vanish(5);
+        } else {
+            w.stop(5);
+            w.run(1200 * MS);
+            w.go_on(5);
+        }
+        w.run(12 * SECOND);
+        let told = told_of(&w, "n5");
+        let others: Vec<&Vec<char>> = told.iter().enumerate().filter(|t| t.0 != 5).map(|t| t.1).collect();
+        let suspected = others.iter().filter(|t| t.first() == Some(&'s')).count();
+        // Who stands still for so short is not always called meanwhile.
+        assert!(!dies || suspected >= 6, "{seed}: {suspected} of 11 were told: {told:?}");
+        cleared += if dies { 0 } else { suspected };
+        for told in others {
+            // A suspicion ends once, and nothing ends that was not told.
+            let ends = if dies { 'd' } else { 'c' };
+            let pairs = told.chunks(2).all(|pair| pair == ['s', ends] || pair == ['s', 'c'] || pair == ['d']);
+            assert!(pairs && (!dies || told.last() == Some(&'d')), "{dies} {seed}: {told:?}");
+            assert!(dies || !told.contains(&'d'), "{seed}: {told:?}");
+        }
+    }
+    assert!(cleared >= 22, "{cleared} suspicions of one that lives were told");
+}
+
 /// When the median of the others knew that one went, in milliseconds, and how many living ones were given up meanwhile.
 fn known_after(n: usize, without: Option<Feature>, loss: f64, gone: impl Fn(&mut World)) -> (u64, usize) {
     let mut w = World::settled_without(70 + n as u64, n, without);
