Limits of the node stand by subject: bus, servers, viewers, fleet; a glossary

Change: limits.rs with limits/bus, servers, viewers and fleet; BUS_CALL_MOST is bus::LONGEST_CALL, link_idle is servers::idle_timeout, and so on; no value and no code changed. docs/glossary.md says each concept's usual term, its earlier names, and where those remain.

--- a/crates/node/src/blocked.rs
+++ b/crates/node/src/blocked.rs
@@ -6,8 +6,8 @@
 //! it on the same connection, and where that is not taken either, the connection is closed, which aborts it.
 
 use crate::books::{Due, Link, Node, Stage};
-use crate::care;
 use crate::io::{ConnId, Output};
+use crate::limits;
 use micadyke::interface::*;
 use micadyke::module::Decide;
 use micadyke_rtsp::{Message, Start};
@@ -41,7 +41,7 @@
     /// Whether it is the first withdrawal that waits.
     fn wait(&mut self, about: About, message: Message, now: Nanos) -> bool {
         self.backlog += message.encode().len();
-        if self.backlog > care::LINK_BACKLOG {
+        if self.backlog > limits::servers::BACKLOG {
             return false;
         }
         self.pending.push_back((about, message));
@@ -54,7 +54,8 @@
 
     /// It reads nothing: a withdrawal waits for too long, or too much does.
     pub(crate) fn stuck(&self, now: Nanos) -> bool {
-        self.backlog > care::LINK_BACKLOG || self.withdrawing.is_some_and(|w| now >= w + care::WITHDRAWAL)
+        self.backlog > limits::servers::BACKLOG
+            || self.withdrawing.is_some_and(|w| now >= w + limits::servers::WITHDRAWAL)
     }
 
     /// What it would still have told its server: another connection tells it. A set-up that was withdrawn here may have
@@ -85,7 +86,7 @@
     fn wait(&mut self, conn: ConnId, about: About, message: Message) {
         let now = self.now;
         if self.links.get_mut(&conn).is_some_and(|link| link.wait(about, message, now)) {
-            self.set(now + care::WITHDRAWAL, Due::Withdrawal(conn));
+            self.set(now + limits::servers::WITHDRAWAL, Due::Withdrawal(conn));
         }
     }
 
@@ -111,7 +112,7 @@
             link.begun = begun.message.take();
             if matches!(begun.about, About::Withdrawal(_)) {
                 link.withdrawing = Some(now);
-                self.set(now + care::WITHDRAWAL, Due::Withdrawal(conn));
+                self.set(now + limits::servers::WITHDRAWAL, Due::Withdrawal(conn));
             }
         }
         let mut never = BTreeSet::new();
--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -3,9 +3,9 @@
 
 use crate::blocked::{About, Handed};
 use crate::bus::Follower;
-use crate::care;
 use crate::choosing::Choosing;
 use crate::io::{ConnId, Output};
+use crate::limits;
 use crate::list::{Numbers, Row};
 use micadyke::interface::*;
 use micadyke_directory as directory;
@@ -267,21 +267,21 @@
 }
 
 impl Viewer {
-    pub(crate) fn bearer(&self) -> care::Bearer {
+    pub(crate) fn bearer(&self) -> limits::viewers::Bearer {
         let (standing, proven, unsound) = (self.standing, self.proven, self.unsound > 0);
-        care::Bearer { standing, proven, used: self.used(), unsound, last: self.last }
+        limits::viewers::Bearer { standing, proven, used: self.used(), unsound, last: self.last }
     }
 
-    pub(crate) fn idler(&self) -> care::Idler {
-        care::Idler { free: self.open.is_empty(), used: self.used(), last: self.last }
+    pub(crate) fn idler(&self) -> limits::viewers::Idler {
+        limits::viewers::Idler { free: self.open.is_empty(), used: self.used(), last: self.last }
     }
 
-    fn used(&self) -> care::Use {
+    fn used(&self) -> limits::viewers::Use {
         match (self.standing > 0, self.asked, self.spoke) {
-            (true, ..) => care::Use::Sessions,
-            (false, true, _) => care::Use::SetUps,
-            (false, false, true) => care::Use::Tests,
-            (false, false, false) => care::Use::Silent,
+            (true, ..) => limits::viewers::Use::Sessions,
+            (false, true, _) => limits::viewers::Use::SetUps,
+            (false, false, true) => limits::viewers::Use::Tests,
+            (false, false, false) => limits::viewers::Use::Silent,
         }
     }
 
@@ -295,11 +295,11 @@
     pub(crate) fn withdrew(&mut self, id: SessionId, now: Nanos) -> bool {
         self.open.remove(&id);
         let (in_a_row, since) = self.withdrawn;
-        self.withdrawn = match in_a_row > 0 && now <= since + care::WITHDRAWN_SPAN {
+        self.withdrawn = match in_a_row > 0 && now <= since + limits::viewers::WITHDRAWN_SPAN {
             true => (in_a_row + 1, since),
             false => (1, now),
         };
-        self.withdrawn.0 >= care::WITHDRAWN_EACH && self.open.is_empty()
+        self.withdrawn.0 >= limits::viewers::WITHDRAWN_EACH && self.open.is_empty()
     }
 
     /// A session that came by it stands.
--- a/crates/node/src/bus.rs
+++ b/crates/node/src/bus.rs
@@ -1,8 +1,8 @@
 //! The reader of the event bus, without I/O: which events are new, when to ask again.
 
-use crate::care;
 use crate::error::Event;
 use crate::io::ConnId;
+use crate::limits;
 use crate::list::{Change, change};
 use micadyke::interface::Nanos;
 use micadyke_http::sse;
@@ -106,7 +106,7 @@
 
     /// When its connection is given up, if nothing comes until then.
     fn limit(&self) -> Nanos {
-        self.heard + if self.is_open() { care::BUS_SILENCE } else { care::bus_call(self.hung) }
+        self.heard + if self.is_open() { limits::bus::SILENCE } else { limits::bus::call_timeout(self.hung) }
     }
 
     /// It was asked on this connection.
@@ -122,7 +122,7 @@
 
     /// Whether all that it had to tell when its stream opened has been told.
     pub fn caught_up(&self, now: Nanos) -> bool {
-        self.open.is_some_and(|since| now >= since + care::CAUGHT_UP)
+        self.open.is_some_and(|since| now >= since + limits::bus::CAUGHT_UP)
     }
 
     /// The connection is over: at once again after a stream that told something new or lived for a while,
@@ -130,10 +130,10 @@
     pub fn closed(&mut self, now: Nanos, lot: f64) {
         let hung = !self.is_open() && now >= self.limit();
         self.hung = if hung { self.hung.saturating_add(1) } else { 0 };
-        if self.useful || self.open.is_some_and(|since| now >= since + care::BUS_STEADY) {
+        if self.useful || self.open.is_some_and(|since| now >= since + limits::bus::STEADY) {
             self.failed = 0;
         }
-        self.ask_at = now + care::bus_pause(self.failed, self.pause_most, lot);
+        self.ask_at = now + limits::bus::pause(self.failed, self.pause_most, lot);
         self.failed = self.failed.saturating_add(1);
         (self.conn, self.open) = (None, None);
     }
--- a/crates/node/src/choosing.rs
+++ b/crates/node/src/choosing.rs
@@ -4,7 +4,7 @@
 //! calls a server too often or a less fitting one: no rule goes by it.
 
 use crate::books::{Node, Server};
-use crate::care;
+use crate::limits;
 use micadyke::interface::*;
 use micadyke::module::Decide;
 use micadyke_membership::news::{Finding, News};
@@ -95,7 +95,7 @@
 
     /// A server turned a set-up away for want of room.
     pub(crate) fn turned_away(&mut self, id: ServerId) {
-        let until = self.now + care::FULL;
+        let until = self.now + limits::fleet::FULL;
         self.choosing.iter_mut().for_each(|c| c.full.extend([(id, until)]));
     }
 
@@ -115,7 +115,8 @@
     fn draw_subset(&mut self) {
         let now = self.now;
         let Some(c) = &mut self.choosing else { return };
-        let Some((terms, _)) = c.terms.working.filter(|_| c.stale && now >= c.drawn + care::REDRAW) else {
+        let Some((terms, _)) = c.terms.working.filter(|_| c.stale && now >= c.drawn + limits::fleet::REDRAW)
+        else {
             return;
         };
         (c.stale, c.drawn) = (false, now);
@@ -186,14 +187,14 @@
             let (names, matter) = (c.settled.iter().map(|n| n.name.as_str()), Matter::Server(&server.row.id));
             let watch = c.watches.entry(id).or_default();
             match watch.lately(&terms, now) {
-                true => server.lost_until = server.lost_until.max(now + care::TURN),
+                true => server.lost_until = server.lost_until.max(now + limits::fleet::TURN),
                 // Nobody says so any more.
                 false => drop(c.hearsay.remove(&id)),
             }
             let due = watch.due(&terms, names, &c.me, matter, now).is_some_and(|at| at <= now);
             // Where sessions stand it is called in any case, for their sake.
             let called = server.links.iter().any(|l| !self.links[l].up) || !server.standing.is_empty();
-            let looks = care::looks(self.looks, now);
+            let looks = limits::fleet::looks(self.looks, now);
             if !due || called || now < server.call_at || looks < 1.0 || self.links.len() >= self.most_links {
                 continue;
             }
@@ -208,7 +209,7 @@
     /// Another node found something; whether that is all there is to do about it.
     pub(crate) fn found_by_turns(&mut self, id: ServerId, what: Finding) -> bool {
         let (now, silent) = (self.now, self.is_silent(id));
-        let most = care::hearsay(self.servers.len());
+        let most = limits::fleet::hearsay(self.servers.len());
         let ready = |s: &&mut Server| s.row.state == ServerState::Ready;
         let Some(server) = self.servers.get_mut(&id).filter(ready) else { return true };
         let Some(c) = &mut self.choosing else { return false };
@@ -224,7 +225,7 @@
                 if !silent {
                     debug!(server = server.row.id, "a server does not answer, by what others say");
                     c.hearsay.insert(id);
-                    server.lost_until = now + care::TURN;
+                    server.lost_until = now + limits::fleet::TURN;
                 }
             }
             Finding::Anew if silent && server.standing.is_empty() => self.answers_again(id),
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -3,9 +3,9 @@
 
 use crate::books::{Due, Node, Server, Stage};
 use crate::bus::{Follower, Step};
-use crate::care::{self, SECOND};
 use crate::config::Config;
 use crate::io::{ConnId, Input, Output};
+use crate::limits::{self, SECOND};
 use crate::list::{Change, Numbers, Row};
 use micadyke::interface::*;
 use micadyke::module::Decide;
@@ -21,23 +21,23 @@
 pub use crate::books::{Counts, cause};
 
 /// Connections, half messages, silence and releases are looked after so often.
-const TIDY: Nanos = 100 * care::MS;
+const TIDY: Nanos = 100 * limits::MS;
 /// A stopping node serves on for this long: connections and set-ups still arrive.
-const LINGER: Nanos = 700 * care::MS;
+const LINGER: Nanos = 700 * limits::MS;
 /// By then a stopping node has answered whatever it owes and ends: the longest deadline, 3 s at most, and this. It may be
 /// killed 200 ms later.
-const LINGER_MOST: Nanos = 500 * care::MS;
+const LINGER_MOST: Nanos = 500 * limits::MS;
 /// Of a longer deadline a stopping node is given no more than this.
 const LINGER_DEADLINE: Nanos = 3 * SECOND;
 /// Then a stopping node ends, whatever its peers have not taken: after the last answers, and before it may be killed.
-const FLUSH_MOST: Nanos = 50 * care::MS;
+const FLUSH_MOST: Nanos = 50 * limits::MS;
 /// Releases kept for lack of a connection at most; the oldest is dropped for a newer one.
 const RELEASES: usize = 4096;
 
 impl<D: Decide> Node<D> {
     /// A node with its module; `now` is Unix time.
     pub fn new(config: &Config, decide: D, now: Nanos) -> Self {
-        let (most_viewers, most_links) = care::shares(config.sockets);
+        let (most_viewers, most_links) = limits::shares(config.sockets);
         let mut node = Node {
             decide,
             names: config.site.names.clone(),
@@ -70,11 +70,11 @@
             cold_from: 0,
             cold_for: config.site.settings.cold_for,
             choosing: None,
-            looks: (care::LOOKS, now),
+            looks: (limits::fleet::LOOKS, now),
             follower: Follower::new(
                 config.bus,
                 config.offset,
-                care::bus_pause_most(config.site.terms.drain_grace),
+                limits::bus::longest_pause(config.site.terms.drain_grace),
                 now,
             ),
             stopping: None,
@@ -247,7 +247,7 @@
     fn refuse(&mut self, id: SessionId, come_back: Nanos) {
         self.counts.refused += 1;
         let message = isup::Message::new(isup::kind::RELEASE, id.0).cause(cause::REFUSED);
-        let message = match come_back / care::MS {
+        let message = match come_back / limits::MS {
             0 => message,
             ms => message.with(isup::code::STAY_AWAY, ms.to_string()),
         };
@@ -495,8 +495,8 @@
         while let Some((since, _)) = self.releases.front() {
             let waited = self.now.saturating_sub(*since);
             let bearers = self.viewers.iter().map(|(c, v)| (c.0, v.bearer()));
-            let conn = care::bearer(bearers, waited).map(ConnId);
-            if conn.is_none() && waited < care::RELEASE_KEPT {
+            let conn = limits::viewers::bearer(bearers, waited).map(ConnId);
+            if conn.is_none() && waited < limits::viewers::RELEASE_KEPT {
                 break;
             }
             let Some((_, message)) = self.releases.pop_front() else { break };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`core`] is a state machine without I/O or clock: inputs and the time in, outputs out. It keeps the books of
 //! sessions, attempts, connections and the list of servers, and asks the module through [`Decide`] for every placement,
-//! admission and rung. [`care`] holds what a node chooses beyond that: whether a server lives, which connection is
+//! admission and rung. [`limits`] holds what a node chooses beyond that: whether a server lives, which connection is
 //! used, what is taken at the door. [`shell`] is the tokio layer around it: one thread, tasks of a `LocalSet`, no locks.
 #![warn(missing_docs)]
 
@@ -10,13 +10,13 @@
 mod blocked;
 mod books;
 pub mod bus;
-pub mod care;
 mod choosing;
 pub mod config;
 pub mod core;
 mod directed;
 mod error;
 pub mod io;
+pub mod limits;
 pub mod list;
 mod others;
 mod recovering;
--- a/crates/node/src/others.rs
+++ b/crates/node/src/others.rs
@@ -2,8 +2,8 @@
 //! otherwise; a finding makes this node look, on a connection of its own. Neither ends a session.
 
 use crate::books::{Node, Session, Stage};
-use crate::care;
 use crate::io::Output;
+use crate::limits;
 use micadyke::interface::*;
 use micadyke::module::Decide;
 use micadyke_membership::news::News;
@@ -32,7 +32,7 @@
             News::Drain { version, .. } if *version > self.version => {
                 let ready = self.servers.values().filter(|s| s.row.state == ServerState::Ready).count();
                 // One that lies can't take all servers away.
-                if self.hearsay.len() + 1 > care::hearsay(ready + self.hearsay.len()) {
+                if self.hearsay.len() + 1 > limits::fleet::hearsay(ready + self.hearsay.len()) {
                     return warn!(server = server.row.id, version, "too many servers drain by hearsay alone");
                 }
                 info!(
@@ -48,9 +48,10 @@
             News::Drain { .. } => {}
             News::Found { .. } => {
                 // With a word of late of its own there is nothing to look for.
-                let looks = care::looks(self.looks, self.now);
+                let looks = limits::fleet::looks(self.looks, self.now);
                 let open = server.links.iter().any(|l| !self.links[l].up);
-                let due = self.now >= server.heard + care::LOOK && self.now >= server.call_at && !open;
+                let due =
+                    self.now >= server.heard + limits::fleet::LOOK && self.now >= server.call_at && !open;
                 if due && looks >= 1.0 && self.links.len() < self.most_links {
                     self.looks = (looks - 1.0, self.now);
                     self.connect(id, "found by others");
--- a/crates/node/src/recovering.rs
+++ b/crates/node/src/recovering.rs
@@ -2,8 +2,8 @@
 //! and the platform's test fails. What is waited for is [`micadyke_recovery::phases`]' to say.
 
 use crate::books::{Node, Recovering};
-use crate::care;
 use crate::io::Output;
+use crate::limits;
 use crate::list::{Row, entry};
 use micadyke::interface::*;
 use micadyke::module::Decide;
@@ -93,7 +93,8 @@
         let ready =
             self.servers.iter().filter(|s| s.1.row.state == ServerState::Ready && s.1.links.is_empty());
         let ready: Vec<ServerId> = ready.map(|s| *s.0).collect();
-        let asked: Vec<ServerId> = ready.choose_multiple(&mut self.random, care::ASKED).copied().collect();
+        let asked: Vec<ServerId> =
+            ready.choose_multiple(&mut self.random, limits::fleet::ASKED).copied().collect();
         for id in &asked {
             if self.links.len() < self.most_links {
                 self.connect(*id, "after a power loss");
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -2,8 +2,8 @@
 
 use crate::blocked::About;
 use crate::books::{Due, Link, Node, Server, Session, Stage, cause};
-use crate::care;
 use crate::io::{ConnId, Output};
+use crate::limits;
 use crate::list::Row;
 use micadyke::interface::*;
 use micadyke::module::Decide;
@@ -119,24 +119,29 @@
         let closed_after = self.terms.idle;
         let takes = |l: &ConnId| {
             let link = &self.links[l];
-            let closing = link.up && care::may_be_closed(link.used.max(link.heard), closed_after, now);
+            let closing =
+                link.up && limits::servers::may_be_closed(link.used.max(link.heard), closed_after, now);
             !link.retired && link.half.is_none() && (!closing || !link.open.is_empty())
         };
         let usable: Vec<ConnId> = server.links.iter().copied().filter(takes).collect();
-        let candidates: Vec<care::Candidate> = usable
+        let candidates: Vec<limits::servers::Candidate> = usable
             .iter()
             .map(|l| &self.links[l])
-            .map(|l| care::Candidate { up: l.up && !l.blocked, open: l.open.len() })
+            .map(|l| limits::servers::Candidate { up: l.up && !l.blocked, open: l.open.len() })
             .collect();
         // A server that does not come up is not waited for by set-ups until a call of the node's own got through.
         let out_of_reach = now < server.call_at && candidates.iter().all(|c| !c.up);
         let room = self.links.len() < self.most_links;
         let most = if self.terms.streams > 0 { self.terms.streams as usize } else { usize::MAX };
-        let pick = if out_of_reach { care::Pick::None } else { care::pick(&candidates, most, room) };
+        let pick = if out_of_reach {
+            limits::servers::Pick::None
+        } else {
+            limits::servers::pick(&candidates, most, room)
+        };
         let link = match pick {
-            care::Pick::Old(i) => usable[i],
-            care::Pick::New => self.connect(to, "set-up"),
-            care::Pick::None => {
+            limits::servers::Pick::Old(i) => usable[i],
+            limits::servers::Pick::New => self.connect(to, "set-up"),
+            limits::servers::Pick::None => {
                 self.count(Outcome::NoConnection);
                 return self.events.push_back(never(Outcome::NoConnection));
             }
@@ -159,7 +164,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Stage::Waiting { server, link } = session.stage else { return };
         let Some(from) = self.links.get(&link).filter(|l| !l.blocked).map(|l| l.sent) else { return };
-        let patience = (session.due.saturating_sub(now) / care::MS).max(1);
+        let patience = (session.due.saturating_sub(now) / limits::MS).max(1);
         let mut message = Message::request("SETUP", &format!("rtsp://media/{}", session.title.0), 1)
             .session(id.0)
             .with("Subject", &self.names.classes[session.class.0])
@@ -228,7 +233,8 @@
         let conn = self.number();
         let now = self.now;
         let stated = Some(self.terms.connect_timeout).filter(|t| *t > 0);
-        let timeout = stated.unwrap_or(care::CONNECT).min(care::CONNECT_MOST);
+        let timeout =
+            stated.unwrap_or(limits::servers::CONNECT_TIMEOUT).min(limits::servers::LONGEST_CONNECT_TIMEOUT);
         let Some(server) = self.servers.get_mut(&to) else { return conn };
         server.links.push(conn);
         debug!(server = server.row.id, conn = conn.0, why, "a server is called");
@@ -338,8 +344,8 @@
         });
         if let Some(server) = self.servers.get_mut(&id).filter(|_| !up) {
             server.calls += 1;
-            server.call_at = now + care::CALL_PAUSE;
-            server.lost_until = now + care::lost_for(server.calls, refused);
+            server.call_at = now + limits::servers::CALL_PAUSE;
+            server.lost_until = now + limits::servers::lost_for(server.calls, refused);
         }
         self.remove_link(conn, |stage| match *stage {
             // What the operating system had not taken of it never left.
@@ -357,9 +363,10 @@
                 "a call did not come up"
             );
             let found = (refused && !others).then_some(Finding::Refused);
-            let found = found.or((server.calls == care::CALLS).then_some(Finding::Silent));
+            let found = found.or((server.calls == limits::servers::CALLS).then_some(Finding::Silent));
             let found = found.map(|what| News::Found { server: server.row.id.clone(), what });
-            let silent = now >= server.heard + care::QUIET && server.calls >= care::CALLS;
+            let silent =
+                now >= server.heard + limits::servers::QUIET && server.calls >= limits::servers::CALLS;
             if (refused && !others) || silent {
                 // Nothing listens there, or nothing has been there for a while: what played there is over.
                 self.lost(id);
@@ -602,9 +609,9 @@
             // Never the last one that sessions need.
             let last =
                 self.servers.get(&link.server).is_some_and(|s| !s.standing.is_empty() && s.links.len() == 1);
-            let idle_after = care::link_idle(self.terms.idle);
+            let idle_after = limits::servers::idle_timeout(self.terms.idle);
             let idle = link.up && link.open.is_empty() && now >= link.used + idle_after;
-            if link.stuck(now) || link.half.is_some_and(|h| now >= h + care::HALF_MESSAGE) {
+            if link.stuck(now) || link.half.is_some_and(|h| now >= h + limits::servers::HALF_MESSAGE) {
                 self.drop_link(conn, Outcome::Error);
             } else if idle && !last {
                 self.drop_link(conn, Outcome::Cancelled);
@@ -615,7 +622,7 @@
             self.keep_link(id);
             self.tell_reach(id);
             let Some(server) = self.servers.get(&id) else { continue };
-            let quiet = !server.standing.is_empty() && now >= server.heard + care::QUIET;
+            let quiet = !server.standing.is_empty() && now >= server.heard + limits::servers::QUIET;
             if !quiet {
                 continue;
             }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -5,10 +5,10 @@
 
 use crate::advice::Advised;
 use crate::books::{Counts, Node};
-use crate::care;
 use crate::config::{Config, LONGEST, read};
 use crate::error::Error;
 use crate::io::{ConnId, Input, Output};
+use crate::limits;
 use micadyke::interface::Nanos;
 use micadyke::module::Decide;
 use micadyke_directory::{Key, Session};
@@ -38,7 +38,7 @@
 /// A connection that is closed with bytes still to write waits so long for its peer to take them.
 const FLUSH: Duration = Duration::from_secs(2);
 /// Closed connections that may wait for that at a time: each holds a descriptor that the core no longer counts, and
-/// [`care::OWN_DESCRIPTORS`] has room for so many.
+/// [`limits::OWN_DESCRIPTORS`] has room for so many.
 const FLUSHES: usize = 8;
 /// Bytes that are read and thrown away from a connection that is closed, at most.
 const UNREAD: usize = 64 << 10;
@@ -89,12 +89,12 @@
     /// A viewer's connection.
     fn accepted(stream: TcpStream) -> Rc<Self> {
         let stream = RefCell::new(Some(Rc::new(stream)));
-        Rc::new(Conn { stream, backlog: care::VIEWER_BACKLOG, viewer: true, ..Conn::default() })
+        Rc::new(Conn { stream, backlog: limits::viewers::BACKLOG, viewer: true, ..Conn::default() })
     }
 
     /// A connection to a server, not up yet.
     fn to_server() -> Rc<Self> {
-        Rc::new(Conn { server: true, backlog: care::LINK_BACKLOG, ..Conn::default() })
+        Rc::new(Conn { server: true, backlog: limits::servers::BACKLOG, ..Conn::default() })
     }
 
     /// Writes what the operating system takes now; the rest waits. False: the connection is of no further use.
@@ -249,7 +249,10 @@
     let keeper = recovers.and_then(|Recovers { name, kept, start, keeper }| {
         let leases = others.as_ref().is_some_and(|o| o.parts.is_some());
         let me = (name.as_str(), start);
-        node.recovers(Phases::new(care::RECOVERY, me, &kept, epoch, leases, others.is_none(), epoch), &kept);
+        node.recovers(
+            Phases::new(limits::fleet::RECOVERY, me, &kept, epoch, leases, others.is_none(), epoch),
+            &kept,
+        );
         keeper
     });
     let shell = Rc::new(Shell {
@@ -438,7 +441,7 @@
         loop {
             let at = self.core.borrow().wake_at();
             self.armed.set(at);
-            let span = Duration::from_nanos(at.saturating_sub(self.now()).min(care::SECOND));
+            let span = Duration::from_nanos(at.saturating_sub(self.now()).min(limits::SECOND));
             tokio::select! {
                 () = tokio::time::sleep(span) => {
                     self.armed.set(Nanos::MAX);
@@ -553,7 +556,7 @@
 
     async fn listen_to(self: &Rc<Self>, conn: ConnId, addr: SocketAddr, last: u64) -> Result<(), CallError> {
         // How long a call may take is the core's to say; it closes the connection.
-        let limit = Duration::from_nanos(care::BUS_CALL_MOST);
+        let limit = Duration::from_nanos(limits::bus::LONGEST_CALL);
         let mut bus = Connection::open(addr, limit, Limits::default()).await?;
         let request = Request::new(Method::Get, "/bus/read").with("accept", "text/event-stream");
         let answer = bus.open_stream(&request.with("last-event-id", last.to_string())).await?;
--- a/crates/node/tests/bus.rs
+++ b/crates/node/tests/bus.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use micadyke_node::bus::{Follower, Step};
-use micadyke_node::care;
+use micadyke_node::limits;
 use micadyke_node::{ConnId, Input};
 use micadyke_standin::platform::{MediaServer, Record, Seen, Treat, bus_event, verdict};
 use std::collections::BTreeSet;
@@ -456,16 +456,16 @@
 
 #[test]
 fn pauses_of_the_bus_grow_and_end_at_half_of_the_drain_grace() {
-    let most = care::bus_pause_most(2 * SECOND);
-    assert_eq!(care::bus_pause(0, most, 1.0), 0);
-    assert!(care::bus_pause(1, most, 0.0) < care::bus_pause(2, most, 0.0));
-    assert!(care::bus_pause(1, most, 0.0) < care::bus_pause(1, most, 1.0));
+    let most = limits::bus::longest_pause(2 * SECOND);
+    assert_eq!(limits::bus::pause(0, most, 1.0), 0);
+    assert!(limits::bus::pause(1, most, 0.0) < limits::bus::pause(2, most, 0.0));
+    assert!(limits::bus::pause(1, most, 0.0) < limits::bus::pause(1, most, 1.0));
     // (the grace that the settings state, the longest pause)
     for (grace, most) in [(0, 500), (1, 25), (250, 125), (400, 200), (2000, 500)] {
-        let longest = care::bus_pause_most(grace * MS);
+        let longest = limits::bus::longest_pause(grace * MS);
         assert_eq!(longest, most * MS, "{grace}");
-        assert_eq!(care::bus_pause(99, longest, 1.0), longest);
-        assert_eq!(care::bus_pause(u32::MAX, longest, 7.0), longest);
+        assert_eq!(limits::bus::pause(99, longest, 1.0), longest);
+        assert_eq!(limits::bus::pause(u32::MAX, longest, 7.0), longest);
     }
 }
 
--- a/crates/node/tests/gone.rs
+++ b/crates/node/tests/gone.rs
@@ -162,7 +162,7 @@
     w.send(v, bad.encode().unwrap());
     w.run(MS);
     w.record.push((w.now, Seen::GaveUp { id: 7 }));
-    w.run(micadyke_node::care::UNSOUND_PAUSE);
+    w.run(micadyke_node::limits::viewers::UNSOUND_PAUSE);
     w.hang_up(v);
     w.run(SECOND);
     all_gone(&w, "paused");
--- a/crates/node/tests/idle.rs
+++ b/crates/node/tests/idle.rs
@@ -4,8 +4,8 @@
 mod world;
 
 use micadyke_isup::{Message, kind};
-use micadyke_node::care;
 use micadyke_node::config::read;
+use micadyke_node::limits;
 use micadyke_standin::platform::Treat;
 use world::*;
 
@@ -61,14 +61,14 @@
 
 #[test]
 fn a_client_that_withdraws_all_it_asks_for_is_closed_and_others_are_not() {
-    let in_a_row = u64::from(care::WITHDRAWN_EACH);
+    let in_a_row = u64::from(limits::viewers::WITHDRAWN_EACH);
     // Withdrawals at once, then after so long as many again, with an answer between them or not; whether it is closed.
     let table = [
         (in_a_row - 1, 0, false, false),
         (in_a_row, 0, false, true),
         (in_a_row - 1, 10 * MS, false, true),
         (in_a_row - 1, 10 * MS, true, false),
-        (in_a_row - 1, care::WITHDRAWN_SPAN + 10 * MS, false, false),
+        (in_a_row - 1, limits::viewers::WITHDRAWN_SPAN + 10 * MS, false, false),
     ];
     for (each, again_after, answer, closed) in table {
         let mut w = World::new(2);
@@ -99,7 +99,7 @@
     let client = w.viewer();
     w.ask(client, 7, "free", PATIENCE_MS);
     w.run(10 * MS);
-    asks_and_withdraws(&mut w, client, 1000, 2 * u64::from(care::WITHDRAWN_EACH));
+    asks_and_withdraws(&mut w, client, 1000, 2 * u64::from(limits::viewers::WITHDRAWN_EACH));
     w.run(50 * MS);
     assert!(!w.closed.contains_key(&client));
 }
--- a/crates/node/tests/care.rs
+++ b/crates/node/tests/limits.rs
@@ -2,7 +2,11 @@
 //! used and for how long.
 
 use micadyke::interface::Nanos;
-use micadyke_node::care::*;
+use micadyke_node::limits::servers::{
+    CALL_PAUSE, Candidate, Pick, idle_timeout, lost_for, may_be_closed, pick,
+};
+use micadyke_node::limits::viewers::*;
+use micadyke_node::limits::{MS, SECOND};
 
 #[test]
 fn who_makes_room() {
@@ -96,7 +100,7 @@
         (100 * MS, 50 * MS, false),
     ];
     for (stated, closed_after, taken) in table {
-        assert_eq!(link_idle(stated), closed_after, "{stated}");
+        assert_eq!(idle_timeout(stated), closed_after, "{stated}");
         assert_eq!(!may_be_closed(10 * SECOND, stated, 13 * SECOND), taken, "{stated}");
     }
 }
--- a/crates/node/tests/recovery.rs
+++ b/crates/node/tests/recovery.rs
@@ -6,7 +6,7 @@
 use micadyke_isup::{Message, code, kind};
 use micadyke_membership::news::News;
 use micadyke_node::Input;
-use micadyke_node::care::RECOVERY;
+use micadyke_node::limits::fleet::RECOVERY;
 use micadyke_recovery::phases::{Fleet, Phases};
 use micadyke_recovery::record::{Kept, Server};
 use micadyke_standin::platform::Seen;
