A question counts its books in one place; who leaves is handled once

Need: read once more: Question::covered and Question::accounted folded the same list but for whom they leave out, and a leave reckoned each open question twice, in Question::left and again as its member was dropped.

Change: books_without serves both; left only notes the name, the drop that follows reckons. No behaviour changes, no test was touched.

--- a/crates/directory/src/asking.rs
+++ b/crates/directory/src/asking.rs
@@ -123,15 +123,19 @@
 
     /// Books that may still be accounted for, and those of them that are: what the wait goes by.
     fn covered(&self) -> (usize, usize) {
-        let due = self.roster.iter().filter(|r| !self.gone.contains(&r.0));
-        due.fold((0, 0), |(all, covered), r| (all + 1, covered + usize::from(r.1)))
+        self.books_without(&self.gone)
     }
 
     /// Books of all that lived when it was asked and did not leave, and those of them that are accounted for: what a whole
     /// answer goes by. Who was given up meanwhile may be cut off and play on.
     fn accounted(&self) -> (usize, usize) {
-        let members = self.roster.iter().filter(|(name, _)| !self.left.contains(name));
-        members.fold((0, 0), |(all, accounted), (_, covered)| (all + 1, accounted + usize::from(*covered)))
+        self.books_without(&self.left)
+    }
+
+    /// Books of all that lived when it was asked but these, and those of them that are accounted for.
+    fn books_without(&self, members: &BTreeSet<String>) -> (usize, usize) {
+        let due = self.roster.iter().filter(|(name, _)| !members.contains(name));
+        due.fold((0, 0), |(all, accounted), (_, covered)| (all + 1, accounted + usize::from(*covered)))
     }
 
     /// An answer is there, with so many books that were not accounted for before; none: it said that it has too much to do,
@@ -214,10 +218,9 @@
         }
     }
 
-    /// It left, its work being over.
-    pub fn left(&mut self, now: Nanos, name: &str, deadline: &mut dyn Deadline) {
+    /// It left, its work being over; that it is gone is told beside this.
+    pub fn left(&mut self, name: &str) {
         self.left.insert(name.to_owned());
-        self.gone(now, name, deadline);
     }
 
     /// The view gave it up: it is not waited for.
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -734,8 +734,7 @@
                 self.drop_peer(&name);
             }
             Seen::Left(name) => {
-                let (now, deadline) = (self.now, &mut *self.deadline);
-                self.questions.values_mut().for_each(|q| q.left(now, &name, deadline));
+                self.questions.values_mut().for_each(|question| question.left(&name));
                 self.drop_peer(&name);
             }
             Seen::Settled(settled) => {
