Test processes listen at ports that nobody else is given; one that ended is named

Fleet::new drew ports by binding to port 0 and let them go; the sockets of Network::new, and those of five tests beside it, were bound to port 0 after that and may be given the same one. Ruled out: a fault of membership (the other seven agreed on a view without n2, which is right). The draw of kills, fronts, process and two tests of node had the same hole.

Change: one free_port (platform/ports.rs), below the ephemeral ports, free for connections and datagrams, in all of them; the harness of the recovery tests had a copy of its own, which goes.

--- a/crates/cli/tests/fronts.rs
+++ b/crates/cli/tests/fronts.rs
@@ -4,12 +4,16 @@
 //! CI plays some hundreds of sessions; the long form:
 //! `cargo test --release -p micadyke-cli --test fronts -- --ignored --nocapture`
 
+#[path = "platform/ports.rs"]
+mod ports;
+
 use micadyke_config::{BoxRow, read_config, write_boxes};
 use micadyke_standin::media_box::{Fleet, Habits};
 use micadyke_standin::model::World;
 use micadyke_standin::offers::offer;
 use micadyke_standin::record::Record;
 use micadyke_standin::viewer::{Outcome, Wish, ask, end};
+use ports::free_port;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -102,7 +106,7 @@
     std::fs::create_dir_all(&dir.0).expect("a folder");
     std::fs::write(dir.0.join("boxes.sexp"), write_boxes(&rows, &config)).expect("written");
     std::fs::write(dir.0.join("front.sexp"), SETTINGS).expect("written");
-    let at = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let at = free_port();
     let mut front = start(&dir.0, at, store);
     let wish = |n: u64| Wish {
         path: "/whep/t".into(),
--- a/crates/cli/tests/kills.rs
+++ b/crates/cli/tests/kills.rs
@@ -4,6 +4,9 @@
 //! CI plays a short form; the long one:
 //! `MICADYKE_KILLS=1000 MICADYKE_STOPS=200 cargo test --release -p micadyke-cli --test kills -- --nocapture`
 
+#[path = "platform/ports.rs"]
+mod ports;
+
 use micadyke_config::{BoxRow, read_config, write_boxes};
 use micadyke_rehearse::check::{Terms, check};
 use micadyke_standin::issuer::Issuer;
@@ -15,6 +18,7 @@
 use micadyke_tokens::bound::SharedKey;
 use micadyke_tokens::ledger::Terms as SeatTerms;
 use micadyke_tokens::message::Key;
+use ports::free_port;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -140,7 +144,7 @@
     for n in 0..FRONTS {
         let file = dir.join(format!("front-{n}.sexp"));
         std::fs::write(&file, settings(n, at)).expect("written");
-        let addr = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+        let addr = free_port();
         let path = file.to_str().expect("a path").to_owned();
         let all = [vec![true; share(kills, n)], vec![false; share(stops, n)]].concat();
         fronts.push(spawn_local(troubles(n, path, addr, all, most, record.clone())));
--- a/crates/cli/tests/members.rs
+++ b/crates/cli/tests/members.rs
@@ -1,13 +1,17 @@
 //! Processes of `micadyke node` that keep a view of each other, on a network that the test owns: every datagram between
 //! two of them passes through it, each direction by itself. The verdict is what the processes answer of their views.
 
+#[path = "platform/ports.rs"]
+mod ports;
+
 use micadyke_membership::frame::Seal;
 use micadyke_membership::shell::look;
+use ports::free_port;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -114,6 +118,11 @@
     desks: Vec<SocketAddr>,
 }
 
+/// Where the error output of a process is kept.
+fn error_output(folder: &Path, i: usize) -> PathBuf {
+    folder.join(format!("n{i}.err"))
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.network.over.store(true, Ordering::Relaxed);
@@ -130,10 +139,7 @@
         let dir = std::env::temp_dir().join(format!("micadyke-members-{tag}-{seed}-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
         std::fs::write(dir.join("key"), KEY).expect("written");
-        // Held open until all are drawn, so that they differ.
-        let held: Vec<UdpSocket> = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a port")).collect();
-        let listen: Vec<SocketAddr> = held.iter().map(|s| s.local_addr().expect("bound")).collect();
-        drop(held);
+        let listen: Vec<SocketAddr> = (0..n).map(|_| free_port()).collect();
         let network = Network::new(&listen, seed);
         let seal = Seal::new(FLEET, KEY.as_bytes()).expect("long enough");
         Fleet {
@@ -175,16 +181,17 @@
 
     fn start(&mut self, i: usize) {
         let membership = self.membership(i);
-        let child = self.spawn(i, &["--membership".into(), membership.into_os_string()]);
+        let errors = std::fs::File::create(error_output(&self.dir, i)).expect("a file");
+        let child = self.spawn(i, &["--membership".into(), membership.into_os_string()], errors.into());
         self.running.insert(i, child);
     }
 
     fn start_plain(&mut self, i: usize) {
-        let child = self.spawn(i, &[]);
+        let child = self.spawn(i, &[], Stdio::null());
         self.plain.insert(i, child);
     }
 
-    fn spawn(&self, i: usize, with: &[std::ffi::OsString]) -> Child {
+    fn spawn(&self, i: usize, with: &[std::ffi::OsString], errors: Stdio) -> Child {
         let (config, at) = (self.dir.join(format!("n{i}.json")), "127.0.0.1:0");
         let text = format!(
             r#"{{"name":"n{i}","listen":"{at}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},"bus":"127.0.0.1:1","known":{{"offset":0,"batch":[]}},"settings":{SETTINGS}}}"#
@@ -192,10 +199,20 @@
         std::fs::write(&config, text).expect("written");
         let mut command = Command::new(BINARY);
         command.arg("node").args(with).env("EDGE_CONFIG", &config);
-        command.env_remove("EDGE_NAME").env_remove("EDGE_LISTEN").stdout(Stdio::null()).stderr(Stdio::null());
+        command.env_remove("EDGE_NAME").env_remove("EDGE_LISTEN").stdout(Stdio::null()).stderr(errors);
         command.spawn().expect("it starts")
     }
 
+    /// Fails the test if a process has ended that nobody told to, with what it said.
+    fn all_run(&mut self) {
+        for (i, child) in &mut self.running {
+            if let Some(status) = child.try_wait().expect("a child of this process") {
+                let said = std::fs::read_to_string(error_output(&self.dir, *i)).unwrap_or_default();
+                panic!("n{i} has ended by itself, {status}: {said}");
+            }
+        }
+    }
+
     fn signal(&self, i: usize, name: &str) {
         let status = Command::new("kill").args([name, &self.running[&i].id().to_string()]).status();
         assert!(status.expect("kill runs").success());
@@ -252,9 +269,10 @@
         (digests.len() != 1).then(|| format!("{} digests", digests.len()))
     }
 
-    async fn settles(&self) {
+    async fn settles(&mut self) {
         let start = Instant::now();
         while let Some(why) = self.differ().await {
+            self.all_run();
             assert!(start.elapsed() < LIMIT, "{why}");
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
@@ -366,25 +384,25 @@
     let n: usize = std::env::var("MICADYKE_MEASURE").ok().and_then(|n| n.parse().ok()).unwrap_or(4);
     let mut f = Fleet::new("measure", n, 7);
     let mut took = Vec::new();
-    let mut settle = async |f: &Fleet, what: &'static str| {
+    let mut settle = async |f: &mut Fleet, what: &'static str| {
         let start = Instant::now();
         f.settles().await;
         took.push((what, start.elapsed().as_secs_f64()));
     };
     (0..n).for_each(|i| f.start(i));
-    settle(&f, "started").await;
+    settle(&mut f, "started").await;
     f.kill(n / 2);
-    settle(&f, "one killed").await;
+    settle(&mut f, "one killed").await;
     let many: Vec<usize> = f.running.keys().copied().filter(|i| i % 10 < 7 && n > 4).collect();
     many.iter().for_each(|i| f.kill(*i));
-    settle(&f, "seven in ten killed").await;
+    settle(&mut f, "seven in ten killed").await;
     many.iter().chain(&[n / 2]).for_each(|i| f.start(*i));
-    settle(&f, "back").await;
+    settle(&mut f, "back").await;
     f.network.set(|i| i % 2 == 0, |j| j % 2 == 1, Way { cut: true, ..Way::default() });
     f.network.set(|i| i % 2 == 1, |j| j % 2 == 0, Way { cut: true, ..Way::default() });
     tokio::time::sleep(ms(6000)).await;
     f.network.heal();
-    settle(&f, "cut in two for 6 s").await;
+    settle(&mut f, "cut in two for 6 s").await;
     println!("{n} processes: {took:.1?}");
 }
 
@@ -511,9 +529,7 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_directory_answers_whole_and_a_withdrawal_waits_for_one_that_stands_still() {
     let mut f = Fleet::new("directory", 4, 5);
-    let held: Vec<_> = (0..3).map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-    f.desks = held.iter().map(|l| l.local_addr().expect("bound")).collect();
-    drop(held);
+    f.desks = (0..3).map(|_| free_port()).collect();
     (0..3).for_each(|i| f.start(i));
     f.settles().await;
     let checked = |text: &str| {
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -164,9 +164,7 @@
     let (a, b) = (server(&scene, "a", 60_000).await, server(&scene, "b", 60_000).await);
     let rows = format!("{},{}", row(&a, "a", "up"), row(&b, "b", "up"));
     let bus = Bus::start(vec![(true, rows.clone())]).await.expect("a bus");
-    let at: Vec<SocketAddr> = (0..4)
-        .map(|_| std::net::UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port"))
-        .collect();
+    let at: Vec<SocketAddr> = (0..4).map(|_| free_port()).collect();
     let nodes: Vec<Running> = (0..4)
         .map(|i| {
             let text = format!("(name \"n{i}\") (listen \"{}\") (seeds \"{}\") (expected 4)", at[i], at[0]);
@@ -257,9 +255,7 @@
         let scene = Scene::default();
         let (a, b) = (server(&scene, "a", 60_000).await, server(&scene, "b", 60_000).await);
         let bus = Bus::start(Vec::new()).await.expect("a bus");
-        let at: Vec<SocketAddr> = (0..3)
-            .map(|_| std::net::UdpSocket::bind("127.0.0.1:0").and_then(|s| s.local_addr()).expect("a port"))
-            .collect();
+        let at: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
         let (mut nodes, mut ways) = (Vec::new(), Vec::new());
         for i in 0..3 {
             let way = [a.addr, b.addr, bus.addr].map(Relay::start);
--- a/crates/cli/tests/plant/fronts.rs
+++ b/crates/cli/tests/plant/fronts.rs
@@ -1,7 +1,8 @@
 //! Two fronts and their issuer of seats as processes with stores, beside boxes of this process, which keep their power: what
 //! they saw tells whether seats were ever exceeded.
 
-use super::{LIMIT, Process, address, draw_disk, ms};
+use super::{LIMIT, Process, draw_disk, ms};
+use crate::platform::free_port;
 use micadyke_config::{BoxRow, Config, read_config, write_boxes};
 use micadyke_rehearse::check::{Terms, check};
 use micadyke_standin::media_box::{Fleet, Habits};
@@ -64,7 +65,7 @@
         let dir = std::env::temp_dir().join(format!("micadyke-plant-{tag}-fronts-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).expect("a folder");
-        let issuer_at = address();
+        let issuer_at = free_port();
         let config = read_config(&settings(0, issuer_at), "s").unwrap_or_else(|e| panic!("{e:?}"));
         let mut rows = BoxRow::on_loopback(2);
         let record = Record::new();
@@ -76,7 +77,7 @@
         for n in 0..FRONTS {
             std::fs::write(dir.join(format!("front-{n}.sexp")), settings(n, issuer_at)).expect("written");
         }
-        let at = (0..FRONTS).map(|_| address()).collect();
+        let at = (0..FRONTS).map(|_| free_port()).collect();
         let (processes, older) = (Vec::new(), BTreeMap::new());
         let mut fronts =
             Fronts { dir, config, record, _boxes: boxes, issuer_at, at, processes, viewer: 0, older };
--- a/crates/cli/tests/plant/mod.rs
+++ b/crates/cli/tests/plant/mod.rs
@@ -16,7 +16,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use tokio::task::{JoinHandle, spawn_local};
 
@@ -27,20 +26,6 @@
     Duration::from_millis(n)
 }
 
-/// An address for a process that comes and goes. Below the ports that are given to callers, so that none of them bears it,
-/// or calls itself, while its process is down.
-pub fn address() -> SocketAddr {
-    static DRAWN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
-    loop {
-        let port = rand::rng().random_range(20_000..32_000);
-        let at = SocketAddr::from(([127, 0, 0, 1], port));
-        let free = std::net::TcpListener::bind(at).is_ok() && std::net::UdpSocket::bind(at).is_ok();
-        if free && DRAWN.lock().expect("no test panics here").insert(port) {
-            return at;
-        }
-    }
-}
-
 /// A process of the program beside the nodes; a test that fails leaves none behind, and a stand-in ends by itself.
 pub struct Process(pub Child);
 
@@ -112,18 +97,18 @@
         std::fs::create_dir_all(&dir).expect("a folder");
         let server = |n: usize| {
             let id = char::from(b'a' + n as u8).to_string();
-            Server { at: address(), seen: dir.join(format!("{id}.seen")), process: None, id }
+            Server { at: free_port(), seen: dir.join(format!("{id}.seen")), process: None, id }
         };
         let mut plant = Plant {
             tag: format!("{tag}-{seed}"),
             scene: Scene::default(),
             servers: (0..servers).map(server).collect(),
             bus: None,
-            bus_at: address(),
+            bus_at: free_port(),
             events: Vec::new(),
             drained: BTreeSet::new(),
-            listen: (0..nodes).map(|_| address()).collect(),
-            members: (0..nodes).map(|_| address()).collect(),
+            listen: (0..nodes).map(|_| free_port()).collect(),
+            members: (0..nodes).map(|_| free_port()).collect(),
             nodes: BTreeMap::new(),
             under: BTreeMap::new(),
             stores,
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -6,15 +6,16 @@
 pub mod connections;
 pub mod counts;
 pub mod held;
+pub mod ports;
 
 use micadyke_isup::{Frame, Message, Parser, code, kind};
 use micadyke_standin::platform::{MediaServer, Seen, Treat};
 use micadyke_standin::platform_net::{Listening, Scene};
+pub use ports::free_port;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -250,28 +251,6 @@
         .with(code::DESCRIPTION, "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n")
 }
 
-/// Ports that a process is told to listen at later lie below those that the operating system gives to calls and to
-/// listeners on any port: between the look and the listening, nobody else is given one.
-const FIRST_PORT: u16 = 16_384;
-const PORTS: u16 = 16_384;
-
-/// An address that nobody listens at, given to no other test: tests of one process count on, processes begin apart.
-pub fn free_port() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let of_this_process = std::process::id().wrapping_mul(PORTS_OF_A_PROCESS) as u16;
-    for _ in 0..PORTS {
-        let number = of_this_process.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let at = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + number % PORTS));
-        if std::net::TcpListener::bind(at).is_ok() {
-            return at;
-        }
-    }
-    panic!("no port from {FIRST_PORT} on is free")
-}
-
-/// How far apart processes begin.
-const PORTS_OF_A_PROCESS: u32 = 64;
-
 pub async fn server(scene: &Scene, id: &str, life_ms: u64) -> Rc<Listening> {
     let model = MediaServer::new(id, 5 * MS, Treat::Serve(life_ms * MS));
     Listening::start(SocketAddr::from(([127, 0, 0, 1], 0)), model, scene.clone()).await.expect("it listens")
--- a/crates/cli/tests/process.rs
+++ b/crates/cli/tests/process.rs
@@ -1,5 +1,9 @@
 //! The program as a new user starts it: processes, signals, exit codes.
 
+#[path = "platform/ports.rs"]
+mod ports;
+
+use ports::free_port;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -103,22 +107,16 @@
     let config = dir.join("front.sexp");
     std::fs::write(&config, settings).expect("written");
     let path = config.to_str().expect("a path");
-    // A port that was free may be another program's when the boxes open it: then others are tried.
-    let boxes = (0..8).find_map(|_| {
-        let free = || std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let held: Vec<_> = (0..4).map(|_| free()).collect();
-        let row = |(c, l): (usize, &std::net::TcpListener)| {
-            format!("(box {} (address \"{}\") (cell {c}))\n", c + 1, l.local_addr().expect("an address"))
-        };
-        let list: String = held.iter().enumerate().map(row).collect();
-        drop(held);
-        std::fs::write(dir.join("boxes.sexp"), &list).expect("written");
-        let check = Command::new(BINARY).args(["check", path]).output().expect("it runs");
-        assert_eq!(check.status.code(), Some(0), "{check:?}");
-        let mut boxes = start(&["standin", "--config", path]);
-        (0..4).all(|_| boxes.line().starts_with("box ")).then_some(boxes)
-    });
-    let _boxes = boxes.expect("stand-in boxes");
+    let row = |cell: usize| format!("(box {} (address \"{}\") (cell {cell}))\n", cell + 1, free_port());
+    let list: String = (0..4).map(row).collect();
+    std::fs::write(dir.join("boxes.sexp"), &list).expect("written");
+    let check = Command::new(BINARY).args(["check", path]).output().expect("it runs");
+    assert_eq!(check.status.code(), Some(0), "{check:?}");
+    let mut boxes = start(&["standin", "--config", path]);
+    for _ in 0..4 {
+        let line = boxes.line();
+        assert!(line.starts_with("box "), "{line}");
+    }
     let mut front = start(&["front", "--config", path, "--listen", "127.0.0.1:0"]);
     let addr = front.line().replace("listening on http://", "");
     let said = post(&addr, "/whep/demo", OFFER);
--- a/crates/cli/tests/recovery.rs
+++ b/crates/cli/tests/recovery.rs
@@ -393,7 +393,7 @@
         let mut plant = Plant::new("held", 2, (4, 2), true).await;
         // A second process on the store of the first ends with a message.
         let store = plant.store(0);
-        let mut second = start_and_keep("held-second", address(), plant.bus_at, "", None, Some(&store));
+        let mut second = start_and_keep("held-second", free_port(), plant.bus_at, "", None, Some(&store));
         assert_eq!(second.ends().await, Some(2));
         // A store under another name is a first start, not another's memory.
         plant.kill(&[0, 1]);
