--- a/crates/micadyke/src/decide.rs
+++ b/crates/micadyke/src/decide.rs
@@ -235,7 +235,7 @@
     let n = uses.len() as f64;
     let mean = uses.iter().sum::<f64>() / n;
     let excess = uses.iter().map(|u| (u - 1.0).max(0.0)).sum::<f64>() / n;
-    (n > 0.0).then(|| Known { mean, excess })
+    (n > 0.0).then_some(Known { mean, excess })
 }
 
 // ===== Servers and sessions.
