Directory: the range index and a member's replica bear their usual names

Need: the glossary's terms in code that is touched. Shelf is RangeIndex (range_index.rs), a peer's copy its replica; messages on the wire stay.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -4,7 +4,7 @@
 
 use crate::answer::Answer;
 use crate::asking::{Page, Question};
-use crate::shelf::{Line, Place, Shelf, Sum, add, place};
+use crate::range_index::{Line, Place, RangeIndex, Sum, add, place};
 use crate::wire::{LONGEST, Message, read, write};
 use crate::withdrawal::{FOLLOWERS, Progress, Said, Table, Track};
 use crate::{Key, MS, Nanos, Owners, Point, Rendezvous, SECOND, folded, hash};
@@ -291,7 +291,7 @@
     /// Its withdrawals were others at its last beat; and when it was last told all.
     gossip_at: Nanos,
     /// The copy of its book, as far as it is owned here.
-    copy: Shelf,
+    replica: RangeIndex,
     /// The last change heard of.
     seq: u64,
     /// The copy was found equal after this change, in that map: what is older and not there is gone.
@@ -504,7 +504,7 @@
             let mine = self.own.values().filter(|o| o.owners.iter().any(|w| **w == *name));
             return Some(mine.fold((0, 0), |sum, o| add(sum, o.line.mark)));
         }
-        self.peers.get(name).map(|p| p.copy.sum())
+        self.peers.get(name).map(|p| p.replica.sum())
     }
 
     /// Digest of that part of the own book that a member owns.
@@ -537,7 +537,8 @@
     /// ```
     pub fn range(&self, first: Point, last: Point) -> (u64, u32) {
         let within = |place: &Place| (first..=last).contains(&place.1.point());
-        let copies = self.peers.values().flat_map(|p| p.copy.all()).filter(|l| within(l.0)).map(|l| l.1.mark);
+        let copies =
+            self.peers.values().flat_map(|p| p.replica.all()).filter(|l| within(l.0)).map(|l| l.1.mark);
         let me = self.settings.name.as_str();
         let mine = self.own.iter().filter(|o| within(o.0) && o.1.owners.iter().any(|w| **w == *me));
         copies.chain(mine.map(|o| o.1.line.mark)).fold((0, 0), add)
@@ -780,7 +781,7 @@
             heard_at: self.now,
             mark: 0,
             gossip_at: 0,
-            copy: Shelf::default(),
+            replica: RangeIndex::default(),
             seq: 0,
             exact: (0, 0),
             covered: None,
@@ -797,7 +798,7 @@
     /// What a start has told goes with it.
     fn drop_peer(&mut self, name: &str) {
         if let Some(peer) = self.peers.remove(name) {
-            self.held -= peer.copy.len();
+            self.held -= peer.replica.len();
         }
         self.soon.remove(name);
         let (now, deadline) = (self.now, &mut *self.deadline);
@@ -842,8 +843,8 @@
         let me = self.settings.name.as_str();
         self.held = 0;
         for peer in self.peers.values_mut() {
-            peer.copy.retain(|place| map.owners(place.1.point()).iter().any(|o| o == me));
-            self.held += peer.copy.len();
+            peer.replica.retain(|place| map.owners(place.1.point()).iter().any(|o| o == me));
+            self.held += peer.replica.len();
             peer.part = (0, 0);
         }
         let mut names: BTreeMap<String, Arc<str>> = BTreeMap::new();
@@ -883,7 +884,7 @@
             }
             Message::Put { told } => {
                 for told in told {
-                    self.copy(from, told);
+                    self.replicate(from, told);
                 }
             }
             Message::Look { map, first, last, sums } => self.looked(from, map, (first, last), &sums),
--- a/crates/directory/src/directory/book.rs
+++ b/crates/directory/src/directory/book.rs
@@ -1,7 +1,7 @@
 //! The own book, told to the owners of its lines; beats, by which they know how it stands.
 
 use super::{Directory, Feature, Lane, Own, ROOM, Session};
-use crate::shelf::{Line, Place, Sum, add, parts, take};
+use crate::range_index::{Line, Place, Sum, add, parts, take};
 use crate::wire::{Message, Told, chunks};
 use crate::{Key, MS, Nanos};
 use std::collections::BTreeSet;
@@ -114,7 +114,7 @@
             return;
         }
         peer.seq = book.0;
-        if peer.copy.sum() == book.1 || !cover {
+        if peer.replica.sum() == book.1 || !cover {
             peer.exact = (book.0, generation);
             // The echo was told by this member then: the book was so at that time or later.
             let at = if age { echo.1 } else { now };
@@ -130,7 +130,7 @@
     pub(super) fn look(&mut self, from: &str, first: u64, last: u64) {
         let map = self.number();
         let Some(peer) = self.peers.get(from) else { return };
-        let sum = |(first, last)| peer.copy.range(first, last).fold((0, 0), |sum, l| add(sum, l.1.mark));
+        let sum = |(first, last)| peer.replica.range(first, last).fold((0, 0), |sum, l| add(sum, l.1.mark));
         let sums = parts(first, last, PARTS).into_iter().map(sum).collect();
         self.send(Lane::Lines, from, &Message::Look { map, first, last, sums });
     }
@@ -180,7 +180,7 @@
     }
 
     /// Takes a line of a member's book.
-    pub(super) fn copy(&mut self, from: &str, told: Told) {
+    pub(super) fn replicate(&mut self, from: &str, told: Told) {
         let place = told.place();
         let point = place.1.point();
         let Some(exact) = self.peers.get(from).map(|p| p.exact) else { return };
@@ -192,7 +192,7 @@
         if !owned || old {
             return;
         }
-        let held = peer.copy.get(&place);
+        let held = peer.replica.get(&place);
         if held.is_some_and(|l| l.seq >= told.seq) {
             return;
         }
@@ -200,14 +200,14 @@
         match (told.count, known) {
             (0, true) => {
                 self.held -= 1;
-                peer.copy.remove(&place);
+                peer.replica.remove(&place);
             }
             (0, false) => {}
             (_, false) if self.held >= self.settings.lines => self.counts.refused += 1,
             (count, known) => {
                 self.held += usize::from(!known);
                 let line = Line::new(&place, peer.start, told.seq, count, self.now);
-                peer.copy.put(place, line);
+                peer.replica.put(place, line);
             }
         }
     }
@@ -217,14 +217,14 @@
         let Some(peer) = self.peers.get_mut(from) else { return };
         self.counts.filled += 1;
         let listed: BTreeSet<Place> = told.iter().map(Told::place).collect();
-        let over = peer.copy.range(first, last).filter(|l| l.1.seq <= through && !listed.contains(l.0));
+        let over = peer.replica.range(first, last).filter(|l| l.1.seq <= through && !listed.contains(l.0));
         let over: Vec<Place> = over.map(|l| l.0.clone()).collect();
         for place in over {
-            peer.copy.remove(&place);
+            peer.replica.remove(&place);
             self.held -= 1;
         }
         for told in told.into_iter().filter(|t| t.seq <= through && t.count > 0) {
-            self.copy(from, told);
+            self.replicate(from, told);
         }
     }
 }
--- a/crates/directory/src/directory/questions.rs
+++ b/crates/directory/src/directory/questions.rs
@@ -3,7 +3,7 @@
 use super::{Directory, Feature, Lane, Output, Own, PULSE, PULSES, Peer, ROOM};
 use crate::answer::{Answer, Entry};
 use crate::asking::{PAGES, Page, Question};
-use crate::shelf::{LOW, Place};
+use crate::range_index::{LOW, Place};
 use crate::wire::{Id, Message, chunks};
 use crate::{Error, Key, MS, Nanos, Point, SECOND};
 use micadyke_deadline::Waited;
@@ -131,7 +131,7 @@
                 None => Some(self.now),
                 Some(peer) => {
                     let at = self.covers(peer, point);
-                    for (place, line) in peer.copy.of(key) {
+                    for (place, line) in peer.replica.of(key) {
                         let node = name.to_owned();
                         let (start, seq, count) = (peer.start, line.seq, line.count);
                         let age_ms = age(at.unwrap_or(0).max(line.heard));
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -28,8 +28,8 @@
 mod directory;
 mod error;
 mod owners;
+mod range_index;
 pub mod settings;
-mod shelf;
 mod wire;
 mod withdrawal;
 
--- a/crates/directory/src/shelf.rs
+++ b/crates/directory/src/range_index.rs
@@ -50,12 +50,12 @@
 
 /// Lines in order.
 #[derive(Debug, Default, Clone)]
-pub(crate) struct Shelf {
+pub(crate) struct RangeIndex {
     lines: BTreeMap<Place, Line>,
     sum: Sum,
 }
 
-impl Shelf {
+impl RangeIndex {
     pub fn len(&self) -> usize {
         self.lines.len()
     }
--- a/crates/directory/src/wire.rs
+++ b/crates/directory/src/wire.rs
@@ -1,7 +1,7 @@
 //! What members say to each other.
 
 use crate::directory::ZONE;
-use crate::shelf::{Place, Sum, place};
+use crate::range_index::{Place, Sum, place};
 use crate::{Entry, Key, TEXT};
 use serde::{Deserialize, Serialize};
 
