Node: connections to servers in a file of their own; withdrawals as a type

The bare pair that counted set-ups withdrawn in a row is limits::viewers::Withdrawals; limits are imported where the paths stood written out.

--- a/crates/node/src/books.rs
+++ b/crates/node/src/books.rs
@@ -5,7 +5,7 @@
 use crate::bus::Follower;
 use crate::choosing::Choosing;
 use crate::io::{ConnId, Output};
-use crate::limits;
+use crate::limits::viewers::{Bearer, Idler, Use, Withdrawals};
 use crate::list::{Numbers, Row};
 use micadyke::interface::*;
 use micadyke_directory as directory;
@@ -260,46 +260,42 @@
     pub(crate) standing: usize,
     /// Unsound messages so far.
     pub(crate) unsound: u32,
-    /// Set-ups withdrawn in a row, none answered between them, and when the first of them was.
-    pub(crate) withdrawn: (u32, Nanos),
+    /// Set-ups withdrawn in a row.
+    pub(crate) withdrawn: Withdrawals,
     /// Since when half a message has waited for its rest.
     pub(crate) half: Option<Nanos>,
 }
 
 impl Viewer {
-    pub(crate) fn bearer(&self) -> limits::viewers::Bearer {
+    pub(crate) fn bearer(&self) -> Bearer {
         let (standing, proven, unsound) = (self.standing, self.proven, self.unsound > 0);
-        limits::viewers::Bearer { standing, proven, used: self.used(), unsound, last: self.last }
+        Bearer { standing, proven, used: self.used(), unsound, last: self.last }
     }
 
-    pub(crate) fn idler(&self) -> limits::viewers::Idler {
-        limits::viewers::Idler { free: self.open.is_empty(), used: self.used(), last: self.last }
+    pub(crate) fn idler(&self) -> Idler {
+        Idler { free: self.open.is_empty(), used: self.used(), last: self.last }
     }
 
-    fn used(&self) -> limits::viewers::Use {
+    fn used(&self) -> Use {
         match (self.standing > 0, self.asked, self.spoke) {
-            (true, ..) => limits::viewers::Use::Sessions,
-            (false, true, _) => limits::viewers::Use::SetUps,
-            (false, false, true) => limits::viewers::Use::Tests,
-            (false, false, false) => limits::viewers::Use::Silent,
+            (true, ..) => Use::Sessions,
+            (false, true, _) => Use::SetUps,
+            (false, false, true) => Use::Tests,
+            (false, false, false) => Use::Silent,
         }
     }
 
     /// It was told the answer to a set-up.
     pub(crate) fn answered(&mut self, id: SessionId) {
         self.open.remove(&id);
-        self.withdrawn.0 = 0;
+        self.withdrawn = Withdrawals::default();
     }
 
     /// It withdrew a set-up. Whether it does nothing but withdraw what it has just asked for.
     pub(crate) fn withdrew(&mut self, id: SessionId, now: Nanos) -> bool {
         self.open.remove(&id);
-        let (in_a_row, since) = self.withdrawn;
-        self.withdrawn = match in_a_row > 0 && now <= since + limits::viewers::WITHDRAWN_SPAN {
-            true => (in_a_row + 1, since),
-            false => (1, now),
-        };
-        self.withdrawn.0 >= limits::viewers::WITHDRAWN_EACH && self.open.is_empty()
+        self.withdrawn.another(now);
+        self.withdrawn.too_many() && self.open.is_empty()
     }
 
     /// A session that came by it stands.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod error;
 pub mod io;
 pub mod limits;
+mod links;
 pub mod list;
 mod others;
 mod recovering;
--- a/crates/node/src/limits/viewers.rs
+++ b/crates/node/src/limits/viewers.rs
@@ -37,6 +37,30 @@
 /// Then any connection is used that sent nothing unsound: better than none, before the release is given up.
 pub const RELEASE_ANY: Nanos = RELEASE_KEPT - SECOND;
 
+/// Set-ups that were withdrawn in a row on one connection, none answered between them.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Withdrawals {
+    in_a_row: u32,
+    /// When the first of them was withdrawn.
+    since: Nanos,
+}
+
+impl Withdrawals {
+    /// Counts one more, withdrawn now: of the row if that is still young, else the first of a new one.
+    pub fn another(&mut self, now: Nanos) {
+        let goes_on = self.in_a_row > 0 && now <= self.since + WITHDRAWN_SPAN;
+        if !goes_on {
+            *self = Withdrawals { in_a_row: 0, since: now };
+        }
+        self.in_a_row += 1;
+    }
+
+    /// Whether the connection does nothing but withdraw what it has asked for.
+    pub fn too_many(&self) -> bool {
+        self.in_a_row >= WITHDRAWN_EACH
+    }
+}
+
 /// What a viewer's connection has shown itself to be.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Use {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,15 +1,16 @@
-//! Servers: connections, attempts, notes, and whether a server lives.
+//! Servers: the rows of the list, attempts, and what servers say.
 
 use crate::blocked::About;
-use crate::books::{Due, Link, Node, Server, Session, Stage, cause};
+use crate::books::{Due, Node, Server, Session, Stage, cause};
 use crate::io::{ConnId, Output};
-use crate::limits;
+use crate::limits::MS;
+use crate::limits::servers::{Candidate, HALF_MESSAGE, Pick, QUIET, idle_timeout, may_be_closed, pick};
 use crate::list::Row;
 use micadyke::interface::*;
 use micadyke::module::Decide;
 use micadyke_isup as isup;
 use micadyke_membership::news::{Finding, News};
-use micadyke_rtsp::{Message, Parser, Start};
+use micadyke_rtsp::{Message, Start};
 use std::collections::{BTreeSet, VecDeque};
 use tracing::{debug, info, warn};
 
@@ -86,7 +87,7 @@
     }
 
     /// Forgets a server that has gone and holds nothing.
-    fn forget(&mut self, id: ServerId) {
+    pub(crate) fn forget(&mut self, id: ServerId) {
         let Some(server) = self.servers.get(&id) else { return };
         if server.row.state != ServerState::Gone || !server.links.is_empty() {
             return;
@@ -119,29 +120,24 @@
         let closed_after = self.terms.idle;
         let takes = |l: &ConnId| {
             let link = &self.links[l];
-            let closing =
-                link.up && limits::servers::may_be_closed(link.used.max(link.heard), closed_after, now);
+            let closing = link.up && may_be_closed(link.used.max(link.heard), closed_after, now);
             !link.retired && link.half.is_none() && (!closing || !link.open.is_empty())
         };
         let usable: Vec<ConnId> = server.links.iter().copied().filter(takes).collect();
-        let candidates: Vec<limits::servers::Candidate> = usable
+        let candidates: Vec<Candidate> = usable
             .iter()
             .map(|l| &self.links[l])
-            .map(|l| limits::servers::Candidate { up: l.up && !l.blocked, open: l.open.len() })
+            .map(|l| Candidate { up: l.up && !l.blocked, open: l.open.len() })
             .collect();
         // A server that does not come up is not waited for by set-ups until a call of the node's own got through.
         let out_of_reach = now < server.call_at && candidates.iter().all(|c| !c.up);
         let room = self.links.len() < self.most_links;
         let most = if self.terms.streams > 0 { self.terms.streams as usize } else { usize::MAX };
-        let pick = if out_of_reach {
-            limits::servers::Pick::None
-        } else {
-            limits::servers::pick(&candidates, most, room)
-        };
+        let pick = if out_of_reach { Pick::None } else { pick(&candidates, most, room) };
         let link = match pick {
-            limits::servers::Pick::Old(i) => usable[i],
-            limits::servers::Pick::New => self.connect(to, "set-up"),
-            limits::servers::Pick::None => {
+            Pick::Old(i) => usable[i],
+            Pick::New => self.connect(to, "set-up"),
+            Pick::None => {
                 self.count(Outcome::NoConnection);
                 return self.events.push_back(never(Outcome::NoConnection));
             }
@@ -164,7 +160,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let Stage::Waiting { server, link } = session.stage else { return };
         let Some(from) = self.links.get(&link).filter(|l| !l.blocked).map(|l| l.sent) else { return };
-        let patience = (session.due.saturating_sub(now) / limits::MS).max(1);
+        let patience = (session.due.saturating_sub(now) / MS).max(1);
         let mut message = Message::request("SETUP", &format!("rtsp://media/{}", session.title.0), 1)
             .session(id.0)
             .with("Subject", &self.names.classes[session.class.0])
@@ -178,7 +174,7 @@
         self.write_about(link, About::SetUp(id), message);
     }
 
-    fn write_link(&mut self, conn: ConnId, message: Message) {
+    pub(crate) fn write_link(&mut self, conn: ConnId, message: Message) {
         self.write_about(conn, About::Other, message);
     }
 
@@ -211,187 +207,6 @@
         }
     }
 
-    // ----- connections
-
-    /// Tells the module of the way to a server where that has changed: before it hears how attempts there ended.
-    fn tell_reach(&mut self, id: ServerId) {
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        let open = server.links.iter().any(|l| self.links.get(l).is_some_and(|l| l.up && !l.retired));
-        let reach = match open {
-            true => Reach::Open,
-            false if self.now < server.lost_until => Reach::Lost,
-            false => Reach::Closed,
-        };
-        if reach != server.reach {
-            server.reach = reach;
-            self.events.push_back(Event::Reach { server: id, reach });
-        }
-    }
-
-    /// Opens a connection; `why` is for the log.
-    pub(crate) fn connect(&mut self, to: ServerId, why: &'static str) -> ConnId {
-        let conn = self.number();
-        let now = self.now;
-        let stated = Some(self.terms.connect_timeout).filter(|t| *t > 0);
-        let timeout =
-            stated.unwrap_or(limits::servers::CONNECT_TIMEOUT).min(limits::servers::LONGEST_CONNECT_TIMEOUT);
-        let Some(server) = self.servers.get_mut(&to) else { return conn };
-        server.links.push(conn);
-        debug!(server = server.row.id, conn = conn.0, why, "a server is called");
-        let link = Link {
-            server: to,
-            up: false,
-            parser: Parser::default(),
-            open: BTreeSet::new(),
-            sent: 0,
-            blocked: false,
-            pending: VecDeque::new(),
-            backlog: 0,
-            begun: None,
-            withdrawing: None,
-            heard: now,
-            used: now,
-            half: None,
-            retired: false,
-        };
-        self.links.insert(conn, link);
-        self.counts.links += 1;
-        self.out.push(Output::Connect { conn, addr: server.row.addr });
-        self.set(now + timeout, Due::Connect(conn));
-        conn
-    }
-
-    /// Where sessions play, a connection stays, so that notes and releases arrive.
-    pub(crate) fn keep_link(&mut self, id: ServerId) {
-        let Some(server) = self.servers.get(&id) else { return };
-        let wanted = !server.standing.is_empty() || !server.queue.is_empty();
-        let any = server.links.iter().any(|l| !self.links[l].retired);
-        if wanted && !any && server.row.state != ServerState::Gone && self.now >= server.call_at {
-            self.connect(id, "kept");
-        }
-    }
-
-    pub(crate) fn link_up(&mut self, conn: ConnId) {
-        let now = self.now;
-        let Some(link) = self.links.get_mut(&conn) else { return };
-        (link.up, link.heard, link.used) = (true, now, now);
-        let (id, waiting) = (link.server, link.open.clone());
-        let mut queue = VecDeque::new();
-        self.found_alive(id);
-        if let Some(server) = self.servers.get_mut(&id) {
-            (server.calls, server.call_at, server.heard, server.lost_until) = (0, 0, now, 0);
-            queue = std::mem::take(&mut server.queue);
-        }
-        self.tell_reach(id);
-        queue.into_iter().for_each(|m| self.write_link(conn, m));
-        waiting.into_iter().for_each(|s| self.write_set_up(s));
-    }
-
-    pub(crate) fn connect_due(&mut self, conn: ConnId) {
-        if self.links.get(&conn).is_some_and(|l| !l.up) {
-            self.out.push(Output::Close { conn });
-            self.link_closed(conn, 0, false);
-        }
-    }
-
-    /// Closes a connection; what is open on it ends with this outcome. Another is opened where one is needed.
-    pub(crate) fn drop_link(&mut self, conn: ConnId, outcome: Outcome) {
-        let Some(link) = self.links.get(&conn) else { return };
-        let id = link.server;
-        // The close may reach the server after a further attempt has reached another: what is out is given up first.
-        let on_it =
-            |s: &&SessionId| self.sessions.get(s).is_some_and(|s| matches!(s.stage, Stage::Out { .. }));
-        let out: Vec<SessionId> = link.open.iter().filter(on_it).copied().collect();
-        if !link.blocked {
-            out.into_iter().for_each(|s| self.withdraw(s, conn));
-        }
-        self.out.push(Output::Close { conn });
-        debug!(conn = conn.0, ?outcome, "a connection to a server is closed");
-        self.remove_link(conn, |stage| match stage {
-            Stage::Waiting { .. } => Outcome::NoConnection,
-            _ => outcome,
-        });
-        self.keep_link(id);
-        self.forget(id);
-    }
-
-    fn drop_if_retired(&mut self, conn: ConnId) {
-        if self.links.get(&conn).is_some_and(|l| l.retired && l.open.is_empty()) {
-            self.drop_link(conn, Outcome::Cancelled);
-        }
-    }
-
-    fn remove_link(&mut self, conn: ConnId, outcome: impl Fn(&Stage) -> Outcome) {
-        let Some(mut link) = self.links.remove(&conn) else { return };
-        if let Some(server) = self.servers.get_mut(&link.server) {
-            server.links.retain(|l| *l != conn);
-        }
-        link.untold().for_each(|message| self.tell_on(None, link.server, message));
-        self.tell_reach(link.server);
-        for id in link.open {
-            let Some(stage) = self.sessions.get(&id).map(|s| s.stage) else { continue };
-            self.attempt_ended(id, outcome(&stage));
-        }
-    }
-
-    /// A connection is over, or did not come up.
-    pub(crate) fn link_closed(&mut self, conn: ConnId, written: u64, refused: bool) {
-        let now = self.now;
-        let Some(link) = self.links.get(&conn) else { return };
-        let (id, up) = (link.server, link.up);
-        let others = self.servers.get(&id).is_some_and(|s| {
-            s.links.iter().any(|l| *l != conn && self.links[l].up && !self.links[l].retired)
-        });
-        if let Some(server) = self.servers.get_mut(&id).filter(|_| !up) {
-            server.calls += 1;
-            server.call_at = now + limits::servers::CALL_PAUSE;
-            server.lost_until = now + limits::servers::lost_for(server.calls, refused);
-        }
-        self.remove_link(conn, |stage| match *stage {
-            // What the operating system had not taken of it never left.
-            Stage::Out { from, .. } if from < written && others => Outcome::Error,
-            Stage::Out { from, .. } if from < written => Outcome::Reset,
-            _ => Outcome::NoConnection,
-        });
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        if !up {
-            debug!(
-                server = server.row.id,
-                conn = conn.0,
-                refused,
-                calls = server.calls,
-                "a call did not come up"
-            );
-            let found = (refused && !others).then_some(Finding::Refused);
-            let found = found.or((server.calls == limits::servers::CALLS).then_some(Finding::Silent));
-            let found = found.map(|what| News::Found { server: server.row.id.clone(), what });
-            let silent =
-                now >= server.heard + limits::servers::QUIET && server.calls >= limits::servers::CALLS;
-            if (refused && !others) || silent {
-                // Nothing listens there, or nothing has been there for a while: what played there is over.
-                self.lost(id);
-            }
-            found.into_iter().for_each(|f| self.tell_others(f));
-        } else {
-            debug!(server = server.row.id, others, "a connection to a server broke");
-        }
-        self.keep_link(id);
-        self.forget(id);
-    }
-
-    /// A server has gone with all that played there.
-    fn lost(&mut self, id: ServerId) {
-        self.unconfirmed.retain(|_, u| u.0 != id);
-        let Some(server) = self.servers.get(&id) else { return };
-        if server.standing.is_empty() {
-            return;
-        }
-        self.counts.lost_servers += 1;
-        warn!(server = server.row.id, sessions = server.standing.len(), "a server is gone");
-        let over: Vec<SessionId> = server.standing.iter().copied().collect();
-        over.into_iter().for_each(|s| self.over(s, Outcome::Reset, Some(cause::FAILED)));
-    }
-
     // ----- what servers say
 
     pub(crate) fn link_data(&mut self, conn: ConnId, bytes: &[u8]) {
@@ -579,7 +394,7 @@
     }
 
     /// The same, on this connection if it can be used.
-    fn tell_on(&mut self, own: Option<ConnId>, server: ServerId, message: Message) {
+    pub(crate) fn tell_on(&mut self, own: Option<ConnId>, server: ServerId, message: Message) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         let usable = |l: &ConnId| self.links.get(l).is_some_and(|l| l.up && !l.retired);
         let takes = |l: &ConnId| usable(l) && self.links.get(l).is_some_and(|l| !l.blocked);
@@ -609,9 +424,9 @@
             // Never the last one that sessions need.
             let last =
                 self.servers.get(&link.server).is_some_and(|s| !s.standing.is_empty() && s.links.len() == 1);
-            let idle_after = limits::servers::idle_timeout(self.terms.idle);
+            let idle_after = idle_timeout(self.terms.idle);
             let idle = link.up && link.open.is_empty() && now >= link.used + idle_after;
-            if link.stuck(now) || link.half.is_some_and(|h| now >= h + limits::servers::HALF_MESSAGE) {
+            if link.stuck(now) || link.half.is_some_and(|h| now >= h + HALF_MESSAGE) {
                 self.drop_link(conn, Outcome::Error);
             } else if idle && !last {
                 self.drop_link(conn, Outcome::Cancelled);
@@ -622,7 +437,7 @@
             self.keep_link(id);
             self.tell_reach(id);
             let Some(server) = self.servers.get(&id) else { continue };
-            let quiet = !server.standing.is_empty() && now >= server.heard + limits::servers::QUIET;
+            let quiet = !server.standing.is_empty() && now >= server.heard + QUIET;
             if !quiet {
                 continue;
             }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -2,7 +2,10 @@
 
 use crate::books::{Node, Session, Stage, Viewer, cause};
 use crate::io::{ConnId, Output};
-use crate::limits;
+use crate::limits::MS;
+use crate::limits::viewers::{
+    HALF_REQUEST, OPEN_EACH, SILENT, STAY_AWAY, UNSOUND, UNSOUND_PAUSE, Withdrawals, evict,
+};
 use micadyke::interface::*;
 use micadyke::module::Decide;
 use micadyke_isup::{Frame, Message, Parser, code, kind};
@@ -43,7 +46,7 @@
     pub(crate) fn viewer_opened(&mut self, conn: ConnId) {
         if self.viewers.len() >= self.most_viewers {
             let idlers = self.viewers.iter().map(|(c, v)| (c.0, v.idler()));
-            match limits::viewers::evict(idlers, self.now) {
+            match evict(idlers, self.now) {
                 Some(old) => self.turn_out(ConnId(old), "room"),
                 None => return self.out.push(Output::Close { conn }),
             }
@@ -58,7 +61,7 @@
             proven: false,
             standing: 0,
             unsound: 0,
-            withdrawn: (0, 0),
+            withdrawn: Withdrawals::default(),
             half: None,
         };
         self.viewers.insert(conn, viewer);
@@ -67,7 +70,7 @@
     /// Closes a viewer's connection; set-ups that are open on it are given up.
     fn turn_out(&mut self, conn: ConnId, why: &str) {
         if let Some(v) = self.viewers.get(&conn) {
-            let (age_ms, idle_ms) = ((self.now - v.since) / limits::MS, (self.now - v.last) / limits::MS);
+            let (age_ms, idle_ms) = ((self.now - v.since) / MS, (self.now - v.last) / MS);
             debug!(conn = conn.0, why, age_ms, idle_ms, spoke = v.spoke, "a viewer's connection is closed");
         }
         self.counts.closed += 1;
@@ -159,10 +162,10 @@
         }
         let Some(viewer) = self.viewers.get_mut(&conn) else { return };
         viewer.unsound += 1;
-        if viewer.unsound >= limits::viewers::UNSOUND {
+        if viewer.unsound >= UNSOUND {
             return self.turn_out(conn, "unsound");
         }
-        self.out.push(Output::Pause { conn, span: limits::viewers::UNSOUND_PAUSE });
+        self.out.push(Output::Pause { conn, span: UNSOUND_PAUSE });
     }
 
     fn set_up(&mut self, conn: ConnId, message: Message) {
@@ -184,7 +187,7 @@
         }
         let Some(viewer) = self.viewers.get(&conn) else { return };
         let most = if self.terms.most_held > 0 { self.terms.most_held as usize } else { usize::MAX };
-        if viewer.open.len() >= limits::viewers::OPEN_EACH || self.sessions.len() >= most {
+        if viewer.open.len() >= OPEN_EACH || self.sessions.len() >= most {
             // Refused at the door: nothing of it was sent anywhere, so trying again is harmless.
             self.counts.turned_away += 1;
             return self.refuse_at_the_door(conn, id);
@@ -203,7 +206,7 @@
     /// Refuses a set-up that the module was not told of, with advice where the settings allow it.
     fn refuse_at_the_door(&mut self, conn: ConnId, id: SessionId) {
         let refusal = Message::new(kind::RELEASE, id.0).cause(cause::REFUSED);
-        let refusal = match limits::viewers::STAY_AWAY.min(self.terms.come_back) / limits::MS {
+        let refusal = match STAY_AWAY.min(self.terms.come_back) / MS {
             0 => refusal,
             ms => refusal.with(code::STAY_AWAY, ms.to_string()),
         };
@@ -257,7 +260,7 @@
             base: base as u32,
             spread: spread as u32,
             top: top as Rung,
-            give_up_at: self.now + patience.min(PATIENCE) * limits::MS,
+            give_up_at: self.now + patience.min(PATIENCE) * MS,
             again,
         };
         Ok(SetUp { wish, description, name: viewer, at })
@@ -315,8 +318,7 @@
     pub(crate) fn tidy_viewers(&mut self) {
         let now = self.now;
         let late = |v: &Viewer| {
-            (!v.spoke && now >= v.since + limits::viewers::SILENT)
-                || v.half.is_some_and(|h| now >= h + limits::viewers::HALF_REQUEST)
+            (!v.spoke && now >= v.since + SILENT) || v.half.is_some_and(|h| now >= h + HALF_REQUEST)
         };
         let late: Vec<ConnId> = self.viewers.iter().filter(|(_, v)| late(v)).map(|(c, _)| *c).collect();
         late.into_iter().for_each(|c| self.turn_out(c, "silent"));
