--- a/crates/micadyke/tests/failures.rs
+++ b/crates/micadyke/tests/failures.rs
@@ -658,6 +658,31 @@
     assert!(later < 40, "{later} of 100 go after room that all the others heard of, too");
 }
 
+/// Where a set-up is sent, and at which rung, that only servers never heard of can take, after two others were heard of.
+fn at_a_server_never_heard_of(low: f64, high: f64) -> Option<(ServerId, Rung)> {
+    let s = Settings { fronts: 300, uplink: 0.0, ..settings(vec![class(IDEMPOTENT, 0, 0)]) };
+    let mut f = Front { controller: Controller::new(s, 1, START).expect("sound settings"), now: START };
+    let entries = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
+    f.feed(Event::List { kind: ListKind::Full, entries });
+    hear_of_two(&mut f, low, high);
+    f.tick();
+    let drains = [1, 2].map(|n| entry(n, ServerState::Draining, 0)).to_vec();
+    f.feed(Event::List { kind: ListKind::Delta, entries: drains });
+    let actions = f.request(9, 0, "b");
+    Some((sent(&actions)?.0, rung(&actions)?))
+}
+
+#[test]
+fn links_never_heard_of_count_fuller_where_others_are_over() {
+    // Seen with 300 nodes: three in five set-ups to links far over what they give went to servers never heard of, which
+    // were taken for the mean. The mean is the same in all three.
+    let even = at_a_server_never_heard_of(0.7, 0.7).expect("there is room");
+    assert_eq!(at_a_server_never_heard_of(0.45, 0.95), Some(even), "none is over");
+    let beside = at_a_server_never_heard_of(0.3, 1.1).expect("a low rung still fits");
+    assert!(beside.1 < even.1, "{beside:?} where a link is over, {even:?} where none is");
+    assert_eq!(at_a_server_never_heard_of(0.0, 1.4), None, "nothing fits where links are far over");
+}
+
 /// Of forty set-ups, one at a time, between two servers alike: how many go to the second, when this was told at each of
 /// so many ticks, and nothing at so many after.
 fn to_the_second(events: &[Event], ticks: usize, silent: usize) -> usize {
