Cut words and fronts that heard of two servers are set up once in tests

Need: two tests of answers.rs walked the same four loops and told apart the same ends of a connection; two tests of the module built the same front of 300 that heard of two servers. Cut with each_cut, and heard_of_two, serve both; every assertion stays, messages name the same case by its fields.

--- a/crates/micadyke/tests/failures.rs
+++ b/crates/micadyke/tests/failures.rs
@@ -621,8 +621,13 @@
     assert!(sent as f64 > mean / 2.0, "{sent} sent, {mean} on average");
 }
 
-/// Two sessions are handed over, and what their servers say of their links comes with the next notes.
-fn hear_of_two(f: &mut Front, low: f64, high: f64) {
+/// One of 300 fronts with so many servers: two sessions are handed over to the second and the third, and what these say of
+/// their links comes with the next notes.
+fn heard_of_two(seed: u64, servers: u32, low: f64, high: f64) -> Front {
+    let s = Settings { fronts: 300, uplink: 0.0, ..settings(vec![class(IDEMPOTENT, 0, 0)]) };
+    let mut f = Front { controller: Controller::new(s, seed, START).expect("sound settings"), now: START };
+    let entries = (0..servers).map(|n| entry(n, ServerState::Ready, 0)).collect();
+    f.feed(Event::List { kind: ListKind::Full, entries });
     for id in [1, 2] {
         f.feed(Event::Adopted { wish: wish(id, 0, "a", START), server: ServerId(id as u32) });
     }
@@ -630,6 +635,8 @@
     for (id, value) in [(1, low), (2, high)] {
         f.note(id, ServerId(id as u32), NoteKind::LinkUse, value);
     }
+    f.tick();
+    f
 }
 
 /// How often, of so many fronts of a fleet, a set-up goes to a server that was heard of at a use of `low`, while another was
@@ -637,13 +644,7 @@
 fn sent_to_the_low_one(low: f64, high: f64, wait: Nanos) -> usize {
     let mut n = 0;
     for seed in 0..100u64 {
-        let s = Settings { fronts: 300, uplink: 0.0, ..settings(vec![class(IDEMPOTENT, 0, 0)]) };
-        let mut f =
-            Front { controller: Controller::new(s, seed * 77, START).expect("sound settings"), now: START };
-        let entries = (0..8).map(|n| entry(n, ServerState::Ready, 0)).collect();
-        f.feed(Event::List { kind: ListKind::Full, entries });
-        hear_of_two(&mut f, low, high);
-        f.tick();
+        let mut f = heard_of_two(seed * 77, 8, low, high);
         f.now += wait;
         n += usize::from(sent(&f.request(9, 0, "b")).is_some_and(|s| s.0 == ServerId(1)));
     }
@@ -660,12 +661,7 @@
 
 /// Where a set-up is sent, and at which rung, that only servers never heard of can take, after two others were heard of.
 fn at_a_server_never_heard_of(low: f64, high: f64) -> Option<(ServerId, Rung)> {
-    let s = Settings { fronts: 300, uplink: 0.0, ..settings(vec![class(IDEMPOTENT, 0, 0)]) };
-    let mut f = Front { controller: Controller::new(s, 1, START).expect("sound settings"), now: START };
-    let entries = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
-    f.feed(Event::List { kind: ListKind::Full, entries });
-    hear_of_two(&mut f, low, high);
-    f.tick();
+    let mut f = heard_of_two(1, 4, low, high);
     let drains = [1, 2].map(|n| entry(n, ServerState::Draining, 0)).to_vec();
     f.feed(Event::List { kind: ListKind::Delta, entries: drains });
     let actions = f.request(9, 0, "b");
--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -63,7 +63,8 @@
 
 /// A server's word to one set-up is cut while `others` are out at the two servers; these are answered a while later, and
 /// what is sent from then on is served. Returns the world at its end, and the others that shared the connection.
-fn cut_word(word: Word, cut: usize, then: Then, class: &str, others: u64) -> (World, Vec<u64>, Vec<u64>) {
+fn cut_word(cut: Cut, others: u64) -> (World, Vec<u64>, Vec<u64>) {
+    let Cut { word, class, .. } = cut;
     let mut w = World::new(2);
     w.commanded(true);
     let v = w.viewer();
@@ -74,7 +75,7 @@
     let at = w.open_at(CUT).expect("it is out");
     let there: Vec<OpenAt> = w.open_at_servers().into_iter().filter(|o| o.id != CUT).collect();
     assert_eq!(there.len() as u64, others);
-    say_cut(&mut w, at, word, cut, then);
+    say_cut(&mut w, at, word, cut.at, cut.then);
     if word == Word::Note {
         w.later(400 * MS, move |w| w.write_word(at, ANSWER));
     }
@@ -98,74 +99,87 @@
     w.worded(at, word).len()
 }
 
-/// Whether a word of this length is there whole for the node to read.
-fn whole(length: usize, cut: usize, then: Then) -> bool {
-    cut == length || then == Then::Bytes
+/// A word that breaks off, and the class of the set-up that it answers.
+#[derive(Debug, Clone, Copy)]
+struct Cut {
+    word: Word,
+    /// The word's length on the wire.
+    length: usize,
+    /// How many bytes of it come at first.
+    at: usize,
+    then: Then,
+    class: &'static str,
 }
 
-#[test]
-fn a_word_cut_at_any_byte_is_answered_once_and_truthfully() {
+impl Cut {
+    /// Whether the word is there whole for the node to read.
+    fn whole(&self) -> bool {
+        self.at == self.length || self.then == Then::Bytes
+    }
+
+    /// Whether the connection ends with it.
+    fn closes(&self) -> bool {
+        matches!(self.then, Then::Fin | Then::Reset)
+    }
+}
+
+/// Plays each word cut at each byte, with all that may follow, for both classes.
+fn each_cut(play: impl Fn(Cut)) {
     for word in WORDS {
         let length = length(word);
-        for cut in 0..=length {
+        for at in 0..=length {
             for then in THEN {
                 for class in ["free", "paid"] {
-                    let case = format!("{word:?} cut at {cut}, then {then:?}, {class}");
-                    let (w, ..) = cut_word(word, cut, then, class, 0);
-                    assert_eq!(w.broken_rules(), Vec::<String>::new(), "{case}");
-                    let (_, served, refused) = w.answer(CUT).expect("an answer");
-                    assert!(!refused, "{case}: there is room elsewhere");
-                    // A free one is always served in the end; a paid one where nothing may have run before.
-                    let closed = matches!(then, Then::Fin | Then::Reset);
-                    let sound = match word {
-                        Word::Answer(_) | Word::Refusal(453) => whole(length, cut, then),
-                        Word::Note if closed => false,
-                        Word::Note => cut == 0 || whole(length, cut, then),
-                        _ => false,
-                    };
-                    let late = then == Then::Rest && cut == 0 && !matches!(word, Word::Note);
-                    let sound = sound || (late && matches!(word, Word::Answer(_) | Word::Refusal(453)));
-                    assert_eq!(served, sound || class == "free", "{case}");
-                    let harmless = matches!(word, Word::Refusal(453)) && sound;
-                    if class == "paid" && !harmless {
-                        assert_eq!(w.sends(CUT), 1, "{case}");
-                    }
+                    play(Cut { word, length, at, then, class });
                 }
             }
         }
     }
 }
 
+#[test]
+fn a_word_cut_at_any_byte_is_answered_once_and_truthfully() {
+    each_cut(|cut| {
+        let Cut { word, at, then, class, .. } = cut;
+        let (w, ..) = cut_word(cut, 0);
+        assert_eq!(w.broken_rules(), Vec::<String>::new(), "{cut:?}");
+        let (_, served, refused) = w.answer(CUT).expect("an answer");
+        assert!(!refused, "{cut:?}: there is room elsewhere");
+        // A free one is always served in the end; a paid one where nothing may have run before.
+        let sound = match word {
+            Word::Answer(_) | Word::Refusal(453) => cut.whole(),
+            Word::Note if cut.closes() => false,
+            Word::Note => at == 0 || cut.whole(),
+            _ => false,
+        };
+        let late = then == Then::Rest && at == 0 && !matches!(word, Word::Note);
+        let sound = sound || (late && matches!(word, Word::Answer(_) | Word::Refusal(453)));
+        assert_eq!(served, sound || class == "free", "{cut:?}");
+        let harmless = matches!(word, Word::Refusal(453)) && sound;
+        if class == "paid" && !harmless {
+            assert_eq!(w.sends(CUT), 1, "{cut:?}");
+        }
+    });
+}
+
 #[test]
 fn what_shares_a_connection_with_a_cut_word_is_answered_too() {
     // Eight connections to two servers, three set-ups each or so.
-    for word in WORDS {
-        let length = length(word);
-        for cut in 0..=length {
-            for then in THEN {
-                for class in ["free", "paid"] {
-                    let case = format!("{word:?} cut at {cut}, then {then:?}, {class}");
-                    let (w, sharing, beside) = cut_word(word, cut, then, class, 23);
-                    assert_eq!(w.broken_rules(), Vec::<String>::new(), "{case}");
-                    assert!(w.answer(CUT).is_some(), "{case}");
-                    assert!(
-                        (1..=5).contains(&sharing.len()) && beside.len() >= 18,
-                        "{case}: {sharing:?} {beside:?}"
-                    );
-                    let served = |id: &u64| w.answer(*id).is_some_and(|a| a.1);
-                    assert!(beside.iter().all(served), "{case}");
-                    let stays = !matches!(then, Then::Fin | Then::Reset);
-                    let sound = cut == 0 || whole(length, cut, then);
-                    if class == "free" || (stays && sound) {
-                        assert!(sharing.iter().all(served), "{case}");
-                    }
-                    if class == "paid" {
-                        assert!(sharing.iter().all(|id| w.sends(*id) == 1), "{case}");
-                    }
-                }
-            }
+    each_cut(|cut| {
+        let (w, sharing, beside) = cut_word(cut, 23);
+        assert_eq!(w.broken_rules(), Vec::<String>::new(), "{cut:?}");
+        assert!(w.answer(CUT).is_some(), "{cut:?}");
+        assert!((1..=5).contains(&sharing.len()) && beside.len() >= 18, "{cut:?}: {sharing:?} {beside:?}");
+        let served = |id: &u64| w.answer(*id).is_some_and(|a| a.1);
+        assert!(beside.iter().all(served), "{cut:?}");
+        let sound = cut.at == 0 || cut.whole();
+        if cut.class == "free" || (!cut.closes() && sound) {
+            assert!(sharing.iter().all(served), "{cut:?}");
         }
-    }
+        if cut.class == "paid" {
+            assert!(sharing.iter().all(|id| w.sends(*id) == 1), "{cut:?}");
+        }
+    });
 }
 
 /// What comes with a good answer beyond it.
