Show set-ups to a draining server after discovery was out of reach

Discovery is out of reach for some 9 s, a call that began meanwhile is waited for up to 8 s, and a drain told after the outage is not heard until then.

--- /dev/null
+++ b/review/stand/case1.rs
@@ -0,0 +1,108 @@
+//! Discovery is out of reach for some ten seconds and comes back. Then a server drains.
+
+use crate::With;
+use crate::world::{Bus, Ms, Node, Record, Seen, Server, Viewer, Way, free_port, sleep};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+/// How long discovery may be out of reach (the site file's `discovery_down`: 5.3 to 17 s).
+const LEAST_OUTAGE: Ms = 5_300;
+const MOST_OUTAGE: Ms = 16_800;
+/// Nothing new reaches a server later than this after it was told that it drains; every time limit is 50 ms longer.
+const GRACE: Ms = 250 + 50;
+/// What discovery would have told counts as told 4 s after it fell silent, at the latest. The outage is over when the drain
+/// is told; the case allows these 4 s once more, from the event on, for the call that got no answer.
+const SILENT: Ms = 4_000;
+/// How long the case watches after the event.
+const WATCH: Ms = 9_000;
+
+pub fn run(with: &With, record: &Record) -> Vec<String> {
+    let servers: Vec<Server> = ["s-a", "s-b", "s-c"].iter().map(|id| Server::start(id, 3_000, record)).collect();
+    let bus = Bus::start(record);
+    let rows: Vec<String> = servers.iter().map(|s| s.row("up")).collect();
+    bus.tell(true, &rows, "s-a, s-b and s-c are up");
+    let way = Way::start(bus.addr, record);
+    let mut node = Node::start(with, free_port(), way.addr, &bus.known(), record);
+
+    // Viewers: a set-up every 50 ms, by four connections in turn.
+    let done = Arc::new(AtomicBool::new(false));
+    let (told, over, to) = (record.clone(), done.clone(), node.listen);
+    let viewers = thread::spawn(move || {
+        let connect = |i: usize| Viewer::connect(&format!("viewer {i}"), to, &told);
+        let mut all: Vec<Viewer> = (0..4).filter_map(connect).collect();
+        if all.len() < 4 {
+            crate::cannot_run("viewers can't connect");
+        }
+        let mut id = 0x1000;
+        while !over.load(Ordering::SeqCst) {
+            id += 1;
+            let title = format!("7f3a9c21e0b4d6{:02x}", id % 5);
+            all[id as usize % 4].ask(id, id % 3 == 0, &title, 4_000);
+            sleep(50);
+        }
+        // Answers that are still owed.
+        sleep(4_500);
+        drop(all);
+    });
+    sleep(2_000);
+
+    if with.trouble {
+        let began = way.cut();
+        // It is over 0.3 s after the front node's first call that began 5.3 s or later into the outage.
+        let long = |now: Ms| now >= began + MOST_OUTAGE;
+        let mut counted = way.calls();
+        let mut since = None;
+        loop {
+            let now = record.now();
+            if way.calls() > counted {
+                counted = way.calls();
+                since = (now >= began + LEAST_OUTAGE).then_some(now);
+            }
+            if since.is_some_and(|s| now >= s + 300) || long(now) {
+                break;
+            }
+            sleep(5);
+        }
+        let ended = way.heal();
+        record.note(format!("discovery was out of reach for {} ms", ended - began));
+    } else {
+        sleep(6_000);
+    }
+    sleep(200);
+    let told_at = bus.tell(false, &[servers[1].row("draining")], "s-b drains");
+    record.until(told_at + WATCH);
+    if !node.lives() {
+        crate::cannot_run("the front node ended");
+    }
+    done.store(true, Ordering::SeqCst);
+    if viewers.join().is_err() {
+        crate::cannot_run("the viewers failed");
+    }
+    node.kill();
+
+    let all = record.all();
+    let sent: Vec<(Ms, u64)> = all
+        .iter()
+        .filter_map(|(at, s)| match s {
+            Seen::Run { id, server, .. } if server == "s-b" => Some((*at, *id)),
+            _ => None,
+        })
+        .collect();
+    if !sent.iter().any(|s| s.0 < told_at) {
+        crate::cannot_run("no set-up ever went to s-b");
+    }
+    let later = |by: Ms| sent.iter().filter(|s| s.0 > told_at + by).count();
+    record.note(format!(
+        "set-ups that s-b read after its drain was told: {}; later than {GRACE} ms: {}; later than {} ms: {}",
+        later(0),
+        later(GRACE),
+        SILENT + GRACE,
+        later(SILENT + GRACE)
+    ));
+    let late = sent.iter().filter(|s| s.0 > told_at + SILENT + GRACE);
+    late.map(|(at, id)| {
+        format!("drain: {id:016x} was sent to s-b {} ms after the bus had told that it drains", at - told_at)
+    })
+    .collect()
+}
