Show sessions held for 14 s after another server took the address of a vanished one

Rule 1 (lost): what stood and is over is released towards its client within 8 s. Change: review/3 is another case: a machine vanishes and a new server bears its address, told by the bus. Measured: viewers are released 14.5 s after the end; with the address left alone 4.3 s; with TROUBLE=0 at once.

--- a/review/stand/case1.rs
+++ b/review/stand/case1.rs
@@ -37,7 +37,7 @@
         let mut id = 0x1000;
         while !over.load(Ordering::SeqCst) {
             id += 1;
-            let title = format!("7f3a9c21e0b4d6{:02x}", id % 5);
+            let title = format!("0f3a9c21e0b4d6{:02x}", id % 5);
             all[id as usize % 4].ask(id, id % 3 == 0, &title, 4_000);
             sleep(50);
         }
--- a/review/stand/case2.rs
+++ b/review/stand/case2.rs
@@ -28,7 +28,7 @@
     let connect = |name: &str| {
         Viewer::connect(name, listen, record).unwrap_or_else(|| crate::cannot_run("a viewer can't connect"))
     };
-    let title = |id: u64| format!("7f3a9c21e0b4d6{:02x}", id % 8);
+    let title = |id: u64| format!("0f3a9c21e0b4d6{:02x}", id % 8);
     let paid = |id: u64| id % 3 == 0;
 
     // The sessions are set up as usual, by four connections.
--- a/review/stand/case3.rs
+++ b/review/stand/case3.rs
@@ -1,111 +1,118 @@
-//! A server is cut off for a little under six seconds. The front node gives its sessions up; they play on.
+//! A server's machine vanishes; a new server bears its address soon after.
 
 use crate::With;
+use crate::wire::home;
 use crate::world::{Bus, Link, Ms, Node, Record, Seen, Server, Viewer, free_port, sleep};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-/// How long the server, one of five, is cut off (the page: 6 s, a fifth of the servers).
-const CUT: Ms = 5_900;
-/// Set-ups count as breaches from so long after the server is back.
-const BACK: Ms = 1_000;
-/// Clips of which as many sessions are asked for as there are seats.
-const CLIPS: u64 = 6;
-
-fn clip(n: u64) -> String {
-    format!("51d0a7c3b2e9f4{n:02x}")
-}
+/// What stood and is over is released within this of its end where no release could be sent; every limit is 50 ms longer.
+const RELEASE: Ms = 8_000 + 50;
+/// Where its server could send one: within this.
+const RELEASE_SENT: Ms = 1_000 + 50;
+/// What the bus has told is heeded after this, as drains are; every limit is 50 ms longer.
+const GRACE: Ms = 250 + 50;
+/// The new server is there so long after the machine vanished, and the bus tells of it so long after that.
+const NEW_AFTER: Ms = 1_500;
+const TOLD_AFTER: Ms = 1_000;
+/// The list notices a machine that vanished after this (the site file: 4.2 to 13 s).
+const NOTICED: Ms = 12_000;
 
 pub fn run(with: &With, record: &Record) -> Vec<String> {
-    let seats = u64::from(with.seats);
-    let servers: Vec<Server> =
-        ["s-a", "s-b", "s-c", "s-d", "s-e"].iter().map(|id| Server::start(id, 51_000, record)).collect();
+    let start = |(cell, id): &(u32, &str)| Server::start_in(*cell, id, 51_000, record);
+    let servers: Vec<Server> = [(0, "s-a"), (1, "s-b"), (0, "s-c"), (1, "s-d")].iter().map(start).collect();
     let links: Vec<Link> = servers.iter().map(|s| Link::start(s, record)).collect();
     let bus = Bus::start(record);
     let rows: Vec<String> = servers.iter().zip(&links).map(|(s, l)| s.row_at("up", l.addr)).collect();
-    bus.tell(true, &rows, "s-a to s-e are up");
+    bus.tell(true, &rows, "s-a to s-d are up");
     let mut node = Node::start(with, free_port(), bus.addr, &bus.known(), record);
     let connect = |i: usize| Viewer::connect(&format!("viewer {i}"), node.listen, record);
     let mut viewers: Vec<Viewer> = (0..4).filter_map(connect).collect();
     if viewers.len() < 4 {
         crate::cannot_run("viewers can't connect");
     }
-
-    // All seats of each clip are taken, and one viewer more asks.
-    let mut id = 0x5000;
-    for n in 0..CLIPS {
-        for _ in 0..=seats {
+    let mut id = 0x8000;
+    let mut ask_until = |at: Ms| {
+        while record.now() < at {
             id += 1;
-            viewers[id as usize % 4].ask(id, true, &clip(n), 4_000);
-            sleep(150);
+            viewers[id as usize % 4].ask(id, id % 3 == 0, &format!("{}f3a9c21e0b4d6{:02x}", id % 2, id % 8), 4_000);
+            sleep(200);
         }
+    };
+    ask_until(5_000);
+    let (old, way) = (&servers[2], &links[2]);
+    if old.sessions().len() < 3 {
+        crate::cannot_run("too few sessions play at s-c");
     }
-    // Some others.
-    for n in 0..10 {
-        id += 1;
-        viewers[id as usize % 4].ask(id, false, &clip(CLIPS + n), 4_000);
-        sleep(100);
-    }
-    let licensed: Vec<u64> = (0x5001..=0x5000 + CLIPS * (seats + 1)).collect();
-    let there = |s: &Server| s.sessions().into_iter().filter(|id| licensed.contains(id)).count();
-    let Some(most) = (0..servers.len()).max_by_key(|i| there(&servers[*i])) else { return Vec::new() };
-    if there(&servers[most]) == 0 {
-        crate::cannot_run("no session of the class plays");
-    }
-    record.note(format!("{} has {} sessions of the class", servers[most].id, there(&servers[most])));
-
     let began = record.now();
+    // REUSE=0: the machine vanishes, and nobody takes its address.
+    let reuse = with.trouble && std::env::var("REUSE").map_or(true, |r| r != "0");
     if with.trouble {
-        let cut = links[most].cut();
-        record.until(cut + CUT);
-        links[most].heal();
+        way.cut();
+        old.vanish();
     } else {
-        record.until(began + CUT);
+        // The same sessions end at the same time, in the usual way.
+        old.sessions().into_iter().for_each(|id| old.ends_at(id, began));
     }
-    let back = record.now();
-    record.until(back + BACK + 100);
-    // Viewers come again, as after a break: one for each seat.
-    for n in 0..CLIPS {
-        for _ in 0..seats {
-            id += 1;
-            viewers[id as usize % 4].ask(id, true, &clip(n), 4_000);
-            sleep(150);
-        }
+    // The new server holds the titles of the other cell.
+    let new = Server::start_in(1, "s-e", 51_000, record);
+    ask_until(began + NEW_AFTER);
+    if reuse {
+        new.starts_now();
+        way.taken_over(&new);
+    }
+    ask_until(began + NEW_AFTER + TOLD_AFTER);
+    let mut told_at = record.now();
+    if reuse {
+        told_at = bus.tell(false, &[new.row_at("up", way.addr)], "s-e is up, at the address that s-c had");
     }
-    sleep(4_600);
+    ask_until(began + NOTICED);
+    if with.trouble {
+        bus.tell(false, &[old.row_at("removed", way.addr)], "s-c is gone");
+    }
+    ask_until(began + NOTICED + 5_000);
+    sleep(1_000);
     if !node.lives() {
         crate::cannot_run("the front node ended");
     }
     let all = record.all();
     node.kill();
-
-    // What servers saw: sessions of one clip and of the class, from the set-up that they read to the end.
-    let mut held: BTreeMap<String, BTreeSet<u64>> = BTreeMap::new();
-    let mut broken = Vec::new();
+    let mut released: BTreeMap<u64, Ms> = BTreeMap::new();
+    let mut over: BTreeMap<u64, Ms> = BTreeMap::new();
     for (at, seen) in &all {
         match seen {
-            Seen::Run { id, server, class, title } if class == "sponsor-spot" => {
-                let now = held.entry(title.clone()).or_default();
-                now.insert(*id);
-                if now.len() as u64 > seats && *at > back + BACK {
-                    broken.push(format!(
-                        "terms: {server} read the set-up of {id:016x}, session {} of clip {title}, which has {seats} seats",
-                        now.len()
-                    ));
-                }
+            Seen::Released { id, .. } => {
+                released.entry(*id).or_insert(*at);
             }
-            Seen::Over { id, .. } | Seen::TornDown { id, .. } => {
-                for sessions in held.values_mut() {
-                    sessions.remove(id);
-                }
+            Seen::Over { id, server } if server == "s-c" => {
+                over.insert(*id, *at);
             }
             _ => {}
         }
     }
-    let refused = all.iter().filter(|s| matches!(s.1, Seen::Refused { .. })).count();
-    let released = all.iter().filter(|s| matches!(s.1, Seen::Released { .. })).count();
-    record.note(format!("{refused} set-ups were refused, {released} sessions were released towards their viewers"));
-    if refused == 0 {
-        crate::cannot_run("the seats never bound");
+    let mut broken = Vec::new();
+    let mut strays = 0;
+    for (at, seen) in &all {
+        if let Seen::Run { id, server, title, .. } = seen
+            && server == "s-e"
+            && home(title) != "1"
+            && *at > told_at + GRACE
+        {
+            strays += 1;
+            record.note(format!(
+                "{id:016x}, of a title that s-a and s-c hold, was sent to s-e {} ms after the bus told whose address it is",
+                at - told_at
+            ));
+        }
+    }
+    // Not part of the check.
+    record.note(format!("{strays} set-ups went to a server that does not hold their titles"));
+    let by = if with.trouble { RELEASE } else { RELEASE_SENT };
+    for (id, end) in over {
+        match released.get(&id) {
+            Some(at) if *at <= end + by => {}
+            Some(at) => broken.push(format!("lost: {id:016x} was over with s-c and was released {} ms later", at - end)),
+            None => broken.push(format!("lost: {id:016x} was over with s-c and was never released")),
+        }
     }
     broken
 }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -20,8 +20,7 @@
     pub run: String,
     /// Whether the disruption takes place.
     pub trouble: bool,
-    /// Seats of the class `sponsor-spot` (0: no bound).
-    pub seats: u32,
+
 }
 
 /// Ends the case as one that could not run.
@@ -41,7 +40,6 @@
         dir: option("--dir").into(),
         run: option("--run"),
         trouble: std::env::var("TROUBLE").map_or(true, |t| t != "0"),
-        seats: if all[1] == "3" { 2 } else { 0 },
     };
     let record = world::Record::new(&PathBuf::from(option("--record")));
     record.note(format!("case {}, disruption: {}", all[1], with.trouble));
--- a/review/stand/wire.rs
+++ b/review/stand/wire.rs
@@ -81,10 +81,15 @@
     format!("{session:016x}\r\no={server}\r\nc=IN IP4 127.0.0.1\r\nm=video 32000 RTP/AVP 96\r\n")
 }
 
+/// The cell whose servers hold a title: its first digit.
+pub fn home(title: &str) -> &str {
+    title.get(..1).unwrap_or("0")
+}
+
 /// A set-up of a viewer; `at`: the server where the session plays already.
 pub fn set_up(session: u64, class: &str, title: &str, patience_ms: u64, at: Option<&str>) -> Binary {
     let at = at.map(|s| format!(";at:{s}")).unwrap_or_default();
-    let figures = format!("home:0;copies:1;top:4;viewer:{session:016x}{at}");
+    let figures = format!("home:{};copies:1;top:4;viewer:{session:016x}{at}", home(title));
     Binary::new(SETUP, session)
         .with(33, class)
         .with(36, patience_ms.to_string())
