--- a/review/stand/case1.rs
+++ b/review/stand/case1.rs
@@ -1,100 +1,137 @@
-//! Discovery is cut off for some twelve seconds and comes back. Then a server drains.
+//! A front node is restarted as planned; sessions come to their end while there is none.
 
 use crate::With;
-use crate::world::{Bus, Link, Ms, Node, Record, Seen, Server, Viewer, free_port, sleep};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
+use crate::world::{Bus, Ms, Node, Record, Seen, Server, Viewer, free_port, sleep};
+use std::collections::{BTreeMap, BTreeSet};
 
-/// How long discovery may be out of reach (the site file's `discovery_down`: 5.3 to 17 s).
-const OUTAGE: std::ops::RangeInclusive<Ms> = 5_300..=17_000;
-/// It is back so long after the last word that the front node read.
-const BACK: Ms = 15_100;
-/// Nothing new reaches a server later than this after it was told that it drains; every time limit is 50 ms longer.
-const GRACE: Ms = 250 + 50;
-/// How long the case watches after the event.
-const WATCH: Ms = 6_000;
+/// Sessions that play when the front node is restarted.
+const SESSIONS: u64 = 150;
+/// One in so many ends while there is no front node.
+const ONE_IN: u64 = 5;
+/// The front node ends within this after SIGTERM (the longest deadline, 3 s where it is longer, and 0.7 s; then SIGKILL).
+const ENDS: Ms = 4_700;
+/// How long there is no front node.
+const DOWN: Ms = 1_500;
+/// What stood and is over is released within this of its end where no release could be sent; every limit is 50 ms longer.
+const RELEASE: Ms = 8_000 + 50;
+/// Where a release could be sent at once: within this.
+const RELEASE_SENT: Ms = 1_000 + 50;
 
 pub fn run(with: &With, record: &Record) -> Vec<String> {
-    let servers: Vec<Server> = ["s-a", "s-b"].iter().map(|id| Server::start(id, 3_000, record)).collect();
+    let servers: Vec<Server> =
+        ["s-a", "s-b", "s-c"].iter().map(|id| Server::start(id, 3_600_000, record)).collect();
     let bus = Bus::start(record);
     let rows: Vec<String> = servers.iter().map(|s| s.row("up")).collect();
-    bus.tell(true, &rows, "s-a and s-b are up");
-    let way = Link::start("discovery", bus.addr, record);
-    let mut node = Node::start(with, free_port(), way.addr, &bus.known(), record);
+    bus.tell(true, &rows, "s-a, s-b and s-c are up");
+    let listen = free_port();
+    let mut node = Node::start(with, listen, bus.addr, &bus.known(), record);
+    let connect = |name: &str| {
+        Viewer::connect(name, listen, record).unwrap_or_else(|| crate::cannot_run("a viewer can't connect"))
+    };
+    let title = |id: u64| format!("0f3a9c21e0b4d6{:02x}", id % 8);
+    let paid = |id: u64| id % 3 == 0;
 
-    // Viewers: a set-up every 40 ms, by four connections in turn.
-    let done = Arc::new(AtomicBool::new(false));
-    let (told, over, to) = (record.clone(), done.clone(), node.listen);
-    let viewers = thread::spawn(move || {
-        let connect = |i: usize| Viewer::connect(&format!("viewer {i}"), to, &told);
-        let mut all: Vec<Viewer> = (0..4).filter_map(connect).collect();
-        if all.len() < 4 {
-            crate::cannot_run("viewers can't connect");
-        }
-        let mut id = 0x1000;
-        while !over.load(Ordering::SeqCst) {
-            id += 1;
-            let title = format!("0f3a9c21e0b4d6{:02x}", id % 5);
-            all[id as usize % 4].ask(id, id % 3 == 0, &title, 4_000);
-            sleep(40);
+    // The sessions are set up as usual, by four connections.
+    let mut before: Vec<Viewer> = (0..4).map(|i| connect(&format!("viewer {i}"))).collect();
+    let ids: Vec<u64> = (0x2001..=0x2000 + SESSIONS).collect();
+    for id in &ids {
+        before[*id as usize % 4].ask(*id, paid(*id), &title(*id), 4_000);
+        sleep(25);
+    }
+    sleep(300);
+    let at: BTreeMap<u64, usize> = servers
+        .iter()
+        .enumerate()
+        .flat_map(|(i, s)| s.sessions().into_iter().map(move |id| (id, i)))
+        .collect();
+    if at.len() < SESSIONS as usize / 2 {
+        crate::cannot_run("too few sessions play");
+    }
+    // Those that are over while there is no front node; and some that end later, to see that releases arrive.
+    let playing: Vec<u64> = at.keys().copied().collect();
+    let (mut ending, mut later) = (BTreeSet::new(), BTreeSet::new());
+    for (n, id) in playing.iter().enumerate() {
+        if n as u64 % ONE_IN == ONE_IN - 1 {
+            ending.insert(*id);
+        } else if n as u64 % ONE_IN == 0 {
+            later.insert(*id);
         }
-        // Answers that are still owed.
-        sleep(4_500);
-        drop(all);
-    });
-    sleep(2_000);
-
-    // Cut off between two words of the bus.
-    let before = bus.words();
-    while bus.words() == before {
-        sleep(1);
     }
-    let last_word = record.note("the bus has written a comment");
-    record.until(last_word + 150);
-    if with.trouble {
-        let began = way.cut();
-        record.until(last_word + BACK);
-        let ended = way.heal();
-        record.note(format!("discovery was cut off for {} ms", ended - began));
-        if !OUTAGE.contains(&(ended - began)) {
-            crate::cannot_run("the outage was not as long as it is to be");
+
+    let mut viewers = if with.trouble {
+        node.signal("-TERM");
+        record.note("SIGTERM goes to the front node");
+        let asked_to_end = record.now();
+        while node.lives() {
+            if record.now() > asked_to_end + ENDS {
+                crate::cannot_run("the front node did not end after SIGTERM");
+            }
+            sleep(5);
+        }
+        let ended = record.note("the front node has ended");
+        drop(before);
+        for (n, id) in ending.iter().enumerate() {
+            servers[at[id]].ends_at(*id, ended + 200 + 30 * n as Ms);
         }
+        record.until(ended + DOWN);
+        node = Node::start(with, listen, bus.addr, &bus.known(), record);
+        // The platform was told of no end: it hands over all that it knows to play, as soon as the test has been passed.
+        let mut viewers: Vec<Viewer> = (4..8).map(|i| connect(&format!("viewer {i}"))).collect();
+        let began = record.now();
+        for (n, id) in playing.iter().enumerate() {
+            let by = n * viewers.len() / playing.len();
+            viewers[by].hand_over(*id, paid(*id), &title(*id), &servers[at[id]].id);
+        }
+        record.note(format!("{} sessions were handed over within {} ms", playing.len(), record.now() - began));
+        viewers
     } else {
-        record.until(last_word + BACK);
+        let now = record.now();
+        for (n, id) in ending.iter().enumerate() {
+            servers[at[id]].ends_at(*id, now + 200 + 30 * n as Ms);
+        }
+        record.until(now + DOWN);
+        before
+    };
+    // It serves: new sessions, and those that end now are released.
+    let now = record.now();
+    for (n, id) in later.iter().enumerate() {
+        servers[at[id]].ends_at(*id, now + 1_000 + 50 * n as Ms);
     }
-    sleep(100);
-    let told_at = bus.tell(false, &[servers[1].row("draining")], "s-b drains");
-    record.until(told_at + WATCH);
+    for id in 0x3001..=0x3014 {
+        viewers[id as usize % 4].ask(id, paid(id), &title(id), 4_000);
+        sleep(100);
+    }
+    let last_end = record.all().iter().filter(|s| matches!(s.1, Seen::Over { .. })).map(|s| s.0).max().unwrap_or(now);
+    record.until(last_end.max(now) + RELEASE + 1_000);
     if !node.lives() {
         crate::cannot_run("the front node ended");
     }
-    done.store(true, Ordering::SeqCst);
-    if viewers.join().is_err() {
-        crate::cannot_run("the viewers failed");
-    }
+    let all = record.all();
     node.kill();
 
-    let all = record.all();
-    let sent: Vec<(Ms, u64)> = all
-        .iter()
-        .filter_map(|(at, s)| match s {
-            Seen::Run { id, server, .. } if server == "s-b" => Some((*at, *id)),
-            _ => None,
-        })
-        .collect();
-    if !sent.iter().any(|s| s.0 < told_at) {
-        crate::cannot_run("no set-up ever went to s-b");
+    let mut released: BTreeMap<u64, Ms> = BTreeMap::new();
+    for (at, seen) in &all {
+        if let Seen::Released { id, .. } = seen {
+            released.entry(*id).or_insert(*at);
+        }
+    }
+    let (mut broken, mut seen_over) = (Vec::new(), 0);
+    for (over_at, seen) in &all {
+        let Seen::Over { id, server } = seen else { continue };
+        seen_over += 1;
+        let by = if ending.contains(id) && with.trouble { RELEASE } else { RELEASE_SENT };
+        match released.get(id) {
+            Some(at) if *at <= over_at + by => {}
+            Some(at) => broken.push(format!("lost: {id:016x} was over at {server} and was released {} ms later", at - over_at)),
+            None => broken.push(format!(
+                "lost: {id:016x} was over at {server}, its release was written to the front node, and its viewer never heard of it in {} ms",
+                record.now() - over_at
+            )),
+        }
+    }
+    record.note(format!("{seen_over} sessions came to their end, {} of them were released towards their viewers", released.len()));
+    if seen_over < 10 {
+        crate::cannot_run("too few sessions ended");
     }
-    let later = |by: Ms| sent.iter().filter(|s| s.0 > told_at + by).count();
-    record.note(format!(
-        "set-ups that s-b read after its drain was told: {}; later than {GRACE} ms: {}",
-        later(0),
-        later(GRACE),
-    ));
-    let late = sent.iter().filter(|s| s.0 > told_at + GRACE);
-    late.map(|(at, id)| {
-        format!("drain: {id:016x} was sent to s-b {} ms after the bus had told that it drains", at - told_at)
-    })
-    .collect()
+    broken
 }
