End each front node of a case by its own number, whichever was started last

Cause: after a restart within a case the note of the second process was removed with the first; a script that was stopped could have left it.

--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -612,7 +612,8 @@
 pub struct Node {
     child: Child,
     pub listen: SocketAddr,
-    pids: PathBuf,
+    /// Where its process is noted, for the script to end it if this program can't.
+    pid: PathBuf,
 }
 
 pub fn free_port() -> SocketAddr {
@@ -655,12 +656,10 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
-        let pids = with.dir.join("pids");
-        if let Ok(mut f) = File::options().create(true).append(true).open(&pids) {
-            let _ = writeln!(f, "{}", child.id());
-        }
+        let pid = with.dir.join(format!("node-{}.pid", child.id()));
+        let _ = std::fs::write(&pid, format!("{}\n", child.id()));
         record.note("the front node is started");
-        let mut node = Node { child, listen, pids };
+        let mut node = Node { child, listen, pid };
         let until = Instant::now() + Duration::from_secs(30);
         while !passes(listen) {
             if Instant::now() > until || !matches!(node.child.try_wait(), Ok(None)) {
@@ -689,7 +688,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.pids);
+        let _ = std::fs::remove_file(&self.pid);
     }
 }
 
