--- a/review/stand/case1.rs
+++ b/review/stand/case1.rs
@@ -82,7 +82,11 @@
             let by = n * viewers.len() / playing.len();
             viewers[by].hand_over(*id, paid(*id), &title(*id), &servers[at[id]].id);
         }
-        record.note(format!("{} sessions were handed over within {} ms", playing.len(), record.now() - began));
+        record.note(format!(
+            "{} sessions were handed over within {} ms",
+            playing.len(),
+            record.now() - began
+        ));
         viewers
     } else {
         let now = record.now();
@@ -101,7 +105,8 @@
         viewers[id as usize % 4].ask(id, paid(id), &title(id), 4_000);
         sleep(100);
     }
-    let last_end = record.all().iter().filter(|s| matches!(s.1, Seen::Over { .. })).map(|s| s.0).max().unwrap_or(now);
+    let last_end =
+        record.all().iter().filter(|s| matches!(s.1, Seen::Over { .. })).map(|s| s.0).max().unwrap_or(now);
     record.until(last_end.max(now) + RELEASE + 1_000);
     if !node.lives() {
         crate::cannot_run("the front node ended");
@@ -129,7 +134,10 @@
             )),
         }
     }
-    record.note(format!("{seen_over} sessions came to their end, {} of them were released towards their viewers", released.len()));
+    record.note(format!(
+        "{seen_over} sessions came to their end, {} of them were released towards their viewers",
+        released.len()
+    ));
     if seen_over < 10 {
         crate::cannot_run("too few sessions ended");
     }
--- a/review/stand/case3.rs
+++ b/review/stand/case3.rs
@@ -34,7 +34,12 @@
     let mut ask_until = |at: Ms| {
         while record.now() < at {
             id += 1;
-            viewers[id as usize % 4].ask(id, id % 3 == 0, &format!("{}f3a9c21e0b4d6{:02x}", id % 2, id % 8), 4_000);
+            viewers[id as usize % 4].ask(
+                id,
+                id % 3 == 0,
+                &format!("{}f3a9c21e0b4d6{:02x}", id % 2, id % 8),
+                4_000,
+            );
             sleep(200);
         }
     };
@@ -110,7 +115,8 @@
     for (id, end) in over {
         match released.get(&id) {
             Some(at) if *at <= end + by => {}
-            Some(at) => broken.push(format!("lost: {id:016x} was over with s-c and was released {} ms later", at - end)),
+            Some(at) => broken
+                .push(format!("lost: {id:016x} was over with s-c and was released {} ms later", at - end)),
             None => broken.push(format!("lost: {id:016x} was over with s-c and was never released")),
         }
     }
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -20,7 +20,6 @@
     pub run: String,
     /// Whether the disruption takes place.
     pub trouble: bool,
-
 }
 
 /// Ends the case as one that could not run.
--- a/review/stand/world.rs
+++ b/review/stand/world.rs
@@ -27,29 +27,69 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Seen {
     /// A viewer wrote a set-up that wants an answer.
-    Asked { id: u64, paid: bool, patience: Ms },
+    Asked {
+        id: u64,
+        paid: bool,
+        patience: Ms,
+    },
     /// The platform handed a session over that plays already.
-    Handed { id: u64, at: String },
+    Handed {
+        id: u64,
+        at: String,
+    },
     /// A viewer read its final answer.
-    Served { id: u64, body: String },
-    Refused { id: u64 },
-    Failed { id: u64 },
+    Served {
+        id: u64,
+        body: String,
+    },
+    Refused {
+        id: u64,
+    },
+    Failed {
+        id: u64,
+    },
     /// A viewer read the release of a session that stood.
-    Released { id: u64, cause: u8 },
+    Released {
+        id: u64,
+        cause: u8,
+    },
     /// A viewer's connection ended.
-    Cut { viewer: String },
+    Cut {
+        viewer: String,
+    },
     /// A server read a set-up whole.
-    Run { id: u64, server: String, class: String, title: String },
+    Run {
+        id: u64,
+        server: String,
+        class: String,
+        title: String,
+    },
     /// A server wrote its answer: the session stands.
-    Stands { id: u64, server: String, body: String },
+    Stands {
+        id: u64,
+        server: String,
+        body: String,
+    },
     /// A session came to its end at its server.
-    Over { id: u64, server: String },
+    Over {
+        id: u64,
+        server: String,
+    },
     /// A server wrote the release of a session on a connection of the front node.
-    ReleaseSent { id: u64, server: String },
+    ReleaseSent {
+        id: u64,
+        server: String,
+    },
     /// A server read that a set-up is given up or a session released.
-    TornDown { id: u64, server: String },
+    TornDown {
+        id: u64,
+        server: String,
+    },
     /// An event was put into the bus.
-    Told { event: u64, what: String },
+    Told {
+        event: u64,
+        what: String,
+    },
     /// Anything else that belongs to the story.
     Note(String),
 }
@@ -137,7 +177,8 @@
     }
 
     pub fn start_in(cell: u32, id: &str, life: Ms, record: &Record) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
+        let listener =
+            TcpListener::bind(("127.0.0.1", 0)).unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
         let addr = listener.local_addr().unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
         let state = Arc::new(Mutex::new(ServerState { life, ..ServerState::default() }));
         let server = Server { id: id.to_owned(), addr, cell, state, record: record.clone() };
@@ -310,7 +351,8 @@
             let use_now = s.standing.len() as f64 * 0.0025;
             let told: Vec<(u64, u64)> = s.standing.iter().map(|(id, o)| (*id, o.0)).collect();
             for (id, own) in told {
-                let conn = if s.conns.contains_key(&own) { Some(own) } else { s.conns.keys().next().copied() };
+                let conn =
+                    if s.conns.contains_key(&own) { Some(own) } else { s.conns.keys().next().copied() };
                 if let Some(conn) = conn {
                     Self::write(&mut s, conn, &wire::note(id, use_now));
                 }
@@ -337,7 +379,8 @@
 
 impl Bus {
     pub fn start(record: &Record) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
+        let listener =
+            TcpListener::bind(("127.0.0.1", 0)).unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
         let addr = listener.local_addr().unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
         let bus = Bus { addr, state: Arc::default(), record: record.clone() };
         let accepting = bus.clone();
@@ -432,7 +475,8 @@
 
 impl Link {
     pub fn start(whose: &str, to: SocketAddr, record: &Record) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
+        let listener =
+            TcpListener::bind(("127.0.0.1", 0)).unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
         let addr = listener.local_addr().unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
         let link = Link {
             addr,
@@ -635,9 +679,16 @@
 
 impl Node {
     /// Starts it by the deploy file's command, as the platform does.
-    pub fn start(with: &crate::With, listen: SocketAddr, bus: SocketAddr, known: &str, record: &Record) -> Self {
+    pub fn start(
+        with: &crate::With, listen: SocketAddr, bus: SocketAddr, known: &str, record: &Record,
+    ) -> Self {
         let config = with.dir.join("config.json");
-        let seed = format!("{:016x}", std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(1, |d| d.as_nanos() as u64));
+        let seed = format!(
+            "{:016x}",
+            std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .map_or(1, |d| d.as_nanos() as u64)
+        );
         let text = format!(
             r#"{{"name":"n3","listen":"{listen}","seed":"{seed}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"bus":"{bus}","known":{known},"settings":{SETTINGS}}}"#
         );
