Call the event bus again while an earlier call is out, so that drains are heard in time

Cause: the follower made one call at a time and waited 1, 2, 4, then 8 s for it, connecting included. A call that began in the outage does not notice its end before the operating system retransmits its lost connection attempt, seconds apart. Evidence: sampled sockets show one connection in SYN_SENT, its fifth retransmission 0.25 s before discovery is back, its sixth 1.77 s after; the bus tells the drain in the millisecond of that call. The log had one line for 'does not connect' and 'is not answered' and could not tell them apart; it has two now.

Change: a call that is out never puts off the next one. While none connects, an attempt is made within half of the drain grace, beside the oldest one, which stays for slow networks. A connected call is joined by another after 1, 2, then 4 s, the time after which events count as delivered; two wait at the same time, so a slow bus keeps its 8 s. Four are out at most. The core is told of the connection and of the stream apart. So after an outage the newest attempt is never older than half of the grace. The same cause held up a node whose accepted call was then cut off: mended, with a test of its own.

Tests, seen to fail before the change: bus a_drain_is_kept_to_in_time_however_long_the_bus_was_cut_off (at 5,950 ms), bus a_drain_is_kept_to_in_time_after_a_cut_that_began_while_a_call_was_waited_for, cli discovery a_drain_is_heard_in_time_from_a_bus_that_was_cut_off. Tests of the follower's own methods are adapted to its new methods with the same counts and bounds; the one on a slow bus also bounds the time between calls. The test world retransmits connection attempts as an operating system does, and tells bytes to the stream that was answered last.

--- a/crates/cli/tests/discovery.rs
+++ b/crates/cli/tests/discovery.rs
@@ -250,6 +250,42 @@
     });
 }
 
+/// When the bus is reachable again after its last word. The connection attempts made until then are in a pause between two
+/// retransmissions of their operating system, which come a second or more apart.
+const REACHABLE_AFTER: Duration = Duration::from_millis(6_850);
+
+/// The bus is cut off while idle clients take what descriptors they are given.
+async fn cut_off(sockets: u32, clients: usize) {
+    let tag = format!("cut-off-{sockets}");
+    let bus = CommandedBus::start_with_short_backlog().await;
+    let stage = Stage::with(&tag, bus.addr, sockets).await;
+    let idle = idle_clients(stage.node.listen, clients);
+    let first = bus.stream().await;
+    first.falls_silent();
+    let last_word = tokio::time::Instant::now();
+    let fillers = bus.cut_off().await;
+    tokio::time::sleep_until(last_word + REACHABLE_AFTER).await;
+    bus.reachable_again(fillers).await;
+    // More than 4 s after the silence began, an event counts as delivered at once.
+    stage.in_the_bus(0);
+    let second = bus.stream().await;
+    assert_eq!(second.last, 1);
+    stage.tell(&second, 2).await;
+    let log = std::fs::read_to_string(log_of(&stage.node.config)).expect("a log");
+    assert!(log.contains("the event bus can't be reached"), "{tag}: it was not cut off");
+    assert!(!log.contains("no connection can be accepted"), "{tag}: descriptors were short");
+    stage.judged(&tag).await;
+    idle.iter().for_each(JoinHandle::abort);
+}
+
+// Guards against set-ups to a draining server while the call made before the network came back was still waited for.
+#[test]
+fn a_drain_is_heard_in_time_from_a_bus_that_was_cut_off() {
+    on_one_thread(async {
+        tokio::join!(cut_off(256, 0), cut_off(64, 60));
+    });
+}
+
 // ----- reloads
 
 async fn moves_and_drains_at_once() {
--- a/crates/cli/tests/platform/bus.rs
+++ b/crates/cli/tests/platform/bus.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{AbortHandle, spawn_local};
 
 /// What a stream opens with.
@@ -14,6 +14,13 @@
 /// Between two comments; the platform's bus says one each second.
 const COMMENTS: Duration = Duration::from_millis(500);
 
+/// The accept queue of a bus that can be cut off, which is filled to cut it off.
+const SHORT_BACKLOG: u32 = 1;
+/// A connection that has not come up within this time finds the accept queue full.
+const QUEUE_IS_FULL: Duration = Duration::from_millis(100);
+/// Maximum connections that are tried to fill the accept queue.
+const MAX_FILLERS: usize = 16;
+
 /// The event bus. A call that the test has not taken hangs: the operating system accepted it, and nobody
 /// answers.
 pub struct CommandedBus {
@@ -33,6 +40,35 @@
         CommandedBus { addr, listener }
     }
 
+    /// A bus that [`Self::cut_off`] can cut off.
+    pub async fn start_with_short_backlog() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+        let listener = socket.listen(SHORT_BACKLOG).expect("it listens");
+        let addr = listener.local_addr().expect("an address");
+        CommandedBus { addr, listener }
+    }
+
+    /// Cuts the bus off as a network does: new connections never come up, because the accept queue is full. Returns the
+    /// connections that fill it.
+    pub async fn cut_off(&self) -> Vec<TcpStream> {
+        let mut fillers = Vec::new();
+        while fillers.len() < MAX_FILLERS {
+            match tokio::time::timeout(QUEUE_IS_FULL, TcpStream::connect(self.addr)).await {
+                Ok(filler) => fillers.push(filler.expect("it comes up")),
+                Err(_) => return fillers,
+            }
+        }
+        panic!("the accept queue could not be filled");
+    }
+
+    /// Ends a cut: the queue is empty, and new connections come up.
+    pub async fn reachable_again(&self, fillers: Vec<TcpStream>) {
+        for _ in &fillers {
+            self.listener.accept().await.expect("a filler");
+        }
+    }
+
     /// Takes the next call, and reads what it asks for; nothing is answered yet.
     pub async fn call(&self) -> Call {
         let (stream, _) = self.listener.accept().await.expect("a call");
--- a/crates/lab/src/joined.rs
+++ b/crates/lab/src/joined.rs
@@ -480,15 +480,19 @@
             }
             Ev::Up(n, conn) => {
                 let Some(front) = self.fronts.get_mut(&n) else { return };
+                let (conn_id, is_bus) = (ConnId(conn), front.bus == conn);
                 if let Some(link) = front.links.get_mut(&conn) {
                     link.1 = true;
                     let server = link.0;
                     let acts = self.servers[server].opened(key(n, conn));
                     self.acts(server, acts);
-                } else if front.bus != conn {
+                } else if !is_bus {
                     return;
                 }
-                self.feed(n, Input::Connected { conn: ConnId(conn) });
+                self.feed(n, Input::Connected { conn: conn_id });
+                if is_bus {
+                    self.feed(n, Input::StreamOpened { conn: conn_id });
+                }
             }
             Ev::ToNode(n, conn, bytes) => self.feed(n, Input::Data { conn: ConnId(conn), bytes: &bytes }),
             Ev::ToServer(n, conn, bytes) => {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -2,7 +2,7 @@
 //!
 //! Each input updates the state and produces events for the module, whose actions are then applied.
 
-use crate::bus::{Follower, Step};
+use crate::bus::{Follower, Outage, Step};
 use crate::config::Config;
 use crate::io::{ConnId, Input, Output};
 use crate::limits::{self, SECOND};
@@ -32,6 +32,8 @@
 const MAX_LINGER_DEADLINE: Nanos = 3 * SECOND;
 /// After the final answers a stopping node waits this long for its peers to receive them, and ends before it may be killed.
 const FLUSH_TIME: Nanos = 50 * limits::MS;
+/// Shortest time between two log lines about calls of the event bus that are of no use.
+const OUTAGE_LOG_INTERVAL: Nanos = SECOND;
 /// Maximum releases that wait for a connection; the oldest is dropped for a newer one.
 const MAX_RELEASES: usize = 4096;
 
@@ -82,6 +84,7 @@
             ready: false,
             counts: Counts::default(),
             status_logged_at: now,
+            outage_logged_at: 0,
         };
         node.apply_known_events(&config.known);
         node.set_timer(now, TimerKind::Maintenance);
@@ -163,9 +166,16 @@
         match input {
             Input::ViewerConnected { conn } => self.viewer_connected(conn),
             Input::Data { conn, bytes } => self.data(conn, bytes),
-            Input::Connected { conn } if self.follower.owns(conn) => self.follower.stream_opened(self.now),
+            Input::Connected { conn } if self.follower.owns(conn) => {
+                let given_up = self.follower.connected(conn, self.now);
+                self.close_all(given_up);
+            }
             Input::Connected { conn } => self.link_connected(conn),
-            Input::Closed { conn, .. } if self.follower.owns(conn) => self.bus_closed(),
+            Input::StreamOpened { conn } => {
+                let others = self.follower.stream_opened(conn, self.now);
+                self.close_all(others);
+            }
+            Input::Closed { conn, .. } if self.follower.owns(conn) => self.bus_closed(conn),
             Input::Closed { conn, .. } if self.viewers.contains_key(&conn) => self.viewer_closed(conn),
             Input::Closed { conn, written, refused } => self.link_closed(conn, written, refused),
             Input::Blocked { conn, written } => self.link_blocked(conn, written),
@@ -174,7 +184,7 @@
                 if addr != self.follower.addr() {
                     info!(%addr, "the event bus moved");
                     let old = self.follower.set_addr(addr, self.now);
-                    self.out.extend(old.map(|conn| Output::Close { conn }));
+                    self.close_all(old);
                 }
             }
             Input::ColdBudgetShare { guaranteed, leased, lease_duration } => {
@@ -208,13 +218,13 @@
             self.handle_viewer_data(conn, bytes);
         } else if self.links.contains_key(&conn) {
             self.handle_server_data(conn, bytes);
-        } else if self.follower.owns(conn) {
+        } else if self.follower.streams_on(conn) {
             let mut changes = Vec::new();
             let usable = self.follower.feed(bytes, self.now, &mut changes);
             changes.iter().for_each(|c| self.apply_change(c, None));
             if !usable {
                 self.out.push(Output::Close { conn });
-                self.bus_closed();
+                self.bus_closed(conn);
             }
         }
     }
@@ -396,26 +406,46 @@
     // ----- the event bus
 
     fn follow_bus(&mut self) {
-        match self.follower.next_step(self.now) {
-            Step::Wait => return,
-            Step::Close(conn) => {
-                let (last, open) = (self.follower.last(), self.follower.is_open());
-                warn!(last, open, "the event bus is silent");
-                self.out.push(Output::Close { conn });
-                self.bus_closed();
-            }
-            Step::Connect => {}
+        if let Step::Close(conn) = self.follower.next_step(self.now) {
+            warn!(last = self.follower.last(), "the event bus is silent");
+            self.out.push(Output::Close { conn });
+            self.bus_closed(conn);
         }
         if self.follower.next_step(self.now) == Step::Connect {
-            let conn = self.next_conn();
-            self.follower.connecting(conn, self.now);
-            self.out.push(Output::Subscribe { conn, addr: self.follower.addr(), last: self.follower.last() });
+            self.call_bus();
         }
     }
 
-    fn bus_closed(&mut self) {
+    /// Makes a call of the event bus, beside those that are out.
+    fn call_bus(&mut self) {
+        self.log_bus_outage();
+        let (conn, jitter) = (self.next_conn(), self.random.random());
+        let replaced = self.follower.call_started(conn, self.now, jitter);
+        self.close_all(replaced);
+        self.out.push(Output::Subscribe { conn, addr: self.follower.addr(), last: self.follower.last() });
+    }
+
+    /// Logs why another call is made, at intervals.
+    fn log_bus_outage(&mut self) {
+        let outage = self.follower.outage();
+        if outage == Outage::NoCall || self.now < self.outage_logged_at + OUTAGE_LOG_INTERVAL {
+            return;
+        }
+        self.outage_logged_at = self.now;
+        let last = self.follower.last();
+        match outage {
+            Outage::Unanswered => warn!(last, "the event bus does not answer: it is called again"),
+            _ => warn!(last, "the event bus can't be reached: no connection comes up"),
+        }
+    }
+
+    fn bus_closed(&mut self, conn: ConnId) {
         let jitter = self.random.random();
-        self.follower.closed(self.now, jitter);
+        self.follower.closed(conn, self.now, jitter);
+    }
+
+    fn close_all(&mut self, conns: Vec<ConnId>) {
+        self.out.extend(conns.into_iter().map(|conn| Output::Close { conn }));
     }
 
     // ----- timers, numbers
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -42,11 +42,16 @@
         /// The bytes.
         bytes: &'a [u8],
     },
-    /// A connection that the core requested is established; for the event bus, its stream is open.
+    /// A connection that the core requested is established.
     Connected {
         /// The connection.
         conn: ConnId,
     },
+    /// The event bus has answered on a connection: its stream is open.
+    StreamOpened {
+        /// The connection.
+        conn: ConnId,
+    },
     /// A connection was closed or could not be established.
     Closed {
         /// The connection.
@@ -122,7 +127,8 @@
         /// The server's address.
         addr: SocketAddr,
     },
-    /// Open a stream of the event bus; its content is passed in as [`Input::Data`].
+    /// Open a stream of the event bus: [`Input::Connected`] and [`Input::StreamOpened`] follow, then its content as
+    /// [`Input::Data`].
     Subscribe {
         /// The id of the new connection.
         conn: ConnId,
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -572,15 +572,16 @@
 
     async fn read_bus(self: &Rc<Self>, conn: ConnId, addr: SocketAddr, last: u64) -> Result<(), CallError> {
         // The core decides how long a call may take, and closes the connection.
-        let limit = Duration::from_nanos(limits::bus::MAX_CALL_TIMEOUT);
+        let limit = Duration::from_nanos(limits::bus::MAX_CONNECT_TIMEOUT);
         let mut bus = Connection::open(addr, limit, Limits::default()).await?;
+        self.feed(Input::Connected { conn });
         let request = Request::new(Method::Get, "/bus/read").with("accept", "text/event-stream");
         let answer = bus.open_stream(&request.with("last-event-id", last.to_string())).await?;
         if answer.status != 200 {
             warn!(status = answer.status, "the event bus refuses");
             return Ok(());
         }
-        self.feed(Input::Connected { conn });
+        self.feed(Input::StreamOpened { conn });
         while let Some(bytes) = bus.chunk().await? {
             self.feed(Input::Data { conn, bytes: &bytes });
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -179,6 +179,8 @@
     pub(crate) ready: bool,
     pub(crate) counts: Counts,
     pub(crate) status_logged_at: Nanos,
+    /// When a fault of the event bus was last logged.
+    pub(crate) outage_logged_at: Nanos,
 }
 
 /// State of the recovery after a restart.
--- a/crates/node/tests/bus.rs
+++ b/crates/node/tests/bus.rs
@@ -7,7 +7,7 @@
 use micadyke_node::limits;
 use micadyke_node::{ConnId, Input};
 use micadyke_standin::platform::{MediaServer, Record, Seen, Treat, bus_event, verdict};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use world::*;
 
@@ -334,6 +334,47 @@
     }
 }
 
+/// Time from the end of an outage of the bus to the drain.
+const DRAIN_AFTER: u64 = 100 * MS;
+
+// Guards against set-ups to a draining server while the call made before the network came back was still waited for.
+#[test]
+fn a_drain_is_kept_to_in_time_however_long_the_bus_was_cut_off() {
+    for outage in (5_300..=17_000).step_by(650) {
+        let mut day = Day::new();
+        day.w.bus_comment();
+        day.w.cut_bus();
+        day.traffic(outage * MS);
+        day.w.bus_cut = false;
+        day.traffic(DRAIN_AFTER);
+        let told = day.w.now;
+        day.drain(2);
+        day.traffic(4 * SECOND);
+        assert_eq!(day.judged(told), Vec::<String>::new(), "cut off for {outage} ms");
+    }
+}
+
+// Guards against set-ups to a draining server while a call that was accepted before the network was cut off is waited for.
+#[test]
+fn a_drain_is_kept_to_in_time_after_a_cut_that_began_while_a_call_was_waited_for() {
+    let mut day = Day::new();
+    // Calls that are accepted and not answered make the node more patient, up to the longest time.
+    day.w.stop_bus();
+    day.w.bus_hangs = 4;
+    while day.w.bus_hangs > 0 {
+        day.traffic(EACH);
+    }
+    day.w.bus_cut = true;
+    // By more than the 4 s after which events count as delivered.
+    day.traffic(5 * SECOND);
+    day.w.bus_cut = false;
+    day.traffic(DRAIN_AFTER);
+    let told = day.w.now;
+    day.drain(2);
+    day.traffic(4 * SECOND);
+    assert_eq!(day.judged(told), Vec::<String>::new());
+}
+
 #[test]
 fn a_server_that_a_whole_list_leaves_out_is_sent_nothing_more() {
     let mut day = Day::new();
@@ -357,7 +398,16 @@
 #[test]
 fn no_bus_makes_a_node_call_without_a_pause() {
     type Trouble = fn(&mut Day);
-    let table: [(&str, Trouble, usize); 5] = [
+    let table: [(&str, Trouble, usize); 7] = [
+        ("connections that never come up", |d| d.w.cut_bus(), 400),
+        (
+            "calls that are accepted and never answered",
+            |d| {
+                d.w.stop_bus();
+                d.w.bus_hangs = u32::MAX;
+            },
+            8,
+        ),
         ("an event that can't be read", |d| d.w.bus_raw(2, unreadable(2)), 2),
         ("an event that never ends", |d| d.w.bus_raw(2, endless(2)), 2),
         ("a gap", |d| d.w.bus(9, false, ""), 2),
@@ -498,20 +548,24 @@
     // Time from the call to the stream, and the number of calls until it opens.
     for (answers, calls) in [(500 * MS, 1), (1500 * MS, 2), (3 * SECOND, 3), (7 * SECOND, 4)] {
         let mut follower = Follower::new(addr(2), 1, 125 * MS, START);
-        let (mut now, mut asked, mut opens) = (START, 0, None);
+        let (mut now, mut asked, mut due, mut last_call) = (START, 0, Vec::new(), START);
         while !follower.is_open() && now < START + 60 * SECOND {
             match follower.next_step(now) {
                 Step::Connect => {
                     asked += 1;
-                    follower.connecting(ConnId(asked), now);
-                    opens = Some(now + answers);
+                    // Whatever it waits for, after this time the events of the bus count as delivered.
+                    assert!(now <= last_call + 4 * SECOND, "{answers}");
+                    last_call = now;
+                    let mut closed = follower.call_started(ConnId(asked), now, 1.0);
+                    closed.extend(follower.connected(ConnId(asked), now));
+                    due.push((now + answers, ConnId(asked)));
+                    due.retain(|(_, conn)| !closed.contains(conn));
                 }
-                Step::Close(_) => {
-                    follower.closed(now, 1.0);
-                    opens = None;
-                }
-                Step::Wait if opens == Some(now) => follower.stream_opened(now),
-                Step::Wait => now = follower.wake_at().min(opens.unwrap_or(u64::MAX)),
+                Step::Close(_) => panic!("no stream is open"),
+                Step::Wait => match due.first() {
+                    Some(&(at, conn)) if at <= now => drop(follower.stream_opened(conn, now)),
+                    first => now = follower.wake_at().min(first.map_or(u64::MAX, |f| f.0)),
+                },
             }
         }
         assert!(follower.is_open(), "{answers}");
@@ -525,25 +579,88 @@
     let mut now = START;
     for n in 0..50 {
         now = follower.wake_at();
-        follower.connecting(ConnId(n), now);
-        follower.closed(now, 1.0);
+        follower.call_started(ConnId(n), now, 1.0);
+        follower.closed(ConnId(n), now, 1.0);
     }
     now = follower.wake_at().max(now);
-    follower.connecting(ConnId(99), now);
+    follower.call_started(ConnId(99), now, 1.0);
+    follower.connected(ConnId(99), now);
     assert_eq!(follower.wake_at(), now + SECOND);
 }
 
+/// A bus that answers so many calls a second, one after the other, also those that nobody waits for any more.
+const CROWDED_CALLS_PER_SECOND: u64 = 60;
+
+#[test]
+fn a_crowded_bus_is_heard_by_all_in_the_end() {
+    let mut fleet: Vec<Follower> = (0..300).map(|_| Follower::new(addr(2), 1, 125 * MS, START)).collect();
+    let (mut queue, mut next_conn, mut now) = (VecDeque::new(), 0, START);
+    while fleet.iter().any(|follower| !follower.is_open()) {
+        assert!(now < START + 60 * SECOND, "some never hear of the bus");
+        for (n, follower) in fleet.iter_mut().enumerate() {
+            // A stream that is open stays so.
+            if !follower.is_open() && follower.next_step(now) == Step::Connect {
+                next_conn += 1;
+                follower.call_started(ConnId(next_conn), now, n as f64 / 300.0);
+                follower.connected(ConnId(next_conn), now);
+                queue.push_back((n, ConnId(next_conn)));
+            }
+        }
+        if let Some((n, conn)) = queue.pop_front() {
+            fleet[n].stream_opened(conn, now);
+        }
+        now += SECOND / CROWDED_CALLS_PER_SECOND;
+    }
+}
+
+#[test]
+fn few_calls_are_out_however_long_the_bus_can_not_be_reached() {
+    let mut follower = Follower::new(addr(2), 1, 125 * MS, START);
+    let (mut now, mut out) = (START, BTreeSet::new());
+    for n in 0..2_000 {
+        now = now.max(follower.wake_at());
+        assert_eq!(follower.next_step(now), Step::Connect);
+        out.insert(n);
+        let mut closed = follower.call_started(ConnId(n), now, 0.5);
+        // At times one connects and is never answered.
+        if n % 7 == 0 {
+            closed.extend(follower.connected(ConnId(n), now));
+        }
+        closed.iter().for_each(|conn| assert!(out.remove(&conn.0)));
+        assert!(out.iter().all(|n| follower.owns(ConnId(*n))));
+        // Two that wait for answers, and two that connect.
+        assert!(out.len() <= 4, "{out:?}");
+    }
+    let closed: BTreeSet<u64> = follower.set_addr(addr(3), now).iter().map(|conn| conn.0).collect();
+    assert_eq!(closed, out);
+}
+
+#[test]
+fn a_connection_that_takes_longer_than_the_pause_between_attempts_is_waited_for() {
+    let mut follower = Follower::new(addr(2), 1, 125 * MS, START);
+    let mut out = BTreeSet::new();
+    while follower.wake_at() < START + 3 * SECOND {
+        let now = follower.wake_at();
+        out.insert(now);
+        let replaced = follower.call_started(ConnId(now), now, 1.0);
+        replaced.iter().for_each(|conn| assert!(out.remove(&conn.0)));
+    }
+    assert!(out.contains(&START), "the first attempt was given up");
+    assert_eq!(follower.connected(ConnId(START), START + 3 * SECOND).len(), out.len() - 1);
+    assert_eq!(follower.wake_at(), START + 4 * SECOND);
+}
+
 #[test]
 fn a_doubt_about_the_old_bus_is_no_word_on_the_new_one() {
     let mut follower = Follower::new(addr(2), 1, 125 * MS, START);
     let (gap, mut out) = (bus_event(3, false, ""), Vec::new());
     for n in [2, 3] {
         follower.set_addr(addr(n), START);
-        follower.connecting(ConnId(n.into()), START);
-        follower.stream_opened(START);
+        follower.call_started(ConnId(n.into()), START, 1.0);
+        follower.stream_opened(ConnId(n.into()), START);
         // Requested again at the old address and at the new one.
         assert!(!follower.feed(&gap, START, &mut out), "{n}");
-        follower.closed(START, 1.0);
+        follower.closed(ConnId(n.into()), START, 1.0);
     }
     assert_eq!((follower.last(), out.len()), (1, 0));
 }
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -114,6 +114,10 @@
     pub bus_hangs: u32,
     /// When the bus was connected to, and at which address.
     pub bus_asked: Vec<(u64, SocketAddr)>,
+    /// The network to the bus is cut off: connection attempts are lost.
+    pub bus_cut: bool,
+    /// The connection that the bus answered last.
+    bus_stream: u64,
     bus_open: bool,
     bus_log: Vec<(u64, Vec<u8>)>,
     events: BTreeMap<(u64, u64), Ev>,
@@ -163,6 +167,8 @@
             bus_up: true,
             bus_hangs: 0,
             bus_asked: Vec::new(),
+            bus_cut: false,
+            bus_stream: 0,
             bus_open: false,
             bus_log: Vec::new(),
             events: BTreeMap::new(),
@@ -249,9 +255,7 @@
     }
 
     pub fn bus_bytes(&mut self, bytes: &[u8]) {
-        if let Some(&(conn, _)) = self.bus_calls.last() {
-            self.at(self.now + WAY, Ev::ToNode(conn, bytes.to_vec()));
-        }
+        self.at(self.now + WAY, Ev::ToNode(self.bus_stream, bytes.to_vec()));
     }
 
     pub fn drain(&mut self, offset: u64, n: usize) {
@@ -263,8 +267,41 @@
 
     pub fn break_bus(&mut self) {
         self.bus_open = false;
-        if let Some(&(conn, _)) = self.bus_calls.last() {
-            self.at(self.now, Ev::NodeHears(conn));
+        self.at(self.now, Ev::NodeHears(self.bus_stream));
+    }
+
+    /// Cuts off the network to the bus: the open stream falls silent, and connection attempts are lost.
+    pub fn cut_bus(&mut self) {
+        self.stop_bus();
+        self.bus_cut = true;
+    }
+
+    /// An attempt to connect to the bus. A lost one is retransmitted by the operating system after pauses that double.
+    fn reach_bus(&mut self, conn: ConnId, last: u64, retransmissions: u32) {
+        if self.closed.contains_key(&conn.0) {
+        } else if self.bus_cut {
+            let pause = SECOND << retransmissions;
+            self.later(pause, move |w| w.reach_bus(conn, last, retransmissions + 1));
+        } else if !self.bus_up {
+            self.at(self.now + WAY, Ev::NodeHears(conn.0));
+        } else {
+            self.bus_reached(conn, last);
+        }
+    }
+
+    fn bus_reached(&mut self, conn: ConnId, last: u64) {
+        self.later(WAY, move |w| w.feed(Input::Connected { conn }));
+        self.bus_open = self.bus_hangs == 0;
+        if self.bus_hangs > 0 {
+            self.bus_hangs -= 1;
+            return;
+        }
+        self.bus_stream = conn.0;
+        self.later(WAY, move |w| w.feed(Input::StreamOpened { conn }));
+        let missed = self.bus_log.iter().filter(|e| e.0 > last).map(|e| e.1.clone());
+        let missed: Vec<u8> = missed.flatten().collect();
+        if !missed.is_empty() {
+            self.at(self.now + 2 * WAY, Ev::ToNode(conn.0, missed));
         }
     }
 
@@ -466,19 +503,7 @@
             Output::Subscribe { conn, addr, last } => {
                 self.bus_calls.push((conn.0, last));
                 self.bus_asked.push((self.now, addr));
-                self.bus_open = self.bus_up && self.bus_hangs == 0;
-                if self.bus_hangs > 0 {
-                    self.bus_hangs -= 1;
-                } else if self.bus_up {
-                    self.later(WAY, move |w| w.feed(Input::Connected { conn }));
-                    let missed = self.bus_log.iter().filter(|e| e.0 > last).map(|e| e.1.clone());
-                    let missed: Vec<u8> = missed.flatten().collect();
-                    if !missed.is_empty() {
-                        self.at(self.now + 2 * WAY, Ev::ToNode(conn.0, missed));
-                    }
-                } else {
-                    self.at(self.now + WAY, Ev::NodeHears(conn.0));
-                }
+                self.reach_bus(conn, last, 0);
             }
             Output::PauseReading { .. } => {}
         }
