Log that a call to a server came up, and how long the server had been silent

Sessions of a vanished machine are released 14 s after their end, and the log did not show whether the node's calls failed, came up or were not made.

Change: a debug line where a connection to a server comes up, with the silence before it.

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,6 +1,7 @@
 //! Connections to servers: opening and closing them, the effect of their end on attempts, and the detection of lost servers.
 
 use crate::io::{ConnId, Output};
+use crate::limits::MS;
 use crate::limits::servers::{
     CONNECT_RETRY_PAUSE, CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT, MAX_FAILED_CALLS, SILENCE_TIMEOUT,
     avoidance_time,
@@ -79,6 +80,8 @@
         let mut queue = VecDeque::new();
         self.server_connected(id);
         if let Some(server) = self.servers.get_mut(&id) {
+            let silent_ms = now.saturating_sub(server.last_received) / MS;
+            debug!(server = server.row.id, conn = conn.0, silent_ms, "a call came up");
             (server.failed_calls, server.next_call_at, server.last_received, server.avoid_until) =
                 (0, 0, now, 0);
             queue = std::mem::take(&mut server.queue);
