Send no set-up on connections that are older than the listed start of the process

Callers would see: set-ups of a class that is set up once at most fail after their whole patience. A machine vanishes and is back within a second under its id; its former connections stay open and silent, and set-ups go out on them after the list has told of the restart.

Cause: update_server ended the sessions of the former process and left its connections in use.

Change: a later start retires the connections established before it; they are closed when they carry no attempt.

Why it works: they lead to a process that has ended, and the next set-up makes a connection to the new one.

Measured: set_ups_after_a_restart_go_to_the_new_process failed before (answered as failed 4.0 s after it was asked) and passes; all tests of the package pass.

--- a/crates/node/src/replacement.rs
+++ b/crates/node/src/replacement.rs
@@ -82,8 +82,15 @@
     pub(crate) fn reinstate(&mut self, id: ServerId) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let Some(replacement) = server.replacement.take() else { return };
+        self.retire_links(id, |connected_at| connected_at >= replacement.since);
+    }
+
+    /// No further attempts are sent on a server's connections that were established at these times, as they lead to another
+    /// process.
+    pub(crate) fn retire_links(&mut self, id: ServerId, leads_elsewhere: impl Fn(Nanos) -> bool) {
+        let Some(server) = self.servers.get(&id) else { return };
         for conn in server.links.clone() {
-            let link = self.links.get_mut(&conn).filter(|l| l.connected_at >= replacement.since);
+            let link = self.links.get_mut(&conn).filter(|l| l.up && leads_elsewhere(l.connected_at));
             link.into_iter().for_each(|l| l.retired = true);
             self.close_if_retired(conn);
         }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -64,6 +64,9 @@
             ended.into_iter().for_each(|s| self.end_session(s, Outcome::Reset, Some(cause::FAILED)));
         }
         self.reinstate(id);
+        if restarted.is_some() {
+            self.retire_links(id, |connected_at| connected_at < new);
+        }
         if state != ServerState::Ready || moved {
             self.cancel_waiting_attempts(id);
         }
--- a/crates/node/tests/addresses.rs
+++ b/crates/node/tests/addresses.rs
@@ -194,6 +194,35 @@
     }
 }
 
+/// Guards against set-ups on connections to the process before a restart: its machine vanished and came back at once under the
+/// same id, so that the connections were never closed.
+#[test]
+fn set_ups_after_a_restart_go_to_the_new_process() {
+    let mut w = World::new(1);
+    w.servers.values_mut().for_each(|s| s.usual = Treat::Serve(60 * SECOND));
+    let viewer = w.viewer();
+    (1..=4).for_each(|id| w.ask(viewer, id, "paid", 4000));
+    w.run(SECOND);
+    assert!(w.links_to(server_addr(0)) > 1);
+    let over = w.vanish(server_addr(0), "s-0");
+    w.run(SECOND);
+    let new = MediaServer::new("s-0", 20 * MS, Treat::Serve(60 * SECOND));
+    w.take_over(server_addr(0), new, OldConnections::Silent);
+    let started_ms = w.now / MS;
+    w.run(500 * MS);
+    w.bus(2, false, &row(0, "up", started_ms));
+    w.run(10 * MS);
+    let asked = w.now;
+    (11..=14).for_each(|id| w.ask(viewer, id, "paid", 4000));
+    w.run(5 * SECOND);
+    for id in 11..=14 {
+        let answer = w.answer(id).expect("it is answered");
+        assert!(answer.1 && answer.0 < asked + 100 * MS, "{id}: {answer:?}, asked at {asked}");
+    }
+    let released = |id: &u64| w.record.iter().any(|(_, seen)| *seen == Seen::Released { id: *id });
+    assert!(over.iter().all(released));
+}
+
 // ----- whom an address belongs to
 
 /// A change of the list: id, number of the address, state and start of each server.
