--- a/crates/node/src/listed_servers.rs
+++ b/crates/node/src/listed_servers.rs
@@ -115,6 +115,9 @@
 
     /// Decides anew whom these addresses belong to. Returns the servers that were displaced or reinstated.
     fn update_displaced(&mut self, addresses: &BTreeSet<SocketAddr>) -> Vec<String> {
+        if addresses.is_empty() {
+            return Vec::new();
+        }
         let mut valid: BTreeMap<SocketAddr, Assignment> = BTreeMap::new();
         let touched = |server: &&ListedServer| addresses.contains(&server.row.addr);
         for server in self.by_id.values().filter(touched) {
