--- a/crates/node/tests/addresses.rs
+++ b/crates/node/tests/addresses.rs
@@ -250,7 +250,7 @@
 fn an_address_belongs_to_the_server_that_the_list_assigned_it_to_last() {
     let first = || change(true, &[("a", 1, "up", 0), ("b", 2, "up", 0)]);
     let taken = || change(false, &[("c", 1, "up", 50)]);
-    let table: [(&str, Vec<ListChange>, &[&str]); 10] = [
+    let table: [(&str, Vec<ListChange>, &[&str]); 11] = [
         ("a new server", vec![first(), taken()], &["b", "c"]),
         ("a draining one", vec![first(), change(false, &[("c", 1, "draining", 50)])], &["b", "c"]),
         ("the old one is repeated", vec![first(), taken(), change(false, &[("a", 1, "up", 0)])], &["b", "c"]),
@@ -260,6 +260,11 @@
             vec![first(), taken(), change(false, &[("c", 1, "removed", 0)])],
             &["a", "b"],
         ),
+        (
+            "both are taken back",
+            vec![first(), taken(), change(false, &[("c", 1, "removed", 0), ("a", 1, "removed", 0)])],
+            &["b"],
+        ),
         (
             "the new one moves on",
             vec![first(), taken(), change(false, &[("c", 3, "up", 50)])],
