--- a/crates/node/tests/addresses.rs
+++ b/crates/node/tests/addresses.rs
@@ -158,7 +158,7 @@
 /// row, sends reports on its own sessions.
 #[test]
 fn what_a_replacement_sends_is_no_sign_of_life_of_the_server_before_it() {
-    for first in ["removed", "up"] {
+    for first in ["removed", "draining", "up"] {
         let mut day = Day::new();
         let vanished = day.w.now;
         let over = day.w.vanish(server_addr(0), "s-0");
