--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec "$root/target/review-2/world" links "$folder"
+exec "$root/target/review-2/world" seat "$folder"
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -205,6 +205,12 @@
         )
     }
 
+    /// A session plays there already.
+    pub fn plays(&self, id: &u64, life: u64) {
+        let playing = Playing { key: String::new(), since: now(), conn: 0, ends: now() + life };
+        self.machine.lock().expect("whole").sessions.insert(*id, playing);
+    }
+
     /// Sessions that play there now, by the server itself.
     pub fn standing(&self) -> BTreeMap<u64, Playing> {
         self.machine.lock().expect("whole").sessions.clone()
@@ -786,7 +792,7 @@
         std::fs::write(&config, text).unwrap_or_else(|e| cannot(&format!("{e}")));
         let log = File::options().create(true).append(true).open(self.folder.join("node.log")).expect("a log");
         let child = Command::new("/bin/sh")
-            .args(["-c", line])
+            .args(["-c", &format!("ulimit -n {sockets}; {line}")])
             .current_dir(root())
             .env("EDGE_CONFIG", &config)
             .env("EDGE_NAME", "n1")
