--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -348,9 +348,9 @@
 fn swallowed(trouble: bool) -> Vec<String> {
     let site = vembanad(4);
     let zones = site.zones;
-    // Sessions of 16 s, set-ups of 80 ms.
+    // Sessions of 16 to 22 s, set-ups of 80 ms.
     let servers: Vec<Arc<Server>> = (0..4u32)
-        .map(|i| Server::start_slow(&format!("s-{i:08x}"), i, zones[i as usize % 3], 16_000, 2500, 80))
+        .map(|i| Server::start_slow(&format!("s-{i:08x}"), i, zones[i as usize % 3], (16_000, 6_000), 2500, 80))
         .collect();
     let bus = Bus::start(&rows(&servers, "up"));
     let node = Node::new();
@@ -368,7 +368,7 @@
         }
         if now() > begun + 16_500 {
             if trouble {
-                servers.iter().for_each(|s| s.set_spoil(Some(200)));
+                servers.iter().for_each(|s| s.set_spoil(Some(90)));
             } else if now() > begun + 20_000 {
                 break;
             }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -133,6 +133,8 @@
     machine: Mutex<Machine>,
     life: u64,
     tell: u64,
+    /// Sessions last up to so much longer, by their number.
+    spread: u64,
     /// A set-up takes so long.
     work: u64,
     keys: Mutex<HashMap<u64, Playing>>,
@@ -161,11 +163,18 @@
 impl Server {
     /// A server; sessions last `life` milliseconds, and it tells how full its link is every `tell`.
     pub fn start(id: &str, cell: u32, zone: &str, life: u64, tell: u64) -> Arc<Self> {
-        Self::start_slow(id, cell, zone, life, tell, 0)
-    }
-
-    /// The same; a set-up takes `work` milliseconds.
-    pub fn start_slow(id: &str, cell: u32, zone: &str, life: u64, tell: u64, work: u64) -> Arc<Self> {
+        Self::start_slow(id, cell, zone, (life, 0), tell, 0)
+    }
+
+    /// The same; a set-up takes `work` milliseconds, and a session lasts up to `spread` longer.
+    pub fn start_slow(
+        id: &str,
+        cell: u32,
+        zone: &str,
+        (life, spread): (u64, u64),
+        tell: u64,
+        work: u64,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot(&format!("{e}")));
         listener.set_nonblocking(true).expect("set");
         let server = Arc::new(Server {
@@ -177,6 +186,7 @@
             machine: Mutex::default(),
             life,
             tell,
+            spread,
             work,
             keys: Mutex::default(),
         });
@@ -351,7 +361,8 @@
             let playing = self.keys.lock().expect("whole").remove(&id);
             // What is open on a connection is given up when it is closed.
             let Some(playing) = playing.filter(|_| m.conns.contains_key(&conn)) else { continue };
-            m.sessions.insert(id, Playing { since: now, ends: now + self.life, ..playing });
+            let ends = now + self.life + id.wrapping_mul(2_654_435_761) % (self.spread + 1);
+            m.sessions.insert(id, Playing { since: now, ends, ..playing });
             let session = [("CSeq", "1".to_string()), ("Session", hex(id))];
             let body = format!("{}\r\nc=IN IP4 127.0.0.1\r\na=server:{}\r\n", hex(id), self.name());
             let answer = rtsp("RTSP/1.0 200 OK", &session, body.as_bytes());
