End the front node with its case, whatever ends the case, and leave no folder behind

Need: a case that is killed left its front node running, and one that could not run left its folder of settings.

Change: the front node is started with a parent-death signal, and the folder is removed at each end of a case.

--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -12,6 +12,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -22,6 +23,7 @@
 
 unsafe extern "C" {
     fn listen(fd: i32, backlog: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const c_void, length: u32) -> i32;
 }
 
@@ -74,9 +76,18 @@
     if let Some(mut child) = NODE.lock().expect("whole").take() {
         let _ = (child.kill(), child.wait());
     }
+    // KEEP=1 keeps the configuration and the front node's log.
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(folder());
+    }
     exit(code)
 }
 
+/// For the configuration and the log of the front node.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-2-{}", std::process::id()))
+}
+
 static NODE: Mutex<Option<Child>> = Mutex::new(None);
 
 /// Makes the close of a connection a reset.
@@ -782,7 +793,7 @@
 impl Node {
     pub fn new() -> Self {
         let free = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot(&format!("{e}")));
-        let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        let folder = folder();
         std::fs::create_dir_all(&folder).unwrap_or_else(|e| cannot(&format!("{e}")));
         Node { listen: free.local_addr().expect("bound"), folder }
     }
@@ -802,7 +813,11 @@
         );
         std::fs::write(&config, text).unwrap_or_else(|e| cannot(&format!("{e}")));
         let log = File::options().create(true).append(true).open(self.folder.join("node.log")).expect("a log");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // PR_SET_PDEATHSIG 1, SIGKILL 9: it ends with this process, however that ends.
+        let ends_with_us = || if unsafe { prctl(1, 9u64) } == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) };
+        unsafe { command.pre_exec(ends_with_us) };
+        let child = command
             .args(["-c", &format!("ulimit -n {sockets}; {line}")])
             .current_dir(root())
             .env("EDGE_CONFIG", &config)
@@ -861,10 +876,6 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     note(format!("case '{case}', {}", if trouble { "with the disruption" } else { "without the disruption" }));
     let faults = cases::play(&case, trouble);
-    let log = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
-    if std::env::var("KEEP").is_err() {
-        let _ = std::fs::remove_dir_all(log);
-    }
     for fault in &faults {
         note(format!("BROKEN: {fault}"));
         println!("broken: {fault}");
