Open a further connection after one on which a release may have been lost

Cause: a server repeats a release on the next connection that is opened. After a connection had been closed for an answer that was cut off, another one was opened only where no other to the server was left.

Change: reconnect.rs plans a further connection whenever one ends before everything on it was read and a session may be released on it: after resets, time-outs and blocked connections too. The shell says how a connection ended, so that an orderly end plans none. An idle connection is kept while a session that was set up on it plays, as its close could cross a release.

The node's tests pass.

--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -177,7 +177,7 @@
             }
             Input::Closed { conn, .. } if self.follower.owns(conn) => self.bus_closed(conn),
             Input::Closed { conn, .. } if self.viewers.contains_key(&conn) => self.viewer_closed(conn),
-            Input::Closed { conn, written, refused } => self.link_closed(conn, written, refused),
+            Input::Closed { conn, written, end } => self.link_closed(conn, written, end),
             Input::Blocked { conn, written } => self.link_blocked(conn, written),
             Input::Writable { conn } => self.link_writable(conn),
             Input::BusMoved { addr } => {
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -12,6 +12,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
 
+/// How a connection ended, or why it was not established.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The peer closed it, and everything that the peer had sent before was read.
+    Finished,
+    /// It broke or could not be established. The peer may have sent more than was read.
+    Broken,
+    /// It was refused: nothing listens there.
+    Refused,
+}
+
 /// An input of the core.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Input<'a> {
@@ -58,8 +69,8 @@
         conn: ConnId,
         /// Bytes that the operating system had accepted for writing.
         written: u64,
-        /// The connection was refused: nothing listens there.
-        refused: bool,
+        /// How it ended.
+        end: ConnectionEnd,
     },
     /// The operating system accepts no more bytes on a connection to a server for now. Messages that begin at or after byte
     /// `written` were dropped; the shell writes the rest of one that began before. This input directly follows the one whose
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod list_changes;
 pub mod listed_servers;
 mod peers;
+mod reconnect;
 mod recovery;
 mod replacement;
 mod servers;
@@ -29,6 +30,6 @@
 mod viewers;
 
 pub use crate::error::{ConfigError, Error, EventError};
-pub use crate::io::{ConnId, Input, Output};
+pub use crate::io::{ConnId, ConnectionEnd, Input, Output};
 pub use crate::state::{Counts, Node};
 pub use micadyke::module::Decide;
--- a/crates/node/src/limits/servers.rs
+++ b/crates/node/src/limits/servers.rs
@@ -46,6 +46,13 @@
 /// Pause between connection attempts to the same server.
 pub const CONNECT_RETRY_PAUSE: Nanos = 300 * MS;
 
+/// Time from the end of a connection on which a release may have been lost to the next connection, on which the server
+/// repeats it. By then the server knows that the old one has ended, and writes no further release there. A release must reach
+/// its viewer within 1 s.
+pub const RECONNECT_DELAY: Nanos = 100 * MS;
+/// A server repeats releases on a new connection within this time.
+pub const RELEASE_REPEAT_TIME: Nanos = SECOND;
+
 /// How long set-ups avoid a server after the first failed connection attempt. Each further set-up would wait for a whole
 /// connect timeout, and one node of hundreds has too few set-ups to learn from them.
 const MIN_AVOIDANCE: Nanos = SECOND;
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,6 +1,6 @@
 //! Connections to servers: opening and closing them, the effect of their end on attempts, and the detection of lost servers.
 
-use crate::io::{ConnId, Output};
+use crate::io::{ConnId, ConnectionEnd, Output};
 use crate::limits::MS;
 use crate::limits::servers::{
     CONNECT_RETRY_PAUSE, CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT, MAX_FAILED_CALLS, SILENCE_TIMEOUT,
@@ -42,6 +42,8 @@
         let link = Link {
             server: to,
             up: false,
+            called_at: now,
+            repeats_releases: false,
             connected_at: 0,
             parser: Parser::default(),
             open: BTreeSet::new(),
@@ -65,11 +67,18 @@
 
     /// Opens a connection if sessions or queued messages need one, so that reports and releases arrive.
     pub(crate) fn ensure_connected(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        server.reconnect.take_if(|_| server.playing.is_empty());
         let Some(server) = self.servers.get(&id) else { return };
+        if server.row.state == ServerState::Gone || self.now < server.next_call_at {
+            return;
+        }
         let needed = !server.playing.is_empty() || !server.queue.is_empty();
         let connected = server.links.iter().any(|l| !self.links[l].retired);
-        if needed && !connected && server.row.state != ServerState::Gone && self.now >= server.next_call_at {
+        if needed && !connected {
             self.connect(id, "kept");
+        } else if needed && self.reconnect_is_due(server) {
+            self.connect(id, "a release may have been lost");
         }
     }
 
@@ -88,6 +97,7 @@
                 (0, 0, now, 0);
             queue = std::mem::take(&mut server.queue);
         }
+        self.reconnected(conn);
         self.update_reachability(id);
         queue.into_iter().for_each(|m| self.write_link(conn, m));
         attempts.into_iter().for_each(|s| self.write_setup(s));
@@ -96,7 +106,7 @@
     pub(crate) fn connect_timed_out(&mut self, conn: ConnId) {
         if self.links.get(&conn).is_some_and(|l| !l.up) {
             self.out.push(Output::Close { conn });
-            self.link_closed(conn, 0, false);
+            self.link_closed(conn, 0, ConnectionEnd::Broken);
         }
     }
 
@@ -114,6 +124,7 @@
         }
         self.out.push(Output::Close { conn });
         debug!(conn = conn.0, ?outcome, "a connection to a server is closed");
+        self.plan_reconnect(conn);
         self.remove_link(conn, |stage| match stage {
             Stage::Waiting { .. } => Outcome::NoConnection,
             _ => outcome,
@@ -142,10 +153,14 @@
     }
 
     /// A connection was closed or could not be established.
-    pub(crate) fn link_closed(&mut self, conn: ConnId, written: u64, refused: bool) {
+    pub(crate) fn link_closed(&mut self, conn: ConnId, written: u64, end: ConnectionEnd) {
         let now = self.now;
         let Some(link) = self.links.get(&conn) else { return };
         let (id, up) = (link.server, link.up);
+        let refused = end == ConnectionEnd::Refused;
+        if end != ConnectionEnd::Finished || link.parser.is_mid_message() {
+            self.plan_reconnect(conn);
+        }
         let other_links = self.servers.get(&id).is_some_and(|s| {
             s.links.iter().any(|l| *l != conn && self.links[l].up && !self.links[l].retired)
         });
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -38,6 +38,7 @@
                 last_received: now,
                 failed_calls: 0,
                 next_call_at: 0,
+                reconnect: None,
                 avoid_until: 0,
                 reachability: Reachability::Closed,
                 replacement: None,
@@ -449,7 +450,7 @@
             let idle = link.up && link.open.is_empty() && now >= link.last_used + idle_after;
             if link.is_stuck(now) || link.partial_since.is_some_and(|h| now >= h + PARTIAL_MESSAGE_TIMEOUT) {
                 self.close_link(conn, Outcome::Error);
-            } else if idle && !is_last {
+            } else if idle && !is_last && !self.may_carry_release(conn) {
                 self.close_link(conn, Outcome::Cancelled);
             }
         }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -6,7 +6,7 @@
 use crate::advice::SpreadAdvice;
 use crate::config::{Config, MAX_CONFIG_BYTES, read};
 use crate::error::Error;
-use crate::io::{ConnId, Input, Output};
+use crate::io::{ConnId, ConnectionEnd, Input, Output};
 use crate::limits;
 use crate::state::{Counts, Node};
 use micadyke::interface::Nanos;
@@ -373,7 +373,7 @@
                     c.closing.set(true);
                     c.unwritten.borrow_mut().clear();
                     c.changed.notify_one();
-                    let closed = Input::Closed { conn, written: c.written.get(), refused: false };
+                    let closed = Input::Closed { conn, written: c.written.get(), end: ConnectionEnd::Broken };
                     self.deferred.borrow_mut().push_back(closed);
                 } else if c.blocked.get() && !was_blocked {
                     // Before all other inputs: the core takes back what it wrote for the current one.
@@ -504,9 +504,12 @@
                 self.run_connection(conn, c).await;
             }
             Err(e) => {
-                let refused = e.kind() == ErrorKind::ConnectionRefused;
+                let end = match e.kind() {
+                    ErrorKind::ConnectionRefused => ConnectionEnd::Refused,
+                    _ => ConnectionEnd::Broken,
+                };
                 if self.conns.borrow_mut().remove(&conn).is_some() {
-                    self.feed(Input::Closed { conn, written: 0, refused });
+                    self.feed(Input::Closed { conn, written: 0, end });
                 }
             }
         }
@@ -515,6 +518,7 @@
     /// Reads from and writes to a connection until it is closed.
     async fn run_connection(self: Rc<Self>, conn: ConnId, c: Rc<Conn>) {
         let Some(stream) = c.stream.borrow().clone() else { return };
+        let mut end = ConnectionEnd::Broken;
         loop {
             if c.closing.get() {
                 return self.flush_and_close(&stream, &c).await;
@@ -543,15 +547,20 @@
                 }
                 () = c.changed.notified() => continue,
             };
-            if !matches!(read, Ok(1..)) {
-                break;
+            match read {
+                Ok(0) => {
+                    end = ConnectionEnd::Finished;
+                    break;
+                }
+                Ok(_) => {}
+                Err(_) => break,
             }
             self.count_input(&c);
             // Fairness: a connection with continuous input must not starve the others.
             tokio::task::yield_now().await;
         }
         if self.conns.borrow_mut().remove(&conn).is_some() {
-            self.feed(Input::Closed { conn, written: c.written.get(), refused: false });
+            self.feed(Input::Closed { conn, written: c.written.get(), end });
         }
     }
 
@@ -566,7 +575,7 @@
             () = c.changed.notified() => return,
         }
         if self.conns.borrow_mut().remove(&conn).is_some() {
-            self.feed(Input::Closed { conn, written: 0, refused: false });
+            self.feed(Input::Closed { conn, written: 0, end: ConnectionEnd::Broken });
         }
     }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,6 +9,7 @@
 use crate::limits::viewers::{EvictionCandidate, ReleaseCandidate, Usage, Withdrawals};
 use crate::list::{ServerIds, ServerRow};
 use crate::listed_servers::ListedServers;
+use crate::reconnect::Reconnect;
 use crate::replacement::Replacement;
 use micadyke::interface::*;
 use micadyke_directory as directory;
@@ -203,6 +204,10 @@
 pub(crate) struct Link {
     pub(crate) server: ServerId,
     pub(crate) up: bool,
+    /// When the attempt to establish it began.
+    pub(crate) called_at: Nanos,
+    /// It was opened after a release may have been lost: its server repeats the release on it.
+    pub(crate) repeats_releases: bool,
     /// When it was established; 0 before.
     pub(crate) connected_at: Nanos,
     pub(crate) parser: Parser,
@@ -244,6 +249,8 @@
     pub(crate) failed_calls: u32,
     /// Time of the earliest next connection attempt.
     pub(crate) next_call_at: Nanos,
+    /// A further connection is due, on which the server repeats a release that may have been lost.
+    pub(crate) reconnect: Option<Reconnect>,
     /// Set-ups avoid it until then, as connections failed.
     pub(crate) avoid_until: Nanos,
     /// The server that has its address since it was removed from the list.
--- a/crates/node/tests/bus.rs
+++ b/crates/node/tests/bus.rs
@@ -5,7 +5,7 @@
 
 use micadyke_node::bus::{Follower, Step};
 use micadyke_node::limits;
-use micadyke_node::{ConnId, Input};
+use micadyke_node::{ConnId, ConnectionEnd, Input};
 use micadyke_standin::platform::{MediaServer, Record, Seen, Treat, bus_event, verdict};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -282,7 +282,7 @@
                 w.feed(Input::Data { conn: ConnId(old), bytes: &bytes });
             });
             d.w.later(1500 * MS, move |w| {
-                w.feed(Input::Closed { conn: ConnId(old), written: 0, refused: false });
+                w.feed(Input::Closed { conn: ConnId(old), written: 0, end: ConnectionEnd::Broken });
             });
         },
         told: 0,
--- a/crates/node/tests/gone.rs
+++ b/crates/node/tests/gone.rs
@@ -5,7 +5,7 @@
 
 use micadyke::interface::{Action, Event, Nanos};
 use micadyke_isup::{Message, code, kind};
-use micadyke_node::{ConnId, Decide, Input, Node, Output};
+use micadyke_node::{ConnId, ConnectionEnd, Decide, Input, Node, Output};
 use micadyke_standin::platform::{Seen, Treat};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -399,7 +399,11 @@
 #[test]
 fn a_set_up_that_no_module_has_decided_leaves_with_its_viewer() {
     let (mut node, mut out) = undecided();
-    node.handle(START + MS, Input::Closed { conn: ConnId(3), written: 0, refused: false }, &mut out);
+    node.handle(
+        START + MS,
+        Input::Closed { conn: ConnId(3), written: 0, end: ConnectionEnd::Finished },
+        &mut out,
+    );
     assert_eq!((node.session_counts(), node.table_sizes()[3]), ((0, 0), 0));
 }
 
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -10,7 +10,7 @@
 use micadyke_isup::{Frame, Message, code, kind};
 use micadyke_membership::server_report::ServerReport;
 use micadyke_node::config::{Config, read};
-use micadyke_node::{ConnId, Input, Node, Output};
+use micadyke_node::{ConnId, ConnectionEnd, Input, Node, Output};
 use micadyke_recovery::record::StoredState;
 use micadyke_standin::platform::{Act, MediaServer, Record, Seen, Treat, bus_event, verdict};
 use std::collections::{BTreeMap, BTreeSet};
@@ -314,6 +314,11 @@
         conns.into_iter().for_each(|c| self.at(self.now, Ev::ServerCloses(c)));
     }
 
+    /// Resets one connection to a server, with all that is under way on it.
+    pub fn reset_link(&mut self, conn: u64) {
+        self.at(self.now, Ev::ServerCloses(conn));
+    }
+
     /// A machine is reachable again: what it sent arrives, and connections on which something was sent to it are reset.
     pub fn back(&mut self, addr: SocketAddr) {
         self.vanished.remove(&addr);
@@ -341,6 +346,11 @@
         self.links.iter().find(|l| l.1.0 == server && l.1.1).map(|l| *l.0)
     }
 
+    /// The established connections to a server, oldest first.
+    pub fn links_of(&self, server: SocketAddr) -> Vec<u64> {
+        self.links.iter().filter(|l| l.1.0 == server && l.1.1).map(|l| *l.0).collect()
+    }
+
     pub fn links_to(&self, server: SocketAddr) -> usize {
         self.links.values().filter(|l| l.0 == server && l.1).count()
     }
@@ -396,7 +406,7 @@
             Ev::ViewerSends(..) => {}
             Ev::ViewerCloses(conn) => {
                 if self.viewers.remove(&conn).is_some() {
-                    self.feed(Input::Closed { conn: ConnId(conn), written: 0, refused: false });
+                    self.feed(Input::Closed { conn: ConnId(conn), written: 0, end: ConnectionEnd::Finished });
                 }
             }
             Ev::ToViewer(conn, bytes) => self.viewer_reads(conn, &bytes),
@@ -412,7 +422,7 @@
             }
             Ev::Refused(conn) => {
                 if self.links.remove(&conn).is_some() {
-                    self.feed(Input::Closed { conn: ConnId(conn), written: 0, refused: true });
+                    self.feed(Input::Closed { conn: ConnId(conn), written: 0, end: ConnectionEnd::Refused });
                 }
             }
             Ev::ToServer(conn, bytes) => {
@@ -432,11 +442,11 @@
                 if let Some(s) = self.servers.get_mut(&addr) {
                     s.closed(self.now, conn, &mut self.record);
                 }
-                self.feed(Input::Closed { conn: ConnId(conn), written, refused: false });
+                self.feed(Input::Closed { conn: ConnId(conn), written, end: ConnectionEnd::Broken });
             }
             Ev::ToNode(conn, bytes) => self.feed(Input::Data { conn: ConnId(conn), bytes: &bytes }),
             Ev::NodeHears(conn) => {
-                self.feed(Input::Closed { conn: ConnId(conn), written: 0, refused: false })
+                self.feed(Input::Closed { conn: ConnId(conn), written: 0, end: ConnectionEnd::Broken })
             }
         }
     }
