Count calls as signs of life only once the event bus was heard after them

Cause: each call that the new server accepted counted as a sign of life of the old one. Only the list tells the two apart, and it was out of reach. Data on connections to the new server counted in the same way.

Change: liveness.rs. Something received is a sign of life for a session only if the process at the other end certainly had the address when the session started: the connection is older, or the bus was heard since it came up, or a message on it names a session as old. Where the settings promise reports, sessions without such a sign for 7 s are released, and ended at the server in case it merely stands still; it gets no set-ups until the bus is heard. Why it works: the new server can't name sessions that it does not know, and the last sign of the old one precedes its end.

--- a/crates/node/src/bus.rs
+++ b/crates/node/src/bus.rs
@@ -23,6 +23,8 @@
     /// Number of the last event that was applied.
     last: u64,
     stream: Option<Stream>,
+    /// When something was last received, on whatever stream; 0 before.
+    last_heard: Nanos,
     /// Calls whose stream is not open yet, at most two that connect and two that wait for an answer. The newest is last.
     calls: Vec<Call>,
     parser: sse::Parser,
@@ -88,6 +90,7 @@
             addr,
             last,
             stream: None,
+            last_heard: 0,
             calls: Vec::new(),
             parser: sse::Parser::new(MAX_EVENT_BYTES),
             progressed: false,
@@ -124,6 +127,11 @@
         self.stream.is_some()
     }
 
+    /// When the bus was last heard; 0 before it was.
+    pub fn last_heard(&self) -> Nanos {
+        self.last_heard
+    }
+
     /// What the bus does while no stream is open.
     pub fn outage(&self) -> Outage {
         match self.calls.last() {
@@ -197,6 +205,7 @@
             return Vec::new();
         }
         self.stream = Some(Stream { conn, open_since: now, last_received: now });
+        self.last_heard = now;
         (self.progressed, self.hung_calls) = (false, 0);
         self.parser = sse::Parser::new(MAX_EVENT_BYTES);
         let mut others = self.remove_calls(|_| false);
@@ -245,6 +254,7 @@
     pub fn feed(&mut self, bytes: &[u8], now: Nanos, out: &mut Vec<ListChange>) -> bool {
         if let Some(stream) = &mut self.stream {
             stream.last_received = now;
+            self.last_heard = now;
         }
         // Line by line, so that an event that is too long does not affect those after it.
         bytes.split_inclusive(|b| *b == b'\n').all(|line| self.feed_line(line, out))
--- a/crates/node/src/connection_turns.rs
+++ b/crates/node/src/connection_turns.rs
@@ -134,5 +134,6 @@
     pub(crate) fn turn_came(&mut self, now: Nanos) {
         let waited = self.waits_since.take().map_or(0, |since| now.saturating_sub(since));
         self.last_received = (self.last_received + waited).min(now);
+        self.signs_of_life.skip(waited, now);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod list;
 mod list_changes;
 pub mod listed_servers;
+mod liveness;
 mod peers;
 mod reconnect;
 mod recovery;
--- a/crates/node/src/limits/servers.rs
+++ b/crates/node/src/limits/servers.rs
@@ -41,6 +41,11 @@
 /// A server with sessions that sends nothing for this long is probed on a new connection. It normally sends something in
 /// each report interval, and the end of a session must be reported to the viewer within 8 s.
 pub const SILENCE_TIMEOUT: Nanos = 3 * SECOND;
+/// A server that owes reports, and whose connections come up while the event bus is out of reach, counts as lost after this
+/// time without a certain sign of life. The end of a session must be reported to the viewer within 8 s.
+pub const CERTAIN_SILENCE_LIMIT: Nanos = 7 * SECOND;
+/// Maximum processes at one address that are told apart while the event bus is out of reach.
+pub const MAX_SIGNS_OF_LIFE: usize = 8;
 /// Consecutive failed connection attempts after which a silent server counts as lost. A single one may be a lost handshake.
 pub const MAX_FAILED_CALLS: u32 = 3;
 /// Pause between connection attempts to the same server.
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -20,6 +20,7 @@
         let Some(server) = self.servers.get_mut(&id) else { return };
         let connected = server.links.iter().any(|l| self.links.get(l).is_some_and(|l| l.up && !l.retired));
         let reachability = match connected {
+            _ if server.signs_of_life.is_in_doubt() => Reachability::Lost,
             true => Reachability::Open,
             false if self.now < server.avoid_until => Reachability::Lost,
             false => Reachability::Closed,
@@ -44,6 +45,7 @@
             up: false,
             called_at: now,
             repeats_releases: false,
+            process_since: Nanos::MAX,
             connected_at: 0,
             parser: Parser::default(),
             open: BTreeSet::new(),
@@ -87,15 +89,17 @@
     pub(crate) fn link_connected(&mut self, conn: ConnId) {
         let now = self.now;
         let Some(link) = self.links.get_mut(&conn) else { return };
-        (link.up, link.connected_at) = (true, now);
+        (link.up, link.connected_at, link.process_since) = (true, now, now);
         (link.last_received, link.last_used) = (now, now);
         let (id, attempts) = (link.server, link.open.clone());
+        let heard_at = self.follower.last_heard();
         let mut queue = VecDeque::new();
         self.server_connected(id);
         if let Some(server) = self.servers.get_mut(&id) {
             let silent_ms = now.saturating_sub(server.last_received) / MS;
             debug!(server = server.row.id, conn = conn.0, silent_ms, "a call came up");
             server.turn_came(now);
+            server.signs_of_life.contact(now, heard_at);
             (server.failed_calls, server.next_call_at, server.last_received, server.avoid_until) =
                 (0, 0, now, 0);
             queue = std::mem::take(&mut server.queue);
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -4,9 +4,10 @@
 use crate::io::{ConnId, Output};
 use crate::limits::MS;
 use crate::limits::servers::{
-    Candidate, PARTIAL_MESSAGE_TIMEOUT, Pick, SILENCE_TIMEOUT, idle_timeout, may_be_closed, pick_connection,
+    Candidate, PARTIAL_MESSAGE_TIMEOUT, Pick, idle_timeout, may_be_closed, pick_connection,
 };
 use crate::list::ServerRow;
+use crate::liveness::SignsOfLife;
 use crate::state::{Node, Server, Session, Stage, TimerKind, cause};
 use micadyke::interface::*;
 use micadyke::module::Decide;
@@ -36,6 +37,7 @@
                 playing,
                 queue,
                 last_received: now,
+                signs_of_life: SignsOfLife::new(now),
                 failed_calls: 0,
                 next_call_at: 0,
                 waits_since: None,
@@ -237,11 +239,8 @@
     pub(crate) fn handle_server_data(&mut self, conn: ConnId, bytes: &[u8]) {
         let now = self.now;
         let Some(link) = self.links.get_mut(&conn) else { return };
-        link.last_received = now;
         link.parser.feed(bytes);
-        if let Some(server) = self.servers.get_mut(&link.server) {
-            server.last_received = now;
-        }
+        self.sign_of_life(conn);
         loop {
             let Some(link) = self.links.get_mut(&conn) else { return };
             match link.parser.poll() {
@@ -267,6 +266,7 @@
     fn handle_server_message(&mut self, conn: ConnId, message: Message) {
         let Some(server) = self.links.get(&conn).map(|l| l.server) else { return };
         let session = message.session_id().map(SessionId);
+        session.into_iter().for_each(|id| self.session_named(conn, id));
         match &message.start {
             Start::Response { status } => {
                 if *status >= 200
@@ -446,7 +446,7 @@
 
     // ----- maintenance
 
-    /// Closes idle and stuck connections, and probes silent servers with sessions.
+    /// Closes idle and stuck connections, opens those that are needed, and checks the liveness of servers with sessions.
     pub(crate) fn maintain_servers(&mut self) {
         let now = self.now;
         let conns: Vec<ConnId> = self.links.keys().copied().collect();
@@ -474,13 +474,7 @@
                 self.end_if_silent(id);
                 continue;
             }
-            let silent = !server.playing.is_empty() && now >= server.last_received + SILENCE_TIMEOUT;
-            // A server without a connection is connected to above, or waits its turn.
-            let is_connected = !server.links.is_empty() && server.links.iter().all(|l| self.links[l].up);
-            if silent && is_connected && now >= server.next_call_at {
-                // A new connection distinguishes a live process from a vanished machine.
-                self.connect_if_room(id, "silent");
-            }
+            self.check_liveness(id);
         }
     }
 }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,6 +9,7 @@
 use crate::limits::viewers::{EvictionCandidate, ReleaseCandidate, Usage, Withdrawals};
 use crate::list::{ServerIds, ServerRow};
 use crate::listed_servers::ListedServers;
+use crate::liveness::SignsOfLife;
 use crate::reconnect::Reconnect;
 use crate::replacement::Replacement;
 use micadyke::interface::*;
@@ -208,6 +209,8 @@
     pub(crate) called_at: Nanos,
     /// It was opened after a release may have been lost: its server repeats the release on it.
     pub(crate) repeats_releases: bool,
+    /// The process at its other end has certainly had the address since then; 0: it is the listed server.
+    pub(crate) process_since: Nanos,
     /// When it was established; 0 before.
     pub(crate) connected_at: Nanos,
     pub(crate) parser: Parser,
@@ -245,6 +248,8 @@
     pub(crate) queue: VecDeque<Message>,
     /// When something was last received from it.
     pub(crate) last_received: Nanos,
+    /// Which process its signs of life come from.
+    pub(crate) signs_of_life: SignsOfLife,
     /// Consecutive failed connection attempts.
     pub(crate) failed_calls: u32,
     /// Time of the earliest next connection attempt.
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -298,8 +298,11 @@
         self.index_session(id);
         self.viewers.get_mut(&conn).into_iter().for_each(Viewer::session_started);
         self.events.push_back(Event::Adopted { request, server });
+        let now = self.now;
         if let Some(s) = self.servers.get_mut(&server) {
             s.playing.insert(id);
+            // Whoever handed it over has heard from it.
+            s.signs_of_life.received(0, now);
         }
         self.ensure_connected(server);
     }
--- a/crates/node/tests/addresses.rs
+++ b/crates/node/tests/addresses.rs
@@ -19,6 +19,8 @@
 const NOTICED: u64 = 12 * SECOND;
 /// Time between two set-ups.
 const INTERVAL: u64 = 20 * MS;
+/// Servers report this often on the sessions that play there.
+const REPORT_INTERVAL: u64 = 2 * SECOND;
 /// The number of the new server.
 const NEW: usize = 7;
 
@@ -62,7 +64,17 @@
 impl Day {
     /// Two servers under traffic; sessions last for long.
     fn new() -> Self {
-        let mut w = World::new(2);
+        Self::in_world(World::new(2))
+    }
+
+    /// The same where servers owe reports, the first after a second.
+    fn with_reports() -> Self {
+        let stats = r#"{"stats":{"columns":["util"],"how":"answers"},"#;
+        let settings = SETTINGS.replacen('{', stats, 1);
+        Self::in_world(World::with(config_with(&settings, 2, 256), 2, None))
+    }
+
+    fn in_world(mut w: World) -> Self {
         w.servers.values_mut().for_each(|s| s.usual = Treat::Serve(60 * SECOND));
         let viewer = w.viewer();
         let mut day = Day { w, viewer, last_id: 0 };
@@ -154,6 +166,121 @@
     assert!(found.is_empty(), "{} faults:\n{}", found.len(), found.join("\n"));
 }
 
+/// How the event bus is out of reach while a machine is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outage {
+    /// Its stream ends, and calls are refused.
+    Refused,
+    /// Its stream falls silent, and calls are lost.
+    Cut,
+}
+
+/// Server 0 vanishes half a second into an outage of the bus, and another one listens at its address; what is wrong after it.
+fn faults_in_an_outage(outage: Outage, old: OldConnections, listens: u64, has_traffic: bool) -> Vec<String> {
+    let mut day = Day::with_reports();
+    let run = |day: &mut Day, until: u64| {
+        while day.w.now < until {
+            let next = until.min(day.w.now + REPORT_INTERVAL / 4);
+            if has_traffic {
+                day.traffic_until(next)
+            } else {
+                day.w.run(next - day.w.now)
+            }
+            if day.w.now.is_multiple_of(REPORT_INTERVAL) {
+                (0..2).for_each(|n| day.w.report(server_addr(n)));
+            }
+        }
+    };
+    let begin = day.w.now;
+    match outage {
+        Outage::Cut => day.w.cut_bus(),
+        Outage::Refused => {
+            day.w.bus_up = false;
+            day.w.break_bus();
+        }
+    }
+    run(&mut day, begin + 500 * MS);
+    let vanished = day.w.now;
+    let over = day.w.vanish(server_addr(0), "s-0");
+    assert!(over.len() > 5, "too few sessions play");
+    run(&mut day, vanished + listens);
+    day.w.take_over(server_addr(0), MediaServer::new("s-7", 20 * MS, Treat::Serve(60 * SECOND)), old);
+    run(&mut day, begin + 14 * SECOND);
+    let released = day.releases();
+    let late =
+        over.iter().filter(|id| released.get(id).is_none_or(|at| *at > vanished + RELEASE_WITHOUT_SERVER));
+    let mut faults: Vec<String> = late.map(|id| format!("{id} is over and was released late")).collect();
+    let standing = |n: usize| day.w.servers[&server_addr(n)].standing().collect::<Vec<u64>>();
+    let playing = [standing(0), standing(1)].concat();
+    let cut = playing.iter().filter(|id| released.contains_key(id));
+    faults.extend(cut.map(|id| format!("{id} plays and was released")));
+    faults
+}
+
+/// review/8: while the event bus was out of reach, each call that the new server accepted counted as a sign of life of the old one,
+/// so that its sessions were released only when the bus was back, 11.4 s after their end.
+#[test]
+fn sessions_of_a_vanished_machine_are_released_in_time_although_the_bus_is_out_of_reach() {
+    let mut found = Vec::new();
+    for outage in [Outage::Refused, Outage::Cut] {
+        for old in [OldConnections::Silent, OldConnections::Reset] {
+            for listens in [100 * MS, 2 * SECOND, 2900 * MS, 4 * SECOND] {
+                for has_traffic in [false, true] {
+                    let faults = faults_in_an_outage(outage, old, listens, has_traffic);
+                    let what = format!("{outage:?} {old:?} {listens} {has_traffic}");
+                    found.extend(faults.into_iter().take(2).map(|fault| format!("{what}: {fault}")));
+                }
+            }
+        }
+    }
+    assert!(found.is_empty(), "{} faults:\n{}", found.len(), found.join("\n"));
+}
+
+/// Guards against sessions that are ended although their server lives: its connections are reset while the bus is out of reach, and
+/// it reports on the next ones.
+#[test]
+fn servers_that_report_keep_their_sessions_while_the_bus_is_out_of_reach() {
+    let mut day = Day::with_reports();
+    day.w.run(100 * MS);
+    let playing = day.w.node.session_counts().1;
+    day.w.cut_bus();
+    for second in 0..20 {
+        if second == 4 {
+            (0..2).for_each(|n| day.w.reset(server_addr(n)));
+        }
+        day.w.run(SECOND);
+        if second % 4 == 3 {
+            (0..2).for_each(|n| day.w.report(server_addr(n)));
+        }
+    }
+    assert_eq!(day.w.node.session_counts().1, playing);
+}
+
+/// Guards against set-ups at an address that may be another server's: it gets none until the bus is heard again.
+#[test]
+fn a_server_in_doubt_gets_no_set_ups_until_the_bus_is_heard() {
+    let mut day = Day::with_reports();
+    day.w.bus_up = false;
+    day.w.break_bus();
+    day.w.vanish(server_addr(0), "s-0");
+    day.w.take_over(
+        server_addr(0),
+        MediaServer::new("s-7", 20 * MS, Treat::Serve(60 * SECOND)),
+        OldConnections::Silent,
+    );
+    for _ in 0..10 {
+        day.w.run(SECOND);
+        day.w.report(server_addr(1));
+    }
+    assert_eq!(day.w.node.counts().lost_servers, 1);
+    let begin = day.w.now;
+    day.traffic_until(begin + 2 * SECOND);
+    assert_eq!(day.sent_to("s-7", begin), 0);
+    day.w.bus_up = true;
+    day.traffic_until(begin + 4 * SECOND);
+    assert!(day.sent_to("s-7", begin) > 0, "the list has it as up, and has been heard");
+}
+
 /// Guards against sessions of the old server that are kept because its replacement, which the node has reached through the old
 /// row, sends reports on its own sessions.
 #[test]
--- a/crates/node/tests/world/mod.rs
+++ b/crates/node/tests/world/mod.rs
@@ -37,9 +37,14 @@
 }
 
 pub fn config(servers: usize, sockets: usize) -> Config {
+    config_with(SETTINGS, servers, sockets)
+}
+
+/// The same with other settings.
+pub fn config_with(settings: &str, servers: usize, sockets: usize) -> Config {
     let rows: Vec<String> = (0..servers).map(|n| row(n, "up", 0)).collect();
     let text = format!(
-        r#"{{"name":"n0","listen":"127.0.0.1:2905","seed":"8c1f30d27a5be964","limits":{{"cores":1,"memory_mb":32,"sockets":{sockets}}},"bus":"127.0.0.2:4222","known":{{"offset":1,"batch":[{{"offset":1,"topology":{{"version":1,"full":true,"servers":[{}]}}}}]}},"settings":{SETTINGS}}}"#,
+        r#"{{"name":"n0","listen":"127.0.0.1:2905","seed":"8c1f30d27a5be964","limits":{{"cores":1,"memory_mb":32,"sockets":{sockets}}},"bus":"127.0.0.2:4222","known":{{"offset":1,"batch":[{{"offset":1,"topology":{{"version":1,"full":true,"servers":[{}]}}}}]}},"settings":{settings}}}"#,
         rows.join(",")
     );
     read(&text).expect("the configuration is sound")
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -43,6 +43,8 @@
     pub max_deadline: Nanos,
     /// Time after the notice that a server drains within which new attempts may still reach it; 0: not stated.
     pub drain_grace: Nanos,
+    /// The longest time in which a server sends a front no report while sessions of the front play on it; 0: it owes none.
+    pub max_report_interval: Nanos,
 }
 
 /// The settings of a deployment.
@@ -228,9 +230,18 @@
         probes: permissions.get("probes")?.boolean()?,
         max_deadline,
         drain_grace: all.get("rules")?.get("stop_sending_within_ns")?.nanos()?,
+        max_report_interval: max_report_interval(all)?,
     })
 }
 
+/// Reads how often a server reports on the sessions that play on it. A report states what was true some time before it.
+fn max_report_interval(all: &Field<'_>) -> Parsed<Nanos> {
+    let family = all.get("family_info")?;
+    let (period, delay) = (family.get("tell_ns")?.nanos()?, family.get("see_ns")?.nanos()?);
+    let reports = all.get("stats")?.get("how")?.text()? == "answers" && period > 0;
+    Ok(if reports { period.saturating_add(delay) } else { 0 })
+}
+
 /// Reads the retry budget, if there is one.
 fn retry_budget(rules: &Field<'_>) -> Parsed<Option<RetryBudget>> {
     let window = rules.get("counted_over_ns")?;
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -24,6 +24,19 @@
         (8, 15_000_000_000, 250_000_000, true)
     );
     assert_eq!(c.max_deadline, 4_000_000_000);
+    assert_eq!(c.max_report_interval, 0, "the settings do not say that reports come");
+}
+
+#[test]
+fn the_report_interval_is_stated_only_if_reports_come() {
+    let table = [("answers", 2_000_000_000, 2_500_000_000), ("answers", 0, 0), ("probe", 2_000_000_000, 0)];
+    for (how, period, interval) in table {
+        let mut settings: Value = serde_json::from_str(SETTINGS).expect("JSON");
+        settings["stats"] = json!({ "how": how });
+        settings["family_info"]["tell_ns"] = json!(period);
+        let deployment = from_json(&settings).expect("valid settings");
+        assert_eq!(deployment.connections.max_report_interval, interval, "{how} {period}");
+    }
 }
 
 /// The settings with the text `valid` replaced by `invalid`.
