Bound the memory of open set-ups and of sessions that are handed over

Cause: all bounds were of one connection; set-ups are held with their descriptions, sessions handed over until their server ends them, and limits.memory_mb was not read.

Change: sessions.rs owns the sessions and counts their bytes. They get a quarter of memory_mb; hand-overs half of that. Set-ups beyond it are refused unsent, hand-overs released at once. Why it works: the sum is bounded, whatever the number of connections and ids.

The tests of the node pass.

--- a/crates/cli/tests/customers.rs
+++ b/crates/cli/tests/customers.rs
@@ -32,7 +32,7 @@
 const EXAMPLE: &str = "Write a value of the named type; DEPLOY.md has an example.";
 
 /// Missing, of another kind, negative, out of range, contradictory: in the configuration and in the settings.
-const FAULTS: [Fault; 43] = [
+const FAULTS: [Fault; 45] = [
     ("{\"name\"", "[{\"name\"", "not JSON:", "Check whether EDGE_CONFIG names the configuration"),
     ("\"name\":\"n0\",", "", "name is missing", DEPLOY),
     ("\"name\":\"n0\"", "\"name\":0", "name holds no text", EXAMPLE),
@@ -71,6 +71,8 @@
         "limits.sockets holds 63; a node needs 64",
         "Give the node more descriptors",
     ),
+    ("\"memory_mb\":32", "\"memory_mb\":\"32\"", "limits.memory_mb holds no number above 0", EXAMPLE),
+    ("\"memory_mb\":32", "\"memory_mb\":0", "limits.memory_mb holds no number above 0", EXAMPLE),
     ("\"limits\":{", "\"limits\":7,\"limit\":{", "limits holds no object", EXAMPLE),
     ("\"limits\"", "\"limit\"", "limits.sockets is missing", DEPLOY),
     ("\"known\":{\"offset\":1,", "\"known\":{", "known.offset is missing", DEPLOY),
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -10,6 +10,9 @@
 pub const MAX_CONFIG_BYTES: u64 = 16 << 20;
 /// Minimum number of descriptors: those of the process itself, the bus, and a few servers and viewers.
 pub(crate) const MIN_SOCKETS: u64 = 64;
+/// The memory limit if the configuration states none, in MB.
+const DEFAULT_MEMORY_MB: f64 = 32.0;
+const BYTES_PER_MB: f64 = (1 << 20) as f64;
 
 /// The configuration of a front node.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,6 +25,8 @@
     pub seed: u64,
     /// Maximum number of descriptors.
     pub sockets: usize,
+    /// The memory limit, in bytes.
+    pub memory: usize,
     /// The address of the event bus.
     pub bus: SocketAddr,
     /// The known events, in order.
@@ -53,6 +58,19 @@
     field(v, path)?.as_u64().ok_or(ConfigError::WrongType { field: path, expected: "count" })
 }
 
+/// The memory limit in bytes.
+fn memory(v: &Value) -> Result<usize, ConfigError> {
+    let path = "limits.memory_mb";
+    let megabytes = match v["limits"]["memory_mb"] {
+        Value::Null => DEFAULT_MEMORY_MB,
+        ref stated => stated
+            .as_f64()
+            .filter(|mb| *mb > 0.0)
+            .ok_or(ConfigError::WrongType { field: path, expected: "number above 0" })?,
+    };
+    Ok((megabytes * BYTES_PER_MB) as usize)
+}
+
 fn address(v: &Value, path: &'static str) -> Result<SocketAddr, ConfigError> {
     let t = text(v, path)?;
     t.parse().map_err(|_| ConfigError::Address { field: path, value: t.into() })
@@ -75,6 +93,7 @@
     if sockets < MIN_SOCKETS {
         return Err(ConfigError::FewSockets(sockets));
     }
+    let memory = memory(&v)?;
     let (mut known, mut offset) = (Vec::new(), 0);
     if !v["known"].is_null() {
         offset = count(&v, "known.offset")?;
@@ -98,6 +117,7 @@
         listen: address(&v, "listen")?,
         seed,
         sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+        memory,
         bus,
         known,
         offset,
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -8,13 +8,13 @@
 use crate::limits::{self, SECOND};
 use crate::list::ServerIds;
 use crate::listed_servers::ListedServers;
+use crate::sessions::Sessions;
 use crate::state::{Node, Stage, TimerKind};
 use micadyke::interface::*;
 use micadyke::module::Decide;
 use micadyke_isup as isup;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, VecDeque};
 use tracing::{info, warn};
 
@@ -59,7 +59,7 @@
             servers: BTreeMap::new(),
             server_ids: ServerIds::default(),
             listed: ListedServers::default(),
-            sessions: BTreeMap::new(),
+            sessions: Sessions::new(config.memory),
             releases: VecDeque::new(),
             max_viewers,
             max_links,
@@ -276,9 +276,9 @@
 
     fn final_answer(&mut self, id: SessionId, message: &isup::Message) {
         // Exactly one answer: only a session without an attempt in flight may be answered here.
-        let session = match self.sessions.entry(id) {
-            Entry::Occupied(e) if e.get().stage == Stage::New => e.remove(),
-            _ => return warn!(session = id.0, "the module answered a session that is owed nothing"),
+        let is_owed = self.sessions.get(&id).is_some_and(|session| session.stage == Stage::New);
+        let Some(session) = is_owed.then(|| self.sessions.remove(&id)).flatten() else {
+            return warn!(session = id.0, "the module answered a session that is owed nothing");
         };
         if let Some(viewer) = self.viewers.get_mut(&session.viewer) {
             viewer.request_answered(id);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 mod recovery;
 mod replacement;
 mod servers;
+mod sessions;
 pub mod shell;
 mod state;
 mod viewers;
--- a/crates/node/src/limits.rs
+++ b/crates/node/src/limits.rs
@@ -19,6 +19,17 @@
 /// Descriptors reserved for the program itself, the listener and the event bus.
 pub const OWN_DESCRIPTORS: usize = 24;
 
+/// Share of the node's memory that sessions may take: open set-ups with their descriptions, and sessions that play. The rest
+/// is for the program, the list, and what is read and written in part on each connection.
+const SESSION_MEMORY_SHARE: f64 = 0.25;
+/// Bytes that a session takes without its description, in all tables and in the module.
+pub const SESSION_BYTES: usize = 1024;
+
+/// The bytes that sessions may take in a node with this much memory.
+pub fn session_memory(node_memory: usize) -> usize {
+    (node_memory as f64 * SESSION_MEMORY_SHARE) as usize
+}
+
 /// The maximum numbers of viewer connections and of server connections for a number of descriptors.
 pub fn connection_limits(descriptors: usize) -> (usize, usize) {
     let viewers = (descriptors as f64 * VIEWER_SHARE) as usize;
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -303,8 +303,8 @@
                 session.stage = Stage::Playing { server, link: Some(conn), since: now };
                 let (viewer, answer) = (session.viewer, isup::Message::new(isup::kind::ANSWER, id.0));
                 let answer = answer.with(isup::code::DESCRIPTION, message.body.as_slice());
-                session.description = Vec::new();
                 let early_reports = std::mem::take(&mut session.early_reports);
+                self.sessions.drop_description(id);
                 self.counts.answered += 1;
                 self.detach_attempt(conn, id);
                 if let Some(v) = self.viewers.get_mut(&viewer) {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -12,6 +12,7 @@
 use crate::liveness::SignsOfLife;
 use crate::reconnect::Reconnect;
 use crate::replacement::Replacement;
+use crate::sessions::Sessions;
 use micadyke::interface::*;
 use micadyke_directory as directory;
 use micadyke_isup as isup;
@@ -152,7 +153,7 @@
     pub(crate) server_ids: ServerIds,
     /// The list as received.
     pub(crate) listed: ListedServers,
-    pub(crate) sessions: BTreeMap<SessionId, Session>,
+    pub(crate) sessions: Sessions,
     /// Releases that wait for a connection: since when, and the message.
     pub(crate) releases: VecDeque<(Nanos, isup::Message)>,
     pub(crate) max_viewers: usize,
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -196,7 +196,8 @@
         } else {
             usize::MAX
         };
-        if viewer.open.len() >= MAX_OPEN_PER_CONNECTION || self.sessions.len() >= max_open {
+        let has_room = self.sessions.has_room_for_setup(setup.description.len());
+        if viewer.open.len() >= MAX_OPEN_PER_CONNECTION || self.sessions.len() >= max_open || !has_room {
             // Refused before anything was sent, so a retry does no harm.
             self.counts.turned_away += 1;
             return self.refuse_unadmitted(conn, id);
@@ -293,6 +294,11 @@
             debug!(at = server_id, "taken-over session plays at an unknown server");
             return self.release_viewer(conn, Message::new(kind::RELEASE, id.0).with_cause(cause::FAILED));
         };
+        if !self.sessions.has_room_for_hand_over() {
+            self.counts.turned_away += 1;
+            debug!(session = id.0, "no memory is left for a session that is handed over");
+            return self.release_viewer(conn, Message::new(kind::RELEASE, id.0).with_cause(cause::FAILED));
+        }
         let session = Session::new(&request, conn, Stage::Playing { server, link: None, since: 0 });
         self.sessions.insert(id, Session { viewer_name, ..session });
         self.index_session(id);
