Begin no set-up that is read after its viewer has closed its connection

Cause: the end of a connection was learnt by reading up to it, so all before it was begun.

Change: the shell looks whether the viewer has closed its side before it reads, and tells the core: open set-ups are withdrawn, those read later are not begun. Releases, hand-overs and tests among what is left still count. Why it works: the system tells of the end together with the bytes.

--- a/crates/cli/tests/gone.rs
+++ b/crates/cli/tests/gone.rs
@@ -158,6 +158,34 @@
     });
 }
 
+/// Picture (c) of issue 65: a viewer closed its connection with much of what it had sent unread, and its set-ups were sent to servers
+/// afterwards. What it had said of a session that plays counts all the same.
+#[test]
+fn set_ups_that_are_read_after_their_viewer_has_closed_are_never_sent() {
+    on_one_thread(async {
+        for how in [Goes::Closes, Goes::HalfCloses] {
+            let scene = Scene::default();
+            let a = server(&scene, "a", 60_000).await;
+            let stage = Stage::new(&format!("unread-{how:?}"), scene, &[("a", a.addr)]).await;
+            let mut viewer = stage.viewer().await;
+            stage.wish(&mut viewer, 1..2, 20).await;
+            until("the first plays", || a.server.borrow().standing().count() == 1).await;
+            stage.node.signal("-STOP");
+            viewer.send(&Message::new(kind::RELEASE, 1).with_cause(16)).await;
+            stage.scene.note(Seen::GaveUp { id: 1 });
+            // More than one read takes.
+            stage.wish(&mut viewer, 1001..1501, 20).await;
+            let rest = go(viewer, &stage.scene, 1001..1501, how).await;
+            stage.node.signal("-CONT");
+            tokio::time::sleep(DROPPED).await;
+            assert_eq!(sent(&stage.scene), 1, "{how:?}: set-ups that servers read");
+            assert_eq!(a.server.borrow().standing().count(), 0, "{how:?}: the first is ended");
+            stage.kept(&format!("{how:?}"));
+            drop(rest);
+        }
+    });
+}
+
 /// What a server says is held on its way, and arrives with the viewer's end: just before it, or just after.
 fn a_viewer_goes_in_the_instant_of(treat: Treat, name: &'static str) {
     on_one_thread(async move {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -165,6 +165,7 @@
         }
         match input {
             Input::ViewerConnected { conn } => self.viewer_connected(conn),
+            Input::ViewerLeft { conn } => self.viewer_left(conn),
             Input::Data { conn, bytes } => self.data(conn, bytes),
             Input::Connected { conn } if self.follower.owns(conn) => {
                 let given_up = self.follower.connected(conn, self.now);
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -46,6 +46,12 @@
         /// The connection.
         conn: ConnId,
     },
+    /// A viewer has closed its connection or its half of it. What is received on it from now on was sent before;
+    /// [`Input::Closed`] follows.
+    ViewerLeft {
+        /// The connection.
+        conn: ConnId,
+    },
     /// Bytes were received on a connection of any kind.
     Data {
         /// The connection.
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -12,7 +12,7 @@
 use micadyke::interface::Nanos;
 use micadyke::module::Decide;
 use micadyke_directory::{Key, Session};
-use micadyke_http::client::{CallError, Connection, read_some};
+use micadyke_http::client::{CallError, Connection};
 use micadyke_http::{Limits, Method, Request};
 use micadyke_membership::server_report::ServerReport;
 use micadyke_membership::shell::{ShareReceiver, next_share};
@@ -27,6 +27,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
@@ -42,6 +43,8 @@
 const MAX_FLUSHING: usize = 8;
 /// Maximum bytes that are read and discarded from a closed connection.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// Maximum bytes of one read.
+const READ_BYTES: usize = 8 << 10;
 /// Pause before accepting again when no descriptors are left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which a stopping node checks whether it may end. Between two checks pending input is read.
@@ -83,6 +86,8 @@
     max_backlog: usize,
     /// It is a viewer's.
     is_viewer: bool,
+    /// The viewer has closed it, and the core was told.
+    viewer_left: Cell<bool>,
 }
 
 impl Conn {
@@ -535,7 +540,7 @@
             }
             let has_unwritten = c.blocked.get() || !c.unwritten.borrow().is_empty();
             let read = tokio::select! {
-                n = read_some(&stream, |bytes| self.feed(Input::Data { conn, bytes })) => n,
+                n = self.read(conn, &stream, &c) => n,
                 w = stream.writable(), if has_unwritten => {
                     if w.is_err() || !c.write(&[]) {
                         break;
@@ -564,6 +569,27 @@
         }
     }
 
+    /// Waits for bytes on a connection, passes them to the core and returns their number; 0 means that the connection was
+    /// closed. That a viewer has closed it is told before what it had sent: what it asks for is not begun any more.
+    async fn read(self: &Rc<Self>, conn: ConnId, stream: &TcpStream, c: &Conn) -> std::io::Result<usize> {
+        loop {
+            let is_closed = stream.ready(Interest::READABLE).await?.is_read_closed();
+            if is_closed && c.is_viewer && !c.viewer_left.replace(true) {
+                self.feed(Input::ViewerLeft { conn });
+            }
+            // The buffer is on the stack during the read only, so a waiting connection has none.
+            let mut buffer = [0u8; READ_BYTES];
+            match stream.try_read(&mut buffer) {
+                Ok(n) => {
+                    self.feed(Input::Data { conn, bytes: &buffer[..n] });
+                    return Ok(n);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     /// Reads the event bus until its stream ends.
     async fn run_bus(self: Rc<Self>, conn: ConnId, addr: SocketAddr, last: u64, c: Rc<Conn>) {
         tokio::select! {
@@ -647,7 +673,7 @@
 /// Reads and discards pending input of a closed connection. With unread bytes the operating system would reset the
 /// connection and drop what the peer has not yet received.
 fn discard_unread(stream: &TcpStream) {
-    let mut buffer = [0u8; 8192];
+    let mut buffer = [0u8; READ_BYTES];
     let mut left = MAX_DISCARDED_BYTES;
     while left > 0 {
         match stream.try_read(&mut buffer) {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -273,6 +273,8 @@
 #[derive(Debug)]
 pub(crate) struct Viewer {
     pub(crate) parser: isup::Parser,
+    /// It has closed its connection, and no answer reaches it any more.
+    pub(crate) has_left: bool,
     /// Unanswered set-ups that were received on it.
     pub(crate) open: BTreeSet<SessionId>,
     pub(crate) connected_at: Nanos,
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -54,6 +54,7 @@
         }
         let viewer = Viewer {
             parser: Parser::default(),
+            has_left: false,
             open: BTreeSet::new(),
             connected_at: self.now,
             last_message_at: self.now,
@@ -84,6 +85,15 @@
         viewer.open.into_iter().for_each(|id| self.give_up(id));
     }
 
+    /// A viewer has closed its connection: its open set-ups are withdrawn, and those that are read later are not begun. What it
+    /// says of playing sessions still counts.
+    pub(crate) fn viewer_left(&mut self, conn: ConnId) {
+        let Some(viewer) = self.viewers.get_mut(&conn) else { return };
+        viewer.has_left = true;
+        let open = std::mem::take(&mut viewer.open);
+        open.into_iter().for_each(|id| self.give_up(id));
+    }
+
     pub(crate) fn handle_viewer_data(&mut self, conn: ConnId, bytes: &[u8]) {
         let Some(viewer) = self.viewers.get_mut(&conn) else { return };
         viewer.parser.feed(bytes);
@@ -190,7 +200,7 @@
             self.counts.unsound += 1;
             return self.close_viewer(conn, "duplicate session id");
         }
-        let Some(viewer) = self.viewers.get(&conn) else { return };
+        let Some(viewer) = self.viewers.get(&conn).filter(|viewer| !viewer.has_left) else { return };
         let max_open = if self.connection_settings.max_open_requests > 0 {
             self.connection_settings.max_open_requests as usize
         } else {
