--- a/crates/node/src/blocked.rs
+++ b/crates/node/src/blocked.rs
@@ -140,6 +140,7 @@
         match session.stage {
             Stage::InFlight { server, link, offset, .. } if link == conn && offset == expected_offset => {
                 session.stage = Stage::Waiting { server, link };
+                session.may_have_run = false;
                 self.counts.attempts -= 1;
                 true
             }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -40,10 +40,12 @@
     /// Creates a node with its decision module; `now` is Unix time in nanoseconds.
     pub fn new(config: &Config, decide: D, now: Nanos) -> Self {
         let (max_viewers, max_links) = limits::connection_limits(config.sockets);
+        let classes = config.deployment.settings.classes.iter();
         let mut node = Node {
             decide,
             names: config.deployment.names.clone(),
             connection_settings: config.deployment.connections.clone(),
+            at_most_once: classes.map(|class| class.effect == Effect::AtMostOnce).collect(),
             cells: config.deployment.settings.cells,
             rungs: config.deployment.settings.ladder.len(),
             now,
@@ -300,6 +302,9 @@
         };
         session.stage = Stage::New;
         session.early_reports.clear();
+        if matches!(outcome, Outcome::Full | Outcome::NotSent | Outcome::NoConnection) {
+            session.may_have_run = false;
+        }
         self.detach_attempt(link, id);
         self.count_outcome(outcome);
         if outcome == Outcome::Full {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod servers;
 mod sessions;
 pub mod shell;
+mod spent_ids;
 mod state;
 mod viewers;
 
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -197,6 +197,7 @@
         }
         let message = message.content(&session.description);
         session.stage = Stage::InFlight { server, link, offset, sent_at: now };
+        session.may_have_run = true;
         self.counts.attempts += 1;
         self.write_to_server(link, Subject::SetUp(id), message);
     }
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -1,6 +1,7 @@
 //! The sessions of a node, within a bound of memory.
 
 use crate::limits::{SESSION_BYTES, session_memory};
+use crate::spent_ids::SpentIds;
 use crate::state::Session;
 use micadyke::interface::SessionId;
 use std::collections::BTreeMap;
@@ -12,12 +13,19 @@
     by_id: BTreeMap<SessionId, Session>,
     bytes: usize,
     max_bytes: usize,
+    /// Ids of removed sessions that may not be set up again.
+    spent_ids: SpentIds,
 }
 
 impl Sessions {
     /// No sessions, in a node with this much memory.
     pub(crate) fn new(node_memory: usize) -> Self {
-        Sessions { by_id: BTreeMap::new(), bytes: 0, max_bytes: session_memory(node_memory) }
+        Sessions {
+            by_id: BTreeMap::new(),
+            bytes: 0,
+            max_bytes: session_memory(node_memory),
+            spent_ids: SpentIds::default(),
+        }
     }
 
     /// Whether a set-up with a description of this length may be held.
@@ -42,9 +50,17 @@
     pub(crate) fn remove(&mut self, id: &SessionId) -> Option<Session> {
         let session = self.by_id.remove(id)?;
         self.bytes -= session.bytes();
+        if session.at_most_once && session.may_have_run {
+            self.spent_ids.add(*id);
+        }
         Some(session)
     }
 
+    /// Whether a session with this id is over that may not be set up again.
+    pub(crate) fn is_spent(&self, id: SessionId) -> bool {
+        self.spent_ids.contains(id)
+    }
+
     /// A session, to be changed. Its description is dropped by [`Self::drop_description`].
     pub(crate) fn get_mut(&mut self, id: &SessionId) -> Option<&mut Session> {
         self.by_id.get_mut(id)
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -200,6 +200,9 @@
             self.counts.unsound += 1;
             return self.close_viewer(conn, "duplicate session id");
         }
+        if self.sessions.is_spent(id) {
+            return self.fail_spent(conn, id);
+        }
         let Some(viewer) = self.viewers.get(&conn).filter(|viewer| !viewer.has_left) else { return };
         let max_open = if self.connection_settings.max_open_requests > 0 {
             self.connection_settings.max_open_requests as usize
@@ -218,11 +221,21 @@
             viewer.open.insert(id);
         }
         let session = Session::new(&setup.request, conn, Stage::New);
-        let session = Session { description: setup.description, viewer_name: setup.viewer_name, ..session };
+        let at_most_once = self.is_at_most_once(setup.request.class);
+        let (description, viewer_name) = (setup.description, setup.viewer_name);
+        let session = Session { description, viewer_name, at_most_once, ..session };
         self.sessions.insert(id, session);
         self.events.push_back(Event::Request(setup.request));
     }
 
+    /// Fails a set-up whose id was set up before, by a session that may have run and must not run twice.
+    fn fail_spent(&mut self, conn: ConnId, id: SessionId) {
+        debug!(session = id.0, "a session that may have run is requested again");
+        self.counts.failed += 1;
+        self.mark_active(conn);
+        self.write_to_viewer(conn, &Message::new(kind::RELEASE, id.0).with_cause(cause::FAILED));
+    }
+
     /// Refuses a set-up without asking the module, with a retry delay if the settings allow one.
     fn refuse_unadmitted(&mut self, conn: ConnId, id: SessionId) {
         let refusal = Message::new(kind::RELEASE, id.0).with_cause(cause::REFUSED);
@@ -292,6 +305,10 @@
         Ok(SetupRequest { request, description, viewer_name, playing_at })
     }
 
+    fn is_at_most_once(&self, class: ClassId) -> bool {
+        self.at_most_once.get(class.0).copied().unwrap_or(false)
+    }
+
     /// Takes over a playing session. No answer is expected, even if the session is already known.
     fn adopt(&mut self, conn: ConnId, request: SessionRequest, viewer_name: String, server_id: &str) {
         let id = request.session;
@@ -310,7 +327,8 @@
             return self.release_viewer(conn, Message::new(kind::RELEASE, id.0).with_cause(cause::FAILED));
         }
         let session = Session::new(&request, conn, Stage::Playing { server, link: None, since: 0 });
-        self.sessions.insert(id, Session { viewer_name, ..session });
+        let at_most_once = self.is_at_most_once(request.class);
+        self.sessions.insert(id, Session { viewer_name, at_most_once, ..session });
         self.index_session(id);
         self.viewers.get_mut(&conn).into_iter().for_each(Viewer::session_started);
         self.events.push_back(Event::Adopted { request, server });
--- a/crates/node/tests/gone.rs
+++ b/crates/node/tests/gone.rs
@@ -74,6 +74,52 @@
     assert_eq!(standing, 0, "{what}");
 }
 
+/// Picture (c) of issue 65: a set-up ran a second time when its id came again after its client had left, also where that harms.
+#[test]
+fn an_id_that_comes_again_after_its_viewer_has_left_does_not_run_twice_where_that_harms() {
+    for how in WAYS {
+        // Withdrawn before its answer, at the server; and once it plays.
+        for left_after in [10 * MS, 100 * MS] {
+            for (class, runs) in [("paid", 1), ("free", 2)] {
+                let mut w = World::new(2);
+                let (first, second) = (w.viewer(), w.viewer());
+                w.ask(first, 7, class, 4000);
+                w.run(left_after);
+                w.give_up(first, 7);
+                if how != Goes::GivesUp {
+                    w.hang_up(first);
+                }
+                w.run(50 * MS);
+                w.ask(second, 7, class, 4000);
+                w.run(SECOND);
+                assert_eq!(w.sends(7), runs, "{class} {how:?} {left_after}");
+                let told: Vec<_> = w.told[&second].iter().map(|m| (m.1.kind, m.1.cause_value())).collect();
+                let failed = (kind::RELEASE, Some(41));
+                assert_eq!(told.contains(&failed), class == "paid", "{class} {how:?} {left_after}: {told:?}");
+            }
+        }
+    }
+}
+
+/// Guards against set-ups that are failed although nothing was ever sent under their id.
+#[test]
+fn an_id_that_was_never_sent_may_come_again() {
+    let mut w = World::new(1);
+    w.run(10 * MS);
+    w.vanished.insert(server_addr(0));
+    let viewer = w.viewer();
+    w.ask(viewer, 7, "paid", 4000);
+    w.run(100 * MS);
+    w.give_up(viewer, 7);
+    w.run(3 * SECOND);
+    w.vanished.clear();
+    w.run(3 * SECOND);
+    w.ask(viewer, 7, "paid", 4000);
+    w.run(SECOND);
+    assert_eq!(w.sends(7), 1);
+    assert!(w.told[&viewer].iter().any(|m| m.1.kind == kind::ANSWER));
+}
+
 // ----- servers that read
 
 #[test]
