--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -5,6 +5,7 @@
 
 use crate::advice::SpreadAdvice;
 use crate::config::{Config, MAX_CONFIG_BYTES, read};
+use crate::connection::{Conn, READ_BYTES, discard_unread};
 use crate::error::Error;
 use crate::io::{ConnId, ConnectionEnd, Input, Output};
 use crate::limits;
@@ -41,10 +42,6 @@
 /// Maximum closed connections that wait at the same time. Each holds a descriptor that the core no longer counts;
 /// [`limits::OWN_DESCRIPTORS`] includes that many.
 const MAX_FLUSHING: usize = 8;
-/// Maximum bytes that are read and discarded from a closed connection.
-const MAX_DISCARDED_BYTES: usize = 64 << 10;
-/// Maximum bytes of one read.
-const READ_BYTES: usize = 8 << 10;
 /// Pause before accepting again when no descriptors are left.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which a stopping node checks whether it may end. Between two checks pending input is read.
@@ -70,93 +67,6 @@
     read(&text).map_err(|why| Error::Refused { path: path.into(), why })
 }
 
-/// The state of a connection.
-#[derive(Debug, Default)]
-struct Conn {
-    stream: RefCell<Option<Rc<TcpStream>>>,
-    unwritten: RefCell<VecDeque<u8>>,
-    written: Cell<u64>,
-    /// It leads to a server.
-    is_server: bool,
-    /// The operating system accepts no more bytes; only tracked for servers.
-    blocked: Cell<bool>,
-    changed: Notify,
-    closing: Cell<bool>,
-    paused: Cell<Option<Instant>>,
-    max_backlog: usize,
-    /// It is a viewer's.
-    is_viewer: bool,
-    /// The viewer has closed it, and the core was told.
-    viewer_left: Cell<bool>,
-}
-
-impl Conn {
-    /// A viewer's connection.
-    fn accepted(stream: TcpStream) -> Rc<Self> {
-        let stream = RefCell::new(Some(Rc::new(stream)));
-        Rc::new(Conn {
-            stream,
-            max_backlog: limits::viewers::MAX_BACKLOG_BYTES,
-            is_viewer: true,
-            ..Conn::default()
-        })
-    }
-
-    /// A connection to a server that is not yet established.
-    fn to_server() -> Rc<Self> {
-        Rc::new(Conn { is_server: true, max_backlog: limits::servers::MAX_BACKLOG_BYTES, ..Conn::default() })
-    }
-
-    /// Writes what the operating system accepts and keeps the rest. Returns false if the connection has to be closed.
-    fn write(&self, bytes: &[u8]) -> bool {
-        let mut waiting = self.unwritten.borrow_mut();
-        waiting.extend(bytes);
-        let Some(stream) = self.stream.borrow().clone() else { return waiting.len() <= self.max_backlog };
-        while !waiting.is_empty() {
-            match stream.try_write(waiting.as_slices().0) {
-                Ok(n) => {
-                    waiting.drain(..n);
-                    self.written.set(self.written.get() + n as u64);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => return false,
-            }
-        }
-        if waiting.is_empty() {
-            *waiting = VecDeque::new();
-        }
-        waiting.len() <= self.max_backlog
-    }
-
-    /// Writes one message to a server. A message that can't be started is dropped; the rest of a started one is kept.
-    /// Returns false if the connection has to be closed.
-    fn write_message(&self, message: &[u8]) -> bool {
-        if self.blocked.get() {
-            return true;
-        }
-        let before = self.written.get();
-        let usable = self.write(message);
-        if !self.unwritten.borrow().is_empty() {
-            self.blocked.set(true);
-            if self.written.get() == before {
-                self.unwritten.borrow_mut().clear();
-            }
-        }
-        usable
-    }
-
-    /// Drops all unsent bytes, including those that the operating system has accepted.
-    fn abort(&self) {
-        self.unwritten.borrow_mut().clear();
-        let _ = self.stream.borrow().as_ref().map(|s| s.set_zero_linger());
-    }
-
-    /// Whether the connection was blocked and has become writable; it is then no longer marked as blocked.
-    fn take_unblocked(&self) -> bool {
-        self.unwritten.borrow().is_empty() && self.blocked.replace(false)
-    }
-}
-
 /// A running node.
 struct Shell<D> {
     core: RefCell<Node<D>>,
@@ -669,16 +579,3 @@
         discard_unread(stream);
     }
 }
-
-/// Reads and discards pending input of a closed connection. With unread bytes the operating system would reset the
-/// connection and drop what the peer has not yet received.
-fn discard_unread(stream: &TcpStream) {
-    let mut buffer = [0u8; READ_BYTES];
-    let mut left = MAX_DISCARDED_BYTES;
-    while left > 0 {
-        match stream.try_read(&mut buffer) {
-            Ok(n @ 1..) => left = left.saturating_sub(n),
-            _ => return,
-        }
-    }
-}
