Drop what the last changes wrote twice: a reading loop, class effects, looks at the bound

Change, without any in behaviour: the shell's loop that reads a connection was a copy of read_some of the http package; both are read_some_noting_close now, and whether a viewer has left is kept by the core alone (the input may be repeated). Whether a class is set up once at most is known to Sessions, which alone asks, in place of a flag in each session. The bound of connections to servers is looked at in one place (has_free_connection), also by the three older callers; a set-up no longer searches for an idle connection twice when all are in use. A viewer's close goes through viewer_left. No test was touched.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// Why a call failed.
@@ -97,9 +98,19 @@
 
 /// Waits for bytes on a connection, passes them to `take` and returns their number; 0 means that the connection was closed.
 /// The buffer is on the stack during the read only, so a waiting connection has none.
-pub async fn read_some(stream: &TcpStream, mut take: impl FnMut(&[u8])) -> std::io::Result<usize> {
+pub async fn read_some(stream: &TcpStream, take: impl FnMut(&[u8])) -> std::io::Result<usize> {
+    read_some_noting_close(stream, || {}, take).await
+}
+
+/// The same, and calls `closed` before each read at which the peer is known to have closed its side: what is read then was
+/// sent before.
+pub async fn read_some_noting_close(
+    stream: &TcpStream, mut closed: impl FnMut(), mut take: impl FnMut(&[u8]),
+) -> std::io::Result<usize> {
     loop {
-        stream.readable().await?;
+        if stream.ready(Interest::READABLE).await?.is_read_closed() {
+            closed();
+        }
         let mut buffer = [0u8; 8192];
         match stream.try_read(&mut buffer) {
             Ok(n) => {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -9,8 +9,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// Maximum bytes of one read.
-pub(crate) const READ_BYTES: usize = 8 << 10;
 /// Maximum bytes that are read and discarded from a closed connection.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
@@ -30,8 +28,6 @@
     max_backlog: usize,
     /// It is a viewer's.
     pub(crate) is_viewer: bool,
-    /// The viewer has closed it, and the core was told.
-    pub(crate) viewer_left: Cell<bool>,
 }
 
 impl Conn {
@@ -104,7 +100,7 @@
 /// Reads and discards pending input of a closed connection. With unread bytes the operating system would reset the
 /// connection and drop what the peer has not yet received.
 pub(crate) fn discard_unread(stream: &TcpStream) {
-    let mut buffer = [0u8; READ_BYTES];
+    let mut buffer = [0u8; 8192];
     let mut left = MAX_DISCARDED_BYTES;
     while left > 0 {
         match stream.try_read(&mut buffer) {
--- a/crates/node/src/connection_turns.rs
+++ b/crates/node/src/connection_turns.rs
@@ -39,11 +39,6 @@
         self.links.len() < self.max_links
     }
 
-    /// Whether a connection can be opened, if need be in place of an idle one.
-    pub(crate) fn has_room_for_connection(&self) -> bool {
-        self.has_free_connection() || self.replaceable_connection().is_some()
-    }
-
     /// The idle connection that is closed first when another one is needed.
     fn replaceable_connection(&self) -> Option<ConnId> {
         let replaceable = self.links.iter().filter(|(_, link)| link.is_replaceable(self.now));
--- a/crates/node/src/coordination.rs
+++ b/crates/node/src/coordination.rs
@@ -194,6 +194,7 @@
         c.reported_silent.retain(|s| silent.contains(s));
         c.probe_history.retain(|s, _| silent.contains(s));
         for id in silent {
+            let has_free_connection = self.has_free_connection();
             let Some(server) = self.servers.get_mut(&id) else { continue };
             let Some(c) = &mut self.coordination else { return };
             let (names, task) =
@@ -208,12 +209,7 @@
             // A server with sessions is probed in any case, for the sessions.
             let connecting = server.links.iter().any(|l| !self.links[l].up) || !server.playing.is_empty();
             let tokens = limits::fleet::available_probes(self.probe_tokens, now);
-            if !due
-                || connecting
-                || now < server.next_call_at
-                || tokens < 1.0
-                || self.links.len() >= self.max_links
-            {
+            if !due || connecting || now < server.next_call_at || tokens < 1.0 || !has_free_connection {
                 continue;
             }
             history.record_result(&settings, now, now);
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -40,12 +40,10 @@
     /// Creates a node with its decision module; `now` is Unix time in nanoseconds.
     pub fn new(config: &Config, decide: D, now: Nanos) -> Self {
         let (max_viewers, max_links) = limits::connection_limits(config.sockets);
-        let classes = config.deployment.settings.classes.iter();
         let mut node = Node {
             decide,
             names: config.deployment.names.clone(),
             connection_settings: config.deployment.connections.clone(),
-            at_most_once: classes.map(|class| class.effect == Effect::AtMostOnce).collect(),
             cells: config.deployment.settings.cells,
             rungs: config.deployment.settings.ladder.len(),
             now,
@@ -61,7 +59,7 @@
             servers: BTreeMap::new(),
             server_ids: ServerIds::default(),
             listed: ListedServers::default(),
-            sessions: Sessions::new(config.memory),
+            sessions: Sessions::new(config.memory, &config.deployment.settings.classes),
             releases: VecDeque::new(),
             max_viewers,
             max_links,
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -47,7 +47,7 @@
         conn: ConnId,
     },
     /// A viewer has closed its connection or its half of it. What is received on it from now on was sent before;
-    /// [`Input::Closed`] follows.
+    /// It may be repeated; [`Input::Closed`] follows.
     ViewerLeft {
         /// The connection.
         conn: ConnId,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -57,7 +57,7 @@
                 let needed = self.now >= server.last_received + limits::fleet::RECENT_CONTACT
                     && self.now >= server.next_call_at
                     && !connecting;
-                if needed && tokens >= 1.0 && self.links.len() < self.max_links {
+                if needed && tokens >= 1.0 && self.has_free_connection() {
                     self.probe_tokens = (tokens - 1.0, self.now);
                     self.connect(id, "found by others");
                 }
--- a/crates/node/src/recovery.rs
+++ b/crates/node/src/recovery.rs
@@ -106,7 +106,7 @@
         let probed: Vec<ServerId> =
             ready.choose_multiple(&mut self.random, limits::fleet::MAX_PROBED_SERVERS).copied().collect();
         for id in &probed {
-            if self.links.len() < self.max_links {
+            if self.has_free_connection() {
                 self.connect(*id, "after a power loss");
             }
         }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -146,10 +146,7 @@
         // Set-ups do not wait for an unreachable server until the node itself has connected to it.
         let unreachable = now < server.next_call_at && candidates.iter().all(|c| !c.up);
         // Others give way only to a server without any connection.
-        let has_capacity = match candidates.is_empty() {
-            true => self.has_room_for_connection(),
-            false => self.has_free_connection(),
-        };
+        let has_capacity = candidates.is_empty() || self.has_free_connection();
         let max_open = if self.connection_settings.max_streams > 0 {
             self.connection_settings.max_streams as usize
         } else {
@@ -162,12 +159,9 @@
             Pick::New => self.connect_if_room(to, "set-up"),
             Pick::None => None,
         };
-        let link = match link {
-            Some(link) => link,
-            None => {
-                self.count_outcome(Outcome::NoConnection);
-                return self.events.push_back(not_sent(Outcome::NoConnection));
-            }
+        let Some(link) = link else {
+            self.count_outcome(Outcome::NoConnection);
+            return self.events.push_back(not_sent(Outcome::NoConnection));
         };
         if let Some(session) = self.sessions.get_mut(&id) {
             session.stage = Stage::Waiting { server: to, link };
--- a/crates/node/src/sessions.rs
+++ b/crates/node/src/sessions.rs
@@ -3,7 +3,7 @@
 use crate::limits::{SESSION_BYTES, session_memory};
 use crate::spent_ids::SpentIds;
 use crate::state::Session;
-use micadyke::interface::SessionId;
+use micadyke::interface::{Class, Effect, SessionId};
 use std::collections::BTreeMap;
 use std::ops::Deref;
 
@@ -13,17 +13,20 @@
     by_id: BTreeMap<SessionId, Session>,
     bytes: usize,
     max_bytes: usize,
+    /// Whether sessions must not be set up more than once, by class.
+    at_most_once: Vec<bool>,
     /// Ids of removed sessions that may not be set up again.
     spent_ids: SpentIds,
 }
 
 impl Sessions {
-    /// No sessions, in a node with this much memory.
-    pub(crate) fn new(node_memory: usize) -> Self {
+    /// No sessions, in a node with this much memory and these classes.
+    pub(crate) fn new(node_memory: usize, classes: &[Class]) -> Self {
         Sessions {
             by_id: BTreeMap::new(),
             bytes: 0,
             max_bytes: session_memory(node_memory),
+            at_most_once: classes.iter().map(|class| class.effect == Effect::AtMostOnce).collect(),
             spent_ids: SpentIds::default(),
         }
     }
@@ -50,7 +53,9 @@
     pub(crate) fn remove(&mut self, id: &SessionId) -> Option<Session> {
         let session = self.by_id.remove(id)?;
         self.bytes -= session.bytes();
-        if session.at_most_once && session.may_have_run {
+        let class = session.request.class.0;
+        let is_at_most_once = self.at_most_once.get(class).copied().unwrap_or(false);
+        if is_at_most_once && session.may_have_run {
             self.spent_ids.add(*id);
         }
         Some(session)
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -5,7 +5,7 @@
 
 use crate::advice::SpreadAdvice;
 use crate::config::{Config, MAX_CONFIG_BYTES, read};
-use crate::connection::{Conn, READ_BYTES, discard_unread};
+use crate::connection::{Conn, discard_unread};
 use crate::error::Error;
 use crate::io::{ConnId, ConnectionEnd, Input, Output};
 use crate::limits;
@@ -13,7 +13,7 @@
 use micadyke::interface::Nanos;
 use micadyke::module::Decide;
 use micadyke_directory::{Key, Session};
-use micadyke_http::client::{CallError, Connection};
+use micadyke_http::client::{CallError, Connection, read_some_noting_close};
 use micadyke_http::{Limits, Method, Request};
 use micadyke_membership::server_report::ServerReport;
 use micadyke_membership::shell::{ShareReceiver, next_share};
@@ -28,7 +28,6 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
@@ -482,22 +481,12 @@
     /// Waits for bytes on a connection, passes them to the core and returns their number; 0 means that the connection was
     /// closed. That a viewer has closed it is told before what it had sent: what it asks for is not begun any more.
     async fn read(self: &Rc<Self>, conn: ConnId, stream: &TcpStream, c: &Conn) -> std::io::Result<usize> {
-        loop {
-            let is_closed = stream.ready(Interest::READABLE).await?.is_read_closed();
-            if is_closed && c.is_viewer && !c.viewer_left.replace(true) {
+        let viewer_left = || {
+            if c.is_viewer {
                 self.feed(Input::ViewerLeft { conn });
             }
-            // The buffer is on the stack during the read only, so a waiting connection has none.
-            let mut buffer = [0u8; READ_BYTES];
-            match stream.try_read(&mut buffer) {
-                Ok(n) => {
-                    self.feed(Input::Data { conn, bytes: &buffer[..n] });
-                    return Ok(n);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-                Err(e) => return Err(e),
-            }
-        }
+        };
+        read_some_noting_close(stream, viewer_left, |bytes| self.feed(Input::Data { conn, bytes })).await
     }
 
     /// Reads the event bus until its stream ends.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -64,8 +64,6 @@
     /// When the attempt times out.
     pub(crate) deadline: Nanos,
     pub(crate) stage: Stage,
-    /// It must not be set up more than once.
-    pub(crate) at_most_once: bool,
     /// A set-up was sent, and nothing proves that it never ran.
     pub(crate) may_have_run: bool,
     /// Reports that arrived before the answer, the last of each kind.
@@ -85,7 +83,6 @@
             attempt: 0,
             deadline: request.give_up_at,
             stage,
-            at_most_once: false,
             may_have_run: matches!(stage, Stage::Playing { .. }),
             early_reports: Vec::new(),
         }
@@ -142,8 +139,6 @@
     pub(crate) decide: D,
     pub(crate) names: Names,
     pub(crate) connection_settings: ConnectionSettings,
-    /// Whether sessions must not be set up more than once, by class.
-    pub(crate) at_most_once: Vec<bool>,
     pub(crate) cells: u32,
     pub(crate) rungs: usize,
     pub(crate) now: Nanos,
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -81,8 +81,8 @@
     }
 
     pub(crate) fn viewer_closed(&mut self, conn: ConnId) {
-        let Some(viewer) = self.viewers.remove(&conn) else { return };
-        viewer.open.into_iter().for_each(|id| self.give_up(id));
+        self.viewer_left(conn);
+        self.viewers.remove(&conn);
     }
 
     /// A viewer has closed its connection: its open set-ups are withdrawn, and those that are read later are not begun. What it
@@ -221,9 +221,7 @@
             viewer.open.insert(id);
         }
         let session = Session::new(&setup.request, conn, Stage::New);
-        let at_most_once = self.is_at_most_once(setup.request.class);
-        let (description, viewer_name) = (setup.description, setup.viewer_name);
-        let session = Session { description, viewer_name, at_most_once, ..session };
+        let session = Session { description: setup.description, viewer_name: setup.viewer_name, ..session };
         self.sessions.insert(id, session);
         self.events.push_back(Event::Request(setup.request));
     }
@@ -305,10 +303,6 @@
         Ok(SetupRequest { request, description, viewer_name, playing_at })
     }
 
-    fn is_at_most_once(&self, class: ClassId) -> bool {
-        self.at_most_once.get(class.0).copied().unwrap_or(false)
-    }
-
     /// Takes over a playing session. No answer is expected, even if the session is already known.
     fn adopt(&mut self, conn: ConnId, request: SessionRequest, viewer_name: String, server_id: &str) {
         let id = request.session;
@@ -327,8 +321,7 @@
             return self.release_viewer(conn, Message::new(kind::RELEASE, id.0).with_cause(cause::FAILED));
         }
         let session = Session::new(&request, conn, Stage::Playing { server, link: None, since: 0 });
-        let at_most_once = self.is_at_most_once(request.class);
-        self.sessions.insert(id, Session { viewer_name, at_most_once, ..session });
+        self.sessions.insert(id, Session { viewer_name, ..session });
         self.index_session(id);
         self.viewers.get_mut(&conn).into_iter().for_each(Viewer::session_started);
         self.events.push_back(Event::Adopted { request, server });
